wire: messages, package borders and the carrier between processes

Cause: parallel work needs fixed borders first. No behaviour to compare yet. Conclusion: packages can now be built side by side.

--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,202 @@
+// Package rpc carries the messages of package wire between the system's processes with jsonrpc2
+// over TCP. A Server answers methods by name; a Pool keeps one connection to each peer.
+package rpc
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Bounds of connections.
+const (
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout = 2 * time.Second
+	// MaxMessageBytes bounds one message; a longer one ends the connection.
+	MaxMessageBytes = 32 << 20
+	// MaxInFlightPerConn bounds the requests that one connection has open at a server.
+	MaxInFlightPerConn = 1024
+	methodHello        = "hello"
+)
+
+// Handler answers one method. It returns the result, or an error; an *jsonrpc2.Error is sent as it is.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Errorf returns an error that reaches the other side with code.
+func Errorf(code int64, format string, args ...any) error {
+	return &jsonrpc2.Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Code returns the jsonrpc2 code of err, or 0.
+func Code(err error) int64 {
+	var e *jsonrpc2.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return 0
+}
+
+// Handle adapts a typed function to a Handler.
+func Handle[P, R any](f func(ctx context.Context, params P) (R, error)) Handler {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var p P
+		if err := json.Unmarshal(raw, &p); err != nil {
+			return nil, Errorf(jsonrpc2.CodeInvalidParams, "params do not decode: %v; send the message of package wire", err)
+		}
+		return f(ctx, p)
+	}
+}
+
+// Counter counts bytes by kind; expvar.Map satisfies it.
+type Counter interface {
+	Add(key string, delta int64)
+}
+
+// Options configure a Server or a Pool.
+type Options struct {
+	// Token is the secret that both sides of a connection know. Methods of a Server that are not
+	// in Open need it.
+	Token string
+	// Open names methods that authenticate by themselves (ibisctl).
+	Open map[string]bool
+	// Bytes counts bytes as "rx.METHOD" and "tx.METHOD"; nil counts nothing.
+	Bytes Counter
+	Log   *slog.Logger
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Server answers methods on a listener.
+type Server struct {
+	opts     Options
+	handlers map[string]Handler
+}
+
+// NewServer returns a server of handlers by method.
+func NewServer(opts Options, handlers map[string]Handler) *Server {
+	return &Server{opts: opts, handlers: handlers}
+}
+
+// Serve accepts connections on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("rpc: accept on %s: %w", l.Addr(), err)
+		}
+		wg.Go(func() { s.serveConn(ctx, c) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, c net.Conn) {
+	sc := &serverConn{s: s, slots: make(chan struct{}, MaxInFlightPerConn)}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(newLimitedConn(c), jsonrpc2.VarintObjectCodec{}), sc)
+	defer conn.Close()
+	select {
+	case <-ctx.Done():
+	case <-conn.DisconnectNotify():
+	}
+}
+
+// serverConn is the state of one accepted connection.
+type serverConn struct {
+	s     *Server
+	slots chan struct{}
+	mu    sync.Mutex
+	known bool
+}
+
+// Handle answers one request on its own goroutine, so that a long poll holds up no other.
+func (sc *serverConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case sc.slots <- struct{}{}:
+	default:
+		reply(ctx, conn, req, nil, Errorf(wire.CodeUnavailable, "more than %d requests open on one connection; wait for answers", MaxInFlightPerConn))
+		return
+	}
+	if req.Method == methodHello {
+		// In order: what follows on the connection relies on it.
+		sc.hello(ctx, conn, req)
+		<-sc.slots
+		return
+	}
+	go func() {
+		defer func() { <-sc.slots }()
+		res, err := sc.dispatch(ctx, req)
+		reply(ctx, conn, req, res, err)
+	}()
+}
+
+func (sc *serverConn) hello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var token string
+	err := json.Unmarshal(params(req), &token)
+	if err != nil || subtle.ConstantTimeCompare([]byte(token), []byte(sc.s.opts.Token)) != 1 {
+		reply(ctx, conn, req, nil, Errorf(wire.CodeUnauthorized, "peer token differs; give all nodes of a deployment the same peer_token_file"))
+		return
+	}
+	sc.mu.Lock()
+	sc.known = true
+	sc.mu.Unlock()
+	reply(ctx, conn, req, wire.Empty{}, nil)
+}
+
+func (sc *serverConn) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	sc.mu.Lock()
+	known := sc.known
+	sc.mu.Unlock()
+	if !known && !sc.s.opts.Open[req.Method] {
+		return nil, Errorf(wire.CodeUnauthorized, "method %s is for nodes of the deployment; callers use HTTP, operators use ibisctl", req.Method)
+	}
+	h, ok := sc.s.handlers[req.Method]
+	if !ok {
+		return nil, Errorf(jsonrpc2.CodeMethodNotFound, "method %s is not served here; check the address and the versions of both programs", req.Method)
+	}
+	p := params(req)
+	res, err := h(ctx, p)
+	if c := sc.s.opts.Bytes; c != nil {
+		c.Add("rx."+req.Method, int64(len(p)))
+		if raw, merr := json.Marshal(res); merr == nil && err == nil {
+			c.Add("tx."+req.Method, int64(len(raw)))
+			return json.RawMessage(raw), nil
+		}
+	}
+	return res, err
+}
+
+func params(req *jsonrpc2.Request) json.RawMessage {
+	if req.Params == nil {
+		return json.RawMessage("null")
+	}
+	return *req.Params
+}
+
+func reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, res any, err error) {
+	if req.Notif {
+		return
+	}
+	if err == nil {
+		_ = conn.Reply(ctx, req.ID, res) // a lost connection is seen by the reader
+		return
+	}
+	var e *jsonrpc2.Error
+	if !errors.As(err, &e) {
+		e = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, e)
+}
--- /dev/null
+++ b/rpc/rpc_test.go
@@ -0,0 +1,80 @@
+package rpc
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+// start serves handlers on loopback until the test ends and returns the address.
+func start(t *testing.T, o Options, handlers map[string]Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- NewServer(o, handlers).Serve(ctx, l) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+func double(_ context.Context, n int) (int, error) { return 2 * n, nil }
+
+func TestCallAnswers(t *testing.T) {
+	is := is.New(t)
+	addr := start(t, Options{Token: "s"}, map[string]Handler{"double": Handle(double)})
+	p := NewPool(Options{Token: "s"})
+	defer p.Close()
+	var got int
+	is.NoErr(p.Call(context.Background(), addr, "double", 21, &got))
+	is.Equal(got, 42)
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	is := is.New(t)
+	addr := start(t, Options{Token: "s", Open: map[string]bool{"open": true}},
+		map[string]Handler{"double": Handle(double), "open": Handle(double)})
+	stranger := NewPool(Options{})
+	defer stranger.Close()
+	err := stranger.Call(context.Background(), addr, "double", 1, nil)
+	is.Equal(Code(err), int64(wire.CodeUnauthorized)) // no hello
+	is.NoErr(stranger.Call(context.Background(), addr, "open", 1, nil))
+	wrong := NewPool(Options{Token: "other"})
+	defer wrong.Close()
+	err = wrong.Call(context.Background(), addr, "double", 1, nil)
+	is.Equal(Code(err), int64(wire.CodeUnauthorized)) // wrong token
+}
+
+func TestLongPollHoldsUpNoOther(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	wait := func(ctx context.Context, _ int) (int, error) { <-release; return 1, nil }
+	addr := start(t, Options{Token: "s"}, map[string]Handler{"wait": Handle(wait), "double": Handle(double)})
+	p := NewPool(Options{Token: "s"})
+	defer p.Close()
+	is.NoErr(p.Call(context.Background(), addr, "double", 1, nil)) // opens the connection
+	slow := make(chan error, 1)
+	go func() { slow <- p.Call(context.Background(), addr, "wait", 1, nil) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(p.Call(ctx, addr, "double", 2, nil))
+	close(release)
+	is.NoErr(<-slow)
+}
+
+func TestTooLongMessageEndsConnection(t *testing.T) {
+	is := is.New(t)
+	c := newLimitedConn(nil)
+	is.NoErr(c.scan(append(binary.AppendUvarint(nil, 3), 'a', 'b', 'c')))
+	is.NoErr(c.scan([]byte{0x81}))                                       // half of a length
+	is.NoErr(c.scan([]byte{0x01}))                                       // 129 bytes follow
+	is.NoErr(c.scan(make([]byte, 129)))                                  // the message
+	is.True(c.scan(binary.AppendUvarint(nil, MaxMessageBytes+1)) != nil) // too long
+}
