--- /dev/null
+++ b/fake/faults/admin.go
@@ -0,0 +1,83 @@
+package faults
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+	"github.com/ibistrail/ibistrail/process"
+)
+
+const maxFaultsBytes = 1 << 16
+
+// Standin is a stand-in with fault switches.
+type Standin interface {
+	// Routes adds the switches: POST and GET /faults, GET /journal where there is one.
+	Routes(r *mux.Router)
+}
+
+// Admin serves the switches of several stand-ins, /NAME/faults and the like, at an address that stays up
+// while they are down.
+type Admin struct {
+	mu       sync.Mutex
+	standins map[string]http.Handler
+}
+
+// NewAdmin returns an admin server without stand-ins.
+func NewAdmin() *Admin { return &Admin{standins: map[string]http.Handler{}} }
+
+// Add serves the switches of s under /name.
+func (a *Admin) Add(name string, s Standin) {
+	r := mux.NewRouter()
+	s.Routes(r)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.standins[name] = http.StripPrefix("/"+name, r)
+}
+
+// ServeHTTP implements http.Handler.
+func (a *Admin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := firstSegment(r.URL.Path)
+	a.mu.Lock()
+	h, ok := a.standins[name]
+	names := len(a.standins)
+	a.mu.Unlock()
+	if !ok {
+		http.Error(w, fmt.Sprintf("no stand-in %q among %d; use /NAME/faults or /NAME/journal", name, names), http.StatusNotFound)
+		return
+	}
+	h.ServeHTTP(w, r)
+}
+
+func firstSegment(path string) string {
+	if path == "" {
+		return ""
+	}
+	for i := 1; i < len(path); i++ {
+		if path[i] == '/' {
+			return path[1:i]
+		}
+	}
+	return path[1:]
+}
+
+// Handle adds GET and POST /faults for a typed set of switches: a POST replaces all of them, {}
+// heals.
+func Handle[T any](r *mux.Router, get func() T, set func(T) error) {
+	r.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, get())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/faults", func(w http.ResponseWriter, req *http.Request) {
+		var f T
+		if err := process.ReadJSON(w, req, &f, maxFaultsBytes); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := set(f); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		process.WriteJSON(w, http.StatusOK, get())
+	}).Methods(http.MethodPost)
+}
--- /dev/null
+++ b/fake/logservice/service.go
@@ -0,0 +1,295 @@
+// Package logservice is a stand-in of the platform's append-only log service: offsets from 1, a
+// limited rate of appends, retention, long-poll reads, and switches for outages, slowness and lost
+// answers.
+package logservice
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/ibistrail/ibistrail/fake/faults"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/process"
+	"golang.org/x/time/rate"
+)
+
+// Bounds of the service.
+const (
+	// DefaultAppendsPerSecond is the rate limit where the options name none.
+	DefaultAppendsPerSecond = 300
+	// MaxAppendBytes bounds the body of an append.
+	MaxAppendBytes = 8 << 20
+	// MaxReadRecords bounds the records of one answer.
+	MaxReadRecords = 1000
+	// MaxWait bounds a long poll.
+	MaxWait = 30 * time.Second
+)
+
+// Options configure the stand-in.
+type Options struct {
+	// AppendsPerSecond limits appends; 0 means DefaultAppendsPerSecond.
+	AppendsPerSecond float64 `json:"appends_per_second,omitempty"`
+	// RetentionMs is how long a record is kept, in milliseconds; 0 means for ever.
+	RetentionMs int64 `json:"retention_ms,omitempty"`
+	// Now is the clock; nil means the time of day.
+	Now func() time.Time `json:"-"`
+}
+
+// Faults are the switches of the log service.
+type Faults struct {
+	// Crash closes all connections and refuses new ones.
+	Crash bool `json:"crash,omitempty"`
+	// Outage answers each request with status 503.
+	Outage bool `json:"outage,omitempty"`
+	// AppendOutage answers appends with status 503; reads go on.
+	AppendOutage bool `json:"append_outage,omitempty"`
+	// Hang holds each request until its caller gives up.
+	Hang bool `json:"hang,omitempty"`
+	// DelayMs slows each request, in milliseconds.
+	DelayMs int64 `json:"delay_ms,omitempty"`
+	// LoseAppendAnswers is how many of the next appends take effect without an answer; -1 means all.
+	LoseAppendAnswers int `json:"lose_append_answers,omitempty"`
+	// FailAppends is how many of the next appends fail without effect and without an answer; -1 means all.
+	FailAppends int `json:"fail_appends,omitempty"`
+	// Stream limits the faults of appends to one stream; empty means all.
+	Stream string `json:"stream,omitempty"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	opts    Options
+	limiter *rate.Limiter
+	server  *faults.Server
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	appends int64
+	reads   int64
+}
+
+// New returns a log without records.
+func New(opts Options) *Service {
+	if opts.AppendsPerSecond == 0 {
+		opts.AppendsPerSecond = DefaultAppendsPerSecond
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	burst := max(1, int(opts.AppendsPerSecond))
+	return &Service{opts: opts, limiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), burst), streams: map[string]*stream{}}
+}
+
+// Attach lets the crash switch act on s.
+func (s *Service) Attach(server *faults.Server) { s.server = server }
+
+// Handler returns the service's HTTP handler.
+func (s *Service) Handler() http.Handler {
+	r := mux.NewRouter()
+	s.Routes(r)
+	r.HandleFunc("/v1/streams/{stream}/records", s.handleAppend).Methods(http.MethodPost)
+	r.HandleFunc("/v1/streams/{stream}/records", s.handleRead).Methods(http.MethodGet)
+	return r
+}
+
+// Routes adds the switches, the counters and POST /expire/{stream}, which drops all records of a stream.
+func (s *Service) Routes(r *mux.Router) {
+	faults.Handle(r, s.Faults, s.SetFaults)
+	r.HandleFunc("/journal", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, s.Journal())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/expire/{stream}", func(w http.ResponseWriter, req *http.Request) {
+		s.Expire(mux.Vars(req)["stream"])
+	}).Methods(http.MethodPost)
+}
+
+// Faults returns the switches.
+func (s *Service) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the switches.
+func (s *Service) SetFaults(f Faults) error {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	return faults.SetCrashed(s.server, f.Crash)
+}
+
+// Journal counts what the service has done.
+type Journal struct {
+	Appends int64 `json:"appends"`
+	Reads   int64 `json:"reads"`
+	// Next is the next offset by stream.
+	Next map[string]platform.Offset `json:"next"`
+}
+
+// Journal returns the counters.
+func (s *Service) Journal() Journal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := Journal{Appends: s.appends, Reads: s.reads, Next: map[string]platform.Offset{}}
+	for name, st := range s.streams {
+		j.Next[name] = st.next
+	}
+	return j
+}
+
+// Expire drops all records of a stream, as if their retention had passed.
+func (s *Service) Expire(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	st.drop(len(st.records))
+}
+
+// stream returns the named stream, made on first use; s.mu is held.
+func (s *Service) stream(name string) *stream {
+	st := s.streams[name]
+	if st == nil {
+		st = newStream()
+		s.streams[name] = st
+	}
+	st.expire(s.opts.Now(), time.Duration(s.opts.RetentionMs)*time.Millisecond)
+	return st
+}
+
+// admit applies the faults that all requests share and tells whether to go on.
+func (s *Service) admit(w http.ResponseWriter, r *http.Request) bool {
+	f := s.Faults()
+	if f.Hang {
+		<-r.Context().Done()
+		return false
+	}
+	if !faults.Pause(r.Context(), time.Duration(f.DelayMs)*time.Millisecond) {
+		return false
+	}
+	if f.Outage || f.AppendOutage && r.Method == http.MethodPost {
+		http.Error(w, faults.ErrDown.Error(), http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func (s *Service) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var req platform.AppendRequest
+	if err := process.ReadJSON(w, r, &req, MaxAppendBytes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(req.Records) == 0 {
+		http.Error(w, "no records; send at least one", http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r) {
+		return
+	}
+	name := mux.Vars(r)["stream"]
+	if s.takeFault(name, func(f *Faults) *int { return &f.FailAppends }) {
+		faults.Abort()
+	}
+	if delay := s.reserve(); delay > 0 {
+		faults.Refuse(w, delay, "append rate exceeded; group records and try again")
+		return
+	}
+	first := s.Append(name, req.Records)
+	if s.takeFault(name, func(f *Faults) *int { return &f.LoseAppendAnswers }) {
+		faults.Abort()
+	}
+	process.WriteJSON(w, http.StatusOK, platform.AppendResponse{First: first})
+}
+
+// reserve takes one append from the rate; it returns how long to wait if there is none.
+func (s *Service) reserve() time.Duration {
+	now := s.opts.Now()
+	res := s.limiter.ReserveN(now, 1)
+	delay := res.DelayFrom(now)
+	if delay > 0 {
+		res.CancelAt(now)
+	}
+	return delay
+}
+
+// Append adds records without limit and faults, for tests.
+func (s *Service) Append(name string, records []platform.NewRecord) platform.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appends++
+	return s.stream(name).append(s.opts.Now(), records)
+}
+
+// takeFault uses up one count of a fault of appends to a stream and tells whether it holds.
+func (s *Service) takeFault(name string, count func(*Faults) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Stream != "" && s.faults.Stream != name {
+		return false
+	}
+	n := count(&s.faults)
+	if *n > 0 {
+		*n--
+		return true
+	}
+	return *n < 0
+}
+
+func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err1 := queryInt(r, "from", 1)
+	limit, err2 := queryInt(r, "limit", MaxReadRecords)
+	waitMs, err3 := queryInt(r, "wait_ms", 0)
+	for _, err := range []error{err1, err2, err3} {
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	if !s.admit(w, r) {
+		return
+	}
+	wait := min(time.Duration(waitMs)*time.Millisecond, MaxWait)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	res := s.read(ctx, mux.Vars(r)["stream"], platform.Offset(from), int(min(limit, MaxReadRecords)))
+	if !s.admit(w, r) {
+		return // the outage began while the reader waited
+	}
+	process.WriteJSON(w, http.StatusOK, res)
+}
+
+// read answers at once if there are records at or after from, else when the first comes or ctx ends.
+func (s *Service) read(ctx context.Context, name string, from platform.Offset, limit int) platform.ReadResponse {
+	for {
+		s.mu.Lock()
+		s.reads++
+		st := s.stream(name)
+		res := platform.ReadResponse{Records: st.read(from, limit), First: st.first(), Next: st.next, RetentionMs: s.opts.RetentionMs}
+		grown := st.grown
+		s.mu.Unlock()
+		if len(res.Records) > 0 || from < res.First {
+			return res
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return res
+		}
+	}
+}
+
+func queryInt(r *http.Request, key string, def int64) (int64, error) {
+	v := r.URL.Query().Get(key)
+	if v == "" {
+		return def, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("%s=%q is no whole number; use 0 or more", key, v)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/fake/vmlist/list.go
@@ -0,0 +1,189 @@
+// Package vmlist is a stand-in of the platform's list of live and leaving VMs, which lags behind
+// the truth.
+package vmlist
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/ibistrail/ibistrail/fake/faults"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/process"
+)
+
+const maxVMBytes = 1 << 16
+
+// Options configure the stand-in.
+type Options struct {
+	// LagMs is how far the list lags behind, in milliseconds.
+	LagMs int64         `json:"lag_ms,omitempty"`
+	VMs   []platform.VM `json:"vms,omitempty"`
+	// Now is the clock; nil means the time of day.
+	Now func() time.Time `json:"-"`
+}
+
+// Faults are the switches of the list.
+type Faults struct {
+	// Crash closes all connections and refuses new ones.
+	Crash bool `json:"crash,omitempty"`
+	// Outage answers each request with status 503.
+	Outage bool `json:"outage,omitempty"`
+	// Hang holds each request until its caller gives up.
+	Hang bool `json:"hang,omitempty"`
+	// LagMs replaces the lag of the options, in milliseconds; 0 keeps it.
+	LagMs int64 `json:"lag_ms,omitempty"`
+}
+
+// version is the list from a time on.
+type version struct {
+	since time.Time
+	vms   []platform.VM
+}
+
+// List is the stand-in.
+type List struct {
+	opts     Options
+	server   *faults.Server
+	mu       sync.Mutex
+	versions []version
+	faults   Faults
+}
+
+// New returns a list with the VMs of opts, visible at once.
+func New(opts Options) *List {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &List{opts: opts, versions: []version{{vms: opts.VMs}}}
+}
+
+// Attach lets the crash switch act on server.
+func (l *List) Attach(server *faults.Server) { l.server = server }
+
+// Handler returns the list's HTTP handler.
+func (l *List) Handler() http.Handler {
+	r := mux.NewRouter()
+	l.Routes(r)
+	r.HandleFunc("/v1/vms", l.handleList).Methods(http.MethodGet)
+	return r
+}
+
+// Routes adds the switches and the truth: POST /vms adds or replaces a VM, DELETE /vms/{name}
+// removes it, POST /vms/{name}/leaving marks it.
+func (l *List) Routes(r *mux.Router) {
+	faults.Handle(r, l.Faults, l.SetFaults)
+	r.HandleFunc("/vms", l.handleAdd).Methods(http.MethodPost)
+	r.HandleFunc("/vms/{name}", func(w http.ResponseWriter, req *http.Request) {
+		l.Remove(mux.Vars(req)["name"])
+	}).Methods(http.MethodDelete)
+	r.HandleFunc("/vms/{name}/leaving", func(w http.ResponseWriter, req *http.Request) {
+		if !l.SetLeaving(mux.Vars(req)["name"], true) {
+			http.Error(w, "no such VM; GET /v1/vms lists them", http.StatusNotFound)
+		}
+	}).Methods(http.MethodPost)
+}
+
+// Faults returns the switches.
+func (l *List) Faults() Faults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// SetFaults replaces the switches.
+func (l *List) SetFaults(f Faults) error {
+	l.mu.Lock()
+	l.faults = f
+	l.mu.Unlock()
+	return faults.SetCrashed(l.server, f.Crash)
+}
+
+func (l *List) handleAdd(w http.ResponseWriter, r *http.Request) {
+	var vm platform.VM
+	if err := process.ReadJSON(w, r, &vm, maxVMBytes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Put(vm)
+}
+
+func (l *List) handleList(w http.ResponseWriter, r *http.Request) {
+	f := l.Faults()
+	if f.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if f.Outage {
+		http.Error(w, faults.ErrDown.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	process.WriteJSON(w, http.StatusOK, platform.VMList{VMs: l.visible()})
+}
+
+// visible returns the list as it was a lag ago, and forgets older versions.
+func (l *List) visible() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lag := time.Duration(l.opts.LagMs) * time.Millisecond
+	if l.faults.LagMs > 0 {
+		lag = time.Duration(l.faults.LagMs) * time.Millisecond
+	}
+	at := l.opts.Now().Add(-lag)
+	i := len(l.versions) - 1
+	for i > 0 && l.versions[i].since.After(at) {
+		i--
+	}
+	l.versions = l.versions[i:]
+	return l.versions[0].vms
+}
+
+// edit makes a new version of the list.
+func (l *List) edit(f func([]platform.VM) []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.versions[len(l.versions)-1].vms
+	l.versions = append(l.versions, version{since: l.opts.Now(), vms: f(append([]platform.VM(nil), now...))})
+}
+
+// Put adds vm, or replaces the one of its name.
+func (l *List) Put(vm platform.VM) {
+	l.edit(func(vms []platform.VM) []platform.VM {
+		for i := range vms {
+			if vms[i].Name == vm.Name {
+				vms[i] = vm
+				return vms
+			}
+		}
+		return append(vms, vm)
+	})
+}
+
+// Remove takes the named VM off the list.
+func (l *List) Remove(name string) {
+	l.edit(func(vms []platform.VM) []platform.VM {
+		kept := vms[:0]
+		for _, vm := range vms {
+			if vm.Name != name {
+				kept = append(kept, vm)
+			}
+		}
+		return kept
+	})
+}
+
+// SetLeaving marks the named VM and tells whether it is listed.
+func (l *List) SetLeaving(name string, leaving bool) bool {
+	found := false
+	l.edit(func(vms []platform.VM) []platform.VM {
+		for i := range vms {
+			if vms[i].Name == name {
+				vms[i].Leaving = leaving
+				found = true
+			}
+		}
+		return vms
+	})
+	return found
+}
