fake: engine as a model and plain service, with fault switches

Cause: nodes need targets whose answers a checker can verify and whose failures can be caused. Measured: go test -race ./fake/... passes.

--- /dev/null
+++ b/fake/engine/cache.go
@@ -0,0 +1,116 @@
+package engine
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/ibistrail/ibistrail/fake/answer"
+	"github.com/ibistrail/ibistrail/platform"
+)
+
+// maxCacheEvents bounds the events that are kept for readers.
+const maxCacheEvents = 4096
+
+// prefixCache keeps prompt prefixes in blocks of platform.PrefixBytes, the least recently used
+// evicted first. The last block of a prompt may be shorter.
+type prefixCache struct {
+	capacity int // tokens
+	used     int // tokens
+	blocks   map[uint64]*list.Element
+	order    *list.List // of *block, the most recently used first
+	events   []cacheEvent
+	seq      int64
+}
+
+type block struct {
+	hash   uint64
+	tokens int
+	first  bool // the block is the first of its prompt
+}
+
+type cacheEvent struct {
+	platform.CacheEvent
+	time time.Time
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, blocks: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// use returns how many tokens of prompt are cached, and caches the rest.
+func (c *prefixCache) use(now time.Time, prompt string) int {
+	cached, hit := 0, true
+	for start := 0; start < len(prompt); start += platform.PrefixBytes {
+		end := min(start+platform.PrefixBytes, len(prompt))
+		h := xxhash.Sum64String(prompt[:end])
+		tokens := answer.PromptTokens(prompt[start:end])
+		e, ok := c.blocks[h]
+		if ok {
+			c.order.MoveToFront(e)
+		} else {
+			c.store(now, block{hash: h, tokens: tokens, first: start == 0})
+		}
+		if hit = hit && ok; hit {
+			cached += tokens
+		}
+	}
+	return cached
+}
+
+func (c *prefixCache) store(now time.Time, b block) {
+	if b.tokens > c.capacity {
+		return
+	}
+	for c.used+b.tokens > c.capacity {
+		c.evict(now, c.order.Back())
+	}
+	c.blocks[b.hash] = c.order.PushFront(&b)
+	c.used += b.tokens
+	c.note(now, b, false)
+}
+
+func (c *prefixCache) evict(now time.Time, e *list.Element) {
+	b := c.order.Remove(e).(*block)
+	delete(c.blocks, b.hash)
+	c.used -= b.tokens
+	c.note(now, *b, true)
+}
+
+// clear evicts all blocks: KV of other weights is of no use.
+func (c *prefixCache) clear(now time.Time) {
+	for c.order.Len() > 0 {
+		c.evict(now, c.order.Back())
+	}
+}
+
+// note records an event of a first block; others have no name in the published events.
+func (c *prefixCache) note(now time.Time, b block, evicted bool) {
+	if !b.first {
+		return
+	}
+	c.seq++
+	c.events = append(c.events, cacheEvent{platform.CacheEvent{Seq: c.seq, PrefixHash: b.hash, Evicted: evicted}, now})
+	if len(c.events) > maxCacheEvents {
+		c.events = append([]cacheEvent(nil), c.events[len(c.events)-maxCacheEvents/2:]...)
+	}
+}
+
+// since returns the events after seq that are at least lag old; every gapEvery-th is lost.
+func (c *prefixCache) since(now time.Time, seq int64, lag time.Duration, gapEvery int64) ([]platform.CacheEvent, int64) {
+	events, next := []platform.CacheEvent{}, seq
+	for _, e := range c.events {
+		if e.Seq <= seq {
+			continue
+		}
+		if now.Sub(e.time) < lag {
+			break
+		}
+		next = e.Seq
+		if gapEvery > 0 && e.Seq%gapEvery == 0 {
+			continue
+		}
+		events = append(events, e.CacheEvent)
+	}
+	return events, next
+}
--- /dev/null
+++ b/fake/engine/engine_test.go
@@ -0,0 +1,286 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fake/answer"
+	"github.com/ibistrail/ibistrail/fake/faults"
+	"github.com/ibistrail/ibistrail/fake/weightstore"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/matryer/is"
+)
+
+// bench is an engine with a weight store.
+type bench struct {
+	t      *testing.T
+	engine *Engine
+	server *faults.Server
+	client *platform.EngineClient
+	http   *http.Client
+	store  *weightstore.Store
+}
+
+func newBench(t *testing.T, opts Options) *bench {
+	t.Helper()
+	store := weightstore.New(weightstore.Options{FetchMs: 1, Versions: map[string]int64{"m": 9}})
+	hs := httptest.NewServer(store.Handler())
+	opts.Name, opts.Model, opts.StoreURL, opts.SwapMs, opts.TickMs = "e", "m", hs.URL, 1, 1
+	if opts.Version == 0 {
+		opts.Version = 1
+	}
+	e := New(opts)
+	server, err := faults.Listen("127.0.0.1:0", e.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Attach(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	hc := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() { cancel(); <-done; server.Close(); hs.Close() })
+	return &bench{t: t, engine: e, server: server, client: platform.NewEngineClient(hc), http: hc, store: store}
+}
+
+func (b *bench) post(req platform.CompletionRequest) (*http.Response, error) {
+	raw, err := json.Marshal(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return b.http.Post("http://"+b.server.Addr()+platform.PathCompletions, "application/json", bytes.NewReader(raw))
+}
+
+// events are the decoded events of a stream, and whether the end marker came.
+type events struct {
+	chunks []platform.CompletionChunk
+	done   bool
+	err    error
+}
+
+func (ev events) tokens() []int {
+	var out []int
+	for _, c := range ev.chunks {
+		out = append(out, c.Choices[0].TokenIDs...)
+	}
+	return out
+}
+
+// readEvents reads a stream to its end; each is called after each event.
+func readEvents(r io.Reader, each func(platform.CompletionChunk)) events {
+	var ev events
+	sc := bufio.NewScanner(r)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			ev.done = true
+			continue
+		}
+		var c platform.CompletionChunk
+		if ev.err = json.Unmarshal([]byte(data), &c); ev.err != nil {
+			return ev
+		}
+		ev.chunks = append(ev.chunks, c)
+		if each != nil {
+			each(c)
+		}
+	}
+	ev.err = sc.Err()
+	return ev
+}
+
+func (b *bench) stream(req platform.CompletionRequest, each func(platform.CompletionChunk)) events {
+	req.Stream = true
+	resp, err := b.post(req)
+	if err != nil {
+		return events{err: err}
+	}
+	defer resp.Body.Close()
+	return readEvents(resp.Body, each)
+}
+
+// want is the whole answer with one version.
+func want(prompt string, seed int64, maxTokens int, version int64) []int {
+	out := make([]int, answer.Length("m", prompt, seed, maxTokens))
+	for i := range out {
+		out[i] = answer.Token("m", prompt, seed, version, i)
+	}
+	return out
+}
+
+func request(id string, tokens int) platform.CompletionRequest {
+	return platform.CompletionRequest{Model: "m", Prompt: "a correction", MaxTokens: tokens, Seed: 7, RequestID: id}
+}
+
+func TestStreamAndWholeAgree(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{})
+	is.NoErr(b.engine.SetFaults(Faults{SplitWrites: true}))
+	ev := b.stream(request("a", 40), nil)
+	is.NoErr(ev.err)
+	is.True(ev.done)
+	is.Equal(ev.tokens(), want("a correction", 7, 40, 1))
+	resp, err := b.post(request("b", 40))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var c platform.CompletionChunk
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&c))
+	is.Equal(c.Choices[0].TokenIDs, ev.tokens())
+	is.Equal(c.WeightSpans, []platform.WeightSpan{{Version: 1, Tokens: len(ev.tokens())}})
+	is.Equal(c.Choices[0].Text, answer.Text(ev.tokens()))
+}
+
+func TestSwapInMidStreamChangesFollowingTokens(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{Rates: Rates{DecodeTokensPerSecond: 2000}})
+	ordered := false
+	ev := b.stream(request("a", 4000), func(platform.CompletionChunk) {
+		if !ordered {
+			ordered = true
+			st, err := b.client.Order(context.Background(), b.server.Addr(), platform.Order{ID: "o", Kind: platform.OrderLoadVersion, Version: 2, Mode: platform.SwapNow})
+			is.NoErr(err)
+			is.Equal(st.Version, int64(2))
+		}
+	})
+	is.True(ev.done)
+	seen := map[int64]int{}
+	i := 0
+	for _, c := range ev.chunks {
+		for _, token := range c.Choices[0].TokenIDs {
+			is.Equal(token, answer.Token("m", "a correction", 7, c.WeightVersion, i))
+			seen[c.WeightVersion]++
+			i++
+		}
+	}
+	is.True(seen[1] > 0 && seen[2] > 0)
+}
+
+func TestFencingAndFailedSwap(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{FencingChecked: true})
+	ctx := context.Background()
+	order := func(token, version int64) error {
+		_, err := b.client.Order(ctx, b.server.Addr(), platform.Order{ID: "o", Kind: platform.OrderLoadVersion, FencingToken: token, Version: version})
+		return err
+	}
+	is.NoErr(order(5, 2))
+	var fenced *platform.ErrFenced
+	is.True(errors.As(order(4, 3), &fenced))
+	is.Equal(fenced.Seen, int64(5))
+	is.NoErr(b.engine.SetFaults(Faults{SwapFails: 1, LoseOrderAnswers: 1}))
+	var unavailable *platform.ErrUnavailable
+	is.True(errors.As(order(5, 3), &unavailable)) // failed, answer lost
+	is.Equal(b.engine.Status().Version, int64(2))
+	is.NoErr(b.engine.SetFaults(Faults{LoseOrderAnswers: 1}))
+	is.True(errors.As(order(5, 3), &unavailable)) // took effect, answer lost
+	is.Equal(b.engine.Status().Version, int64(3))
+}
+
+func TestCutStreamResumes(t *testing.T) {
+	for _, clean := range []bool{true, false} {
+		is := is.New(t)
+		b := newBench(t, Options{})
+		is.NoErr(b.engine.SetFaults(Faults{CutStreams: 1, CutAfterTokens: 3, CutClean: clean}))
+		ev := b.stream(request("a", 60), nil)
+		is.True(!ev.done)
+		is.Equal(ev.err == nil, clean)
+		got := ev.tokens()
+		resp, err := b.http.Get("http://" + b.server.Addr() + platform.PathStreams + "a?from=3")
+		is.NoErr(err)
+		rest := readEvents(resp.Body, nil)
+		resp.Body.Close()
+		is.True(rest.done)
+		is.Equal(append(got[:3:3], rest.tokens()...), want("a correction", 7, 60, 1))
+	}
+}
+
+func TestContinueWithTokensAndKV(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{})
+	all := want("a correction", 7, 60, 1)
+	is.NoErr(b.client.ImportKV(context.Background(), b.server.Addr(), &platform.KV{RequestID: "kv", Model: "m", Version: 1, Prompt: "a correction", Tokens: all[:4]}))
+	for id, kv := range map[string]string{"a": "", "b": "kv"} {
+		req := request(id, 60)
+		req.PrefixTokens, req.KV = all[:4], kv
+		ev := b.stream(req, nil)
+		is.True(ev.done)
+		is.Equal(ev.tokens(), all[4:])
+		is.Equal(ev.chunks[0].Choices[0].Offset, 4)
+	}
+	for _, r := range b.engine.Journal().Runs {
+		is.Equal(r.PrefillTokens > 0, r.RequestID == "a")
+	}
+}
+
+func TestCancelAndPoison(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{Rates: Rates{DecodeTokensPerSecond: 50}})
+	ctx := context.Background()
+	ev := b.stream(request("a", 100_000), func(platform.CompletionChunk) {
+		_ = b.client.Cancel(ctx, b.server.Addr(), "a")
+	})
+	is.True(!ev.done)
+	is.Equal(*ev.chunks[len(ev.chunks)-1].Choices[0].FinishReason, platform.FinishAbort)
+	boot := b.engine.Status().Boot
+	is.NoErr(b.engine.SetFaults(Faults{PoisonSubstring: "correction", RestartVersion: 4}))
+	ev = b.stream(request("b", 10), nil)
+	is.True(ev.err != nil)
+	_, err := b.client.Status(ctx, b.server.Addr())
+	is.True(err != nil) // refused while down
+	is.NoErr(b.engine.SetFaults(Faults{}))
+	st, err := b.client.Status(ctx, b.server.Addr())
+	is.NoErr(err)
+	is.True(st.Boot != boot)
+	is.Equal(st.Version, int64(4))
+}
+
+func TestChatSpeaksOpenAI(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{})
+	body := `{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":20,"seed":3,"temperature":0.5}`
+	resp, err := b.http.Post("http://"+b.server.Addr()+PathChat, "application/json", strings.NewReader(body))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var c ChatChunk
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&c))
+	is.Equal(c.Object, "chat.completion")
+	is.Equal(c.Choices[0].Message.Content, answer.Text(want("user: hi\nassistant:", 3, 20, 1)))
+}
+
+func TestDrainingSaysSo(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{})
+	is.NoErr(b.engine.SetFaults(Faults{Draining: true, HideVersion: true}))
+	resp, err := b.post(request("a", 5))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.Header.Get(platform.HeaderDraining), "true")
+	var c platform.CompletionChunk
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&c))
+	is.Equal(c.WeightVersion, int64(0))
+	is.True(b.engine.Status().Draining)
+	is.True(b.engine.Journal().Runs[0].Draining)
+}
+
+func TestLoadLags(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Options{LoadLagMs: int64(time.Hour / time.Millisecond), Rates: Rates{DecodeTokensPerSecond: 1}})
+	is.Equal(b.engine.Load().Running, 0)
+	go b.post(request("a", 1000))
+	for len(b.engine.Journal().Runs) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(b.engine.Load().Running+b.engine.Load().Waiting, 0) // the report is still the old one
+}
--- /dev/null
+++ b/fake/engine/http.go
@@ -0,0 +1,196 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/ibistrail/ibistrail/fake/faults"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/process"
+)
+
+// PathChat is OpenAI's path of chat completions.
+const PathChat = "/v1/chat/completions"
+
+// Handler returns the engine's HTTP handler.
+func (e *Engine) Handler() http.Handler {
+	r := mux.NewRouter()
+	e.Routes(r)
+	r.HandleFunc(platform.PathCompletions, e.handleCompletion).Methods(http.MethodPost)
+	r.HandleFunc(PathChat, e.handleChat).Methods(http.MethodPost)
+	r.HandleFunc(platform.PathStreams+"{id}", e.handleResume).Methods(http.MethodGet)
+	r.HandleFunc(platform.PathStreams+"{id}", e.handleCancel).Methods(http.MethodDelete)
+	r.HandleFunc(platform.PathKV+"/{id}", e.handleExportKV).Methods(http.MethodGet)
+	r.HandleFunc(platform.PathKV, e.handleImportKV).Methods(http.MethodPost)
+	r.HandleFunc(platform.PathLoad, e.handleLoad).Methods(http.MethodGet)
+	r.HandleFunc(platform.PathCacheEvents, e.handleCacheEvents).Methods(http.MethodGet)
+	r.HandleFunc(platform.PathStatus, e.handleStatus).Methods(http.MethodGet)
+	r.HandleFunc(platform.PathOrders, e.handleOrder).Methods(http.MethodPost)
+	return e.signal(r)
+}
+
+// Routes adds the switches and the journal.
+func (e *Engine) Routes(r *mux.Router) {
+	faults.Handle(r, e.Faults, e.SetFaults)
+	r.HandleFunc("/journal", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, e.Journal())
+	}).Methods(http.MethodGet)
+}
+
+// signal tells with each answer whether the engine is leaving.
+func (e *Engine) signal(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.Faults().Draining {
+			w.Header().Set(platform.HeaderDraining, "true")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	process.WriteJSON(w, http.StatusOK, e.Load())
+}
+
+func (e *Engine) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	process.WriteJSON(w, http.StatusOK, e.Status())
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := queryInt(r, "since")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	lag := time.Duration(e.opts.CacheEventLagMs) * time.Millisecond
+	events, next := e.model.cache.since(time.Now(), since, lag, e.opts.CacheEventGapEvery)
+	res := platform.CacheEvents{Boot: e.boot, Events: events, Next: next}
+	e.mu.Unlock()
+	process.WriteJSON(w, http.StatusOK, res)
+}
+
+func queryInt(r *http.Request, key string) (int64, error) {
+	v := r.URL.Query().Get(key)
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < 0 {
+		return 0, errors.New(key + " is no whole number; use 0 or more")
+	}
+	return n, nil
+}
+
+func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	if e.dies(PointAccept) {
+		faults.Abort()
+	}
+	req := new(platform.CompletionRequest)
+	if err := readBody(w, r, req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.serve(w, r, req, completionFormat{model: req.Model})
+}
+
+// readBody decodes a request of OpenAI's API; fields that the engine does not know are left out.
+func readBody(w http.ResponseWriter, r *http.Request, v any) error {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v); err != nil {
+		return fmt.Errorf("body does not decode: %w; send one JSON document", err)
+	}
+	return nil
+}
+
+// serve runs one request and answers in a format.
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, req *platform.CompletionRequest, f format) {
+	if e.dies(PointReceived) {
+		faults.Abort()
+	}
+	switches := e.Faults()
+	if switches.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if switches.Refuse {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "not queued: refused by fault switch; use another engine", http.StatusServiceUnavailable)
+		return
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	s, err := e.submit(time.Now(), req)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	e.answer(w, r, s, 0, req.Stream, f)
+}
+
+// defaultMaxTokens is OpenAI's bound where a request names none.
+const defaultMaxTokens = 16
+
+func refuse(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errFull):
+		faults.Refuse(w, time.Second, err.Error())
+	case errors.Is(err, errNoModel):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, errNoWeight):
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, errTwice):
+		http.Error(w, err.Error(), http.StatusConflict)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// answer sends the answer of s from token index from on.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, s *sequence, from int, stream bool, f format) {
+	rd := e.attach(s, from)
+	defer rd.close()
+	a := &answerWriter{e: e, w: w, r: r, rd: rd, format: f, boot: e.Status().Boot, created: time.Now().Unix(), id: s.id}
+	a.crossed = e.take(func(f *Faults) *int { return &f.CrossAnswers })
+	if stream {
+		a.stream()
+		return
+	}
+	a.whole()
+}
+
+func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	from, err := queryInt(r, "from")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	s := e.sequences[mux.Vars(r)["id"]]
+	model := e.modelName
+	e.mu.Unlock()
+	if s == nil {
+		http.Error(w, "stream is not known here; send the request again with prefix_tokens", http.StatusNotFound)
+		return
+	}
+	e.answer(w, r, s, int(from), true, completionFormat{model: model})
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.sequences[mux.Vars(r)["id"]]
+	if s == nil {
+		http.Error(w, "stream is not known here; nothing to cancel", http.StatusNotFound)
+		return
+	}
+	if !e.faults.IgnoreCancel {
+		e.model.abort(time.Now(), s)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/fake/engine/journal.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/ibistrail/ibistrail/platform"
+)
+
+// Run is one request that an engine took in.
+type Run struct {
+	RequestID string    `json:"request_id"`
+	Prompt    string    `json:"prompt"`
+	Seed      int64     `json:"seed"`
+	Priority  int       `json:"priority"`
+	Arrived   time.Time `json:"arrived"`
+	// Started tells whether it left the queue.
+	Started       bool `json:"started"`
+	PrefillTokens int  `json:"prefill_tokens"`
+	CachedTokens  int  `json:"cached_tokens"`
+	// Tokens is how many tokens were made for it here.
+	Tokens int `json:"tokens"`
+	// Finish is stop, length, abort or crash; empty while it runs.
+	Finish string `json:"finish"`
+	// Draining tells that the engine had said that it was leaving.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// OrderEntry is one order that an engine took in.
+type OrderEntry struct {
+	Time   time.Time      `json:"time"`
+	Order  platform.Order `json:"order"`
+	Result string         `json:"result"`
+}
+
+// VersionEntry tells which weights the engine ran from a time on.
+type VersionEntry struct {
+	Time    time.Time `json:"time"`
+	Version int64     `json:"version"`
+}
+
+// Totals count tokens.
+type Totals struct {
+	PrefillTokens int64 `json:"prefill_tokens"`
+	CachedTokens  int64 `json:"cached_tokens"`
+	DecodeTokens  int64 `json:"decode_tokens"`
+	// AbortedTokens were made for requests that were ended early.
+	AbortedTokens int64 `json:"aborted_tokens"`
+}
+
+// Journal is what a checker reads of an engine.
+type Journal struct {
+	Name     string         `json:"name"`
+	Boots    int            `json:"boots"`
+	Crashes  int            `json:"crashes"`
+	Runs     []*Run         `json:"runs"`
+	Orders   []OrderEntry   `json:"orders"`
+	Versions []VersionEntry `json:"versions"`
+	Totals   Totals         `json:"totals"`
+}
+
+// Journal returns a copy of the journal.
+func (e *Engine) Journal() Journal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sequences {
+		s.run.Tokens = len(s.tokens) - s.prefix
+	}
+	j := e.journal
+	j.Totals = addTotals(j.Totals, e.model.totals)
+	j.Runs = make([]*Run, len(e.journal.Runs))
+	for i, r := range e.journal.Runs {
+		c := *r
+		j.Runs[i] = &c
+	}
+	j.Orders = append([]OrderEntry{}, j.Orders...)
+	j.Versions = append([]VersionEntry{}, j.Versions...)
+	return j
+}
+
+func addTotals(a, b Totals) Totals {
+	return Totals{
+		PrefillTokens: a.PrefillTokens + b.PrefillTokens, CachedTokens: a.CachedTokens + b.CachedTokens,
+		DecodeTokens: a.DecodeTokens + b.DecodeTokens, AbortedTokens: a.AbortedTokens + b.AbortedTokens,
+	}
+}
+
+// noteVersion records a change of weights; e.mu is held or e is new.
+func (e *Engine) noteVersion(now time.Time, version int64) {
+	e.journal.Versions = append(e.journal.Versions, VersionEntry{Time: now, Version: version})
+}
+
+// noteOrder records an order and how it ended.
+func (e *Engine) noteOrder(o platform.Order, result string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.journal.Orders) < maxJournalOrders {
+		e.journal.Orders = append(e.journal.Orders, OrderEntry{Time: time.Now(), Order: o, Result: result})
+	}
+}
