fake: deployment plans for three presets and the ibisfake program

Cause: scripts, scenarios and experiments need whole deployments with valid tables and free ports. Conclusion: one command writes all settings of a deployment.

--- /dev/null
+++ b/fake/deployment/deployment_test.go
@@ -0,0 +1,75 @@
+package deployment
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/matryer/is"
+)
+
+func TestPresetsAreWhole(t *testing.T) {
+	for _, name := range PresetNames() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := Plan(Options{Preset: Preset(name)})
+			is.NoErr(err)
+			dir := t.TempDir()
+			is.NoErr(d.Write(dir))
+			procs, err := os.ReadFile(filepath.Join(dir, FileProcs))
+			is.NoErr(err)
+			is.Equal(len(strings.Split(strings.TrimSpace(string(procs)), "\n")), 3+2*len(d.Gates))
+			seen := map[string]bool{}
+			for _, p := range d.Tables.Pools {
+				for _, target := range p.Targets {
+					is.True(!seen[target.Address])
+					seen[target.Address] = true
+				}
+			}
+			for _, r := range d.Tables.Routes {
+				is.True(d.Tables.Pool(r.Pool) != nil)
+				is.True(len(r.Callers) > 0)
+			}
+			got, err := Load[EnginesSettings](filepath.Join(dir, FileEngines))
+			is.NoErr(err)
+			is.Equal(len(got.Engines), len(d.Endpoints.Engines))
+		})
+	}
+	_, err := Plan(Options{Preset: "none"})
+	if err == nil {
+		t.Fatal("unknown preset planned")
+	}
+}
+
+func TestStandinsServeAndCrash(t *testing.T) {
+	is := is.New(t)
+	d, err := Plan(Options{Preset: PresetSmall, Host: "127.7.7.1", FetchMs: 1})
+	is.NoErr(err)
+	p, err := StartPlatform(d.Platform)
+	is.NoErr(err)
+	defer p.Close()
+	e, err := StartEngines(d.Engines)
+	is.NoErr(err)
+	defer e.Close()
+	s, err := StartServices(d.Services)
+	is.NoErr(err)
+	defer s.Close()
+	ctx := context.Background()
+	ec := platform.NewEngineClient(nil)
+	target := d.Endpoints.Engines[0]
+	_, err = ec.Status(ctx, target.Address)
+	is.NoErr(err)
+	vms, err := platform.NewVMListClient(d.Endpoints.VMs, nil).VMs(ctx)
+	is.NoErr(err)
+	is.Equal(len(vms.VMs), len(d.Gates)+len(d.Endpoints.Engines)+len(d.Endpoints.Services))
+	f := e.Engines[target.Name].Faults()
+	f.Crash = true
+	is.NoErr(e.Engines[target.Name].SetFaults(f))
+	_, err = ec.Status(ctx, target.Address)
+	is.True(err != nil)
+	is.Equal(d.Tables.Pool("drafting-models").Kind, config.PoolEngines)
+}
--- /dev/null
+++ b/fake/deployment/write.go
@@ -0,0 +1,111 @@
+package deployment
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Files of a written plan.
+const (
+	FileTables    = "tables.json"
+	FileEndpoints = "endpoints.json"
+	FilePeerToken = "peer.token"
+	FileProcs     = "procs"
+	FilePlatform  = "platform.json"
+	FileEngines   = "engines.json"
+	FileServices  = "services.json"
+)
+
+// Proc is one process of a plan.
+type Proc struct {
+	Name string
+	// Binary is the program's name; Args are its arguments.
+	Binary string
+	Args   []string
+}
+
+// Procs lists the processes of the plan written to dir, in the order of their start.
+func (d *Deployment) Procs(dir string) []Proc {
+	file := func(name string) []string { return []string{"--settings", filepath.Join(dir, name)} }
+	procs := []Proc{
+		{"platform", "ibisfake", append([]string{"platform"}, file(FilePlatform)...)},
+		{"engines", "ibisfake", append([]string{"engines"}, file(FileEngines)...)},
+		{"services", "ibisfake", append([]string{"services"}, file(FileServices)...)},
+	}
+	for _, s := range d.Stewards {
+		procs = append(procs, Proc{"steward-" + s.ID, "ibissteward", file("steward-" + s.ID + ".json")})
+	}
+	for _, g := range d.Gates {
+		procs = append(procs, Proc{"gate-" + g.ID, "ibisgate", file("gate-" + g.ID + ".json")})
+	}
+	return procs
+}
+
+// Write writes the plan to dir: the settings of each process, the tables, the endpoints, the
+// nodes' secret and the list of processes.
+func (d *Deployment) Write(dir string) error {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("plan: %w; choose a directory that can be written", err)
+	}
+	token := filepath.Join(dir, FilePeerToken)
+	if err := os.WriteFile(token, []byte(d.PeerToken+"\n"), 0o600); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	docs := map[string]any{
+		FileTables: d.Tables, FileEndpoints: d.Endpoints, FilePlatform: d.Platform, FileEngines: d.Engines, FileServices: d.Services,
+	}
+	for i := range d.Gates {
+		d.Gates[i].PeerTokenFile, d.Stewards[i].PeerTokenFile = token, token
+		docs["gate-"+d.Gates[i].ID+".json"] = d.Gates[i]
+		docs["steward-"+d.Stewards[i].ID+".json"] = d.Stewards[i]
+	}
+	for name, v := range docs {
+		if err := writeJSON(filepath.Join(dir, name), v); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(dir, FileProcs), procsFile(d.Procs(dir)), 0o644)
+}
+
+// procsFile is one line a process: name, binary and arguments, separated by tabs.
+func procsFile(procs []Proc) []byte {
+	var b bytes.Buffer
+	for _, p := range procs {
+		fmt.Fprintf(&b, "%s\t%s\t%s\n", p.Name, p.Binary, strings.Join(p.Args, "\t"))
+	}
+	return b.Bytes()
+}
+
+func writeJSON(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("plan: encode %s: %w", path, err)
+	}
+	if err := os.WriteFile(path, append(raw, '\n'), 0o644); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	return nil
+}
+
+// Load reads the settings of a stand-in process; unknown fields are refused.
+func Load[T any](path string) (T, error) {
+	var v T
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return v, fmt.Errorf("settings: %w; name a file that the process can read", err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		return v, fmt.Errorf("settings %s: %w; write it with ibisfake plan", path, err)
+	}
+	return v, nil
+}
--- a/fake/faults/admin.go
+++ b/fake/faults/admin.go
@@ -17,6 +17,14 @@
 	Routes(r *mux.Router)
 }
 
+// Served is a stand-in that a Server serves.
+type Served interface {
+	// Handler returns the stand-in's HTTP handler.
+	Handler() http.Handler
+	// Attach lets the crash switch act on server.
+	Attach(server *Server)
+}
+
 // Admin serves the switches of several stand-ins, /NAME/faults and the like, at an address that stays up
 // while they are down.
 type Admin struct {
