--- /dev/null
+++ b/scripts/gotest.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Runs `go test -json` with the given arguments and prints failures. Exit status 0 if nothing fails
+# but what KNOWN-RED.txt lists; listed failures are printed. JSON goes to $GOTEST_JSON if set.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+json=${GOTEST_JSON:-$(mktemp)}
+go test -json "$@" >"$json" 2>"$json.err"
+status=$?
+field() { sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p"; }
+
+# The failed leaves: a parent fails with its subtest, a package with its test.
+failed=$(grep '"Action":"fail"' "$json" | grep '"Test":' |
+	sed -n 's/.*"Package":"\([^"]*\)","Test":"\([^"]*\)".*/\1 \2/p' |
+	sed 's,^github.com/ibistrail/ibistrail/,,' | sort -u)
+leaves=$(while read -r pkg name; do
+	[ -n "$pkg" ] || continue
+	grep -qF "$pkg $name/" <<<"$failed" || echo "$pkg $name"
+done <<<"$failed")
+
+unexpected=0
+while read -r leaf; do
+	[ -n "$leaf" ] || continue
+	if [ -f KNOWN-RED.txt ] && grep -qF "test: $leaf |" KNOWN-RED.txt; then
+		echo "KNOWN-RED $leaf"
+		grep -F "test: $leaf |" KNOWN-RED.txt
+	else
+		echo "FAIL $leaf"
+		unexpected=1
+	fi
+done <<<"$leaves"
+
+if [ "$unexpected" = 1 ] || { [ "$status" != 0 ] && [ -z "$leaves" ]; }; then
+	grep -v '"Action":"\(run\|pause\|cont\|start\|pass\)"' "$json" | sed -n 's/.*"Output":"\(.*\)"}$/\1/p' |
+		sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g; s/\\u003c/</g; s/\\u003e/>/g' | grep -v '^\(=== \|ok  \|PASS\|?   \)' | tail -n 300
+	cat "$json.err"
+	echo "FAIL"
+	exit 1
+fi
+# A package that failed without a failed test did not build or died.
+while read -r pkg; do
+	[ -n "$pkg" ] || continue
+	grep -q "^${pkg#github.com/ibistrail/ibistrail/} " <<<"$failed" || { echo "FAIL $pkg without a failed test"; cat "$json.err"; exit 1; }
+done < <(grep '"Action":"fail"' "$json" | grep -v '"Test":' | field Package)
+passed=$(grep '"Action":"pass"' "$json" | grep -c '"Test":')
+known=$(grep -c . <<<"$leaves")
+echo "$passed passed, 0 failed"
+[ "$known" = 0 ] || echo "known red: $known, listed in KNOWN-RED.txt"
