--- a/config/tables.go
+++ b/config/tables.go
@@ -2,7 +2,10 @@
 // and the rule by which each reader of the log decides alike which change is in force.
 package config
 
-import "github.com/ibistrail/ibistrail/platform"
+import (
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/schema"
+)
 
 // Priority is the class of a route; a lower number is served first.
 type Priority int
@@ -154,7 +157,11 @@
 	ID     string `json:"id"`
 	Author string `json:"author"`
 	Note   string `json:"note,omitempty"`
-	Edits  []Edit `json:"edits"`
+	// Base is the revision of the tables that the author saw. A change read back more than
+	// DecidedWindow offsets after its Base is rejected, so that a late copy of one that was
+	// already decided can never hold.
+	Base  platform.Offset `json:"base"`
+	Edits []Edit          `json:"edits"`
 }
 
 // Decision is how a change was decided when it was read back.
@@ -177,12 +184,7 @@
 }
 
 // Problem is a violated rule of the tables, with its place and remedy.
-type Problem struct {
-	// Path is a JSON pointer into the document.
-	Path    string `json:"path"`
-	Message string `json:"message"`
-	Remedy  string `json:"remedy"`
-}
+type Problem = schema.Problem
 
 // RowInfo is the revision of a row and who set it.
 type RowInfo struct {
@@ -190,11 +192,25 @@
 	By       string          `json:"by"`
 }
 
-// Snapshot is the state of the tables after the record at Revision.
+// Decided tells how the change of one record was decided.
+type Decided struct {
+	ID       string          `json:"id"`
+	Offset   platform.Offset `json:"offset"`
+	Accepted bool            `json:"accepted"`
+}
+
+// Snapshot is the state of the tables after the record at Revision. Two readers of the same log
+// hold equal snapshots at equal revisions.
 type Snapshot struct {
 	Revision platform.Offset    `json:"revision"`
 	Tables   Tables             `json:"tables"`
 	Rows     map[RowKey]RowInfo `json:"rows"`
-	// Deleted keeps revisions of deleted rows, so that an old edit cannot bring one back.
+	// Deleted keeps revisions of rows deleted within the last DecidedWindow offsets, so that an old
+	// edit cannot bring one back.
 	Deleted map[RowKey]RowInfo `json:"deleted,omitempty"`
+	// Decided are the changes decided within the last DecidedWindow offsets, the oldest first.
+	Decided []Decided `json:"decided,omitempty"`
+	// Incomplete is true when the writer passed a record of a newer format, so that its tables may
+	// lack a change; such a snapshot is never appended to the log.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
--- /dev/null
+++ b/config/validate_routes.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// reservedPath is the tree of paths that gates serve themselves.
+const reservedPath = "/v1"
+
+func (v *validation) checkRoutes() {
+	names := make(map[string]bool, len(v.t.Routes))
+	for i := range v.t.Routes {
+		r := &v.t.Routes[i]
+		if names[r.Name] {
+			v.add(rowPath("routes", i, "name"), "give each route its own name", "route %q stands twice", r.Name)
+		}
+		names[r.Name] = true
+		v.checkPoolOf(i, r)
+		v.checkRouteFields(i, r)
+		switch r.Kind {
+		case RouteCompletions:
+			if r.Model == "" {
+				v.add(rowPath("routes", i), "add the model that callers ask for", "route %q of completions has no model", r.Name)
+			}
+		case RouteHTTP:
+			v.checkPathPrefix(i, r)
+		case RouteSteps:
+		}
+	}
+}
+
+func (v *validation) checkPoolOf(i int, r *Route) {
+	p := v.pools[r.Pool]
+	if p == nil {
+		v.add(rowPath("routes", i, "pool"), "add a pool of that name or name one of "+v.poolNames(), "route %q names pool %q, which is not in the pools table", r.Name, r.Pool)
+		return
+	}
+	want := PoolEngines
+	if r.Kind == RouteHTTP {
+		want = PoolServices
+	}
+	if p.Kind != want {
+		v.add(rowPath("routes", i, "pool"), "name a pool of "+string(want), "route %q of kind %s goes to pool %q of %s", r.Name, r.Kind, r.Pool, p.Kind)
+		return
+	}
+	if r.Model != "" && p.Kind == PoolEngines && r.Model != p.Model && !slices.Contains(p.Adapters, r.Model) {
+		v.add(rowPath("routes", i, "model"), "name the pool's model or one of its adapters, or another pool", "pool %q does not run model %q", r.Pool, r.Model)
+	}
+}
+
+func (v *validation) poolNames() string {
+	if len(v.t.Pools) == 0 {
+		return "them (there are none)"
+	}
+	names := make([]string, len(v.t.Pools))
+	for i := range v.t.Pools {
+		names[i] = v.t.Pools[i].Name
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+// checkRouteFields refuses fields that mean nothing for the route's kind.
+func (v *validation) checkRouteFields(i int, r *Route) {
+	for _, f := range []struct {
+		name string
+		set  bool
+		kind []RouteKind
+	}{
+		{"model", r.Model != "", []RouteKind{RouteCompletions, RouteSteps}},
+		{"path_prefix", r.PathPrefix != "", []RouteKind{RouteHTTP}},
+		{"non_idempotent", r.NonIdempotent, []RouteKind{RouteHTTP}},
+		{"max_staleness_versions", r.MaxStalenessVersions != 0, []RouteKind{RouteSteps}},
+	} {
+		if f.set && !slices.Contains(f.kind, r.Kind) {
+			v.add(rowPath("routes", i, f.name), "leave it out, or make the route's kind "+string(f.kind[0]), "route %q of kind %s cannot have %s", r.Name, r.Kind, f.name)
+		}
+	}
+}
+
+func (v *validation) checkPathPrefix(i int, r *Route) {
+	if r.PathPrefix == "" {
+		v.add(rowPath("routes", i), "add the path prefix of its requests, such as /desk", "route %q of kind http has no path_prefix", r.Name)
+		return
+	}
+	p := trimSlash(r.PathPrefix)
+	if p == reservedPath || strings.HasPrefix(p, reservedPath+"/") {
+		v.add(rowPath("routes", i, "path_prefix"), "choose a prefix outside "+reservedPath, "path_prefix %s is served by the gates themselves", r.PathPrefix)
+	}
+}
+
+func trimSlash(p string) string { return strings.TrimSuffix(p, "/") }
+
+// checkTokens refuses a token that stands for two callers, or twice for one in a route.
+func (v *validation) checkTokens() {
+	owner := map[string]string{}
+	for i := range v.t.Routes {
+		inRoute := map[string]bool{}
+		for j := range v.t.Routes[i].Callers {
+			c := &v.t.Routes[i].Callers[j]
+			at := rowPath("routes", i, "callers", strconv.Itoa(j), "token_sha256")
+			if inRoute[c.TokenSHA256] {
+				v.add(at, "list each token once a route", "the token stands twice in route %q", v.t.Routes[i].Name)
+			}
+			inRoute[c.TokenSHA256] = true
+			if other, ok := owner[c.TokenSHA256]; ok && other != c.Name {
+				v.add(at, "give each caller its own token", "callers %q and %q have the same token", other, c.Name)
+			}
+			owner[c.TokenSHA256] = c.Name
+		}
+	}
+}
+
+// checkOverlaps refuses routes between which a request could not choose.
+func (v *validation) checkOverlaps() {
+	type use struct{ model, token string }
+	byUse, byPrefix := map[use]string{}, map[string]string{}
+	for i := range v.t.Routes {
+		r := &v.t.Routes[i]
+		switch {
+		case r.Kind == RouteHTTP && r.PathPrefix != "":
+			p := trimSlash(r.PathPrefix)
+			if other, ok := byPrefix[p]; ok {
+				v.add(rowPath("routes", i, "path_prefix"), "give each route its own prefix; a longer one wins", "routes %q and %q overlap: both have path_prefix %s", other, r.Name, r.PathPrefix)
+			}
+			byPrefix[p] = r.Name
+		case r.Kind == RouteCompletions:
+			for j := range r.Callers {
+				u := use{r.Model, r.Callers[j].TokenSHA256}
+				if other, ok := byUse[u]; ok && other != r.Name {
+					v.add(rowPath("routes", i, "callers", strconv.Itoa(j)), "list the caller in one of them", "routes %q and %q overlap: both carry model %q for caller %q", other, r.Name, r.Model, r.Callers[j].Name)
+				}
+				byUse[u] = r.Name
+			}
+		}
+	}
+}
