--- a/config/machine_prop_test.go
+++ b/config/machine_prop_test.go
@@ -17,8 +17,10 @@
 	truth *Machine
 	// decisions are truth's, by offset.
 	decisions map[platform.Offset]Decision
-	nodes     []*Machine
-	ids       int
+	// seen tells which change IDs were decided.
+	seen  map[string]bool
+	nodes []*Machine
+	ids   int
 }
 
 const propWindow = 12
@@ -32,7 +34,10 @@
 func (c *cluster) readTruth(t *rapid.T) {
 	for int(c.truth.Next()) <= len(c.log.records) {
 		if d := c.truth.Apply(c.log.records[c.truth.Next()-1]); d != nil {
-			c.decisions[d.Offset] = *d
+			if d.Accepted && c.seen[d.Change.ID] {
+				t.Fatalf("offset %d: a late copy of change %s holds", d.Offset, d.Change.ID)
+			}
+			c.decisions[d.Offset], c.seen[d.Change.ID] = *d, true
 		}
 	}
 	if p := Validate(c.truth.Tables()); len(p) > 0 {
@@ -129,7 +134,13 @@
 		},
 		"read":    func(t *rapid.T) { c.step(t, node(t), rapid.IntRange(1, 8).Draw(t, "records")) },
 		"replace": func(t *rapid.T) { c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(t, "node")] = smallMachine() },
-		"fetch":   func(t *rapid.T) { node(t).Restore(ready(t).Snapshot()) },
+		"fetch": func(t *rapid.T) {
+			m := node(t)
+			before := m.Revision()
+			if m.Restore(ready(t).Snapshot()); m.Revision() < before {
+				t.Fatalf("revision went back from %d to %d", before, m.Revision())
+			}
+		},
 		"expire": func(t *rapid.T) {
 			c.log.first = max(c.log.first, platform.Offset(rapid.IntRange(1, len(c.log.records)+1).Draw(t, "first")))
 		},
@@ -142,7 +153,7 @@
 // snapshot all hold equal states.
 func TestReadersDecideAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &cluster{log: &stream{}, truth: smallMachine(), decisions: map[platform.Offset]Decision{}, nodes: []*Machine{smallMachine(), smallMachine(), smallMachine()}}
+		c := &cluster{log: &stream{}, truth: smallMachine(), decisions: map[platform.Offset]Decision{}, seen: map[string]bool{}, nodes: []*Machine{smallMachine(), smallMachine(), smallMachine()}}
 		c.truth.Missed(1)
 		c.step(t, c.nodes[0], 1)
 		t.Repeat(c.actions())
--- a/config/validate_pools.go
+++ b/config/validate_pools.go
@@ -32,9 +32,8 @@
 		}
 		names[t.Name] = true
 		a, err := netip.ParseAddrPort(t.Address)
-		if err != nil || a.Port() == 0 {
-			v.add(at("address"), "write an IP address and a port, such as 10.0.1.7:8000 or [fd00::7]:8000", "address %q is no IP address with a port", t.Address)
-			continue
+		if err != nil {
+			continue // the schema refuses it
 		}
 		a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 		if other, ok := addresses[a]; ok {
--- a/schema/explain.go
+++ b/schema/explain.go
@@ -52,6 +52,8 @@
 		return fmt.Sprintf("value %v is not one of %s", quote(k.Got), list(k.Want))
 	case *kind.Pattern:
 		return fmt.Sprintf("value %q does not have the right form", k.Got)
+	case *kind.Format:
+		return fmt.Sprintf("value %s is not valid: %v", quote(k.Got), k.Err)
 	case *kind.Minimum:
 		return fmt.Sprintf("value %s is below %s", number(k.Got), number(k.Want))
 	case *kind.Maximum:
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -69,6 +69,10 @@
 		return nil, fmt.Errorf("schema %s: %w", name, err)
 	}
 	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	for _, f := range formats {
+		c.RegisterFormat(f)
+	}
 	if err := c.AddResource(name, doc); err != nil {
 		return nil, fmt.Errorf("schema %s: %w", name, err)
 	}
