--- a/schema/schema.go
+++ b/schema/schema.go
@@ -17,6 +17,9 @@
 // MaxDocumentBytes bounds a checked document.
 const MaxDocumentBytes = 16 << 20
 
+// MaxDepth bounds how deep a checked document is nested.
+const MaxDepth = 64
+
 // MaxProblems bounds the problems that one check reports.
 const MaxProblems = 100
 
@@ -133,7 +136,7 @@
 // checkSyntax finds syntax errors, with line and column, and fields that stand twice in an object.
 func checkSyntax(data []byte) *Problem {
 	d := json.NewDecoder(bytes.NewReader(data))
-	err := scanValue(d, "")
+	err := scanValue(d, "", 0)
 	if err == nil {
 		if _, err = d.Token(); errors.Is(err, io.EOF) {
 			return nil
@@ -161,18 +164,23 @@
 
 func (r *repeatedField) Error() string { return "field " + r.path + " stands twice" }
 
-// scanValue reads one value; json.Decoder itself bounds the depth.
-func scanValue(d *json.Decoder, path string) error {
+// errTooDeep is a document that is nested deeper than MaxDepth.
+var errTooDeep = fmt.Errorf("nested deeper than %d", MaxDepth)
+
+func scanValue(d *json.Decoder, path string, depth int) error {
+	if depth > MaxDepth {
+		return errTooDeep
+	}
 	t, err := d.Token()
 	if err != nil {
 		return err
 	}
 	switch t {
 	case json.Delim('{'):
-		return scanObject(d, path)
+		return scanObject(d, path, depth)
 	case json.Delim('['):
 		for i := 0; d.More(); i++ {
-			if err := scanValue(d, fmt.Sprintf("%s/%d", path, i)); err != nil {
+			if err := scanValue(d, fmt.Sprintf("%s/%d", path, i), depth+1); err != nil {
 				return err
 			}
 		}
@@ -181,7 +189,7 @@
 	return err
 }
 
-func scanObject(d *json.Decoder, path string) error {
+func scanObject(d *json.Decoder, path string, depth int) error {
 	seen := map[string]bool{}
 	for d.More() {
 		t, err := d.Token()
@@ -194,7 +202,7 @@
 			return &repeatedField{path: field}
 		}
 		seen[name] = true
-		if err := scanValue(d, field); err != nil {
+		if err := scanValue(d, field, depth+1); err != nil {
 			return err
 		}
 	}
