rollout: core of a step and its manager

Cause: trainers need steps of sample groups, each slot filled exactly once with versions named. Change: pure Step (slots, attempts, cursor, staleness at hand-over, window, hedges), Manager shell, trainers' HTTP API, border types of dispatch.

--- a/api/api.go
+++ b/api/api.go
@@ -84,6 +84,14 @@
 	return n
 }
 
+// SlotSeed returns the seed that slot s is sampled with.
+func (s *StepSpec) SlotSeed(slot int) int64 {
+	x := uint64(s.Seed)*0x9e3779b97f4a7c15 + uint64(slot) + 1
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return int64((x ^ x>>31) >> 1)
+}
+
 // Cursor is a bitmap of the slots that a trainer holds, bit s%8 of byte s/8; JSON carries it in base64.
 type Cursor []byte
 
@@ -154,6 +162,18 @@
 	Remaining int `json:"remaining"`
 	// Done is true when the cursor names each slot.
 	Done bool `json:"done"`
+	// Owner is the gate that runs the step now, if it has moved; the next pull passes it back.
+	Owner string `json:"owner,omitempty"`
+	// Failed are slots that no attempt can fill; the trainer releases the step or hands in another.
+	Failed []FailedSlot `json:"failed,omitempty"`
+}
+
+// FailedSlot is a slot that no attempt can fill, with the reason.
+type FailedSlot struct {
+	Slot    int    `json:"slot"`
+	Group   string `json:"group"`
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
 }
 
 // Code is the machine-readable kind of an Error.
--- /dev/null
+++ b/rollout/deliver.go
@@ -0,0 +1,74 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+)
+
+// Collect returns whole, fresh groups for a pull with the given cursor and trainer version, at most
+// maxSamples of them unless one group alone is larger; 0 means no bound. It repeats until the cursor moves.
+func (s *Step) Collect(now time.Time, cursor api.Cursor, version int64, maxSamples int) *api.PullResponse {
+	need := s.need(max(version, s.version))
+	resp := &api.PullResponse{Samples: []api.Sample{}}
+	for _, g := range s.groups {
+		n := s.whole(g, cursor, need)
+		if n == 0 {
+			continue
+		}
+		if maxSamples > 0 && len(resp.Samples) > 0 && len(resp.Samples)+n > maxSamples {
+			break
+		}
+		for i := g.first; i < g.first+g.n; i++ {
+			if !cursor.Has(i) {
+				resp.Samples = append(resp.Samples, *s.slots[i].sample)
+			}
+		}
+	}
+	resp.Remaining = len(s.slots) - cursor.Count() - len(resp.Samples)
+	resp.Done = cursor.Count() >= len(s.slots)
+	resp.Failed = s.failedSlots(cursor)
+	return resp
+}
+
+// whole returns the number of samples that complete a group for a trainer, or 0 if one of them is
+// not ready or too old.
+func (s *Step) whole(g group, cursor api.Cursor, need int64) int {
+	n := 0
+	for i := g.first; i < g.first+g.n; i++ {
+		if cursor.Has(i) {
+			continue
+		}
+		sl := &s.slots[i]
+		if sl.state != slotReady || sl.oldest < need {
+			return 0
+		}
+		n++
+	}
+	return n
+}
+
+func (s *Step) failedSlots(cursor api.Cursor) []api.FailedSlot {
+	var failed []api.FailedSlot
+	for i := range s.slots {
+		if f := s.slots[i].failed; f != nil && !cursor.Has(i) {
+			failed = append(failed, *f)
+		}
+	}
+	return failed
+}
+
+// Export returns the scored samples that no cursor has named, and the cursor, for a peer.
+func (s *Step) Export() ([]api.Sample, api.Cursor) {
+	var samples []api.Sample
+	var held api.Cursor
+	for i := range s.slots {
+		switch s.slots[i].state {
+		case slotReady:
+			samples = append(samples, *s.slots[i].sample)
+		case slotHeld:
+			held = held.With(i)
+		}
+	}
+	return samples, held
+}
--- /dev/null
+++ b/rollout/handover.go
@@ -0,0 +1,146 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// handoverBytes bounds the samples of one handover message, roughly.
+const handoverBytes = 8 << 20
+
+// handoverTimeout bounds one handover message.
+const handoverTimeout = 5 * time.Second
+
+// export is what a peer needs to go on with a step.
+type export struct {
+	samples []api.Sample
+	held    api.Cursor
+	version int64
+}
+
+// Drain hands the live steps to peers for a planned stop. A step that no peer takes stays until
+// the gate exits; its trainer then hands it in elsewhere.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	m.draining = true
+	runners := make([]*runner, 0, len(m.steps))
+	for _, r := range m.steps {
+		runners = append(runners, r)
+	}
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, r := range runners {
+		wg.Go(func() { m.handOver(ctx, r) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+// handOver offers a step to one peer after another.
+func (m *Manager) handOver(ctx context.Context, r *runner) {
+	for _, peer := range m.handoverPeers(r.key) {
+		reply := make(chan export, 1)
+		select {
+		case r.exports <- reply:
+		case <-r.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+		ex := <-reply
+		owner, err := m.offer(ctx, r, peer, ex)
+		if err != nil {
+			m.opts.Log.Warn("step_handover_failed", "step", r.key.id, "peer", peer.ID, "err", err)
+			continue
+		}
+		m.opts.Log.Info("step_handed_over", "step", r.key.id, "peer", peer.ID, "samples", len(ex.samples), "held", ex.held.Count())
+		select {
+		case r.moves <- moved{owner: owner, address: peer.GateAddress}:
+			<-r.done
+		case <-r.done:
+		}
+		return
+	}
+}
+
+// offer sends a step to a peer, its samples in parts; an equal specification is idempotent there.
+func (m *Manager) offer(ctx context.Context, r *runner, peer wire.Node, ex export) (string, error) {
+	spec := r.spec
+	spec.Held, spec.TrainerVersion = ex.held, ex.version
+	var res wire.HandoverResult
+	for first := true; first || len(ex.samples) > 0; first = false {
+		n := partSize(ex.samples)
+		params := wire.HandoverParams{
+			Trainer: r.key.trainer, Spec: spec, Samples: ex.samples[:n],
+			RemainingMs: max(1, r.deadline.Sub(m.opts.Now()).Milliseconds()),
+		}
+		ex.samples = ex.samples[n:]
+		cctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		err := m.opts.Call(cctx, peer.GateAddress, wire.MethodHandover, params, &res)
+		cancel()
+		if err != nil {
+			return "", err
+		}
+	}
+	return res.Owner, nil
+}
+
+func partSize(samples []api.Sample) int {
+	size := 0
+	for i, s := range samples {
+		size += len(s.Text) + 12*len(s.Tokens) + 256
+		if size > handoverBytes {
+			return max(1, i)
+		}
+	}
+	return len(samples)
+}
+
+// handoverPeers orders the peers: other zones first, since a planned stop often takes the rest of
+// its zone next, spread by the step's name.
+func (m *Manager) handoverPeers(key stepKey) []wire.Node {
+	peers := slices.Clone(m.opts.Directory.Peers())
+	rank := func(n wire.Node) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(key.trainer + "/" + key.id + "/" + n.ID))
+		return h.Sum64()
+	}
+	near := func(n wire.Node) int {
+		if n.AvailabilityZone == m.opts.AvailabilityZone {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(peers, func(a, b wire.Node) int {
+		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(rank(a), rank(b)))
+	})
+	return peers
+}
+
+func (m *Manager) handleHandover(_ context.Context, p wire.HandoverParams) (*wire.HandoverResult, error) {
+	tables, _ := m.opts.Directory.Tables()
+	if tables == nil {
+		return nil, rpcError(notReady())
+	}
+	route := tables.Route(p.Spec.Route)
+	if route == nil {
+		return nil, rpcError(errorf(api.CodeNoRoute, 404, 0, "route %q is not in force here; wait for the configuration", p.Spec.Route))
+	}
+	if err := Validate(&p.Spec, route); err != nil {
+		return nil, rpcError(err)
+	}
+	r, err := m.open(p.Trainer, route, p.Spec, m.opts.Now().Add(time.Duration(p.RemainingMs)*time.Millisecond))
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	r.tell(Imported{Samples: p.Samples})
+	m.opts.Log.Info("step_taken_over", "step", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples))
+	return &wire.HandoverResult{Owner: m.opts.GateID}, nil
+}
--- /dev/null
+++ b/rollout/perform.go
@@ -0,0 +1,180 @@
+package rollout
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/dispatch"
+)
+
+// scoreTimeout bounds one score call.
+const scoreTimeout = 10 * time.Second
+
+// progress is what an attempt has generated so far; the dispatcher writes it, the step reads it.
+type progress struct {
+	mu     sync.Mutex
+	now    func() time.Time
+	text   strings.Builder
+	tokens []int
+	spans  []api.Span
+	last   time.Time
+	engine string
+}
+
+// add takes a piece of the answer.
+func (p *progress) add(piece dispatch.Piece) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.text.WriteString(piece.Text)
+	p.tokens = append(p.tokens, piece.Tokens...)
+	p.spans = appendSpan(p.spans, piece.Version, len(piece.Tokens))
+	p.last, p.engine = p.now(), piece.Engine
+}
+
+func appendSpan(spans []api.Span, version int64, tokens int) []api.Span {
+	if tokens == 0 {
+		return spans
+	}
+	if n := len(spans); n > 0 && spans[n-1].Version == version {
+		spans[n-1].Tokens += tokens
+		return spans
+	}
+	return append(spans, api.Span{Version: version, Tokens: tokens})
+}
+
+func (p *progress) read(id AttemptID) (Progress, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last.IsZero() {
+		return Progress{}, false
+	}
+	out := Progress{ID: id, Tokens: len(p.tokens), Last: p.last}
+	for _, s := range p.spans {
+		if s.Version > 0 && (out.Oldest == 0 || s.Version < out.Oldest) {
+			out.Oldest = s.Version
+		}
+	}
+	return out, true
+}
+
+func (p *progress) copy() (string, []int, []api.Span, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.String(), append([]int(nil), p.tokens...), append([]api.Span(nil), p.spans...), p.engine
+}
+
+// perform carries the effects of the step out.
+func (r *runner) perform(effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case StartAttempt:
+			r.startAttempt(e)
+		case CancelAttempt:
+			if k := r.tasks[e.ID]; k != nil {
+				k.cancel()
+				delete(r.tasks, e.ID)
+			}
+		case StartScore:
+			r.startScore(e)
+		}
+	}
+}
+
+func (r *runner) startAttempt(e StartAttempt) {
+	call := r.call(e)
+	p := &progress{now: r.m.opts.Now}
+	if k := r.tasks[e.From]; e.From != "" && k != nil {
+		text, tokens, spans, engine := k.progress.copy()
+		if _, ok := oldestVersion(tokens, spans); ok {
+			call.Text, call.Tokens, call.Spans = text, tokens, spans
+		}
+		call.Avoid = []string{engine}
+	}
+	p.text.WriteString(call.Text)
+	p.tokens = append(p.tokens, call.Tokens...)
+	p.spans = append(p.spans, call.Spans...)
+	call.OnTokens = p.add
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.tasks[e.ID] = &task{cancel: cancel, progress: p}
+	r.wg.Go(func() {
+		defer cancel()
+		res, err := r.m.opts.Completer.Complete(ctx, call)
+		r.tell(answer(e.ID, p, res, err))
+	})
+}
+
+func answer(id AttemptID, p *progress, res *dispatch.Result, err *api.Error) Answered {
+	if err != nil {
+		text, tokens, spans, engine := p.copy()
+		return Answered{ID: id, Text: text, Tokens: tokens, Spans: spans, Engine: engine, Err: err}
+	}
+	return Answered{ID: id, Text: res.Text, Tokens: res.Tokens, Spans: res.Spans, Engine: res.Engine}
+}
+
+func (r *runner) call(e StartAttempt) dispatch.Call {
+	sum := sha256.Sum256([]byte(r.route.Name + "\x00" + e.Prompt))
+	return dispatch.Call{
+		RequestID: string(e.ID), Customer: r.route.Customer, Route: r.route.Name, Caller: r.key.trainer,
+		Pool: r.route.Pool, Model: r.m.model(r.route.Pool), Prompt: e.Prompt, MaxTokens: r.spec.MaxTokens, Seed: e.Seed,
+		Priority: int(r.route.Priority), Deadline: r.deadline, Fingerprint: hex.EncodeToString(sum[:]),
+		Tokens: e.Tokens, Text: e.Text, Spans: e.Spans, MinVersion: e.MinVersion, Trainer: true,
+	}
+}
+
+// scoreRequest is the body of a score call.
+type scoreRequest struct {
+	Step   string `json:"step"`
+	Slot   int    `json:"slot"`
+	Group  string `json:"group"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+}
+
+type scoreResponse struct {
+	Score *float64 `json:"score"`
+}
+
+func (r *runner) startScore(e StartScore) {
+	ctx, cancel := context.WithTimeout(r.ctx, scoreTimeout)
+	r.tasks[e.ID] = &task{cancel: cancel}
+	r.wg.Go(func() {
+		defer cancel()
+		score, err := r.score(ctx, e)
+		r.tell(Scored{ID: e.ID, Score: score, Err: err})
+	})
+}
+
+// score asks the step's scorer once. The attempt's ID is the idempotency key, so that a scorer can
+// tell a repeated call.
+func (r *runner) score(ctx context.Context, e StartScore) (float64, *api.Error) {
+	tables, _ := r.m.opts.Directory.Tables()
+	if tables == nil || tables.Route(r.spec.Scorer) == nil {
+		return 0, errorf(api.CodeNoRoute, http.StatusServiceUnavailable, time.Second, "route %q of the scorer is gone; add it again", r.spec.Scorer)
+	}
+	row := tables.Route(r.spec.Scorer)
+	body, err := json.Marshal(scoreRequest{Step: r.key.id, Slot: e.Sample.Slot, Group: e.Sample.Group, Prompt: e.Prompt, Text: e.Sample.Text})
+	if err != nil {
+		return 0, badRequest("score request does not encode: %v", err)
+	}
+	deadline, _ := ctx.Deadline()
+	ans, cerr := r.m.opts.Services.CallService(ctx, dispatch.ServiceCall{
+		Route: row.Name, Customer: row.Customer, Path: strings.TrimSuffix(row.PathPrefix, "/") + "/score", Method: http.MethodPost,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Deadline: deadline,
+		Idempotent: true, IdempotencyKey: string(e.ID),
+	})
+	if cerr != nil {
+		return 0, cerr
+	}
+	var out scoreResponse
+	if ans.Status != http.StatusOK || json.Unmarshal(ans.Body, &out) != nil || out.Score == nil {
+		return 0, errorf(api.CodeTargetFailed, http.StatusBadGateway, 0, "scorer %s answered status %d without a score; see its log", row.Name, ans.Status)
+	}
+	return *out.Score, nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -302,6 +302,8 @@
 	Trainer string          `json:"trainer"`
 	StepID  string          `json:"step_id"`
 	Pull    api.PullRequest `json:"pull"`
+	// Release gives the step up instead; the answer is empty.
+	Release bool `json:"release,omitempty"`
 }
 
 // HandoverParams gives a step with its undelivered samples to a peer on a planned stop.
@@ -309,6 +311,8 @@
 	Trainer string       `json:"trainer"`
 	Spec    api.StepSpec `json:"spec"`
 	Samples []api.Sample `json:"samples"`
+	// RemainingMs is the time left until the step's deadline, in milliseconds.
+	RemainingMs int64 `json:"remaining_ms,omitempty"`
 }
 
 // HandoverResult tells that the peer runs the step now.
