--- a/rollout/handover.go
+++ b/rollout/handover.go
@@ -136,11 +136,10 @@
 	if err := Validate(&p.Spec, route); err != nil {
 		return nil, rpcError(err)
 	}
-	r, err := m.open(p.Trainer, route, p.Spec, m.opts.Now().Add(time.Duration(p.RemainingMs)*time.Millisecond))
-	if err != nil {
+	deadline := m.opts.Now().Add(time.Duration(p.RemainingMs) * time.Millisecond)
+	if _, err := m.open(p.Trainer, route, p.Spec, deadline, Imported{Samples: p.Samples}); err != nil {
 		return nil, rpcError(err)
 	}
-	r.tell(Imported{Samples: p.Samples})
 	m.opts.Log.Info("step_taken_over", "step", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples))
 	return &wire.HandoverResult{Owner: m.opts.GateID}, nil
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,12 +112,13 @@
 	if spec.TimeoutMs > 0 {
 		timeout = time.Duration(spec.TimeoutMs) * time.Millisecond
 	}
-	r, err := m.open(trainer, route, spec, m.opts.Now().Add(timeout))
-	if err != nil {
-		return nil, err
-	}
+	spec.Held = slices.Clone(spec.Held)
+	var first []Message
 	if len(spec.Held) > 0 {
-		r.tell(Pulled{Cursor: spec.Held, TrainerVersion: spec.TrainerVersion})
+		first = append(first, Pulled{Cursor: spec.Held, TrainerVersion: spec.TrainerVersion})
+	}
+	if _, err := m.open(trainer, route, spec, m.opts.Now().Add(timeout), first...); err != nil {
+		return nil, err
 	}
 	return &api.StepAccepted{ID: spec.ID, Owner: m.opts.GateID, Slots: spec.Slots()}, nil
 }
@@ -139,30 +141,44 @@
 	return errorf(api.CodeNotReady, http.StatusServiceUnavailable, time.Second, "no configuration is known yet; come back in a second")
 }
 
-// open returns the runner of a step, started if the step is new.
-func (m *Manager) open(trainer string, route *config.Route, spec api.StepSpec, deadline time.Time) (*runner, *api.Error) {
+// open returns the runner of a step, started if the step is new, and has it take the messages first.
+func (m *Manager) open(trainer string, route *config.Route, spec api.StepSpec, deadline time.Time, first ...Message) (*runner, *api.Error) {
+	r, isNew, err := m.openLocked(trainer, route, spec, deadline, first)
+	if err != nil {
+		return nil, err
+	}
+	if !isNew {
+		for _, msg := range first {
+			r.tell(msg)
+		}
+	}
+	return r, nil
+}
+
+func (m *Manager) openLocked(trainer string, route *config.Route, spec api.StepSpec, deadline time.Time, first []Message) (*runner, bool, *api.Error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := stepKey{trainer, spec.ID}
 	if r := m.steps[key]; r != nil {
 		if !SameSpec(r.spec, spec) {
-			return nil, errorf(api.CodeStepConflict, http.StatusConflict, 0, "step %q runs with another specification; release it first or choose another id", spec.ID)
+			return nil, false, errorf(api.CodeStepConflict, http.StatusConflict, 0, "step %q runs with another specification; release it first or choose another id", spec.ID)
 		}
-		return r, nil
+		return r, false, nil
 	}
 	if m.draining {
-		return nil, errorf(api.CodeDraining, http.StatusServiceUnavailable, time.Second, "the gate is stopping; hand the step in at another gate")
+		return nil, false, errorf(api.CodeDraining, http.StatusServiceUnavailable, time.Second, "the gate is stopping; hand the step in at another gate")
 	}
 	if err := m.checkRoom(trainer); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	m.forgetLocked(key)
 	r := newRunner(m, key, route, spec, deadline)
+	r.first = first
 	m.steps[key] = r
 	m.wg.Go(r.run)
 	m.opts.Metrics.Add("rollout_steps_accepted", 1)
 	m.opts.Log.Info("step_accepted", "step", spec.ID, "trainer", trainer, "route", route.Name, "groups", len(spec.Groups), "slots", spec.Slots(), "held", spec.Held.Count())
-	return r, nil
+	return r, true, nil
 }
 
 func (m *Manager) checkRoom(trainer string) *api.Error {
--- /dev/null
+++ b/rollout/manager_test.go
@@ -0,0 +1,272 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/dispatch"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// fakeWorld is the pool, the scorer and the network of a few managers.
+type fakeWorld struct {
+	mu       sync.Mutex
+	version  int64
+	calls    []dispatch.Call
+	hold     chan struct{} // completions wait for it if set
+	scores   map[string]int
+	scoreErr int // score calls that fail first
+	managers map[string]*Manager
+}
+
+func newWorld() *fakeWorld {
+	return &fakeWorld{version: 1, scores: map[string]int{}, managers: map[string]*Manager{}}
+}
+
+func (w *fakeWorld) Complete(ctx context.Context, c dispatch.Call) (*dispatch.Result, *api.Error) {
+	w.mu.Lock()
+	w.calls = append(w.calls, c)
+	hold, version := w.hold, w.version
+	w.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return nil, &api.Error{Code: api.CodeDeadline}
+		}
+	}
+	c.OnTokens(dispatch.Piece{Text: "a ", Tokens: []int{5}, Version: version})
+	return &dispatch.Result{Text: "a ", Tokens: []int{5}, Spans: []api.Span{{Version: version, Tokens: 1}}, Engine: "e1"}, nil
+}
+
+func (w *fakeWorld) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.calls)
+}
+
+func (w *fakeWorld) CallService(_ context.Context, c dispatch.ServiceCall) (*dispatch.ServiceAnswer, *api.Error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.scores[c.IdempotencyKey]++
+	if w.scoreErr > 0 {
+		w.scoreErr--
+		return &dispatch.ServiceAnswer{Status: http.StatusInternalServerError}, nil
+	}
+	var req scoreRequest
+	if err := json.Unmarshal(c.Body, &req); err != nil || c.Path != "/judge/score" {
+		return &dispatch.ServiceAnswer{Status: http.StatusBadRequest}, nil
+	}
+	return &dispatch.ServiceAnswer{Status: http.StatusOK, Body: fmt.Appendf(nil, `{"score":%d}`, req.Slot)}, nil
+}
+
+func (w *fakeWorld) Tables() (*config.Tables, platform.Offset) {
+	return &config.Tables{
+		Routes: []config.Route{*testRoute(), {Name: "judge", Kind: config.RouteHTTP, PathPrefix: "/judge/"}},
+		Pools:  []config.Pool{{Name: "engines", Model: "m", Targets: []config.Target{{Name: "e1"}}}},
+	}, 1
+}
+
+func (w *fakeWorld) Version(string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+func (w *fakeWorld) Peers() []wire.Node {
+	return []wire.Node{{ID: "a", GateAddress: "a"}, {ID: "b", GateAddress: "b"}}
+}
+
+// call carries a message to a manager as package rpc would.
+func (w *fakeWorld) call(ctx context.Context, address, method string, params, result any) error {
+	w.mu.Lock()
+	m := w.managers[address]
+	w.mu.Unlock()
+	if m == nil {
+		return fmt.Errorf("no gate at %s", address)
+	}
+	raw, _ := json.Marshal(params)
+	res, err := m.Handlers()[method](ctx, raw)
+	if err != nil {
+		raw, _ := json.Marshal(err)
+		var e jsonrpc2.Error
+		_ = json.Unmarshal(raw, &e)
+		return &e
+	}
+	raw, _ = json.Marshal(res)
+	if result == nil {
+		return nil
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (w *fakeWorld) gate(t *testing.T, id string) *Manager {
+	m := NewManager(Options{GateID: id, Completer: w, Services: w, Directory: w, Call: w.call, Hedging: true})
+	w.mu.Lock()
+	w.managers[id] = m
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = m.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return m
+}
+
+func testRoute() *config.Route {
+	return &config.Route{Name: "train", Kind: config.RouteSteps, Pool: "engines", TimeoutMs: 60_000, MaxStalenessVersions: 4}
+}
+
+func worldSpec() api.StepSpec {
+	spec := testSpec(3, 4, "judge")
+	spec.TrainerVersion = 1
+	return spec
+}
+
+// drive pulls until the trainer holds each slot.
+func drive(t *testing.T, pull func(api.PullRequest) (*api.PullResponse, *api.Error), held api.Cursor, slots int) map[int]int {
+	t.Helper()
+	got := map[int]int{}
+	for held.Count() < slots {
+		resp, err := pull(api.PullRequest{Cursor: held, TrainerVersion: 1, WaitMs: 2000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range resp.Samples {
+			got[s.Slot]++
+			held = held.With(s.Slot)
+		}
+	}
+	return got
+}
+
+func TestStepDeliversEachSlotOnceThroughAFailingScorer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.scoreErr = 5
+	m := w.gate(t, "a")
+	ctx := context.Background()
+	acc, err := m.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	is.Equal(*acc, api.StepAccepted{ID: "s", Owner: "a", Slots: 12})
+	got := drive(t, func(r api.PullRequest) (*api.PullResponse, *api.Error) { return m.Pull(ctx, "tr", "s", r) }, nil, 12)
+	is.Equal(len(got), 12)
+	for _, n := range got {
+		is.Equal(n, 1)
+	}
+	is.Equal(len(w.scores), 12) // one idempotency key for each sample
+	is.Equal(w.count(), 12)
+}
+
+func TestStepIsPrivateAndIdempotent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.hold = make(chan struct{})
+	m := w.gate(t, "a")
+	ctx := context.Background()
+	_, err := m.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	_, err = m.Pull(ctx, "other", "s", api.PullRequest{})
+	is.Equal(err.Code, api.CodeStepUnknown)
+	is.Equal(m.Release(ctx, "other", "s").Code, api.CodeStepUnknown)
+	again := worldSpec()
+	again.Held, again.TrainerVersion = api.Cursor{}.With(0), 2
+	_, err = m.Submit(ctx, "tr", testRoute(), again)
+	is.True(err == nil)
+	again.Seed++
+	_, err = m.Submit(ctx, "tr", testRoute(), again)
+	is.Equal(err.Code, api.CodeStepConflict)
+	_, err = m.Pull(ctx, "tr", "s", api.PullRequest{Cursor: api.Cursor{0, 0xf0}})
+	is.Equal(err.Code, api.CodeBadRequest) // a slot outside of the step
+	is.True(m.Release(ctx, "tr", "s") == nil)
+	_, err = m.Pull(ctx, "tr", "s", api.PullRequest{})
+	is.Equal(err.Code, api.CodeStepUnknown)
+}
+
+func TestPullThroughAnotherGate(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	a, b := w.gate(t, "a"), w.gate(t, "b")
+	ctx := context.Background()
+	acc, err := a.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	got := drive(t, func(r api.PullRequest) (*api.PullResponse, *api.Error) {
+		r.Owner = acc.Owner
+		return b.Pull(ctx, "tr", "s", r)
+	}, nil, 12)
+	is.Equal(len(got), 12)
+	_, err = b.Pull(ctx, "tr", "s", api.PullRequest{Owner: "gone"})
+	is.Equal(err.Code, api.CodeStepUnknown)
+}
+
+func TestPlannedStopHandsUndeliveredSamplesOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	a, b := w.gate(t, "a"), w.gate(t, "b")
+	ctx := context.Background()
+	_, err := a.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	first, err := a.Pull(ctx, "tr", "s", api.PullRequest{TrainerVersion: 1, WaitMs: 5000, MaxSamples: 4})
+	is.True(err == nil)
+	is.Equal(len(first.Samples), 4)
+	var held api.Cursor
+	for _, s := range first.Samples {
+		held = held.With(s.Slot)
+	}
+	for { // the rest is ready at a
+		resp, err := a.Pull(ctx, "tr", "s", api.PullRequest{Cursor: held, TrainerVersion: 1, WaitMs: 5000})
+		is.True(err == nil)
+		if len(resp.Samples) == 8 {
+			break
+		}
+	}
+	calls := w.count()
+	is.NoErr(a.Drain(ctx))
+	_, err = a.Submit(ctx, "tr", testRoute(), api.StepSpec{ID: "new", Groups: worldSpec().Groups, MaxTokens: 1})
+	is.Equal(err.Code, api.CodeDraining)
+	resp, err := a.Pull(ctx, "tr", "s", api.PullRequest{Owner: "a", Cursor: held, TrainerVersion: 1, WaitMs: 5000})
+	is.True(err == nil)
+	is.Equal(len(resp.Samples), 8)
+	is.Equal(resp.Owner, "b")
+	is.Equal(w.count(), calls) // nothing was made again
+	got := drive(t, func(r api.PullRequest) (*api.PullResponse, *api.Error) { return b.Pull(ctx, "tr", "s", r) }, held, 12)
+	is.Equal(len(got), 8)
+}
+
+func TestReleaseCancelsAttempts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.hold = make(chan struct{})
+	a, b := w.gate(t, "a"), w.gate(t, "b")
+	ctx := context.Background()
+	_, err := a.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	is.True(b.ReleaseAt(ctx, "tr", "s", "a") == nil) // through another gate
+	_, err = a.Pull(ctx, "tr", "s", api.PullRequest{})
+	is.Equal(err.Code, api.CodeStepUnknown)
+}
+
+func TestDeadlineEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.hold = make(chan struct{})
+	m := w.gate(t, "a")
+	ctx := context.Background()
+	spec := worldSpec()
+	spec.TimeoutMs = 100
+	_, err := m.Submit(ctx, "tr", testRoute(), spec)
+	is.True(err == nil)
+	began := time.Now()
+	_, err = m.Pull(ctx, "tr", "s", api.PullRequest{WaitMs: 20_000})
+	is.Equal(err.Code, api.CodeDeadline)
+	is.True(time.Since(began) < 10*time.Second)
+}
--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ibistrail/ibistrail/api"
@@ -81,6 +82,7 @@
 	if req.TrainerVersion < 0 || req.MaxSamples < 0 {
 		return nil, badRequest("trainer_version and max_samples may not be negative"), false
 	}
+	req.Cursor = slices.Clone(req.Cursor) // the caller may add to its own
 	p := &pullCall{req: req, deadline: deadline, reply: make(chan pullAnswer, 1)}
 	select {
 	case r.pulls <- p:
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -25,6 +25,8 @@
 	step     *Step
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// first are messages to be taken before anything is started.
+	first    []Message
 	inbox    chan Message
 	pulls    chan *pullCall
 	exports  chan chan export
@@ -112,6 +114,9 @@
 func (r *runner) loop() stepEnd {
 	tick := time.NewTicker(TickInterval)
 	defer tick.Stop()
+	for _, msg := range r.first {
+		r.handle(msg)
+	}
 	r.handle(r.ticked())
 	for {
 		select {
--- a/rollout/start.go
+++ b/rollout/start.go
@@ -24,7 +24,7 @@
 	for s.open < len(s.slots) && s.slots[s.open].state == slotHeld {
 		s.open++
 	}
-	for i := s.firstOpen(); i < len(s.slots); i++ {
+	for i := s.open; i < len(s.slots); i++ {
 		sl := &s.slots[i]
 		if sl.state != slotPending || now.Before(sl.notBefore) {
 			continue
@@ -37,14 +37,6 @@
 	return effects
 }
 
-// firstOpen returns the first slot that may not be held.
-func (s *Step) firstOpen() int {
-	if s.open > 0 && s.slots[s.open-1].state != slotHeld {
-		s.open = 0 // the trainer has lost slots
-	}
-	return s.open
-}
-
 // begin starts an attempt on slot i, which continues the running attempt from if that is set.
 func (s *Step) begin(now time.Time, i int, from AttemptID) StartAttempt {
 	sl := &s.slots[i]
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -84,8 +84,9 @@
 	notBefore time.Time
 	stats     stats
 	hedges    int
-	open      int
-	Counts    Counts
+	// open is the first slot that may not be held.
+	open   int
+	Counts Counts
 }
 
 // Counts are what has become of a step's attempts.
@@ -172,6 +173,7 @@
 			sl.state = slotHeld
 		case !held && sl.state == slotHeld:
 			sl.state = slotPending
+			s.open = 0
 		}
 	}
 	return append(effects, s.dropStale()...)
