--- a/wire/wire.go
+++ b/wire/wire.go
@@ -49,6 +49,8 @@
 	MethodKeyOutcome = "gate.key_outcome"
 	// MethodExplain returns what a gate knows of a request: ExplainParams -> ExplainResult.
 	MethodExplain = "gate.explain"
+	// MethodQuarantine tells a peer of suspects and quarantined requests at once: QuarantineNotice -> Empty.
+	MethodQuarantine = "gate.quarantine"
 )
 
 // Error codes of jsonrpc2 answers.
@@ -183,6 +185,16 @@
 	Results []*ClaimResult `json:"results"`
 }
 
+// QuarantineNotice tells peers of requests whose runs ended with dead engines, ahead of the rumor.
+type QuarantineNotice struct {
+	// Deaths make their fingerprints suspects.
+	Deaths []Death `json:"deaths"`
+	// Quarantined get a final answer at once.
+	Quarantined []Quarantine `json:"quarantined"`
+	// Cleared are fingerprints that proved harmless.
+	Cleared []string `json:"cleared"`
+}
+
 // MemberStatus is the state of a node in membership.
 type MemberStatus string
 
