--- /dev/null
+++ b/admission/rate.go
@@ -0,0 +1,94 @@
+package admission
+
+import "time"
+
+// rateBuckets is the number of parts that the window of a rate is cut into.
+const rateBuckets = 8
+
+// rate counts events over a sliding window.
+type rate struct {
+	counts [rateBuckets]int
+	slot   int64
+	first  time.Time
+}
+
+const bucketWidth = rateWindow / rateBuckets
+
+func (r *rate) add(now time.Time) {
+	if r.first.IsZero() {
+		r.first = now
+		r.slot = now.UnixNano() / int64(bucketWidth)
+	}
+	r.advance(now)
+	r.counts[r.slot%rateBuckets]++
+}
+
+func (r *rate) advance(now time.Time) {
+	slot := now.UnixNano() / int64(bucketWidth)
+	for n := 0; r.slot < slot && n < rateBuckets; n++ {
+		r.slot++
+		r.counts[r.slot%rateBuckets] = 0
+	}
+	r.slot = max(r.slot, slot)
+}
+
+// perSecond returns the rate; 0 while nothing was counted.
+func (r *rate) perSecond(now time.Time) float64 {
+	if r.first.IsZero() {
+		return 0
+	}
+	r.advance(now)
+	n := 0
+	for _, c := range r.counts {
+		n += c
+	}
+	span := min(max(now.Sub(r.first), bucketWidth), rateWindow)
+	return float64(n) / span.Seconds()
+}
+
+// expectedWait estimates how long r would wait; 0 while no drain rate is known.
+func (q *Queue) expectedWait(now time.Time, r Request) time.Duration {
+	ahead := q.ahead(r)
+	if ahead == 0 {
+		return 0
+	}
+	rate := q.rate.perSecond(now)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// ahead counts the waiters that would be served before r: all of higher classes, and of its own
+// class those that fair sharing puts before it.
+func (q *Queue) ahead(r Request) int {
+	n := 0
+	for i := 0; i < int(r.Priority); i++ {
+		n += q.classes[i].waiting
+	}
+	c := &q.classes[r.Priority]
+	start := c.virtual
+	if f := c.flows[r.Share]; f != nil {
+		start = max(start, f.finish)
+	}
+	for _, f := range c.flows {
+		for _, w := range f.waiters {
+			if w.start <= start {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// retryAfter is the time until the queue in front of r has drained, spread by jitter.
+func (q *Queue) retryAfter(now time.Time, r Request, jitter float64) time.Duration {
+	wait := q.expectedWait(now, r)
+	if rate := q.rate.perSecond(now); rate > 0 {
+		wait += time.Duration(float64(time.Second) / rate)
+	} else {
+		wait = max(wait, q.service)
+	}
+	wait = time.Duration(float64(wait) * (0.5 + jitter))
+	return min(max(wait, MinRetryAfter), MaxRetryAfter)
+}
--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,181 @@
+// Package quarantine finds requests that crash the targets that run them. A request whose run
+// ended with a dead target is a suspect and runs next alone; if that target dies too, the request
+// is quarantined by its fingerprint, and what shared the first target with it is cleared. It does
+// no I/O; the time is an argument.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// Bounds of a Book.
+const (
+	// SuspectTTL is how long a suspicion holds.
+	SuspectTTL = 10 * time.Minute
+	// TTL is how long a quarantine holds.
+	TTL = time.Hour
+	// maxSuspects and maxBarred bound the book; the oldest are forgotten.
+	maxSuspects = 4096
+	maxBarred   = 1024
+	// deathsToBar is the number of dead targets that quarantines a request.
+	deathsToBar = 2
+)
+
+// place is one run of one target.
+type place struct{ target, boot string }
+
+// suspect is a request whose run ended with dead targets.
+type suspect struct {
+	places []place
+	until  time.Time
+}
+
+// Book holds suspects and quarantined requests by fingerprint.
+type Book struct {
+	suspects map[string]*suspect
+	barred   map[string]wire.Quarantine
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{suspects: map[string]*suspect{}, barred: map[string]wire.Quarantine{}}
+}
+
+// Verdict tells what a death makes of a request.
+type Verdict struct {
+	// Quarantined is true if the request gets its final answer.
+	Quarantined bool
+	Quarantine  wire.Quarantine
+	// Cleared are suspects that shared the earlier targets.
+	Cleared []string
+}
+
+// Death records that a target died while it ran the request.
+func (b *Book) Death(now time.Time, d wire.Death) Verdict {
+	if q, ok := b.Barred(now, d.Fingerprint); ok {
+		return Verdict{Quarantined: true, Quarantine: q}
+	}
+	s := b.suspects[d.Fingerprint]
+	if s == nil || now.After(s.until) {
+		s = &suspect{}
+		b.suspects[d.Fingerprint] = s
+	}
+	s.until = now.Add(SuspectTTL)
+	p := place{d.Target, d.Boot}
+	if !slices.Contains(s.places, p) {
+		s.places = append(s.places, p)
+	}
+	b.bound(now)
+	if !d.Alone || len(s.places) < deathsToBar {
+		return Verdict{}
+	}
+	q := wire.Quarantine{Fingerprint: d.Fingerprint, Until: now.Add(TTL), Deaths: len(s.places)}
+	return Verdict{Quarantined: true, Quarantine: q, Cleared: b.bar(now, q)}
+}
+
+// Bar quarantines a request that another node has found, and returns the suspects that this clears.
+func (b *Book) Bar(now time.Time, q wire.Quarantine) []string {
+	if now.After(q.Until) {
+		return nil
+	}
+	if old, ok := b.barred[q.Fingerprint]; ok && !q.Until.After(old.Until) {
+		return nil
+	}
+	return b.bar(now, q)
+}
+
+func (b *Book) bar(now time.Time, q wire.Quarantine) []string {
+	b.barred[q.Fingerprint] = q
+	var cleared []string
+	if s := b.suspects[q.Fingerprint]; s != nil {
+		delete(b.suspects, q.Fingerprint)
+		cleared = b.clearShared(s.places)
+	}
+	b.bound(now)
+	return cleared
+}
+
+// clearShared clears the suspects whose targets' deaths are all explained by places.
+func (b *Book) clearShared(places []place) []string {
+	var cleared []string
+	for fp, s := range b.suspects {
+		s.places = slices.DeleteFunc(s.places, func(p place) bool { return slices.Contains(places, p) })
+		if len(s.places) == 0 {
+			delete(b.suspects, fp)
+			cleared = append(cleared, fp)
+		}
+	}
+	slices.Sort(cleared)
+	return cleared
+}
+
+// Clear drops the suspicion of a request that ran to its end.
+func (b *Book) Clear(fingerprint string) bool {
+	_, ok := b.suspects[fingerprint]
+	delete(b.suspects, fingerprint)
+	return ok
+}
+
+// Suspect tells whether the request must run alone.
+func (b *Book) Suspect(now time.Time, fingerprint string) bool {
+	s := b.suspects[fingerprint]
+	return s != nil && !now.After(s.until)
+}
+
+// Barred tells whether the request is quarantined.
+func (b *Book) Barred(now time.Time, fingerprint string) (wire.Quarantine, bool) {
+	q, ok := b.barred[fingerprint]
+	if ok && now.After(q.Until) {
+		delete(b.barred, fingerprint)
+		return wire.Quarantine{}, false
+	}
+	return q, ok
+}
+
+// bound forgets what has expired, and the entries that expire first above the bounds.
+func (b *Book) bound(now time.Time) {
+	for len(b.suspects) > maxSuspects {
+		delete(b.suspects, firstToExpire(b.suspects, func(s *suspect) time.Time { return s.until }))
+	}
+	for len(b.barred) > maxBarred {
+		delete(b.barred, firstToExpire(b.barred, func(q wire.Quarantine) time.Time { return q.Until }))
+	}
+}
+
+func firstToExpire[V any](m map[string]V, until func(V) time.Time) string {
+	first := ""
+	for k, v := range m {
+		if first == "" || until(v).Before(until(m[first])) || until(v).Equal(until(m[first])) && k < first {
+			first = k
+		}
+	}
+	return first
+}
+
+// State is what /debug/state shows of a Book.
+type State struct {
+	Suspects    []string          `json:"suspects"`
+	Quarantined []wire.Quarantine `json:"quarantined"`
+}
+
+// State returns the suspects and the quarantined requests, sorted.
+func (b *Book) State() State {
+	var s State
+	for fp := range b.suspects {
+		s.Suspects = append(s.Suspects, fp)
+	}
+	for _, q := range b.barred {
+		s.Quarantined = append(s.Quarantined, q)
+	}
+	slices.Sort(s.Suspects)
+	slices.SortFunc(s.Quarantined, func(x, y wire.Quarantine) int {
+		if x.Fingerprint < y.Fingerprint {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
