dispatch: completions and service calls over attempts

Cause: requests need one path from admission to a whole answer. Change: pool shell, attempts with resume and continuation, suspects, single-use connections for calls that may not be repeated, bounded load polls.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -23,8 +23,8 @@
 )
 
 // Limit is the number of requests that this gate keeps in flight at one target. It follows the
-// target's measured batch capacity less what others run there, and shrinks when the target slows
-// down or refuses.
+// target's measured batch capacity less what others run there, or the latency where the target
+// reports none, and shrinks when the target refuses.
 type Limit struct {
 	fixed  int
 	batch  int
@@ -73,7 +73,7 @@
 		l.floor = latency
 	}
 	l.floor *= floorDrift
-	if latency > slowFactor*l.floor {
+	if l.batch == 0 && latency > slowFactor*l.floor {
 		l.shrink(now)
 		return
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -106,7 +106,8 @@
 	waiting int
 	grants  int
 	rate    rate
-	service time.Duration
+	// service is the average service time of each class.
+	service [config.PriorityLowest + 1]time.Duration
 }
 
 // NewQueue returns an empty queue.
@@ -121,8 +122,8 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.waiting }
 
-// Service returns the average service time; 0 while unknown.
-func (q *Queue) Service() time.Duration { return q.service }
+// Service returns the average service time of a class; 0 while unknown.
+func (q *Queue) Service(p config.Priority) time.Duration { return q.service[clampPriority(p)] }
 
 // DrainRate returns the measured grants a second; 0 while unknown.
 func (q *Queue) DrainRate(now time.Time) float64 { return q.rate.perSecond(now) }
@@ -132,7 +133,7 @@
 func (q *Queue) Offer(now time.Time, r Request, jitter float64) (w *Waiter, displaced *Waiter, refusal *Refusal) {
 	r.Priority = clampPriority(r.Priority)
 	wait := q.expectedWait(now, r)
-	if !r.Deadline.IsZero() && now.Add(wait+q.service).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+q.service[r.Priority]).After(r.Deadline) {
 		return nil, nil, &Refusal{Reason: ReasonDeadline, RetryAfter: q.retryAfter(now, r, jitter)}
 	}
 	if wait > maxWait(r) {
@@ -160,7 +161,7 @@
 		f = &flow{share: r.Share}
 		c.flows[r.Share] = f
 	}
-	w := &Waiter{Request: r, since: now, latest: latestStart(now, r, q.service)}
+	w := &Waiter{Request: r, since: now, latest: latestStart(now, r, q.service[r.Priority])}
 	w.start = max(c.virtual, f.finish)
 	f.finish = w.start + 1/float64(max(1, r.Weight))
 	f.waiters = append(f.waiters, w)
@@ -228,13 +229,14 @@
 // Passed counts a request that was admitted without waiting.
 func (q *Queue) Passed(now time.Time) { q.rate.add(now) }
 
-// Finished records the service time of a request that ran.
-func (q *Queue) Finished(service time.Duration) {
-	if q.service == 0 {
-		q.service = service
+// Finished records the service time of a request of class p that ran.
+func (q *Queue) Finished(p config.Priority, service time.Duration) {
+	s := &q.service[clampPriority(p)]
+	if *s == 0 {
+		*s = service
 		return
 	}
-	q.service += time.Duration(serviceGain * float64(service-q.service))
+	*s += time.Duration(serviceGain * float64(service-*s))
 }
 
 // Remove takes out a waiter whose caller has gone. It returns false if the waiter was decided before.
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -83,11 +83,12 @@
 
 // retryAfter is the time until the queue in front of r has drained, spread by jitter.
 func (q *Queue) retryAfter(now time.Time, r Request, jitter float64) time.Duration {
+	r.Priority = clampPriority(r.Priority)
 	wait := q.expectedWait(now, r)
 	if rate := q.rate.perSecond(now); rate > 0 {
 		wait += time.Duration(float64(time.Second) / rate)
 	} else {
-		wait = max(wait, q.service)
+		wait = max(wait, q.service[r.Priority])
 	}
 	wait = time.Duration(float64(wait) * (0.5 + jitter))
 	return min(max(wait, MinRetryAfter), MaxRetryAfter)
--- /dev/null
+++ b/dispatch/assemble.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/platform"
+)
+
+// Errors of an answer that cannot be trusted.
+var (
+	errCrossed = errors.New("a chunk belongs to another request")
+	errGap     = errors.New("tokens are missing")
+	errAborted = errors.New("the engine aborted the run")
+	errBoot    = errors.New("the engine has restarted")
+)
+
+// answer collects one answer over several attempts; each chunk is checked before it counts.
+type answer struct {
+	text         strings.Builder
+	tokens       []int
+	spans        []api.Span
+	finish       string
+	promptTokens int
+	cachedTokens int
+	onTokens     func(Piece)
+}
+
+func newAnswer(c *Call) *answer {
+	a := &answer{onTokens: c.OnTokens}
+	a.text.WriteString(c.Text)
+	a.tokens = append(a.tokens, c.Tokens...)
+	a.spans = append(a.spans, c.Spans...)
+	return a
+}
+
+// add takes a chunk of attempt id by the engine at address, whose incarnation is boot if known.
+func (a *answer) add(id, address, boot string, c *platform.CompletionChunk) error {
+	if c.ID != id && c.ID != "cmpl-"+id {
+		return fmt.Errorf("%w: got %q", errCrossed, c.ID)
+	}
+	if boot != "" && c.Boot != "" && c.Boot != boot {
+		return errBoot
+	}
+	if c.Usage != nil {
+		a.promptTokens, a.cachedTokens = c.Usage.PromptTokens, c.Usage.CachedTokens
+	}
+	for i := range c.Choices {
+		if err := a.choice(address, c.WeightVersion, &c.Choices[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *answer) choice(address string, version int64, c *platform.CompletionChoice) error {
+	if len(c.TokenIDs) > 0 || c.Text != "" {
+		if c.Offset != len(a.tokens) {
+			return fmt.Errorf("%w: offset %d after %d tokens", errGap, c.Offset, len(a.tokens))
+		}
+		a.append(address, version, c)
+	}
+	if c.FinishReason == nil {
+		return nil
+	}
+	if *c.FinishReason == platform.FinishAbort {
+		return errAborted
+	}
+	a.finish = *c.FinishReason
+	return nil
+}
+
+func (a *answer) append(address string, version int64, c *platform.CompletionChoice) {
+	a.text.WriteString(c.Text)
+	a.tokens = append(a.tokens, c.TokenIDs...)
+	a.spans = appendSpan(a.spans, version, len(c.TokenIDs))
+	if a.onTokens != nil {
+		a.onTokens(Piece{Text: c.Text, Tokens: c.TokenIDs, Version: version, Engine: address})
+	}
+}
+
+func appendSpan(spans []api.Span, version int64, n int) []api.Span {
+	if n == 0 {
+		return spans
+	}
+	if k := len(spans); k > 0 && spans[k-1].Version == version {
+		spans[k-1].Tokens += n
+		return spans
+	}
+	return append(spans, api.Span{Version: version, Tokens: n})
+}
+
+func (a *answer) result(address string, attempts int) *Result {
+	return &Result{
+		Text: a.text.String(), Tokens: a.tokens, Spans: a.spans, FinishReason: a.finish,
+		PromptTokens: a.promptTokens, CachedTokens: a.cachedTokens, Engine: address, Attempts: attempts,
+	}
+}
--- /dev/null
+++ b/dispatch/complete.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ibistrail/ibistrail/admission"
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/routing"
+)
+
+// run is one completion on its way over attempts.
+type run struct {
+	d        *Dispatcher
+	call     Call
+	row      *config.Route
+	pool     *pool
+	answer   *answer
+	prefixes []uint64
+	attempts int
+	// sent is true once a byte of the request can have reached a target.
+	sent   bool
+	engine string
+	avoid  []string
+	last   string
+}
+
+// Complete runs c on the engines of its pool.
+func (d *Dispatcher) Complete(ctx context.Context, c Call) (*Result, *api.Error) {
+	started := d.opts.Now()
+	row, p, err := d.lookup(c.Route, c.Pool)
+	if err != nil {
+		d.meters.finished(c.Priority, started, d.opts.Now(), err)
+		return nil, err
+	}
+	if c.Deadline.IsZero() {
+		c.Deadline = started.Add(time.Duration(row.TimeoutMs) * time.Millisecond)
+	}
+	if c.Fingerprint == "" {
+		c.Fingerprint = Fingerprint(c.Route, c.Prompt)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	r := &run{d: d, call: c, row: row, pool: p, answer: newAnswer(&c), prefixes: routing.Prefixes(c.Prompt), avoid: slices.Clone(c.Avoid)}
+	res, err := r.run(ctx)
+	d.meters.finished(c.Priority, started, d.opts.Now(), err)
+	return res, err
+}
+
+// run makes attempts until one ends the request.
+func (r *run) run(ctx context.Context) (*Result, *api.Error) {
+	for {
+		l, err := r.place(ctx)
+		if err != nil {
+			return nil, r.final(ctx, err)
+		}
+		r.attempts++
+		end := r.attempt(ctx, l)
+		r.explain("attempt_end", "attempt=%d target=%s end=%s tokens=%d detail=%q", r.attempts, l.address, end.kind, len(r.answer.tokens), end.detail())
+		if end.kind == endDone {
+			r.d.meters.tokens.Add("answered", int64(len(r.answer.tokens)))
+			return r.answer.result(l.address, r.attempts), nil
+		}
+		if err := r.next(ctx, l, end); err != nil {
+			return nil, r.final(ctx, err)
+		}
+	}
+}
+
+// place takes a place on a target. A suspect waits to run alone; when its turn comes it may have
+// been cleared or quarantined.
+func (r *run) place(ctx context.Context) (*lease, *api.Error) {
+	for {
+		alone, err := r.d.suspicion(r.call.Fingerprint)
+		if err != nil {
+			return nil, err
+		}
+		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Alone: alone}
+		unlock, ok := r.d.trial(ctx, r.call.Fingerprint, alone)
+		if !ok {
+			return nil, errCallerGone()
+		}
+		l, err := r.pool.acquire(ctx, r.admission(), q)
+		if err != nil {
+			unlock()
+			return nil, err
+		}
+		still, err := r.d.suspicion(r.call.Fingerprint)
+		if err != nil || still != alone {
+			unlock()
+			l.release()
+			continue
+		}
+		l.unlock = unlock
+		return l, nil
+	}
+}
+
+func (r *run) admission() admission.Request {
+	return admission.Request{
+		ID: r.call.RequestID, Priority: config.Priority(r.call.Priority), Share: r.call.Customer + "/" + r.call.Caller,
+		Weight: weight(r.row, r.call.Caller), Deadline: r.call.Deadline, Trainer: r.call.Trainer,
+	}
+}
+
+func weight(row *config.Route, caller string) int {
+	for i := range row.Callers {
+		if row.Callers[i].Name == caller {
+			return max(1, row.Callers[i].Weight)
+		}
+	}
+	return 1
+}
+
+// next decides what follows an attempt that did not end the request: nil means another attempt.
+func (r *run) next(ctx context.Context, l *lease, end ended) *api.Error {
+	r.last = end.detail()
+	switch end.kind {
+	case endGone:
+		r.d.meters.tokens.Add("wasted", int64(len(r.answer.tokens)))
+		return errCallerGone()
+	case endRejected:
+		return end.rejection
+	case endDead:
+		r.d.meters.deaths.Add(r.pool.name, 1)
+		if err := r.d.died(ctx, r.call.Fingerprint, l); err != nil {
+			return err
+		}
+	}
+	r.avoid = append(r.avoid, l.address)
+	wait, ok := r.d.mayRetry(r.row, r.call.Deadline, r.attempts, end.free())
+	if !ok {
+		r.d.meters.tokens.Add("wasted", int64(len(r.answer.tokens)))
+		return errTargetFailed(r.last, retryAfterFailure)
+	}
+	r.d.meters.retries.Add(string(end.kind), 1)
+	if end.free() {
+		return nil
+	}
+	return r.sleep(ctx, wait)
+}
+
+func (r *run) sleep(ctx context.Context, wait time.Duration) *api.Error {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return errCallerGone()
+	}
+}
+
+// final gives an error the outcome that the attempts so far allow.
+func (r *run) final(ctx context.Context, err *api.Error) *api.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && err.Code == api.CodeDeadline {
+		err = errDeadline()
+	}
+	if r.sent && err.Outcome == api.OutcomeNotRun {
+		e := *err
+		e.Outcome = api.OutcomeUnknown
+		err = &e
+	}
+	r.explain("error", "code=%s outcome=%s attempts=%d last=%q", err.Code, err.Outcome, r.attempts, r.last)
+	return err
+}
+
+func (r *run) attemptID() string {
+	return r.call.RequestID + "-" + r.d.opts.GateID + "-" + strconv.Itoa(r.attempts)
+}
+
+func (r *run) explain(name, format string, args ...any) {
+	r.d.opts.Explain.Add(r.call.RequestID, name, format, args...)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,51 +6,39 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/explain"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/quarantine"
+	"github.com/ibistrail/ibistrail/retry"
 	"github.com/ibistrail/ibistrail/settings"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
+// policyOff is the value that switches a decision off in settings.Policy.
+const policyOff = "off"
+
+// Bounds of a dispatcher.
+const (
+	// tickEvery is how often waiting requests are looked at besides events.
+	tickEvery = 20 * time.Millisecond
+	// leavingTTL is how long a target's own word that it is draining holds without being renewed.
+	leavingTTL = 2 * time.Minute
+	// maxIdlePerTarget bounds the idle connections to a target.
+	maxIdlePerTarget = 64
+	idleConnTimeout  = 60 * time.Second
+)
+
 // Completer runs completions; Dispatcher implements it.
 type Completer interface {
 	// Complete runs c and returns its whole answer, or an error whose Outcome tells what became of it.
 	Complete(ctx context.Context, c Call) (*Result, *api.Error)
 }
 
-// ServiceCall is one HTTP call to a pool of plain services.
-type ServiceCall struct {
-	RequestID string
-	// Route names the row of the routes table.
-	Route    string
-	Customer string
-	Caller   string
-	// Path is the path and query that the target gets.
-	Path   string
-	Method string
-	Header http.Header
-	Body   []byte
-	// Deadline bounds the call; zero means the route's timeout.
-	Deadline time.Time
-	// Idempotent calls may be repeated.
-	Idempotent bool
-	// IdempotencyKey is passed on to the target as a header; empty sends none.
-	IdempotencyKey string
-}
-
-// ServiceAnswer is the whole answer of a plain service.
-type ServiceAnswer struct {
-	Status  int
-	Header  http.Header
-	Body    []byte
-	Outcome api.Outcome
-	Target  string
-}
-
 // Options configure a Dispatcher.
 type Options struct {
 	GateID           string
@@ -65,41 +53,220 @@
 	Explain *explain.Recorder
 	// Report tells the steward what was seen of targets; it must not block.
 	Report func(wire.ReportParams)
-	// Notify tells peers of suspects and quarantines before their final answer; nil tells nobody.
+	// Notify tells peers of suspects and quarantines before a final answer; nil tells nobody.
 	Notify func(ctx context.Context, n wire.QuarantineNotice)
 	Now    func() time.Time
-	// Rand draws choices and jitter.
-	Rand *rand.Rand
+	// Seed starts the random choices.
+	Seed uint64
 }
 
 // Dispatcher runs requests on the targets of pools.
 type Dispatcher struct {
-	opts Options
+	opts   Options
+	client *http.Client
+	meters meters
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	tables  *config.Tables
+	pools   map[string]*pool
+	budgets map[string]*retry.Budget
+	boots   map[string]string
+
+	qmu  sync.Mutex
+	book *quarantine.Book
+	// trials are the turns of suspects that run alone.
+	trials map[string]chan struct{}
 }
 
 // New returns a dispatcher without a configuration.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = process.NewMetrics()
+	}
+	if opts.Dial == nil {
+		opts.Dial = process.NewDialer(nil).Dial
+	}
+	if opts.Report == nil {
+		opts.Report = func(wire.ReportParams) {}
+	}
+	return &Dispatcher{
+		opts: opts, client: newHTTPClient(opts.Dial), meters: newMeters(opts.Metrics),
+		rand: rand.New(rand.NewPCG(opts.Seed, 2)), pools: map[string]*pool{}, budgets: map[string]*retry.Budget{},
+		boots: map[string]string{}, book: quarantine.NewBook(), trials: map[string]chan struct{}{},
+	}
+}
+
+// newHTTPClient returns the client for requests that may be repeated.
+func newHTTPClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+			MaxIdleConnsPerHost: maxIdlePerTarget,
+			IdleConnTimeout:     idleConnTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
-// Run polls load and sends reports until ctx ends.
+// Run polls load and lets time pass for waiting requests until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer d.client.CloseIdleConnections()
+	wg.Go(func() { d.pollLoads(ctx) })
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			for _, p := range d.allPools() {
+				p.tick()
+			}
+		}
+	}
 }
 
 // SetState puts the tables and the rest of the steward's state in force.
-func (d *Dispatcher) SetState(t *config.Tables, s *wire.State) {}
+func (d *Dispatcher) SetState(t *config.Tables, s *wire.State) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tables = t
+	for i := range t.Pools {
+		row := &t.Pools[i]
+		p := d.pools[row.Name]
+		if p == nil {
+			p = newPool(row.Name, d.opts, d.rand.Uint64())
+			d.pools[row.Name] = p
+		}
+		p.update(row, s.Draining, s.EngineVersions)
+	}
+	for name, p := range d.pools {
+		if t.Pool(name) == nil {
+			p.close()
+			delete(d.pools, name)
+		}
+	}
+	for i := range t.Routes {
+		d.budget(&t.Routes[i]).SetPercent(t.Routes[i].RetryBudgetPercent)
+	}
+	for name := range d.budgets {
+		if t.Route(name) == nil {
+			delete(d.budgets, name)
+		}
+	}
+	d.bar(s.Quarantined)
+}
+
+// budget returns the route's retry budget, made on first use. The caller holds the lock.
+func (d *Dispatcher) budget(row *config.Route) *retry.Budget {
+	b := d.budgets[row.Name]
+	if b == nil {
+		b = retry.NewBudget(row.RetryBudgetPercent)
+		d.budgets[row.Name] = b
+	}
+	return b
+}
 
-// Complete runs c on the engines of its pool.
-func (d *Dispatcher) Complete(ctx context.Context, c Call) (*Result, *api.Error) {
-	return nil, &api.Error{Code: api.CodeNotReady, Outcome: api.OutcomeNotRun, Status: http.StatusServiceUnavailable, Message: "no configuration is known yet; send again shortly"}
+// lookup returns a route's row and a pool.
+func (d *Dispatcher) lookup(route, poolName string) (*config.Route, *pool, *api.Error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.tables == nil {
+		return nil, nil, errNotReady()
+	}
+	row := d.tables.Route(route)
+	if row == nil {
+		return nil, nil, errNoRoute(route)
+	}
+	if poolName == "" {
+		poolName = row.Pool
+	}
+	p := d.pools[poolName]
+	if p == nil {
+		return nil, nil, errNoRoute(route)
+	}
+	d.budget(row).Request(d.opts.Now())
+	return row, p, nil
 }
 
-// CallService runs c on the targets of its route's pool.
-func (d *Dispatcher) CallService(ctx context.Context, c ServiceCall) (*ServiceAnswer, *api.Error) {
-	return nil, &api.Error{Code: api.CodeNotReady, Outcome: api.OutcomeNotRun, Status: http.StatusServiceUnavailable, Message: "no configuration is known yet; send again shortly"}
+// mayRetry takes one retry from the route's budget and returns the wait before it.
+func (d *Dispatcher) mayRetry(row *config.Route, deadline time.Time, attempt int, free bool) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Now()
+	if attempt >= retry.MaxAttempts {
+		return 0, false
+	}
+	if !free && !d.budget(row).Spend(now) {
+		d.meters.retries.Add("budget_spent", 1)
+		return 0, false
+	}
+	return retry.Backoff(now, deadline, attempt, d.rand.Float64())
+}
+
+func (d *Dispatcher) allPools() []*pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*pool, 0, len(d.pools))
+	for _, p := range d.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+// boot returns the last known incarnation of the engine at address.
+func (d *Dispatcher) boot(address string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.boots[address]
+}
+
+func (d *Dispatcher) setBoot(address, boot string) {
+	if boot == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.boots[address] = boot
+}
+
+// leaving records a target's own word on whether it is draining, in each pool that has it.
+func (d *Dispatcher) leaving(p *pool, address string, draining bool) {
+	if p.signal(address, draining) {
+		d.opts.Log.Info("target_draining", "pool", p.name, "target", address)
+		d.opts.Report(wire.ReportParams{Leaving: []string{address}})
+	}
+}
+
+// State is what /debug/state shows of a Dispatcher.
+type State struct {
+	Pools      map[string]PoolState `json:"pools"`
+	Budgets    map[string]float64   `json:"retry_budgets"`
+	Quarantine quarantine.State     `json:"quarantine"`
 }
 
 // State returns what /debug/state shows of the dispatcher.
-func (d *Dispatcher) State() any { return nil }
+func (d *Dispatcher) State() State {
+	s := State{Pools: map[string]PoolState{}, Budgets: map[string]float64{}}
+	for _, p := range d.allPools() {
+		s.Pools[p.name] = p.state()
+	}
+	d.mu.Lock()
+	for name, b := range d.budgets {
+		s.Budgets[name] = b.Tokens()
+	}
+	d.mu.Unlock()
+	d.qmu.Lock()
+	s.Quarantine = d.book.State()
+	d.qmu.Unlock()
+	return s
+}
--- /dev/null
+++ b/dispatch/single.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// single sends requests that may not be repeated, each on a connection of its own that is dialed
+// for it, written once and closed after the answer. The standard transport is not used: it sends a
+// request again by itself when an idle connection turns out to be broken.
+type single struct {
+	dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// countedConn tells whether any byte was given to the connection.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write writes to the connection and counts the bytes.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// do sends req to address once. sent is false only if no byte of it can have reached the target.
+func (s *single) do(ctx context.Context, address string, req *http.Request, limit int64) (a *ServiceAnswer, sent bool, err error) {
+	nc, err := s.dial(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	c := &countedConn{Conn: nc}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline) // a closed connection fails below
+	}
+	req.Close = true
+	if err := req.Write(c); err != nil {
+		return nil, c.written.Load() > 0, fmt.Errorf("send: %w", err)
+	}
+	a, err = readAnswer(bufio.NewReader(c), req, limit)
+	return a, true, err
+}
+
+// readAnswer reads the whole answer to req.
+func readAnswer(r *bufio.Reader, req *http.Request, limit int64) (*ServiceAnswer, error) {
+	for {
+		resp, err := http.ReadResponse(r, req)
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+			continue
+		}
+		return wholeAnswer(resp, limit)
+	}
+}
+
+// wholeAnswer reads the body of resp.
+func wholeAnswer(resp *http.Response, limit int64) (*ServiceAnswer, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer above %d bytes", limit)
+	}
+	return &ServiceAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// dialTimeout bounds the set-up of a connection to a target.
+const dialTimeout = 2 * time.Second
+
+func dialWithin(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, address)
+	}
+}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -1,19 +1,26 @@
 package routing
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/ibistrail/ibistrail/platform"
+)
 
 // Bounds of prefix memory.
 const (
-	// PrefixBlockBytes is the granularity of prefixes, in bytes of the prompt.
-	PrefixBlockBytes = 64
+	// PrefixBlockBytes is the granularity of prefixes, in bytes of the prompt: that of cache events.
+	PrefixBlockBytes = platform.PrefixBytes
 	// maxPrefixBlocks bounds the prefixes of one prompt.
-	maxPrefixBlocks = 64
+	maxPrefixBlocks = 16
 	// maxPrefixes bounds the prefixes that are remembered for one target.
 	maxPrefixes = 8192
 )
 
-// Prefixes returns the hashes of the prompt's prefixes of whole blocks, the shortest first.
+// Prefixes returns the hashes of the prompt's prefixes of whole blocks, the shortest first. A
+// prompt below one block has one prefix, itself.
 func Prefixes(prompt string) []uint64 {
+	if len(prompt) < PrefixBlockBytes {
+		return []uint64{platform.PrefixHash(prompt)}
+	}
 	n := min(len(prompt)/PrefixBlockBytes, maxPrefixBlocks)
 	out := make([]uint64, 0, n)
 	d := xxhash.New()
@@ -53,12 +60,11 @@
 // clear forgets all prefixes.
 func (p *prefixIndex) clear() { p.held, p.order = nil, nil }
 
-// depth returns how many of the leading prefixes the target holds.
+// depth returns how many of the leading prefixes the target holds without a gap.
 func (p *prefixIndex) depth(prefixes []uint64) int {
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		if p.held[prefixes[i]] {
-			return i + 1
-		}
+	n := 0
+	for n < len(prefixes) && p.held[prefixes[n]] {
+		n++
 	}
-	return 0
+	return n
 }
