--- /dev/null
+++ b/logtail/planner.go
@@ -0,0 +1,160 @@
+// Package logtail follows a stream of the platform's log. In each availability zone one node reads
+// the log and relays it to the others; a node reads the log itself when the relay is dead or
+// stalls, and reads from peers when the log cannot be reached.
+package logtail
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// SourceKind tells from whom a read is asked.
+type SourceKind string
+
+// The kinds of sources, in the order of preference.
+const (
+	SourceRelay SourceKind = "relay"
+	SourceLog   SourceKind = "log"
+	SourcePeer  SourceKind = "peer"
+)
+
+// Source is where the next read goes; Node is set for SourceRelay and SourcePeer.
+type Source struct {
+	Kind SourceKind `json:"kind"`
+	Node wire.Node  `json:"node"`
+}
+
+// Strategy orders the peers that are asked when the log cannot be reached.
+type Strategy string
+
+// The strategies.
+const (
+	OtherZoneFirst Strategy = "other-zone-first"
+	SameZoneFirst  Strategy = "same-zone"
+	RandomPeer     Strategy = "random"
+)
+
+// Bounds of the planner.
+const (
+	// MaxAge is how far behind the end of the log a source may be before another one is tried.
+	MaxAge = 5 * time.Second
+	// AvoidFor is how long a source that failed is avoided.
+	AvoidFor = 2 * time.Second
+)
+
+// PlannerOptions configure a Planner.
+type PlannerOptions struct {
+	Self     wire.Node
+	Strategy Strategy
+	Seed     uint64
+}
+
+// Planner chooses the source of each read of one stream. It does no I/O and reads no clock.
+type Planner struct {
+	opts  PlannerOptions
+	rng   *rand.Rand
+	avoid map[string]time.Time // by node ID, "" is the log
+	peer  string               // the peer that served last
+}
+
+// NewPlanner returns a planner that avoids nothing.
+func NewPlanner(o PlannerOptions) *Planner {
+	if o.Strategy == "" {
+		o.Strategy = OtherZoneFirst
+	}
+	return &Planner{opts: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Self.ID)))), avoid: map[string]time.Time{}}
+}
+
+// Relay returns the node of peers that reads the log for zone az: the one with the lowest ID.
+func Relay(peers []wire.Node, az string) (wire.Node, bool) {
+	var relay wire.Node
+	for _, n := range peers {
+		if n.AvailabilityZone == az && (relay.ID == "" || n.ID < relay.ID) {
+			relay = n
+		}
+	}
+	return relay, relay.ID != ""
+}
+
+// Plan returns the source of the next read; live are the live nodes, this one included or not.
+func (p *Planner) Plan(now time.Time, live []wire.Node) Source {
+	self := p.opts.Self
+	relay, ok := Relay(append(slices.Clip(live), self), self.AvailabilityZone)
+	if ok && relay.ID != self.ID && !p.avoided(now, relay.ID) {
+		return Source{Kind: SourceRelay, Node: relay}
+	}
+	if !p.avoided(now, "") {
+		return Source{Kind: SourceLog}
+	}
+	if n, ok := p.choosePeer(now, live); ok {
+		return Source{Kind: SourcePeer, Node: n}
+	}
+	return Source{Kind: SourceLog}
+}
+
+// Report tells how a read went; age is how far behind the end of the log the source was.
+func (p *Planner) Report(now time.Time, s Source, err error, age time.Duration) {
+	key := s.Node.ID
+	if s.Kind == SourceLog {
+		key = ""
+	}
+	if err == nil && age <= MaxAge {
+		delete(p.avoid, key)
+		if s.Kind == SourcePeer {
+			p.peer = key
+		}
+		return
+	}
+	p.avoid[key] = now.Add(AvoidFor)
+	if p.peer == key {
+		p.peer = ""
+	}
+}
+
+func (p *Planner) avoided(now time.Time, key string) bool {
+	until, ok := p.avoid[key]
+	if ok && !now.Before(until) {
+		delete(p.avoid, key)
+		return false
+	}
+	return ok
+}
+
+// choosePeer keeps to the peer that served last, else takes the best one of the strategy.
+func (p *Planner) choosePeer(now time.Time, live []wire.Node) (wire.Node, bool) {
+	var usable []wire.Node
+	for _, n := range live {
+		if n.ID == p.opts.Self.ID || p.avoided(now, n.ID) {
+			continue
+		}
+		if n.ID == p.peer {
+			return n, true
+		}
+		usable = append(usable, n)
+	}
+	if len(usable) == 0 {
+		return wire.Node{}, false
+	}
+	slices.SortFunc(usable, func(a, b wire.Node) int { return strings.Compare(a.ID, b.ID) })
+	preferred := slices.DeleteFunc(slices.Clone(usable), func(n wire.Node) bool { return !p.prefers(n) })
+	if len(preferred) > 0 {
+		usable = preferred
+	}
+	return usable[p.rng.IntN(len(usable))], true
+}
+
+func (p *Planner) prefers(n wire.Node) bool {
+	same := n.AvailabilityZone == p.opts.Self.AvailabilityZone
+	switch p.opts.Strategy {
+	case SameZoneFirst:
+		return same
+	case RandomPeer:
+		return true
+	default:
+		return !same
+	}
+}
--- /dev/null
+++ b/logtail/tail.go
@@ -0,0 +1,295 @@
+package logtail
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// Bounds of reads.
+const (
+	// PollWait is how long a source may wait for new records.
+	PollWait = time.Second
+	// PollSlack is how long an answer may take above PollWait before the source counts as stalled.
+	PollSlack = time.Second
+	// ReadLimit bounds the records of one read.
+	ReadLimit = 256
+	// RetryMin and RetryMax bound the pause after a failed read.
+	RetryMin = 100 * time.Millisecond
+	RetryMax = time.Second
+)
+
+// Consumer applies the records of a stream. It is called by one goroutine at a time.
+type Consumer interface {
+	// Next returns the offset to read next.
+	Next() platform.Offset
+	// Apply takes one record.
+	Apply(now time.Time, r platform.Record)
+	// Missed tells that the records before first are gone.
+	Missed(now time.Time, first platform.Offset)
+	// CaughtUp tells that the consumer had applied all records that existed at a time.
+	CaughtUp(at time.Time)
+}
+
+// Snapshotter is a Consumer whose state can be handed to a peer.
+type Snapshotter interface {
+	// Snapshot returns the state and whether there is one.
+	Snapshot() (config.Snapshot, bool)
+	// Restore takes a newer state and tells whether it did.
+	Restore(s config.Snapshot) bool
+}
+
+// Options configure a Tail.
+type Options struct {
+	Stream   string
+	Self     wire.Node
+	Strategy Strategy
+	Seed     uint64
+	Log      platform.Log
+	Consumer Consumer
+	// Live returns the live stewards.
+	Live func() []wire.Node
+	// Call calls a method of a peer.
+	Call   func(ctx context.Context, address, method string, params, result any) error
+	Logger *slog.Logger
+}
+
+// Tail follows one stream and serves what it has read to peers.
+type Tail struct {
+	opts    Options
+	planner *Planner
+
+	mu        sync.Mutex
+	buf       buffer
+	next      platform.Offset // end of the log as last heard
+	first     platform.Offset
+	retention time.Duration
+	freshAt   time.Time // when next was the end of the log
+	changed   chan struct{}
+	source    Source
+	lastErr   string
+}
+
+// New returns a tail that has read nothing.
+func New(o Options) *Tail {
+	p := NewPlanner(PlannerOptions{Self: o.Self, Strategy: o.Strategy, Seed: o.Seed})
+	return &Tail{opts: o, planner: p, changed: make(chan struct{})}
+}
+
+// Run reads until ctx ends.
+func (t *Tail) Run(ctx context.Context) error {
+	backoff := RetryMin
+	for ctx.Err() == nil {
+		src := t.planner.Plan(time.Now(), t.opts.Live())
+		age, err := t.read(ctx, src)
+		if ctx.Err() != nil {
+			break
+		}
+		t.planner.Report(time.Now(), src, err, age)
+		t.noteSource(src, err)
+		if err == nil {
+			backoff = RetryMin
+			continue
+		}
+		pause(ctx, backoff)
+		backoff = min(2*backoff, RetryMax)
+	}
+	return nil
+}
+
+// pause waits for d with full jitter, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (t *Tail) noteSource(s Source, err error) {
+	t.mu.Lock()
+	moved := t.source.Kind != s.Kind || t.source.Node.ID != s.Node.ID
+	t.source, t.lastErr = s, ""
+	if err != nil {
+		t.lastErr = err.Error()
+	}
+	t.mu.Unlock()
+	if moved {
+		t.opts.Logger.Info("log source changed", "stream", t.opts.Stream, "source", s.Kind, "peer", s.Node.ID)
+	}
+}
+
+// read asks src once and applies what it answers; it returns how old the answer's end is.
+func (t *Tail) read(ctx context.Context, src Source) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, PollWait+PollSlack)
+	defer cancel()
+	if src.Kind == SourceLog {
+		return t.readLog(ctx)
+	}
+	return t.readPeer(ctx, src.Node)
+}
+
+func (t *Tail) readLog(ctx context.Context) (time.Duration, error) {
+	from := t.opts.Consumer.Next()
+	sent := time.Now()
+	res, err := t.opts.Log.Read(ctx, t.opts.Stream, from, ReadLimit, PollWait.Milliseconds())
+	if err != nil {
+		return 0, fmt.Errorf("read stream %s at %d: %w", t.opts.Stream, from, err)
+	}
+	at := sent
+	if len(res.Records) == 0 {
+		at = sent.Add(min(time.Since(sent), PollWait)) // the log has waited so long
+	}
+	t.take(&wire.FetchResult{Records: res.Records, Next: res.Next, First: res.First, RetentionMs: res.RetentionMs}, at)
+	return 0, nil
+}
+
+func (t *Tail) readPeer(ctx context.Context, n wire.Node) (time.Duration, error) {
+	from := t.opts.Consumer.Next()
+	var res wire.FetchResult
+	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: PollWait.Milliseconds()}
+	if err := t.opts.Call(ctx, n.StewardAddress, wire.MethodFetch, p, &res); err != nil {
+		return 0, err
+	}
+	age := time.Duration(res.AgeMs) * time.Millisecond
+	t.take(&res, time.Now().Add(-age))
+	return age, nil
+}
+
+// take applies an answer whose Next was the end of the log at a time.
+func (t *Tail) take(res *wire.FetchResult, at time.Time) {
+	c := t.opts.Consumer
+	now := time.Now()
+	if res.First > 0 {
+		c.Missed(now, res.First)
+	}
+	if s, ok := c.(Snapshotter); ok && res.Snapshot != nil {
+		s.Restore(*res.Snapshot)
+	}
+	for _, r := range res.Records {
+		c.Apply(now, r)
+	}
+	t.mu.Lock()
+	for _, r := range res.Records {
+		t.buf.add(r)
+	}
+	t.first = max(t.first, res.First)
+	t.next = max(t.next, res.Next)
+	t.retention = time.Duration(res.RetentionMs) * time.Millisecond
+	caughtUp := c.Next() >= t.next
+	if caughtUp && at.After(t.freshAt) {
+		t.freshAt = at
+	}
+	if len(res.Records) > 0 || res.Snapshot != nil {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	t.mu.Unlock()
+	if caughtUp {
+		c.CaughtUp(at)
+	}
+}
+
+// Retention returns how long the log keeps a record; 0 means for ever, or not known yet.
+func (t *Tail) Retention() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retention
+}
+
+// Age returns how long ago the tail had read all there was; ok is false if it never had.
+func (t *Tail) Age(now time.Time) (age time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.freshAt), !t.freshAt.IsZero()
+}
+
+// Status is a tail's part of the state dump.
+type Status struct {
+	Stream    string          `json:"stream"`
+	Source    Source          `json:"source"`
+	Next      platform.Offset `json:"next"`
+	First     platform.Offset `json:"first"`
+	AgeMs     int64           `json:"age_ms"`
+	LastError string          `json:"last_error,omitempty"`
+	Buffered  int             `json:"buffered"`
+}
+
+// Status returns what the tail reads and from whom; AgeMs is -1 if it never caught up.
+func (t *Tail) Status() Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := Status{Stream: t.opts.Stream, Source: t.source, Next: t.next, First: t.first, AgeMs: -1, LastError: t.lastErr, Buffered: len(t.buf.records)}
+	if !t.freshAt.IsZero() {
+		s.AgeMs = time.Since(t.freshAt).Milliseconds()
+	}
+	return s
+}
+
+// Fetch answers a peer's read, waiting for new records as long as it asks, at most PollWait.
+func (t *Tail) Fetch(ctx context.Context, p wire.FetchParams) (wire.FetchResult, error) {
+	wait := min(time.Duration(p.WaitMs)*time.Millisecond, PollWait)
+	timer := time.NewTimer(max(wait, 0))
+	defer timer.Stop()
+	for {
+		res, changed, err := t.fetchNow(p)
+		if err != nil || len(res.Records) > 0 || res.Snapshot != nil {
+			return res, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			res, _, err = t.fetchNow(p)
+			return res, err
+		case <-ctx.Done():
+			return res, ctx.Err()
+		}
+	}
+}
+
+func (t *Tail) fetchNow(p wire.FetchParams) (wire.FetchResult, <-chan struct{}, error) {
+	snapshot, hasSnapshot := t.snapshot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.freshAt.IsZero() && len(t.buf.records) == 0 {
+		return wire.FetchResult{}, nil, rpc.Errorf(wire.CodeNotReady, "stream %s is not read here yet; ask another node", p.Stream)
+	}
+	res := wire.FetchResult{Next: t.next, RetentionMs: t.retention.Milliseconds(), AgeMs: t.ageMs()}
+	records, ok := t.buf.from(p.From, MaxFetchRecords)
+	switch {
+	case ok:
+		res.Records = records
+	case p.From >= t.next && !t.freshAt.IsZero():
+		// Nothing after p.From exists as far as this node knows.
+	case hasSnapshot && snapshot.Revision >= p.From:
+		res.Snapshot = &snapshot
+	default:
+		return res, nil, rpc.Errorf(wire.CodeUnavailable, "stream %s is not kept from %d on here; read the log itself", p.Stream, p.From)
+	}
+	return res, t.changed, nil
+}
+
+func (t *Tail) snapshot() (config.Snapshot, bool) {
+	s, ok := t.opts.Consumer.(Snapshotter)
+	if !ok {
+		return config.Snapshot{}, false
+	}
+	return s.Snapshot()
+}
+
+// ageMs returns the age in milliseconds; a tail that never caught up is as old as can be told.
+func (t *Tail) ageMs() int64 {
+	if t.freshAt.IsZero() {
+		return time.Hour.Milliseconds()
+	}
+	return time.Since(t.freshAt).Milliseconds()
+}
--- /dev/null
+++ b/steward/gossip.go
@@ -0,0 +1,307 @@
+package steward
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/membership"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// Bounds of the gossip shell.
+const (
+	// MaxSendsOpen bounds the messages that wait for an answer; more are given up as failed.
+	MaxSendsOpen = 64
+	// RumorSyncEvery is the least time between two comparisons of rumors.
+	RumorSyncEvery = 2 * time.Second
+	// rumorMismatches is how many exchanges in a row must differ before rumors are compared.
+	rumorMismatches = 3
+)
+
+// gossip runs the cores of membership and rumors over rpc.
+type gossip struct {
+	self    wire.Node
+	call    caller
+	log     *slog.Logger
+	changed func()
+	open    chan struct{}
+
+	mu       sync.Mutex
+	core     *membership.Core
+	rumors   *rumor.Store
+	mismatch int
+	syncAt   time.Time
+	members  []wire.Member // table at the last change, shared and not modified
+	statuses map[string]wire.MemberStatus
+	// seenMembers and seenRumors are the versions of the tables at the last change.
+	seenMembers, seenRumors uint64
+}
+
+// caller calls a method of the node at address.
+type caller func(ctx context.Context, address, method string, params, result any) error
+
+func newGossip(self wire.Node, incarnation int64, seed uint64, call caller, log *slog.Logger, changed func()) *gossip {
+	g := &gossip{
+		self: self, call: call, log: log, changed: changed,
+		open:     make(chan struct{}, MaxSendsOpen),
+		core:     membership.New(membership.Options{Self: self, Incarnation: incarnation, Seed: seed}),
+		rumors:   rumor.New(),
+		statuses: map[string]wire.MemberStatus{},
+	}
+	g.members = g.core.Members()
+	return g
+}
+
+// run ticks the core until ctx ends.
+func (g *gossip) run(ctx context.Context) error {
+	tick := time.NewTicker(membership.TickPeriod)
+	defer tick.Stop()
+	for {
+		g.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (g *gossip) tick(ctx context.Context) {
+	now := time.Now()
+	g.mu.Lock()
+	g.rumors.Expire(now)
+	if g.rumors.Fresh() {
+		g.core.Poke()
+	}
+	sends := g.decorate(g.core.Tick(now))
+	g.note()
+	g.mu.Unlock()
+	g.send(ctx, sends)
+}
+
+// outgoing is a send with the zone of its receiver, which decides which rumors it gets.
+type outgoing struct {
+	membership.Send
+	sameZone bool
+}
+
+// decorate adds rumors to messages. The caller holds mu.
+func (g *gossip) decorate(sends []membership.Send) []outgoing {
+	out := make([]outgoing, len(sends))
+	for i, s := range sends {
+		same := s.To.AvailabilityZone == g.self.AvailabilityZone
+		s.Params.Rumors = g.rumors.News(same)
+		s.Params.RumorsHash = g.rumors.Hash(same)
+		out[i] = outgoing{Send: s, sameZone: same}
+	}
+	return out
+}
+
+// send sends without waiting; what exceeds the bound fails at once.
+func (g *gossip) send(ctx context.Context, sends []outgoing) {
+	for _, s := range sends {
+		select {
+		case g.open <- struct{}{}:
+			go func() {
+				defer func() { <-g.open }()
+				g.exchange(ctx, s)
+			}()
+		default:
+			g.log.Warn("gossip message dropped", "to", s.To.ID, "reason", "too many messages wait for answers")
+			g.finish(ctx, s, nil)
+		}
+	}
+}
+
+func (g *gossip) exchange(ctx context.Context, s outgoing) {
+	cctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	var res wire.GossipResult
+	if err := g.call(cctx, s.To.StewardAddress, wire.MethodGossip, s.Params, &res); err != nil {
+		if ctx.Err() == nil {
+			g.finish(ctx, s, nil)
+		}
+		return
+	}
+	g.finish(ctx, s, &res)
+}
+
+// finish feeds the end of a send back to the cores; a nil result means that it failed.
+func (g *gossip) finish(ctx context.Context, s outgoing, res *wire.GossipResult) {
+	now := time.Now()
+	g.mu.Lock()
+	var next []outgoing
+	if res == nil {
+		next = g.decorate(g.core.Failed(now, s.Send))
+	} else {
+		g.rumors.Merge(now, res.Rumors)
+		next = g.decorate(g.core.Answered(now, s.Send, res))
+		next = append(next, g.syncRumors(now, s, res)...)
+	}
+	g.note()
+	g.mu.Unlock()
+	g.send(ctx, next)
+}
+
+// syncRumors compares tables where their digests stay different. The caller holds mu.
+func (g *gossip) syncRumors(now time.Time, s outgoing, res *wire.GossipResult) []outgoing {
+	differ := g.rumors.Differing(res.RumorBuckets, s.sameZone)
+	if len(differ) == 0 {
+		g.mismatch = 0
+		return nil
+	}
+	g.mismatch++
+	chained := len(s.Params.RumorSync) > 0 && s.Params.RumorSync[0] != differ[0]
+	if !chained && (g.mismatch < rumorMismatches || now.Before(g.syncAt)) {
+		return nil
+	}
+	g.syncAt = now.Add(RumorSyncEvery)
+	next := s
+	next.Send = g.core.Message(s.To)
+	next.Params.RumorSync = differ[:min(2, len(differ))]
+	next.Params.Rumors = g.rumors.InBuckets(next.Params.RumorSync, nil, s.sameZone)
+	next.Params.RumorsHash = g.rumors.Hash(s.sameZone)
+	return []outgoing{next}
+}
+
+// handle answers a peer's message.
+func (g *gossip) handle(ctx context.Context, p wire.GossipParams) (wire.GossipResult, error) {
+	if len(p.Members) > 2*membership.MaxSyncMembers || len(p.Rumors) > 2*rumor.MaxSync {
+		return wire.GossipResult{}, rpc.Errorf(wire.CodeTooLarge, "message carries more than %d members or rumors; send parts", 2*membership.MaxSyncMembers)
+	}
+	now := time.Now()
+	same := p.AvailabilityZone == g.self.AvailabilityZone
+	g.mu.Lock()
+	g.rumors.Merge(now, p.Rumors)
+	res := g.core.HandleGossip(now, p)
+	if len(p.RumorSync) > 0 {
+		res.Rumors = g.rumors.InBuckets(p.RumorSync, p.Rumors, same)
+	} else {
+		res.Rumors = g.rumors.News(same)
+	}
+	if p.RumorsHash != g.rumors.Hash(same) {
+		res.RumorBuckets = g.rumors.Digests(same)
+	}
+	var target wire.Node
+	if p.Probe != "" {
+		target = g.node(p.Probe)
+	}
+	g.note()
+	g.mu.Unlock()
+	if target.ID != "" {
+		res.ProbeOK = g.probeFor(ctx, target)
+	}
+	return res, nil
+}
+
+func (g *gossip) node(id string) wire.Node {
+	for _, m := range g.members {
+		if m.Node.ID == id {
+			return m.Node
+		}
+	}
+	return wire.Node{}
+}
+
+// probeFor probes target on a peer's behalf.
+func (g *gossip) probeFor(ctx context.Context, target wire.Node) bool {
+	g.mu.Lock()
+	s := g.decorate([]membership.Send{g.core.Message(target)})[0]
+	g.mu.Unlock()
+	cctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
+	defer cancel()
+	var res wire.GossipResult
+	if err := g.call(cctx, target.StewardAddress, wire.MethodGossip, s.Params, &res); err != nil {
+		return false
+	}
+	g.finish(ctx, s, &res)
+	return true
+}
+
+// note keeps the table for readers and logs changes of status. The caller holds mu.
+func (g *gossip) note() {
+	if g.core.Version() == g.seenMembers && g.rumors.Version() == g.seenRumors {
+		return
+	}
+	g.seenMembers, g.seenRumors = g.core.Version(), g.rumors.Version()
+	g.members = g.core.Members()
+	for _, m := range g.members {
+		if old := g.statuses[m.Node.ID]; old != m.Status {
+			g.statuses[m.Node.ID] = m.Status
+			g.log.Info("member status", "member", m.Node.ID, "az", m.Node.AvailabilityZone, "status", m.Status, "incarnation", m.Incarnation)
+		}
+	}
+	g.changed()
+}
+
+// Members returns the table, sorted by ID.
+func (g *gossip) Members() []wire.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]wire.Member(nil), g.members...)
+}
+
+// Alive returns the nodes that live and are not suspected, this one included.
+func (g *gossip) Alive() []wire.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]wire.Node, 0, len(g.members))
+	for _, m := range g.members {
+		if m.Status == wire.StatusAlive {
+			out = append(out, m.Node)
+		}
+	}
+	return out
+}
+
+// put starts rumors.
+func (g *gossip) put(rumors ...wire.Rumor) {
+	now := time.Now()
+	g.mu.Lock()
+	g.rumors.Merge(now, rumors)
+	g.note()
+	g.mu.Unlock()
+}
+
+// kind returns the rumors of a kind.
+func (g *gossip) kind(kind string) []wire.Rumor {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rumors.Kind(kind)
+}
+
+func (g *gossip) judge() ([]wire.Quarantine, []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rumors.Judge()
+}
+
+func (g *gossip) setSelf(gateIncarnation string, draining bool) {
+	g.mu.Lock()
+	g.core.SetSelf(gateIncarnation, draining)
+	g.note()
+	g.mu.Unlock()
+}
+
+func (g *gossip) setContacts(addresses []string) {
+	g.mu.Lock()
+	g.core.SetContacts(addresses)
+	g.mu.Unlock()
+}
+
+// leave tells some peers that this node leaves by plan, and waits for their answers.
+func (g *gossip) leave(ctx context.Context) {
+	g.mu.Lock()
+	g.core.Leave()
+	sends := g.decorate(g.core.Tick(time.Now()))
+	g.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range sends {
+		wg.Go(func() { g.exchange(ctx, s) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/steward/operator.go
@@ -0,0 +1,142 @@
+package steward
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+// Bounds of operators' calls.
+const (
+	// DefaultApplyTimeout bounds the wait for a change's read-back if the call names no time.
+	DefaultApplyTimeout = 10 * time.Second
+	// ReadBackWait is how long an append whose answer was lost may take to be read back before it
+	// is sent again under the same ID.
+	ReadBackWait = 2 * time.Second
+	// NodesConcurrency bounds the nodes that are asked for their revision at a time.
+	NodesConcurrency = 16
+	// NodeTimeout bounds each of these questions.
+	NodeTimeout = time.Second
+)
+
+func (s *Steward) authorize(token string) error {
+	sum := sha256.Sum256([]byte(token))
+	want := []byte(s.opts.Settings.OperatorTokenSHA256)
+	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), want) != 1 {
+		return rpc.Errorf(wire.CodeUnauthorized, "operator token is wrong; set the token whose SHA-256 is operator_token_sha256 in the steward's settings")
+	}
+	return nil
+}
+
+// apply publishes a change and answers with its decision at read-back. The change's ID is the
+// record's ID, so that sending it twice, here or by the operator, has no second effect.
+func (s *Steward) apply(ctx context.Context, p wire.ApplyParams) (wire.ApplyResult, error) {
+	if err := s.authorize(p.Token); err != nil {
+		return wire.ApplyResult{}, err
+	}
+	if p.Change.ID == "" || len(p.Change.Edits) == 0 {
+		return wire.ApplyResult{}, rpc.Errorf(wire.CodeInvalid, "change has no id or no edits; make it with ibisctl apply")
+	}
+	if _, _, ready := s.tables.inForce(); !ready {
+		return wire.ApplyResult{}, rpc.Errorf(wire.CodeNotReady, "no configuration is known here yet; try another steward")
+	}
+	timeout := time.Duration(p.TimeoutMs) * time.Millisecond
+	if timeout <= 0 {
+		timeout = DefaultApplyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	d, err := s.publish(ctx, p.Change)
+	return wire.ApplyResult{Decision: d}, err
+}
+
+// publish appends the change until its decision is read back or ctx ends.
+func (s *Steward) publish(ctx context.Context, c config.Change) (config.Decision, error) {
+	decided, release := s.tables.wait(c.ID)
+	defer release()
+	rec := platform.NewRecord{ID: c.ID, Data: encode(config.NewChangeRecord(c))}
+	var last error
+	for {
+		actx, cancel := context.WithTimeout(ctx, AppendTimeout)
+		_, err := s.log.Append(actx, config.Stream, []platform.NewRecord{rec})
+		cancel()
+		var refused *platform.ErrRefused
+		if errors.As(err, &refused) {
+			return config.Decision{}, rpc.Errorf(wire.CodeInvalid, "the log refused the change: %v", err)
+		}
+		last = err
+		wait := ReadBackWait
+		var limited *platform.ErrRateLimited
+		if errors.As(err, &limited) {
+			wait = limited.RetryAfter
+		}
+		select {
+		case d := <-decided:
+			return d, nil
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return config.Decision{}, rpc.Errorf(wire.CodeUnavailable,
+				"change %s was not read back in time (last append: %v); whether it holds is open: see ibisctl history, or apply it again under the same id", c.ID, last)
+		}
+	}
+}
+
+func (s *Steward) get(_ context.Context, p wire.OperatorParams) (wire.GetResult, error) {
+	if err := s.authorize(p.Token); err != nil {
+		return wire.GetResult{}, err
+	}
+	snap, ready := s.tables.Snapshot()
+	if !ready {
+		return wire.GetResult{}, rpc.Errorf(wire.CodeNotReady, "no configuration is known here yet; try another steward")
+	}
+	return wire.GetResult{Snapshot: snap}, nil
+}
+
+func (s *Steward) history(_ context.Context, p wire.HistoryParams) (wire.HistoryResult, error) {
+	if err := s.authorize(p.Token); err != nil {
+		return wire.HistoryResult{}, err
+	}
+	return wire.HistoryResult{Decisions: s.tables.history(p.Limit)}, nil
+}
+
+// nodes lists the known nodes; the live ones are asked for their revision, which is not gossiped
+// because it changes on each node with each change.
+func (s *Steward) nodes(ctx context.Context, p wire.OperatorParams) (wire.NodesResult, error) {
+	if err := s.authorize(p.Token); err != nil {
+		return wire.NodesResult{}, err
+	}
+	_, revision, _ := s.tables.inForce()
+	members := s.members.Members()
+	var g errgroup.Group
+	g.SetLimit(NodesConcurrency)
+	for i := range members {
+		m := &members[i]
+		if m.Node.ID == s.self.ID {
+			*m = s.status()
+			continue
+		}
+		if m.Status != wire.StatusAlive {
+			continue
+		}
+		g.Go(func() error {
+			cctx, cancel := context.WithTimeout(ctx, NodeTimeout)
+			defer cancel()
+			var now wire.Member
+			if err := s.calls.Call(cctx, m.Node.StewardAddress, wire.MethodStatus, wire.Empty{}, &now); err == nil {
+				m.Revision, m.GateIncarnation, m.GateDraining = now.Revision, now.GateIncarnation, now.GateDraining
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // a node that did not answer is listed without a revision
+	return wire.NodesResult{Latest: revision, Members: members}, nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -25,6 +25,8 @@
 	MethodFetch = "steward.fetch"
 	// MethodRelayClaims claims keys through the zone's relay: RelayClaimsParams -> RelayClaimsResult.
 	MethodRelayClaims = "steward.relay_claims"
+	// MethodStatus returns the answering node as a member, with its revision: Empty -> Member.
+	MethodStatus = "steward.status"
 )
 
 // Methods that a steward serves to ibisctl, with the operator's token.
@@ -112,6 +114,9 @@
 	Draining map[string]string `json:"draining"`
 	// Quarantined are request fingerprints that get a final answer at once.
 	Quarantined []Quarantine `json:"quarantined"`
+	// Suspects are request fingerprints that were running when an engine died; they run alone
+	// until they are cleared.
+	Suspects []string `json:"suspects,omitempty"`
 	// Versions are the newest known weight versions by model.
 	Versions map[string]int64 `json:"versions"`
 	// EngineVersions are what engines were last seen to run, by target address.
@@ -230,6 +235,12 @@
 	Revision platform.Offset `json:"rev"`
 	// Probe, if set, asks the receiver to probe that node ID on the sender's behalf.
 	Probe string `json:"probe,omitempty"`
+	// Sync names the buckets whose content both sides exchange because their digests differ.
+	Sync []int `json:"sync,omitempty"`
+	// RumorSync is Sync for rumors.
+	RumorSync []int `json:"rumor_sync,omitempty"`
+	// AvailabilityZone is the sender's, since some rumors stay inside a zone.
+	AvailabilityZone string `json:"az,omitempty"`
 }
 
 // GossipResult answers GossipParams with news for the sender.
@@ -239,6 +250,10 @@
 	Revision platform.Offset `json:"rev"`
 	// ProbeOK answers Probe.
 	ProbeOK bool `json:"probe_ok,omitempty"`
+	// Buckets are digests of the answering node's table in parts, sent when the hashes differ.
+	Buckets []uint64 `json:"buckets,omitempty"`
+	// RumorBuckets is Buckets for rumors.
+	RumorBuckets []uint64 `json:"rumor_buckets,omitempty"`
 }
 
 // FetchParams reads records of a stream through a peer, which may wait for new ones.
@@ -254,6 +269,12 @@
 	Records  []platform.Record `json:"records"`
 	Snapshot *config.Snapshot  `json:"snapshot,omitempty"`
 	Next     platform.Offset   `json:"next"`
+	// First is the oldest offset that the log retains; a peer that kept what was asked for sends 0.
+	First platform.Offset `json:"first,omitempty"`
+	// RetentionMs is how long the log keeps a record, in milliseconds; 0 means for ever.
+	RetentionMs int64 `json:"retention_ms"`
+	// AgeMs is how long ago the peer last knew that Next was the end of the log, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // OperatorParams authenticates an operator.
