--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -23,6 +23,8 @@
 	KindDeath = "death"
 	// KindCleared tells that a request proved harmless; its key is the fingerprint.
 	KindCleared = "cleared"
+	// KindLoadRate tells how many engines the weight store serves at a time; its key is "store".
+	KindLoadRate = "load-rate"
 	// KindEngines tells what the engines of a pool run; it stays inside a zone.
 	KindEngines = "engines"
 )
--- a/steward/gossip.go
+++ b/steward/gossip.go
@@ -258,6 +258,13 @@
 	return out
 }
 
+// version grows with each change of the members.
+func (g *gossip) version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.seenMembers
+}
+
 // put starts rumors.
 func (g *gossip) put(rumors ...wire.Rumor) {
 	now := time.Now()
--- a/steward/operator.go
+++ b/steward/operator.go
@@ -63,7 +63,10 @@
 func (s *Steward) publish(ctx context.Context, c config.Change) (config.Decision, error) {
 	decided, release := s.tables.wait(c.ID)
 	defer release()
-	rec := platform.NewRecord{ID: c.ID, Data: encode(config.NewChangeRecord(c))}
+	rec, err := config.EncodeChange(c)
+	if err != nil {
+		return config.Decision{}, rpc.Errorf(wire.CodeInvalid, "%v", err)
+	}
 	var last error
 	for {
 		actx, cancel := context.WithTimeout(ctx, AppendTimeout)
--- /dev/null
+++ b/steward/state.go
@@ -0,0 +1,208 @@
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// Times of the state for the gate.
+const (
+	// statePause is the least time between two states, so that a burst of news makes one.
+	statePause = 20 * time.Millisecond
+	// stateRefresh rebuilds the state without news, so that what has expired leaves it.
+	stateRefresh = time.Second
+	// GateSilence is how long a gate may not have watched before it counts as gone.
+	GateSilence = 10 * time.Second
+)
+
+// gateWatch keeps what the VM's gate last told of itself.
+type gateWatch struct {
+	mu     sync.Mutex
+	params wire.WatchParams
+	at     time.Time
+	open   int // watches that wait
+}
+
+func (g *gateWatch) begin(p wire.WatchParams) {
+	g.mu.Lock()
+	g.params, g.at = p, time.Now()
+	g.open++
+	g.mu.Unlock()
+}
+
+func (g *gateWatch) end() {
+	g.mu.Lock()
+	g.at = time.Now()
+	g.open--
+	g.mu.Unlock()
+}
+
+// last returns the newest watch of a gate that still lives.
+func (g *gateWatch) last() (wire.WatchParams, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	live := !g.at.IsZero() && (g.open > 0 || time.Since(g.at) < GateSilence)
+	return g.params, live
+}
+
+// watch serves the state to the VM's gate.
+func (s *Steward) watch(ctx context.Context, p wire.WatchParams) (wire.State, error) {
+	s.gate.begin(p)
+	defer s.gate.end()
+	s.members.setSelf(p.GateIncarnation, p.Draining)
+	return s.hub.watch(ctx, p)
+}
+
+// publishStates builds the state for the gate whenever something has changed.
+func (s *Steward) publishStates(ctx context.Context) error {
+	refresh := time.NewTicker(stateRefresh)
+	defer refresh.Stop()
+	for {
+		s.hub.set(s.build())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.dirty:
+		case <-refresh.C:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(statePause):
+		}
+	}
+}
+
+// build joins what the duties know.
+func (s *Steward) build() wire.State {
+	tb, revision, ready := s.tables.inForce()
+	st := wire.State{Ready: ready, Revision: revision, Versions: s.versions(), EngineVersions: s.engineVersions()}
+	if ready {
+		st.Tables = tb
+		if s.readyAt.IsZero() {
+			s.readyAt = time.Now()
+			s.opts.Metrics.Latency("start_to_ready_seconds").Observe(s.readyAt.Sub(s.started))
+			s.opts.Log.Info("ready", "revision", revision, "after", s.readyAt.Sub(s.started))
+		}
+	}
+	st.Draining = s.draining(tb)
+	st.Quarantined, st.Suspects = s.members.judge()
+	for _, m := range s.members.Members() {
+		if m.Node.ID != s.self.ID && m.Status != wire.StatusDead && m.Status != wire.StatusLeft && m.GateIncarnation != "" && !m.GateDraining && !s.vms.leavingAddress(m.Node.StewardAddress) {
+			st.Peers = append(st.Peers, m.Node)
+		}
+	}
+	return st
+}
+
+// draining merges the pool's rows, the list of VMs and the rumors; one word suffices.
+func (s *Steward) draining(tb *config.Tables) map[string]string {
+	out := map[string]string{}
+	for _, r := range s.members.kind(rumor.KindLeaving) {
+		var reason string
+		if json.Unmarshal(r.Value, &reason) == nil && reason != "" {
+			out[r.Key] = reason
+		}
+	}
+	for i := range tb.Pools {
+		for _, t := range tb.Pools[i].Targets {
+			switch {
+			case t.Draining:
+				out[t.Address] = "pool row says draining"
+			case s.vms.leavingTarget(t.Address):
+				out[t.Address] = "list of VMs says leaving"
+			}
+		}
+	}
+	return out
+}
+
+// versions are the newest known weight versions by model.
+func (s *Steward) versions() map[string]int64 {
+	out := map[string]int64{}
+	for _, r := range s.members.kind(rumor.KindVersion) {
+		out[r.Key] = max(out[r.Key], r.Seq)
+	}
+	return out
+}
+
+// engineVersions are what engines were last seen to run.
+func (s *Steward) engineVersions() map[string]int64 {
+	out := map[string]int64{}
+	for _, r := range s.members.kind(rumor.KindEngines) {
+		var seen map[string]int64
+		if json.Unmarshal(r.Value, &seen) == nil {
+			maps.Copy(out, seen)
+		}
+	}
+	return out
+}
+
+// report takes what the VM's gate has seen of targets and starts rumors of it.
+func (s *Steward) report(_ context.Context, p wire.ReportParams) (wire.Empty, error) {
+	now := time.Now()
+	var rumors []wire.Rumor
+	for _, a := range p.Leaving {
+		rumors = append(rumors, newLeaving(now, a, "target says draining"))
+	}
+	for _, d := range p.Deaths {
+		rumors = append(rumors, rumor.NewDeath(now, d))
+	}
+	for _, fp := range p.Cleared {
+		rumors = append(rumors, rumor.NewCleared(now, fp))
+	}
+	for _, model := range slices.Sorted(maps.Keys(p.Versions)) {
+		rumors = append(rumors, newVersion(now, model, p.Versions[model]))
+	}
+	s.members.put(rumors...)
+	return wire.Empty{}, nil
+}
+
+// Lives of rumors that the steward starts.
+const (
+	leavingTTL = 2 * time.Minute
+	versionTTL = time.Hour
+	enginesTTL = time.Minute
+)
+
+func newLeaving(now time.Time, address, reason string) wire.Rumor {
+	return wire.Rumor{Kind: rumor.KindLeaving, Key: address, Seq: now.UnixMilli(), Expires: now.Add(leavingTTL).UnixMilli(), Value: encode(reason)}
+}
+
+func newVersion(now time.Time, model string, version int64) wire.Rumor {
+	return wire.Rumor{Kind: rumor.KindVersion, Key: model, Seq: version, Expires: now.Add(versionTTL).UnixMilli()}
+}
+
+// dump is the state dump of the process.
+type dump struct {
+	Node       wire.Node               `json:"node"`
+	Started    time.Time               `json:"started"`
+	State      wire.State              `json:"state"`
+	Tails      any                     `json:"tails"`
+	Members    []wire.Member           `json:"members"`
+	Rumors     map[string][]wire.Rumor `json:"rumors"`
+	Leases     any                     `json:"leases"`
+	Pools      any                     `json:"pools"`
+	ConfigRead platform.Offset         `json:"config_next"`
+}
+
+func (s *Steward) dump() dump {
+	st, _ := s.hub.get()
+	d := dump{
+		Node: s.self, Started: s.started, State: st, Tails: s.tails.status(), Members: s.members.Members(),
+		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Pools: s.orders.status(), ConfigRead: s.tables.Next(),
+	}
+	for _, k := range []string{rumor.KindLeaving, rumor.KindVersion, rumor.KindDeath, rumor.KindCleared, rumor.KindEngines} {
+		d.Rumors[k] = s.members.kind(k)
+	}
+	return d
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,249 @@
+// Package steward is the control process of a VM: it reads the platform's log, knows which nodes
+// live, holds leases, orders weights, and tells the gate of its VM what is in force.
+package steward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/lease"
+	"github.com/ibistrail/ibistrail/logtail"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+// Times of the process.
+const (
+	// AppendTimeout bounds one append to the log.
+	AppendTimeout = 2 * time.Second
+	// LeaveTimeout bounds the farewell of a planned stop.
+	LeaveTimeout = time.Second
+	// DefaultLeaseTTL holds where the settings name no TTL.
+	DefaultLeaseTTL = 10 * time.Second
+)
+
+// Options configure a Steward.
+type Options struct {
+	Settings  settings.Steward
+	PeerToken string
+	Log       *slog.Logger
+	Metrics   *process.Metrics
+	Dialer    *process.Dialer
+	// Fetch orders the peers that are asked when the log cannot be reached; empty means the product's.
+	Fetch logtail.Strategy
+}
+
+// Listeners are what a steward serves on; a nil one is opened on the address of the settings.
+type Listeners struct {
+	RPC   net.Listener
+	Debug net.Listener
+}
+
+// Steward is the control process of one VM.
+type Steward struct {
+	opts        Options
+	self        wire.Node
+	incarnation int64
+	seed        uint64
+
+	calls *rpc.Pool // short calls
+	polls *rpc.Pool // calls that wait for news
+	log   platform.Log
+
+	members *gossip
+	tables  *tables
+	tails   *tails
+	leases  *leases
+	store   *versions
+	vms     *vmList
+	orders  *orders
+	hub     *hub
+	gate    *gateWatch
+	dirty   chan struct{}
+	started time.Time
+	readyAt time.Time
+}
+
+// New returns a steward that knows nothing yet.
+func New(o Options) (*Steward, error) {
+	set := &o.Settings
+	if ttl := time.Duration(set.LeaseTTLMs) * time.Millisecond; ttl < 0 || ttl > lease.MaxTTL {
+		return nil, fmt.Errorf("steward: lease_ttl_ms %d is out of bounds; set 1 to %d, or leave it out", set.LeaseTTLMs, lease.MaxTTL.Milliseconds())
+	}
+	if set.LeaseTTLMs == 0 {
+		set.LeaseTTLMs = DefaultLeaseTTL.Milliseconds()
+	}
+	s := &Steward{opts: o, incarnation: time.Now().UnixMilli(), dirty: make(chan struct{}, 1), started: time.Now()}
+	s.self = wire.Node{ID: set.ID, AvailabilityZone: set.AvailabilityZone, StewardAddress: set.StewardAddress, GateAddress: set.GateAddress, GateHTTP: set.GateHTTP}
+	s.seed = xxhash.Sum64String(set.ID)
+	control := o.Metrics.SubMap("control_bytes")
+	ro := rpc.Options{Token: o.PeerToken, Bytes: control, Log: o.Log, Dial: o.Dialer.Dial}
+	s.calls, s.polls = rpc.NewPool(ro), rpc.NewPool(ro)
+	s.log = platform.NewLogClient(set.LogURL, httpClient(o.Dialer, control, "log"))
+	s.hub = newHub(s.incarnation)
+	s.gate = &gateWatch{}
+	s.members = newGossip(s.self, s.incarnation, s.seed, s.calls.Call, o.Log, s.markDirty)
+	s.tables = newTables(s.seed, s.markDirty)
+	s.tails = newTails(s)
+	s.tails.add(config.Stream, s.tables)
+	s.leases = newLeases(s)
+	s.store = newVersions(s, platform.NewStoreClient(set.StoreURL, httpClient(o.Dialer, control, "store")))
+	s.vms = newVMList(s, platform.NewVMListClient(set.VMListURL, httpClient(o.Dialer, control, "vms")))
+	s.orders = newOrders(s, platform.NewEngineClient(httpClient(o.Dialer, control, "engine")))
+	return s, nil
+}
+
+// holder names this process in leases.
+func (s *Steward) holder() string { return s.self.ID + "/" + strconv.FormatInt(s.incarnation, 36) }
+
+// markDirty asks for a new state for the gate, without waiting.
+func (s *Steward) markDirty() {
+	select {
+	case s.dirty <- struct{}{}:
+	default: // one is due anyway
+	}
+}
+
+// Run serves until ctx ends, then leaves the membership by plan.
+func (s *Steward) Run(ctx context.Context, l Listeners) error {
+	if err := l.open(&s.opts.Settings); err != nil {
+		return err
+	}
+	defer s.calls.Close()
+	defer s.polls.Close()
+	g, ctx := errgroup.WithContext(ctx)
+	server := rpc.NewServer(s.rpcOptions(), s.handlers())
+	debug := &process.Debug{Metrics: s.opts.Metrics, State: func() any { return s.dump() }, Ready: s.ready, Routes: s.debugRoutes}
+	g.Go(func() error { return server.Serve(ctx, l.RPC) })
+	g.Go(func() error { return process.Serve(ctx, l.Debug, debug.Handler()) })
+	for _, run := range []func(context.Context) error{s.members.run, s.tails.run, s.leases.run, s.store.run, s.vms.run, s.orders.run, s.publishStates, s.carry} {
+		g.Go(func() error { return run(ctx) })
+	}
+	s.opts.Log.Info("steward started", "address", l.RPC.Addr().String(), "debug", l.Debug.Addr().String(), "az", s.self.AvailabilityZone, "incarnation", s.incarnation)
+	err := g.Wait()
+	s.farewell()
+	return err
+}
+
+// open opens the listeners that were not given.
+func (l *Listeners) open(set *settings.Steward) error {
+	for _, x := range []struct {
+		l       *net.Listener
+		address string
+		field   string
+	}{{&l.RPC, set.StewardAddress, "steward_address"}, {&l.Debug, set.DebugAddress, "debug_address"}} {
+		if *x.l != nil {
+			continue
+		}
+		n, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return fmt.Errorf("steward: %w; free the address or change %s in the settings", err, x.field)
+		}
+		*x.l = n
+	}
+	return nil
+}
+
+func (s *Steward) farewell() {
+	ctx, cancel := context.WithTimeout(context.Background(), LeaveTimeout)
+	defer cancel()
+	s.leases.release(ctx)
+	s.members.leave(ctx)
+	s.opts.Log.Info("steward stopped")
+}
+
+func (s *Steward) rpcOptions() rpc.Options {
+	return rpc.Options{
+		Token: s.opts.PeerToken, Log: s.opts.Log, Bytes: s.opts.Metrics.SubMap("control_bytes"),
+		Open: map[string]bool{wire.MethodApply: true, wire.MethodGet: true, wire.MethodHistory: true, wire.MethodNodes: true},
+	}
+}
+
+func (s *Steward) handlers() map[string]rpc.Handler {
+	return map[string]rpc.Handler{
+		wire.MethodWatch:   rpc.Handle(s.watch),
+		wire.MethodReport:  rpc.Handle(s.report),
+		wire.MethodGossip:  rpc.Handle(s.members.handle),
+		wire.MethodFetch:   rpc.Handle(s.tails.fetch),
+		wire.MethodStatus:  rpc.Handle(func(context.Context, wire.Empty) (wire.Member, error) { return s.status(), nil }),
+		wire.MethodApply:   rpc.Handle(s.apply),
+		wire.MethodGet:     rpc.Handle(s.get),
+		wire.MethodHistory: rpc.Handle(s.history),
+		wire.MethodNodes:   rpc.Handle(s.nodes),
+	}
+}
+
+// ready returns nil once the configuration in force is known.
+func (s *Steward) ready() error {
+	if _, _, ok := s.tables.inForce(); !ok {
+		return fmt.Errorf("no configuration is known yet; check the log service and the peers")
+	}
+	return nil
+}
+
+// status returns this node as a member.
+func (s *Steward) status() wire.Member {
+	_, revision, _ := s.tables.inForce()
+	m := wire.Member{Node: s.self, Incarnation: s.incarnation, Status: wire.StatusAlive, Revision: revision}
+	for _, k := range s.members.Members() {
+		if k.Node.ID == s.self.ID {
+			m.Incarnation, m.Status = k.Incarnation, k.Status
+		}
+	}
+	if p, ok := s.gate.last(); ok {
+		// The node has a revision in force once its gate has it.
+		m.Revision, m.GateIncarnation, m.GateDraining = min(p.Revision, revision), p.GateIncarnation, p.Draining
+	}
+	return m
+}
+
+func (s *Steward) debugRoutes(r *mux.Router) {
+	if s.opts.Settings.Debug {
+		s.opts.Dialer.Routes(r)
+	}
+}
+
+// httpClient returns a client of one kind of outside system, whose bytes are counted.
+func httpClient(d *process.Dialer, c rpc.Counter, kind string) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		conn, err := d.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, counter: c, rx: "rx." + kind, tx: "tx." + kind}, nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	counter rpc.Counter
+	rx, tx  string
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.Add(c.rx, int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.Add(c.tx, int64(n))
+	return n, err
+}
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/logtail"
 	"github.com/ibistrail/ibistrail/platform"
 )
 
@@ -15,12 +16,15 @@
 	machine *config.Machine
 	waiters map[string][]chan config.Decision
 	changed func()
-	// snapshotAt is when the newest snapshot record was read.
-	snapshotAt time.Time
+	current *config.Tables // of the machine at its revision
+	carry   *logtail.Carry
+	// retention is how long the log keeps records, as far as known.
+	retention time.Duration
+	freshAt   time.Time
 }
 
-func newTables(changed func()) *tables {
-	return &tables{machine: config.NewMachine(), waiters: map[string][]chan config.Decision{}, changed: changed}
+func newTables(seed uint64, changed func()) *tables {
+	return &tables{machine: config.NewMachine(), waiters: map[string][]chan config.Decision{}, changed: changed, carry: logtail.NewCarry(seed)}
 }
 
 // Next implements logtail.Consumer.
@@ -35,9 +39,10 @@
 	t.mu.Lock()
 	last := t.machine.LastSnapshot()
 	d := t.machine.Apply(r)
-	if t.machine.LastSnapshot() != last {
-		t.snapshotAt = now
+	if t.machine.LastSnapshot() != last && now.Sub(t.freshAt) <= logtail.MaxAge {
+		t.carry.Seen(now, t.retention)
 	}
+	t.current = nil
 	var waiting []chan config.Decision
 	if d != nil {
 		waiting = t.waiters[d.Change.ID]
@@ -63,7 +68,22 @@
 }
 
 // CaughtUp implements logtail.Consumer.
-func (t *tables) CaughtUp(time.Time) {}
+func (t *tables) CaughtUp(at time.Time) {
+	t.mu.Lock()
+	t.freshAt = at
+	t.mu.Unlock()
+}
+
+// snapshotDue returns the state if it is time to append it.
+func (t *tables) snapshotDue(now time.Time, retention time.Duration) (config.Snapshot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retention = retention
+	if !t.machine.Ready() || t.machine.Scanning() || t.machine.Revision() == 0 || !t.carry.Due(now, retention) {
+		return config.Snapshot{}, false
+	}
+	return t.machine.Snapshot(), true
+}
 
 // Snapshot implements logtail.Snapshotter.
 func (t *tables) Snapshot() (config.Snapshot, bool) {
@@ -76,6 +96,7 @@
 func (t *tables) Restore(s config.Snapshot) bool {
 	t.mu.Lock()
 	ok := t.machine.Restore(s)
+	t.current = nil
 	t.mu.Unlock()
 	if ok {
 		t.changed()
@@ -110,11 +131,15 @@
 	}
 }
 
-// inForce returns the tables and their revision; ready is false if none is known.
+// inForce returns the tables, the same pointer while they stay, and their revision; ready is false
+// if none is known.
 func (t *tables) inForce() (tb *config.Tables, revision platform.Offset, ready bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.machine.Tables(), t.machine.Revision(), t.machine.Ready()
+	if t.current == nil {
+		t.current = t.machine.Tables()
+	}
+	return t.current, t.machine.Revision(), t.machine.Ready()
 }
 
 func (t *tables) history(limit int) []config.Decision {
--- /dev/null
+++ b/steward/tails.go
@@ -0,0 +1,145 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/logtail"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// tails runs one tail for each stream that this node follows.
+type tails struct {
+	s  *Steward
+	mu sync.Mutex
+	// ctx is set while the tails run.
+	ctx     context.Context
+	streams map[string]*runningTail
+	wg      sync.WaitGroup
+}
+
+type runningTail struct {
+	*logtail.Tail
+	cancel context.CancelFunc
+}
+
+func newTails(s *Steward) *tails { return &tails{s: s, streams: map[string]*runningTail{}} }
+
+// add follows stream; it starts at once if the tails run.
+func (t *tails) add(stream string, c logtail.Consumer) *logtail.Tail {
+	tail := logtail.New(logtail.Options{
+		Stream: stream, Self: t.s.self, Strategy: t.s.opts.Fetch, Seed: t.s.seed, Log: t.s.log, Consumer: c,
+		Live: t.s.members.Alive, Call: t.s.polls.Call, Logger: t.s.opts.Log,
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &runningTail{Tail: tail}
+	t.streams[stream] = r
+	if t.ctx != nil {
+		t.start(r)
+	}
+	return tail
+}
+
+// remove stops following stream.
+func (t *tails) remove(stream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.streams[stream]; r != nil {
+		if r.cancel != nil {
+			r.cancel()
+		}
+		delete(t.streams, stream)
+	}
+}
+
+// start runs a tail. The caller holds mu.
+func (t *tails) start(r *runningTail) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	r.cancel = cancel
+	t.wg.Go(func() { _ = r.Run(ctx) }) // Run ends with its context only
+}
+
+func (t *tails) run(ctx context.Context) error {
+	t.mu.Lock()
+	t.ctx = ctx
+	for _, r := range t.streams {
+		t.start(r)
+	}
+	t.mu.Unlock()
+	<-ctx.Done()
+	t.wg.Wait()
+	return nil
+}
+
+// get returns the tail of stream, or nil.
+func (t *tails) get(stream string) *logtail.Tail {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.streams[stream]; r != nil {
+		return r.Tail
+	}
+	return nil
+}
+
+// fetch serves records to peers.
+func (t *tails) fetch(ctx context.Context, p wire.FetchParams) (wire.FetchResult, error) {
+	tail := t.get(p.Stream)
+	if tail == nil {
+		return wire.FetchResult{}, rpc.Errorf(wire.CodeUnavailable, "stream %s is not followed here; read the log itself", p.Stream)
+	}
+	return tail.Fetch(ctx, p)
+}
+
+func (t *tails) status() []logtail.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]logtail.Status, 0, len(t.streams))
+	for _, r := range t.streams {
+		out = append(out, r.Status())
+	}
+	slices.SortFunc(out, func(a, b logtail.Status) int { return strings.Compare(a.Stream, b.Stream) })
+	return out
+}
+
+// carryEvery is how often the steward asks whether a snapshot is due.
+const carryEvery = 500 * time.Millisecond
+
+// carry appends a snapshot of the tables before the log drops the newest one.
+func (s *Steward) carry(ctx context.Context) error {
+	tick := time.NewTicker(carryEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			s.carryTables(ctx)
+		}
+	}
+}
+
+func (s *Steward) carryTables(ctx context.Context) {
+	tail := s.tails.get(config.Stream)
+	age, ok := tail.Age(time.Now())
+	snap, due := s.tables.snapshotDue(time.Now(), tail.Retention())
+	if !ok || age > logtail.MaxAge || !due {
+		return
+	}
+	rec, err := config.EncodeSnapshot(snap, uuid.NewString())
+	if err != nil {
+		s.opts.Log.Warn("snapshot not carried", "reason", err)
+		return
+	}
+	actx, cancel := context.WithTimeout(ctx, AppendTimeout)
+	defer cancel()
+	_, err = s.log.Append(actx, config.Stream, []platform.NewRecord{rec})
+	s.opts.Log.Info("snapshot carried", "revision", snap.Revision, "error", err)
+}
--- /dev/null
+++ b/weights/weights.go
@@ -0,0 +1,306 @@
+// Package weights decides which orders the engines of one pool in one availability zone get, so
+// that they run the pool's model, newest weight version, adapters and role.
+package weights
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+)
+
+// Bounds of orders.
+const (
+	// StatusFresh is how old an engine's status may be for an order to be based on it.
+	StatusFresh = 10 * time.Second
+	// BackoffMin and BackoffMax bound the pause after a failed order to an engine.
+	BackoffMin = 500 * time.Millisecond
+	BackoffMax = 15 * time.Second
+	// SwapNowAbove is the StalenessWeight from which engines swap without finishing what runs.
+	SwapNowAbove = 0.5
+)
+
+// Options configure a Core.
+type Options struct {
+	AvailabilityZone string
+	// AllAtOnce orders all engines together, a baseline for experiments.
+	AllAtOnce bool
+}
+
+// engine is what is known of one engine.
+type engine struct {
+	target   config.Target
+	leaving  bool
+	status   platform.EngineStatus
+	seenAt   time.Time // of status; zero if never
+	reached  bool      // whether the newest question was answered
+	ordered  bool      // an order is under way
+	failures int
+	notUntil time.Time
+}
+
+// OrderTo is an order to one engine; the shell fills in the fencing token.
+type OrderTo struct {
+	Address string
+	Order   platform.Order
+}
+
+// Core is the state of the engines of a pool in one zone. It has no clock and does no I/O, and is
+// not safe for concurrent use.
+type Core struct {
+	opts    Options
+	pool    config.Pool
+	engines map[string]*engine
+	newest  int64
+	share   int // engines that the store may serve at a time for this core
+	limit   int // what the store's refusals have left of it
+}
+
+// New returns a core without engines.
+func New(o Options) *Core { return &Core{opts: o, engines: map[string]*engine{}} }
+
+// SetPool takes the pool's row and the addresses of leaving targets, which get no orders.
+func (c *Core) SetPool(p config.Pool, leaving func(address string) bool) {
+	c.pool = p
+	keep := map[string]bool{}
+	for _, t := range p.Targets {
+		if t.AvailabilityZone != c.opts.AvailabilityZone {
+			continue
+		}
+		keep[t.Address] = true
+		e := c.engines[t.Address]
+		if e == nil {
+			e = &engine{}
+			c.engines[t.Address] = e
+		}
+		e.target, e.leaving = t, t.Draining || leaving(t.Address)
+	}
+	for a := range c.engines {
+		if !keep[a] {
+			delete(c.engines, a)
+		}
+	}
+}
+
+// SetNewest takes the newest known version of the pool's model and how many engines the store may
+// serve at a time for this zone; an older version than before is ignored.
+func (c *Core) SetNewest(version int64, share int) {
+	c.newest = max(c.newest, version)
+	if share = max(share, 1); share != c.share {
+		c.share, c.limit = share, share
+	}
+}
+
+// Target returns the version that the engines should run; 0 means any.
+func (c *Core) Target() int64 {
+	w := c.pool.Weights
+	switch {
+	case w == nil:
+		return 0
+	case w.Follow:
+		return c.newest
+	default:
+		return w.Version
+	}
+}
+
+// Observed takes an engine's status, or that it did not answer (nil).
+func (c *Core) Observed(now time.Time, address string, s *platform.EngineStatus) {
+	e := c.engines[address]
+	if e == nil {
+		return
+	}
+	if e.reached = s != nil; !e.reached {
+		return
+	}
+	if s.Boot != e.status.Boot {
+		e.failures, e.notUntil = 0, time.Time{} // a restarted engine is tried at once
+	}
+	e.status, e.seenAt = *s, now
+}
+
+// Result tells how an order ended.
+type Result string
+
+// The ends of orders.
+const (
+	// ResultDone means that the engine answered after the order took effect.
+	ResultDone Result = "done"
+	// ResultFailed means that it refused, or that its answer did not come: its status tells.
+	ResultFailed Result = "failed"
+	// ResultStoreBusy means that the store had no rate left for the engine.
+	ResultStoreBusy Result = "store-busy"
+	// ResultNotSent means that the order was given up before it was sent.
+	ResultNotSent Result = "not-sent"
+)
+
+// Ordered takes the end of an order to an engine.
+func (c *Core) Ordered(now time.Time, address string, r Result) {
+	e := c.engines[address]
+	if e == nil {
+		return
+	}
+	e.ordered = false
+	switch r {
+	case ResultDone:
+		e.failures = 0
+		c.limit = min(c.limit+1, c.share)
+	case ResultStoreBusy:
+		c.limit = max(c.limit/2, 1)
+		c.backOff(now, e)
+	case ResultFailed:
+		c.backOff(now, e)
+	}
+}
+
+func (c *Core) backOff(now time.Time, e *engine) {
+	d := min(BackoffMin<<min(e.failures, 10), BackoffMax)
+	e.failures++
+	e.notUntil = now.Add(d)
+}
+
+// Step returns the orders to give now. Each returned order counts as under way until Ordered.
+func (c *Core) Step(now time.Time) []OrderTo {
+	room := c.room(now)
+	var out []OrderTo
+	for _, e := range c.ready(now) {
+		o, ok := c.need(e)
+		if !ok {
+			continue
+		}
+		if loads(o.Kind) {
+			if room <= 0 {
+				continue
+			}
+			room--
+		}
+		e.ordered = true
+		out = append(out, OrderTo{Address: e.target.Address, Order: o})
+	}
+	return out
+}
+
+func loads(k platform.OrderKind) bool {
+	return k == platform.OrderLoadVersion || k == platform.OrderLoadModel
+}
+
+// ready returns the engines that can take an order, the ones with the oldest weights first.
+func (c *Core) ready(now time.Time) []*engine {
+	var out []*engine
+	for _, e := range c.engines {
+		fresh := e.reached && now.Sub(e.seenAt) <= StatusFresh
+		if fresh && !e.leaving && !e.status.Draining && !e.status.Loading && !e.ordered && !now.Before(e.notUntil) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(a.status.Version, b.status.Version), cmp.Compare(a.target.Address, b.target.Address))
+	})
+	return out
+}
+
+// need returns the most important difference between the pool's row and what the engine runs. A
+// pool that follows the store never orders a version below what the engine runs.
+func (c *Core) need(e *engine) (platform.Order, bool) {
+	s, p, target := &e.status, &c.pool, c.Target()
+	switch {
+	case p.Model != "" && s.Model != p.Model:
+		return platform.Order{Kind: platform.OrderLoadModel, Model: p.Model, Version: target, Mode: c.mode()}, true
+	case target > 0 && s.Version != target && (s.Version < target || !p.Weights.Follow):
+		return platform.Order{Kind: platform.OrderLoadVersion, Model: p.Model, Version: target, Mode: c.mode()}, true
+	case !sameSet(s.Adapters, p.Adapters):
+		return platform.Order{Kind: platform.OrderSetAdapters, Adapters: p.Adapters}, true
+	case p.Role != "" && s.Role != p.Role:
+		return platform.Order{Kind: platform.OrderSetRole, Role: p.Role}, true
+	}
+	return platform.Order{}, false
+}
+
+// mode follows the pool's objective: fresh samples soon, or no engine time lost.
+func (c *Core) mode() platform.SwapMode {
+	w := c.pool.Weights
+	if w != nil && w.StalenessWeight >= SwapNowAbove {
+		return platform.SwapNow
+	}
+	return platform.SwapDrain
+}
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
+}
+
+// room returns how many more engines may load: the store's rate and the serving floor both hold.
+// Where the floor leaves no room at all, one engine at a time loads, since weights must go on.
+func (c *Core) room(now time.Time) int {
+	if c.opts.AllAtOnce {
+		return len(c.engines)
+	}
+	total, serving, loading := 0, 0, 0
+	for _, e := range c.engines {
+		if e.leaving || e.status.Draining {
+			continue
+		}
+		total++
+		switch {
+		case e.ordered || e.status.Loading:
+			loading++
+		case e.reached && now.Sub(e.seenAt) <= StatusFresh:
+			serving++
+		}
+	}
+	byFloor := serving - c.floor(total)
+	if byFloor <= 0 && loading == 0 && serving > 0 {
+		byFloor = 1
+	}
+	return min(byFloor, c.limit-loading)
+}
+
+// floor returns how many of total engines must not be loading.
+func (c *Core) floor(total int) int {
+	w := c.pool.Weights
+	if w == nil {
+		return 0
+	}
+	return int(math.Ceil(float64(total) * float64(w.ServingFloorPercent) / 100))
+}
+
+// Engine is what is known of an engine, for the state dump and for gates.
+type Engine struct {
+	Address  string                `json:"address"`
+	Status   platform.EngineStatus `json:"status"`
+	SeenAt   time.Time             `json:"seen_at"`
+	Reached  bool                  `json:"reached"`
+	Ordered  bool                  `json:"ordered"`
+	Leaving  bool                  `json:"leaving"`
+	Failures int                   `json:"failures"`
+}
+
+// Engines returns the engines sorted by address.
+func (c *Core) Engines() []Engine {
+	out := make([]Engine, 0, len(c.engines))
+	for a, e := range c.engines {
+		out = append(out, Engine{Address: a, Status: e.status, SeenAt: e.seenAt, Reached: e.reached, Ordered: e.ordered, Leaving: e.leaving, Failures: e.failures})
+	}
+	slices.SortFunc(out, func(a, b Engine) int { return cmp.Compare(a.Address, b.Address) })
+	return out
+}
+
+// Behind tells how many engines do not run what the pool's row asks for.
+func (c *Core) Behind() int {
+	n := 0
+	for _, e := range c.engines {
+		if _, needs := c.need(e); needs && !e.leaving {
+			n++
+		}
+	}
+	return n
+}
