--- a/fake/deployment/deployment_test.go
+++ b/fake/deployment/deployment_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/settings"
 	"github.com/matryer/is"
 )
 
@@ -34,6 +35,18 @@
 				is.True(d.Tables.Pool(r.Pool) != nil)
 				is.True(len(r.Callers) > 0)
 			}
+			raw, err := os.ReadFile(filepath.Join(dir, FileTables))
+			is.NoErr(err)
+			_, problems := config.ParseTables(raw)
+			is.Equal(problems, nil)
+			for _, g := range d.Gates {
+				_, err := settings.LoadGate(filepath.Join(dir, "gate-"+g.ID+".json"))
+				is.NoErr(err)
+				s, err := settings.LoadSteward(filepath.Join(dir, "steward-"+g.ID+".json"))
+				is.NoErr(err)
+				_, err = s.PeerToken()
+				is.NoErr(err)
+			}
 			got, err := Load[EnginesSettings](filepath.Join(dir, FileEngines))
 			is.NoErr(err)
 			is.Equal(len(got.Engines), len(d.Endpoints.Engines))
--- a/fake/deployment/write.go
+++ b/fake/deployment/write.go
@@ -14,10 +14,12 @@
 	FileTables    = "tables.json"
 	FileEndpoints = "endpoints.json"
 	FilePeerToken = "peer.token"
-	FileProcs     = "procs"
-	FilePlatform  = "platform.json"
-	FileEngines   = "engines.json"
-	FileServices  = "services.json"
+	// FileOperatorToken holds the operators' token for ibisctl.
+	FileOperatorToken = "operator.token"
+	FileProcs         = "procs"
+	FilePlatform      = "platform.json"
+	FileEngines       = "engines.json"
+	FileServices      = "services.json"
 )
 
 // Proc is one process of a plan.
@@ -59,6 +61,9 @@
 	if err := os.WriteFile(token, []byte(d.PeerToken+"\n"), 0o600); err != nil {
 		return fmt.Errorf("plan: %w", err)
 	}
+	if err := os.WriteFile(filepath.Join(dir, FileOperatorToken), []byte(OperatorToken+"\n"), 0o600); err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
 	docs := map[string]any{
 		FileTables: d.Tables, FileEndpoints: d.Endpoints, FilePlatform: d.Platform, FileEngines: d.Engines, FileServices: d.Services,
 	}
