--- /dev/null
+++ b/spec/lease.pml
@@ -0,0 +1,123 @@
+/*
+ * A lease by compare-and-set on the previous record, with paused holders.
+ *
+ * Two stewards contend. A record takes effect when it is read back if it names the newest record
+ * that took effect. A holder counts its time from before it first sent the record; a contender
+ * waits from when it read the newest record. Answers of appends are lost, so a record may stand
+ * twice. Two stewards must never be entitled to act at one time, and an engine that checks fencing tokens
+ * must never follow an older holder after a newer one, even when a paused holder acts late.
+ *
+ * Variants that must fail: NO_COMPARE, TIME_FROM_READ_BACK, NO_FENCING.
+ */
+
+#define STEWARDS 2
+#define RECORDS 4
+#define TTL 2
+#define END 5 /* the last time */
+
+typedef Record {
+	byte holder; /* steward + 1 */
+	byte prev;
+	byte sent    /* when it was first sent */
+}
+
+Record record[RECORDS + 1];
+byte next = 1;
+byte now;
+byte until[STEWARDS]; /* each steward may act before this time */
+byte seen;            /* the engine's newest fencing token */
+byte followed;        /* the token of the order that the engine followed last */
+
+proctype Steward(byte s) {
+	byte at = 1;       /* the next offset to read */
+	byte newest;       /* the newest record that took effect */
+	byte holder;
+	byte token;        /* where the tenure of holder began */
+	byte observed;     /* when newest was read */
+	byte sent, prev;
+	byte order;        /* the token of an order that is under way */
+	bool pending;
+
+	do
+	:: /* read one record back */
+		d_step { at < next ->
+			if
+#ifdef NO_COMPARE
+			:: true ->
+#else
+			:: record[at].prev == newest ->
+#endif
+				if
+				:: record[at].holder != holder -> token = at
+				:: else
+				fi;
+				newest = at;
+				holder = record[at].holder;
+				observed = now;
+				if
+				:: holder == s + 1 ->
+#ifdef TIME_FROM_READ_BACK
+					until[s] = now + TTL
+#else
+					until[s] = record[at].sent + TTL
+#endif
+				:: else -> until[s] = 0
+				fi;
+				pending = pending && prev == newest
+			:: else
+			fi;
+			at++
+		}
+	:: /* acquire or renew, the first time it is sent; the stream was read to its end at some time */
+		d_step { !pending && next <= RECORDS && at == next &&
+			(newest == 0 || holder == s + 1 || now >= observed + TTL) ->
+			pending = true;
+			prev = newest;
+			sent = now;
+			record[next].holder = s + 1; record[next].prev = prev; record[next].sent = sent;
+			next++
+		}
+	:: /* the answer was lost: send the same record again */
+		d_step { pending && next <= RECORDS ->
+			record[next].holder = s + 1; record[next].prev = prev; record[next].sent = sent;
+			next++
+		}
+	:: d_step { pending && prev != newest -> pending = false }
+	:: /* look at the clock and decide to act */
+		d_step { holder == s + 1 && now < until[s] && order == 0 ->
+			assert(now >= until[1 - s]);
+			order = token
+		}
+	:: /* the order reaches the engine, now or after a pause of any length */
+		d_step { order != 0 ->
+			if
+#ifdef NO_FENCING
+			:: true ->
+#else
+			:: order >= seen ->
+#endif
+				assert(order >= followed);
+				seen = order;
+				followed = order
+			:: else
+			fi;
+			order = 0
+		}
+	:: now == END -> break
+	od
+}
+
+proctype Clock() {
+	do
+	:: now < END -> now++
+	:: now == END -> break
+	od
+}
+
+init {
+	atomic {
+		run Steward(0);
+		run Steward(1);
+		run Clock()
+	}
+}
