ctl: ibisctl with check, apply, get, diff, history, watch, nodes, drain, dump, explain

Cause: operators need to check files before anything is sent, and to see how a change was decided and where it is in force. Change: package ctl on cobra with documented exit codes; files from get -o json name their revision, so that an edit of an old file is a conflict; a lost answer is repeated under the same change ID through the next steward; settings.Gate has an optional operator_token_sha256 for gate.explain; a wrong token is not echoed. Conclusion: complete against a stand-in steward on a real config.Machine; not yet run against real stewards.

--- a/config/decide.go
+++ b/config/decide.go
@@ -50,20 +50,23 @@
 // conflict returns why e cannot replace its row, or nil.
 func (m *Machine) conflict(at platform.Offset, e *Edit) *Conflict {
 	row, exists := m.state.Rows[e.Key]
+	known := exists
 	if !exists {
-		if row, exists = m.state.Deleted[e.Key]; !exists && e.Replaces <= max(0, at-m.window) {
-			return nil // never there, or deleted before the window, which the author's Base lies in
-		}
+		row, known = m.state.Deleted[e.Key]
 	}
-	if exists && row.Revision == e.Replaces {
+	if known && row.Revision == e.Replaces {
 		return nil
 	}
-	return &Conflict{Key: e.Key, Now: row.Revision, By: row.By, Remedy: m.conflictRemedy(e)}
+	if !known && e.Replaces <= max(0, at-m.window) {
+		return nil // never there, or deleted before the window, which the author's Base lies in
+	}
+	return &Conflict{Key: e.Key, Now: row.Revision, By: row.By, Remedy: remedyFor(exists, e.Key)}
 }
 
-func (m *Machine) conflictRemedy(e *Edit) string {
-	table, name, _ := strings.Cut(string(e.Key), "/")
-	if _, ok := m.state.Rows[e.Key]; ok {
+// remedyFor tells the author of an edit to a row that moved what to do.
+func remedyFor(exists bool, key RowKey) string {
+	table, name := key.Split()
+	if exists {
 		return fmt.Sprintf("run `ibisctl get %s %s`, redo the edit on that row and apply again", table, name)
 	}
 	return fmt.Sprintf("the row is not there any more; run `ibisctl get %s`, then apply again to add it or leave it out", table)
--- a/config/diff.go
+++ b/config/diff.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 
@@ -93,3 +94,28 @@
 	}
 	return p
 }
+
+// Without returns the tables without a row, which must be there.
+func Without(t Tables, key RowKey) (Tables, error) {
+	next, problems := join(sorted(t), []Edit{{Key: key, Delete: true}})
+	if !key.valid() || len(problems) > 0 {
+		return t, fmt.Errorf("there is no row %q; a row is named routes/NAME or pools/NAME", key)
+	}
+	return next, nil
+}
+
+// MovedSince returns the rows that change edits and that were moved after revision.
+func MovedSince(now Snapshot, revision platform.Offset, change Change) []Conflict {
+	var out []Conflict
+	for i := range change.Edits {
+		key := change.Edits[i].Key
+		info, ok := now.Rows[key]
+		if !ok {
+			info = now.Deleted[key]
+		}
+		if info.Revision > revision {
+			out = append(out, Conflict{Key: key, Now: info.Revision, By: info.By, Remedy: remedyFor(ok, key)})
+		}
+	}
+	return out
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/schema"
 )
 
@@ -26,17 +27,34 @@
 // ParseTables decodes a document with both tables and checks all rules. The tables are nil if
 // there are problems.
 func ParseTables(data []byte) (*Tables, []Problem) {
+	d, problems := ParseRows(data)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	if p := validateJoins(&d.Tables); len(p) > 0 {
+		return nil, p
+	}
+	return &d.Tables, nil
+}
+
+// Document is a file with tables, or some rows of them.
+type Document struct {
+	Tables
+	// Revision is the revision of the tables that the file was made from; 0 means not known.
+	Revision platform.Offset `json:"revision,omitempty"`
+}
+
+// ParseRows decodes a document and checks each row alone: what rows say of rows that the document
+// lacks cannot be told. The document is nil if there are problems.
+func ParseRows(data []byte) (*Document, []Problem) {
 	if p := tablesChecker.Check(data); len(p) > 0 {
 		return nil, p
 	}
-	var t Tables
-	if err := json.Unmarshal(data, &t); err != nil {
+	var d Document
+	if err := json.Unmarshal(data, &d); err != nil {
 		return nil, []Problem{{Message: err.Error(), Remedy: "write the tables as the schema describes them"}}
 	}
-	if p := validateJoins(&t); len(p) > 0 {
-		return nil, p
-	}
-	return &t, nil
+	return &d, nil
 }
 
 // Validate returns the rules that the tables violate, none if they are valid.
--- a/config/validate_routes.go
+++ b/config/validate_routes.go
@@ -59,7 +59,7 @@
 		names[i] = v.t.Pools[i].Name
 	}
 	slices.Sort(names)
-	return strings.Join(names, ", ")
+	return strings.Join(slices.Compact(names), ", ")
 }
 
 // checkRouteFields refuses fields that mean nothing for the route's kind.
--- /dev/null
+++ b/ctl/client.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// triesPerCall is how often a call goes round the servers before it gives up.
+const triesPerCall = 3
+
+// retryPause is the pause between two rounds.
+const retryPause = 300 * time.Millisecond
+
+// client calls stewards, the next one when one does not answer.
+type client struct {
+	pool    *rpc.Pool
+	servers []string
+	token   string
+	timeout time.Duration
+}
+
+// connect returns a client and a context that ends with --timeout.
+func (a *app) connect(ctx context.Context) (context.Context, *client, func(), error) {
+	if len(a.servers) == 0 {
+		return nil, nil, nil, usageErrorf("name a steward with --server IP:PORT or $"+EnvServer, "no server is given")
+	}
+	token, err := a.token()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	c := &client{pool: rpc.NewPool(rpc.Options{}), servers: a.servers, token: token, timeout: a.timeout}
+	return ctx, c, func() { cancel(); c.pool.Close() }, nil
+}
+
+func (a *app) token() (string, error) {
+	if a.tokenFile == "" {
+		return "", usageErrorf("name the file with the operators' token with --token-file or $"+EnvTokenFile, "no token is given")
+	}
+	data, err := os.ReadFile(a.tokenFile)
+	if err != nil {
+		return "", &Error{Exit: ExitUsage, Message: "token file", Err: err, Remedy: "name a readable file with --token-file"}
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+func (c *client) auth() wire.OperatorParams { return wire.OperatorParams{Token: c.token} }
+
+// call asks the servers in turn until one answers. All methods may be repeated: a change that is
+// applied twice is decided once, by its ID.
+func (c *client) call(ctx context.Context, method string, params, result any) error {
+	var err error
+	for round := range triesPerCall {
+		if round > 0 && !pause(ctx, retryPause) {
+			break
+		}
+		for _, s := range c.servers {
+			err = c.callOne(ctx, s, method, params, result)
+			if err == nil {
+				return nil
+			}
+			if code := rpc.Code(err); code != 0 && code != wire.CodeUnavailable && code != wire.CodeNotReady {
+				return remoteError(err)
+			}
+			if ctx.Err() != nil {
+				return remoteError(err)
+			}
+		}
+	}
+	return remoteError(err)
+}
+
+// callOne leaves time for the other servers.
+func (c *client) callOne(ctx context.Context, server, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.share())
+	defer cancel()
+	return c.pool.Call(ctx, server, method, params, result)
+}
+
+// share is the time that one server gets for one call.
+func (c *client) share() time.Duration { return c.timeout / time.Duration(len(c.servers)) }
+
+// pause waits for d and tells whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (c *client) get(ctx context.Context) (*wire.GetResult, error) {
+	var r wire.GetResult
+	if err := c.call(ctx, wire.MethodGet, c.auth(), &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+func (c *client) nodes(ctx context.Context) (*wire.NodesResult, error) {
+	var r wire.NodesResult
+	if err := c.call(ctx, wire.MethodNodes, c.auth(), &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+func envList(name string) []string {
+	if v := os.Getenv(name); v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,244 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"ibisctl": func() { os.Exit(Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+}
+
+func tables() config.Tables {
+	return config.Tables{
+		Routes: []config.Route{{Name: "desk", Kind: config.RouteHTTP, Customer: "magnolia", PathPrefix: "/desk", Pool: "desk", TimeoutMs: 1000,
+			Callers: []config.Caller{{Name: "editor", TokenSHA256: strings.Repeat("0", 64)}}}},
+		Pools: []config.Pool{{Name: "desk", Kind: config.PoolServices, Targets: []config.Target{
+			{Name: "s1", Address: "10.0.0.1:8000", AvailabilityZone: "dixie-east-a"},
+			{Name: "s2", Address: "10.0.0.2:8000", AvailabilityZone: "dixie-east-b"}}}},
+	}
+}
+
+func applied(t *testing.T) *steward {
+	t.Helper()
+	s := newSteward(t)
+	if code, _, stderr := run(t, []string{s.address}, "apply", writeJSON(t, tables())); code != ExitOK {
+		t.Fatal(stderr)
+	}
+	return s
+}
+
+func TestApplyGetEditApply(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	code, out, _ := run(t, []string{s.address}, "get", "routes", "desk", "-o", "json")
+	is.Equal(code, ExitOK)
+	var doc config.Document
+	is.NoErr(json.Unmarshal([]byte(out), &doc))
+	is.Equal(len(doc.Pools), 0)
+	doc.Routes[0].TimeoutMs = 5000
+	file := writeJSON(t, doc)
+	code, out, _ = run(t, []string{s.address}, "diff", file)
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "timeout_ms: 1000 -> 5000"))
+	code, out, _ = run(t, []string{s.address}, "apply", file, "--note", "slow desk")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "changed routes/desk (was revision 1)"))
+	is.Equal(s.tables().Route("desk").TimeoutMs, int64(5000))
+	is.True(s.tables().Pool("desk") != nil) // rows that the file lacks stay
+	code, out, _ = run(t, []string{s.address}, "apply", file)
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "no change"))
+	code, out, _ = run(t, []string{s.address}, "history")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "slow desk"))
+}
+
+func TestApplyOfAnOldFileIsAConflict(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	mine := config.Document{Tables: tables(), Revision: 1}
+	mine.Routes[0].TimeoutMs = 5000
+	theirs := config.Diff(s.machine.Snapshot(), tables(), "ben")
+	pool := tables().Pools[0]
+	pool.ConcurrencyPerTarget = 7
+	theirs.ID, theirs.Edits = "theirs", []config.Edit{{Key: config.PoolKey("desk"), Replaces: 1, Pool: &pool}}
+	s.decide(theirs)
+	code, _, stderr := run(t, []string{s.address}, "apply", writeJSON(t, mine))
+	is.Equal(code, ExitConflict)
+	is.True(strings.Contains(stderr, "row pools/desk was moved by ben in revision 2"))
+	is.Equal(s.tables().Route("desk").TimeoutMs, int64(1000))
+}
+
+func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	route := tables().Routes[0]
+	route.Priority = 3
+	s.rivals = []config.Change{{ID: "rival", Author: "ben", Edits: []config.Edit{{Key: config.RouteKey("desk"), Replaces: 1, Route: &route}}}}
+	mine := tables()
+	mine.Routes[0].TimeoutMs = 5000
+	code, out, stderr := run(t, []string{s.address}, "apply", writeJSON(t, mine), "-o", "json")
+	is.Equal(code, ExitConflict)
+	is.True(strings.Contains(stderr, "row routes/desk was moved by ben in revision 2: run `ibisctl get routes desk`"))
+	var d config.Decision
+	is.NoErr(json.Unmarshal([]byte(out), &d))
+	is.True(!d.Accepted)
+}
+
+func TestLostAnswerIsDecidedOnce(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	s.loseAnswers = 1
+	mine := tables()
+	mine.Routes[0].TimeoutMs = 5000
+	code, _, stderr := run(t, []string{s.address}, "apply", writeJSON(t, mine))
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	is.Equal(len(s.machine.History()), 2) // the second copy was not decided again
+}
+
+func TestNextServerIsTried(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := l.Addr().String()
+	l.Close()
+	code, out, stderr := run(t, []string{gone, s.address}, "get", "pools", "desk")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "10.0.0.2:8000"))
+	code, _, stderr = run(t, []string{gone}, "get")
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "check the addresses given with --server"))
+}
+
+func TestDeleteOfANamedPoolIsRefusedBeforeSending(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	code, _, stderr := run(t, []string{s.address}, "apply", "--delete", "pools/desk")
+	is.Equal(code, ExitUsage)
+	is.True(strings.Contains(stderr, `/routes/desk/pool: route "desk" names pool "desk"`))
+	code, _, _ = run(t, []string{s.address}, "apply", "--delete", "pools/desk", "--delete", "routes/desk")
+	is.Equal(code, ExitOK)
+	is.Equal(len(s.tables().Pools), 0)
+	code, _, stderr = run(t, []string{s.address}, "apply", "--delete", "pools/desk")
+	is.Equal(code, ExitUsage)
+	is.True(strings.Contains(stderr, "there is no row"))
+}
+
+func TestDrainIsRedoneOnAMovedRow(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	pool := tables().Pools[0]
+	pool.ConcurrencyPerTarget = 7
+	s.rivals = []config.Change{{ID: "rival", Author: "ben", Edits: []config.Edit{{Key: config.PoolKey("desk"), Replaces: 1, Pool: &pool}}}}
+	code, _, stderr := run(t, []string{s.address}, "drain", "10.0.0.2:8000")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	got := s.tables().Pool("desk")
+	is.True(got.Targets[1].Draining)
+	is.True(!got.Targets[0].Draining)
+	is.Equal(got.ConcurrencyPerTarget, 7)
+	code, _, _ = run(t, []string{s.address}, "drain", "desk/s2", "--undo")
+	is.Equal(code, ExitOK)
+	is.True(!s.tables().Pool("desk").Targets[1].Draining)
+	code, _, _ = run(t, []string{s.address}, "drain", "s9")
+	is.Equal(code, ExitUsage)
+}
+
+func member(id string, status wire.MemberStatus, gate string) wire.Member {
+	return wire.Member{Node: wire.Node{ID: id, AvailabilityZone: "dixie-east-a", GateAddress: gate}, Status: status, GateIncarnation: "g"}
+}
+
+func TestWatchWaitsForEachLiveGate(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	down := member("down", wire.StatusAlive, "")
+	down.GateIncarnation = ""
+	s.members = []wire.Member{member("vm1", wire.StatusAlive, ""), member("vm2", wire.StatusSuspect, ""), member("vm3", wire.StatusDead, ""), down}
+	s.members[2].Node.ID = "stuck"
+	code, out, stderr := run(t, []string{s.address}, "watch")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "revision 1 is in force on all 2 live gates"))
+	s.members = append(s.members, member("stuck", wire.StatusAlive, ""))
+	code, _, stderr = run(t, []string{s.address}, "watch", "--timeout", "600ms")
+	is.Equal(code, ExitTimeout)
+	is.True(strings.Contains(stderr, "stuck lack it"))
+	code, out, _ = run(t, []string{s.address}, "nodes")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "down"))
+}
+
+func TestExplainAsksAllLiveGates(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	begin := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	gate := func(after time.Duration, name string) string {
+		return serve(t, map[string]rpc.Handler{wire.MethodExplain: rpc.Handle(func(_ context.Context, p wire.ExplainParams) (wire.ExplainResult, error) {
+			if p.RequestID != "r1" {
+				return wire.ExplainResult{}, authorize(p.Token)
+			}
+			return wire.ExplainResult{Events: []wire.Event{{Time: begin.Add(after), Name: name}}}, authorize(p.Token)
+		})})
+	}
+	s.members = []wire.Member{member("vm1", wire.StatusAlive, gate(time.Second, "second")), member("vm2", wire.StatusAlive, gate(0, "first"))}
+	code, out, _ := run(t, []string{s.address}, "explain", "r1", "-o", "json")
+	is.Equal(code, ExitOK)
+	var x explanation
+	is.NoErr(json.Unmarshal([]byte(out), &x))
+	is.Equal(len(x.Events), 2)
+	is.Equal(x.Events[0].Name, "first")
+	is.Equal(x.Events[1].Gate, "vm1")
+	code, _, _ = run(t, []string{s.address}, "explain", "r2")
+	is.Equal(code, ExitFailure)
+}
+
+func TestDump(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/debug/state" {
+			_, _ = w.Write([]byte(`{"revision":3}`))
+		}
+	}))
+	defer srv.Close()
+	code, out, _ := run(t, nil, "dump", strings.TrimPrefix(srv.URL, "http://"))
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, `"revision": 3`))
+	code, _, _ = run(t, nil, "dump", strings.TrimPrefix(srv.URL, "http://"), "--vars")
+	is.Equal(code, ExitFailure) // the answer is no JSON
+}
+
+func TestWrongTokenIsNamed(t *testing.T) {
+	is := is.New(t)
+	s := newSteward(t)
+	wrong := writeJSON(t, "another token")
+	code, _, stderr := run(t, []string{s.address}, "get")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	var out, errs strings.Builder
+	code = Main(context.Background(), []string{"get", "--server", s.address, "--token-file", wrong}, &out, &errs)
+	is.Equal(code, ExitFailure)
+	is.True(strings.Contains(errs.String(), "--token-file"))
+}
--- /dev/null
+++ b/ctl/explain.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+)
+
+// Bounds of explain.
+const (
+	// explainConcurrency bounds the gates that are asked at a time.
+	explainConcurrency = 32
+	// explainTimeout bounds the answer of one gate.
+	explainTimeout = 3 * time.Second
+)
+
+// gateEvent is an event with the gate that recorded it.
+type gateEvent struct {
+	Gate string `json:"gate"`
+	wire.Event
+}
+
+// explanation is what all gates know of a request.
+type explanation struct {
+	RequestID string      `json:"request_id"`
+	Events    []gateEvent `json:"events"`
+	// Silent are gates that did not answer, with the reason.
+	Silent map[string]string `json:"silent"`
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST",
+		Short: "Print what the gates decided about a request or a step",
+		Long: `Ask all live gates for the recorded events of a request, by the request ID of its answer's header,
+or of a step, by its ID, and print them in order of time.`,
+		Example: `  ibisctl explain 5f1c7d0e-1f5f-4d3a-9b3e-3f1f5d8f4c11`,
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, c, done, err := a.connect(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer done()
+			n, err := c.nodes(ctx)
+			if err != nil {
+				return err
+			}
+			return a.printExplanation(c.explain(ctx, n.Members, args[0]))
+		},
+	}
+}
+
+// explain asks the gates of members side by side.
+func (c *client) explain(ctx context.Context, members []wire.Member, request string) *explanation {
+	answers := make([]wire.ExplainResult, len(members))
+	failures := make([]error, len(members))
+	var g errgroup.Group
+	g.SetLimit(explainConcurrency)
+	for i := range members {
+		if !serving(&members[i]) {
+			continue
+		}
+		g.Go(func() error {
+			gctx, cancel := context.WithTimeout(ctx, explainTimeout)
+			defer cancel()
+			params := wire.ExplainParams{OperatorParams: c.auth(), RequestID: request}
+			failures[i] = c.pool.Call(gctx, members[i].Node.GateAddress, wire.MethodExplain, params, &answers[i])
+			return nil
+		})
+	}
+	_ = g.Wait() // failures holds the errors
+	x := &explanation{RequestID: request, Events: []gateEvent{}, Silent: map[string]string{}}
+	for i := range members {
+		if failures[i] != nil {
+			x.Silent[members[i].Node.ID] = failures[i].Error()
+		}
+		for _, e := range answers[i].Events {
+			x.Events = append(x.Events, gateEvent{Gate: members[i].Node.ID, Event: e})
+		}
+	}
+	slices.SortStableFunc(x.Events, func(a, b gateEvent) int { return a.Time.Compare(b.Time) })
+	return x
+}
+
+func (a *app) printExplanation(x *explanation) error {
+	if a.output == outputJSON {
+		if err := a.printJSON(x); err != nil {
+			return err
+		}
+	} else {
+		var rows [][]string
+		for _, e := range x.Events {
+			rows = append(rows, []string{e.Time.UTC().Format(time.RFC3339Nano), e.Gate, e.Name, orDash(e.Detail)})
+		}
+		if len(rows) > 0 {
+			a.table([]string{"TIME", "GATE", "EVENT", "DETAIL"}, rows)
+		}
+		for gate, why := range x.Silent {
+			fmt.Fprintf(a.err, "gate %s did not answer: %s\n", gate, why)
+		}
+	}
+	if len(x.Events) > 0 {
+		return nil
+	}
+	e := &Error{Exit: ExitFailure, Message: fmt.Sprintf("no gate knows request %s", x.RequestID), Remedy: "gates keep the last requests only, and a gate that was restarted knows none from before"}
+	if len(x.Silent) > 0 {
+		e.Exit = ExitUnavailable
+	}
+	return e
+}
--- /dev/null
+++ b/ctl/get.go
@@ -0,0 +1,244 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/spf13/cobra"
+)
+
+func (a *app) getCommand() *cobra.Command {
+	var snapshot bool
+	cmd := &cobra.Command{
+		Use:   "get [routes|pools [NAME]]",
+		Short: "Print the tables in force",
+		Long: `Print the tables in force, one table or one row. With -o json the output is a document that apply
+takes back; it names the revision that it was made from.`,
+		Example: `  ibisctl get pools
+  ibisctl get pools drafting-models -o json > pool.json`,
+		Args:      cobra.MaximumNArgs(2),
+		ValidArgs: []string{"routes", "pools"},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, c, done, err := a.connect(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer done()
+			return a.get(ctx, c, args, snapshot)
+		},
+	}
+	cmd.Flags().BoolVar(&snapshot, "snapshot", false, "print the whole state as JSON, with the revision and author of each row")
+	return cmd
+}
+
+func (a *app) get(ctx context.Context, c *client, args []string, snapshot bool) error {
+	r, err := c.get(ctx)
+	if err != nil {
+		return err
+	}
+	if snapshot {
+		return a.printJSON(r.Snapshot)
+	}
+	t, err := selectRows(r.Snapshot.Tables, args)
+	if err != nil {
+		return err
+	}
+	if a.output == outputJSON {
+		return a.printJSON(config.Document{Tables: t, Revision: r.Snapshot.Revision})
+	}
+	a.printTables(&r.Snapshot, &t, args)
+	return nil
+}
+
+// selectRows returns the rows that the arguments name: none, a table, or a table and a row.
+func selectRows(t config.Tables, args []string) (config.Tables, error) {
+	out := config.Tables{Routes: []config.Route{}, Pools: []config.Pool{}}
+	if len(args) == 0 {
+		out.Routes, out.Pools = append(out.Routes, t.Routes...), append(out.Pools, t.Pools...)
+		return out, nil
+	}
+	switch args[0] {
+	case "routes":
+		out.Routes = append(out.Routes, t.Routes...)
+	case "pools":
+		out.Pools = append(out.Pools, t.Pools...)
+	default:
+		return out, usageErrorf("name routes or pools", "there is no table %q", args[0])
+	}
+	if len(args) == 1 {
+		return out, nil
+	}
+	one := config.Tables{Routes: []config.Route{}, Pools: []config.Pool{}}
+	if r := out.Route(args[1]); r != nil {
+		one.Routes = append(one.Routes, *r)
+		return one, nil
+	}
+	if p := out.Pool(args[1]); p != nil {
+		one.Pools = append(one.Pools, *p)
+		return one, nil
+	}
+	return one, usageErrorf("run `ibisctl get "+args[0]+"` for their names", "there is no row %s/%s", args[0], args[1])
+}
+
+func (a *app) printTables(s *config.Snapshot, t *config.Tables, args []string) {
+	fmt.Fprintf(a.out, "revision %d\n", s.Revision)
+	if len(args) == 0 || args[0] == "routes" {
+		a.printRoutes(s, t.Routes)
+	}
+	if len(args) == 0 || args[0] == "pools" {
+		a.printPools(s, t.Pools)
+	}
+	if len(args) == 2 {
+		a.printTargets(t.Pools)
+	}
+}
+
+func (a *app) printRoutes(s *config.Snapshot, routes []config.Route) {
+	var rows [][]string
+	for i := range routes {
+		r := &routes[i]
+		info := s.Rows[config.RouteKey(r.Name)]
+		match := r.Model
+		if r.Kind == config.RouteHTTP {
+			match = r.PathPrefix
+		}
+		rows = append(rows, []string{r.Name, string(r.Kind), r.Customer, orDash(match), r.Pool, strconv.Itoa(int(r.Priority)),
+			strconv.Itoa(len(r.Callers)), fmt.Sprint(r.TimeoutMs), fmt.Sprint(info.Revision), orDash(info.By)})
+	}
+	a.table([]string{"ROUTE", "KIND", "CUSTOMER", "MATCH", "POOL", "PRIORITY", "CALLERS", "TIMEOUT_MS", "REVISION", "BY"}, rows)
+}
+
+func (a *app) printPools(s *config.Snapshot, pools []config.Pool) {
+	var rows [][]string
+	for i := range pools {
+		p := &pools[i]
+		info := s.Rows[config.PoolKey(p.Name)]
+		draining := 0
+		for j := range p.Targets {
+			if p.Targets[j].Draining {
+				draining++
+			}
+		}
+		rows = append(rows, []string{p.Name, string(p.Kind), orDash(p.Model), weightsText(p.Weights), strconv.Itoa(len(p.Targets)),
+			strconv.Itoa(draining), fmt.Sprint(info.Revision), orDash(info.By)})
+	}
+	a.table([]string{"POOL", "KIND", "MODEL", "WEIGHTS", "TARGETS", "DRAINING", "REVISION", "BY"}, rows)
+}
+
+func (a *app) printTargets(pools []config.Pool) {
+	for i := range pools {
+		var rows [][]string
+		for _, t := range pools[i].Targets {
+			rows = append(rows, []string{t.Name, t.Address, t.AvailabilityZone, strconv.FormatBool(t.Draining)})
+		}
+		a.table([]string{"TARGET", "ADDRESS", "AZ", "DRAINING"}, rows)
+	}
+}
+
+func weightsText(w *config.Weights) string {
+	switch {
+	case w == nil:
+		return "-"
+	case w.Follow:
+		return fmt.Sprintf("follow floor=%d%%", w.ServingFloorPercent)
+	}
+	return fmt.Sprintf("version=%d floor=%d%%", w.Version, w.ServingFloorPercent)
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	var e editFlags
+	cmd := &cobra.Command{
+		Use:     "diff FILE",
+		Short:   "Print what apply would change",
+		Example: `  ibisctl diff tables.json`,
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				e.file = args[0]
+			}
+			return a.diff(cmd.Context(), &e)
+		},
+	}
+	e.register(cmd)
+	return cmd
+}
+
+func (a *app) diff(ctx context.Context, e *editFlags) error {
+	doc, err := e.load()
+	if err != nil {
+		return err
+	}
+	ctx, c, done, err := a.connect(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
+	got, err := c.get(ctx)
+	if err != nil {
+		return err
+	}
+	change, err := e.change(got.Snapshot, doc)
+	if err != nil {
+		return err
+	}
+	if a.output == outputJSON {
+		return a.printJSON(change)
+	}
+	a.printChange(&got.Snapshot, &change)
+	return nil
+}
+
+func (a *app) historyCommand() *cobra.Command {
+	var limit int
+	cmd := &cobra.Command{
+		Use:     "history",
+		Short:   "Print the last decided changes, the newest last",
+		Example: `  ibisctl history --limit 5 -o json`,
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, c, done, err := a.connect(cmd.Context())
+			if err != nil {
+				return err
+			}
+			defer done()
+			var r wire.HistoryResult
+			if err := c.call(ctx, wire.MethodHistory, wire.HistoryParams{OperatorParams: c.auth(), Limit: limit}, &r); err != nil {
+				return err
+			}
+			return a.printHistory(r.Decisions)
+		},
+	}
+	cmd.Flags().IntVar(&limit, "limit", 20, "how many changes")
+	return cmd
+}
+
+func (a *app) printHistory(decisions []config.Decision) error {
+	if a.output == outputJSON {
+		return a.printJSON(decisions)
+	}
+	var rows [][]string
+	for i := range decisions {
+		d := &decisions[i]
+		verdict := "accepted"
+		if !d.Accepted {
+			verdict = "rejected"
+		}
+		rows = append(rows, []string{fmt.Sprint(d.Offset), verdict, orDash(d.Change.Author), d.Change.ID, editKeys(&d.Change), orDash(d.Change.Note)})
+	}
+	a.table([]string{"REVISION", "VERDICT", "BY", "CHANGE", "ROWS", "NOTE"}, rows)
+	return nil
+}
+
+func editKeys(c *config.Change) string {
+	s := ""
+	for i := range c.Edits {
+		if i > 0 {
+			s += ","
+		}
+		s += string(c.Edits[i].Key)
+	}
+	return orDash(s)
+}
--- /dev/null
+++ b/ctl/problems.go
@@ -0,0 +1,68 @@
+package ctl
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/schema"
+)
+
+func invalid(file string, problems []config.Problem) error {
+	return &Error{Exit: ExitUsage, Message: "the tables break rules, nothing was changed", Err: &schema.Error{File: file, Problems: problems}}
+}
+
+// conflictError names each row that moved, by whom, and what to do.
+func conflictError(conflicts []config.Conflict) error {
+	lines := make([]string, len(conflicts))
+	for i, c := range conflicts {
+		lines[i] = fmt.Sprintf("row %s was moved by %s in revision %d: %s", c.Key, orDash(c.By), c.Now, c.Remedy)
+	}
+	return &Error{Exit: ExitConflict, Message: "rejected, nothing was changed: " + strings.Join(lines, "\n")}
+}
+
+// relocate turns places in joined tables into places in file, or into the names of rows in force.
+func relocate(problems []config.Problem, joined, file *config.Tables) []config.Problem {
+	out := make([]config.Problem, len(problems))
+	for i, p := range problems {
+		parts := strings.SplitN(p.Path, "/", 4)
+		if len(parts) >= 3 {
+			if key, ok := rowAt(joined, parts[1], parts[2]); ok {
+				parts[2] = placeIn(file, key)
+				p.Path = strings.Join(parts, "/")
+			}
+		}
+		out[i] = p
+	}
+	return out
+}
+
+func rowAt(t *config.Tables, table, index string) (config.RowKey, bool) {
+	i, err := strconv.Atoi(index)
+	switch {
+	case err != nil || i < 0:
+		return "", false
+	case table == "routes" && i < len(t.Routes):
+		return config.RouteKey(t.Routes[i].Name), true
+	case table == "pools" && i < len(t.Pools):
+		return config.PoolKey(t.Pools[i].Name), true
+	}
+	return "", false
+}
+
+// placeIn returns the index of a row in file, or its name where only the tables in force have it.
+func placeIn(file *config.Tables, key config.RowKey) string {
+	table, name := key.Split()
+	for i := range file.Routes {
+		if table == "routes" && file.Routes[i].Name == name {
+			return strconv.Itoa(i)
+		}
+	}
+	for i := range file.Pools {
+		if table == "pools" && file.Pools[i].Name == name {
+			return strconv.Itoa(i)
+		}
+	}
+	return name
+}
--- /dev/null
+++ b/ctl/steward_test.go
@@ -0,0 +1,158 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+const operatorToken = "operator-token"
+
+// steward answers operators from a real config.Machine, without a log or peers.
+type steward struct {
+	t       *testing.T
+	mu      sync.Mutex
+	machine *config.Machine
+	members []wire.Member
+	// rivals are changes that come in just before the operator's.
+	rivals []config.Change
+	// loseAnswers counts applies that take effect and are answered with CodeUnavailable.
+	loseAnswers int
+	address     string
+}
+
+func newSteward(t *testing.T) *steward {
+	t.Helper()
+	s := &steward{t: t, machine: config.NewMachine()}
+	s.machine.Missed(1)
+	s.address = serve(t, map[string]rpc.Handler{
+		wire.MethodGet:     rpc.Handle(s.get),
+		wire.MethodApply:   rpc.Handle(s.apply),
+		wire.MethodHistory: rpc.Handle(s.history),
+		wire.MethodNodes:   rpc.Handle(s.nodes),
+	})
+	return s
+}
+
+func serve(t *testing.T, handlers map[string]rpc.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := map[string]bool{}
+	for m := range handlers {
+		open[m] = true
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- rpc.NewServer(rpc.Options{Token: "peers", Open: open}, handlers).Serve(ctx, l) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+func authorize(token string) error {
+	if token != operatorToken {
+		return rpc.Errorf(wire.CodeUnauthorized, "operator token is wrong")
+	}
+	return nil
+}
+
+func (s *steward) get(_ context.Context, p wire.OperatorParams) (wire.GetResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wire.GetResult{Snapshot: s.machine.Snapshot()}, authorize(p.Token)
+}
+
+func (s *steward) history(_ context.Context, p wire.HistoryParams) (wire.HistoryResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wire.HistoryResult{Decisions: s.machine.History()}, authorize(p.Token)
+}
+
+// nodes lets one more member reach the newest revision with each question.
+func (s *steward) nodes(_ context.Context, p wire.OperatorParams) (wire.NodesResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.members {
+		if s.members[i].Revision < s.machine.Revision() && s.members[i].Node.ID != "stuck" {
+			s.members[i].Revision = s.machine.Revision()
+			break
+		}
+	}
+	return wire.NodesResult{Latest: s.machine.Revision(), Members: append([]wire.Member{}, s.members...)}, authorize(p.Token)
+}
+
+func (s *steward) apply(_ context.Context, p wire.ApplyParams) (wire.ApplyResult, error) {
+	if err := authorize(p.Token); err != nil {
+		return wire.ApplyResult{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rivals {
+		s.decide(r)
+	}
+	s.rivals = nil
+	s.decide(p.Change)
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return wire.ApplyResult{}, rpc.Errorf(wire.CodeUnavailable, "not read back in time")
+	}
+	d, _ := s.machine.Lookup(p.Change.ID)
+	return wire.ApplyResult{Decision: d}, nil
+}
+
+func (s *steward) decide(c config.Change) {
+	rec, err := config.EncodeChange(c)
+	if err != nil {
+		s.t.Error(err)
+	}
+	s.machine.Apply(platform.Record{Offset: s.machine.Next(), ID: rec.ID, Data: rec.Data})
+}
+
+func (s *steward) tables() *config.Tables {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Tables()
+}
+
+// run runs ibisctl against the servers and returns its exit code and output.
+func run(t *testing.T, servers []string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	token := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(token, []byte(operatorToken+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range servers {
+		args = append(args, "--server", s)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var out, errs bytes.Buffer
+	code = Main(ctx, append(args, "--token-file", token), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func writeJSON(t *testing.T, v any) string {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "file.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/schema/explain.go
+++ b/schema/explain.go
@@ -39,18 +39,26 @@
 			})
 		}
 	default:
-		out = append(out, Problem{Path: Pointer(e.InstanceLocation...), Message: messageOf(e.ErrorKind), Remedy: "write " + describe(at)})
+		out = append(out, Problem{Path: Pointer(e.InstanceLocation...), Message: messageOf(e.ErrorKind, isSecret(e.InstanceLocation)), Remedy: "write " + describe(at)})
 	}
 	return out
 }
 
-func messageOf(k jsonschema.ErrorKind) string {
+// isSecret tells whether a field's wrong value may be a token, which must not be repeated.
+func isSecret(location []string) bool {
+	return len(location) > 0 && strings.Contains(location[len(location)-1], "token")
+}
+
+func messageOf(k jsonschema.ErrorKind, secret bool) string {
 	switch k := k.(type) {
 	case *kind.Type:
 		return fmt.Sprintf("value is %s, not %s", article(k.Got), strings.Join(k.Want, " or "))
 	case *kind.Enum:
 		return fmt.Sprintf("value %v is not one of %s", quote(k.Got), list(k.Want))
 	case *kind.Pattern:
+		if secret {
+			return "value does not have the right form"
+		}
 		return fmt.Sprintf("value %q does not have the right form", k.Got)
 	case *kind.Format:
 		return fmt.Sprintf("value %s is not valid: %v", quote(k.Got), k.Err)
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -96,10 +96,7 @@
 
 // Check returns the problems of data, none if it fits the schema.
 func (c *Checker) Check(data []byte) []Problem {
-	if len(data) > MaxDocumentBytes {
-		return []Problem{{Message: fmt.Sprintf("document has %d bytes", len(data)), Remedy: fmt.Sprintf("keep it within %d bytes", MaxDocumentBytes)}}
-	}
-	if p := checkSyntax(data); p != nil {
+	if p := CheckSyntax(data); p != nil {
 		return []Problem{*p}
 	}
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
@@ -133,8 +130,11 @@
 	return jsonschema.UnmarshalJSON(bytes.NewReader(raw))
 }
 
-// checkSyntax finds syntax errors, with line and column, and fields that stand twice in an object.
-func checkSyntax(data []byte) *Problem {
+// CheckSyntax finds syntax errors, with line and column, and fields that stand twice in an object.
+func CheckSyntax(data []byte) *Problem {
+	if len(data) > MaxDocumentBytes {
+		return &Problem{Message: fmt.Sprintf("document has %d bytes", len(data)), Remedy: fmt.Sprintf("keep it within %d bytes", MaxDocumentBytes)}
+	}
 	d := json.NewDecoder(bytes.NewReader(data))
 	err := scanValue(d, "", 0)
 	if err == nil {
--- a/settings/load.go
+++ b/settings/load.go
@@ -3,7 +3,6 @@
 import (
 	_ "embed"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -137,35 +136,46 @@
 	KindTables  Kind = "tables"
 	KindGate    Kind = "gate"
 	KindSteward Kind = "steward"
+	KindUnknown Kind = "unknown"
 )
 
-// ErrUnknownKind reports a document whose kind its fields do not tell.
-var ErrUnknownKind = errors.New("settings: fields do not tell what the document is; say it with --kind tables, gate or steward")
+// UnknownKind is the problem of a document whose fields do not tell its kind.
+var UnknownKind = schema.Problem{
+	Message: "the fields do not tell what the document configures",
+	Remedy:  "say it with --kind tables, gate or steward",
+}
 
 // kindFields are the fields that only one kind has.
 var kindFields = map[Kind][]string{
 	KindTables:  {"routes", "pools"},
 	KindGate:    {"balancer_lag_ms", "drain_timeout_ms", "max_body_bytes"},
-	KindSteward: {"log_url", "store_url", "vm_list_url", "seeds", "operator_token_sha256", "lease_ttl_ms"},
+	KindSteward: {"log_url", "store_url", "vm_list_url", "seeds", "lease_ttl_ms"},
 }
 
-// DetectKind tells the kind of a document from its fields.
-func DetectKind(data []byte) (Kind, error) {
+// DetectKind tells the kind of a document from its fields, KindUnknown if they do not tell it.
+func DetectKind(data []byte) Kind {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(data, &fields); err != nil {
-		return "", ErrUnknownKind
+		return KindUnknown
 	}
-	var found []Kind
+	found := KindUnknown
 	for _, k := range []Kind{KindTables, KindGate, KindSteward} {
-		for _, f := range kindFields[k] {
-			if _, ok := fields[f]; ok {
-				found = append(found, k)
-				break
-			}
+		if !hasAny(fields, kindFields[k]) {
+			continue
+		}
+		if found != KindUnknown {
+			return KindUnknown
 		}
+		found = k
 	}
-	if len(found) != 1 {
-		return "", ErrUnknownKind
+	return found
+}
+
+func hasAny(fields map[string]json.RawMessage, names []string) bool {
+	for _, n := range names {
+		if _, ok := fields[n]; ok {
+			return true
+		}
 	}
-	return found[0], nil
+	return false
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,9 @@
 	DrainTimeoutMs int64 `json:"drain_timeout_ms"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// OperatorTokenSHA256 is the hex SHA-256 of the operators' token, which gate.explain needs; if
+	// it is empty, the gate explains nothing.
+	OperatorTokenSHA256 string `json:"operator_token_sha256,omitempty"`
 	// Policy overrides decisions for experiments; empty means the product's own.
 	Policy Policy `json:"policy,omitempty"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -107,8 +107,7 @@
 
 func TestDetectKind(t *testing.T) {
 	is := is.New(t)
-	for doc, want := range map[string]Kind{`{"pools":[]}`: KindTables, `{"log_url":1}`: KindSteward, `{"max_body_bytes":1}`: KindGate, `{}`: "", `[]`: "", `{"pools":[],"seeds":[]}`: ""} {
-		got, _ := DetectKind([]byte(doc))
-		is.Equal(got, want) // doc
+	for doc, want := range map[string]Kind{`{"pools":[]}`: KindTables, `{"log_url":1}`: KindSteward, `{"max_body_bytes":1}`: KindGate, `{}`: KindUnknown, `[`: KindUnknown, `{"pools":[],"seeds":[]}`: KindUnknown} {
+		is.Equal(DetectKind([]byte(doc)), want) // doc
 	}
 }
