--- a/wire/wire.go
+++ b/wire/wire.go
@@ -25,6 +25,8 @@
 	MethodFetch = "steward.fetch"
 	// MethodRelayClaims claims keys through the zone's relay: RelayClaimsParams -> RelayClaimsResult.
 	MethodRelayClaims = "steward.relay_claims"
+	// MethodStatus returns the answering node as a member, with its revision: Empty -> Member.
+	MethodStatus = "steward.status"
 )
 
 // Methods that a steward serves to ibisctl, with the operator's token.
@@ -49,6 +51,8 @@
 	MethodKeyOutcome = "gate.key_outcome"
 	// MethodExplain returns what a gate knows of a request: ExplainParams -> ExplainResult.
 	MethodExplain = "gate.explain"
+	// MethodQuarantine tells a peer of suspects and quarantined requests at once: QuarantineNotice -> Empty.
+	MethodQuarantine = "gate.quarantine"
 )
 
 // Error codes of jsonrpc2 answers.
@@ -112,6 +116,9 @@
 	Draining map[string]string `json:"draining"`
 	// Quarantined are request fingerprints that get a final answer at once.
 	Quarantined []Quarantine `json:"quarantined"`
+	// Suspects are request fingerprints that were running when an engine died; they run alone
+	// until they are cleared.
+	Suspects []string `json:"suspects,omitempty"`
 	// Versions are the newest known weight versions by model.
 	Versions map[string]int64 `json:"versions"`
 	// EngineVersions are what engines were last seen to run, by target address.
@@ -183,6 +190,16 @@
 	Results []*ClaimResult `json:"results"`
 }
 
+// QuarantineNotice tells peers of requests whose runs ended with dead engines, ahead of the rumor.
+type QuarantineNotice struct {
+	// Deaths make their fingerprints suspects.
+	Deaths []Death `json:"deaths"`
+	// Quarantined get a final answer at once.
+	Quarantined []Quarantine `json:"quarantined"`
+	// Cleared are fingerprints that proved harmless.
+	Cleared []string `json:"cleared"`
+}
+
 // MemberStatus is the state of a node in membership.
 type MemberStatus string
 
@@ -230,6 +247,12 @@
 	Revision platform.Offset `json:"rev"`
 	// Probe, if set, asks the receiver to probe that node ID on the sender's behalf.
 	Probe string `json:"probe,omitempty"`
+	// Sync names the buckets whose content both sides exchange because their digests differ.
+	Sync []int `json:"sync,omitempty"`
+	// RumorSync is Sync for rumors.
+	RumorSync []int `json:"rumor_sync,omitempty"`
+	// AvailabilityZone is the sender's, since some rumors stay inside a zone.
+	AvailabilityZone string `json:"az,omitempty"`
 }
 
 // GossipResult answers GossipParams with news for the sender.
@@ -239,6 +262,10 @@
 	Revision platform.Offset `json:"rev"`
 	// ProbeOK answers Probe.
 	ProbeOK bool `json:"probe_ok,omitempty"`
+	// Buckets are digests of the answering node's table in parts, sent when the hashes differ.
+	Buckets []uint64 `json:"buckets,omitempty"`
+	// RumorBuckets is Buckets for rumors.
+	RumorBuckets []uint64 `json:"rumor_buckets,omitempty"`
 }
 
 // FetchParams reads records of a stream through a peer, which may wait for new ones.
@@ -254,6 +281,12 @@
 	Records  []platform.Record `json:"records"`
 	Snapshot *config.Snapshot  `json:"snapshot,omitempty"`
 	Next     platform.Offset   `json:"next"`
+	// First is the oldest offset that the log retains; a peer that kept what was asked for sends 0.
+	First platform.Offset `json:"first,omitempty"`
+	// RetentionMs is how long the log keeps a record, in milliseconds; 0 means for ever.
+	RetentionMs int64 `json:"retention_ms"`
+	// AgeMs is how long ago the peer last knew that Next was the end of the log, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // OperatorParams authenticates an operator.
@@ -302,6 +335,8 @@
 	Trainer string          `json:"trainer"`
 	StepID  string          `json:"step_id"`
 	Pull    api.PullRequest `json:"pull"`
+	// Release gives the step up instead; the answer is empty.
+	Release bool `json:"release,omitempty"`
 }
 
 // HandoverParams gives a step with its undelivered samples to a peer on a planned stop.
@@ -309,6 +344,8 @@
 	Trainer string       `json:"trainer"`
 	Spec    api.StepSpec `json:"spec"`
 	Samples []api.Sample `json:"samples"`
+	// RemainingMs is the time left until the step's deadline, in milliseconds.
+	RemainingMs int64 `json:"remaining_ms,omitempty"`
 }
 
 // HandoverResult tells that the peer runs the step now.
