--- a/logtail/buffer.go
+++ b/logtail/buffer.go
@@ -48,11 +48,3 @@
 	}
 	return b.records[i:min(len(b.records), i+limit)], true
 }
-
-// end returns the offset after the newest kept record, 0 when the buffer is empty.
-func (b *buffer) end() platform.Offset {
-	if n := len(b.records); n > 0 {
-		return b.records[n-1].Offset + 1
-	}
-	return 0
-}
--- a/membership/core.go
+++ b/membership/core.go
@@ -24,13 +24,13 @@
 	// DeadEvery is the number of periods between two attempts to reach a dead or unknown node.
 	DeadEvery = 5
 	// ProbeTimeout bounds a direct probe.
-	ProbeTimeout = 600 * time.Millisecond
+	ProbeTimeout = 500 * time.Millisecond
 	// IndirectTimeout bounds a probe through a helper.
 	IndirectTimeout = 2 * ProbeTimeout
 	// IndirectHelpers is how many helpers are asked after a direct probe failed.
 	IndirectHelpers = 3
 	// SuspicionTimeout is how long a suspect has to refute.
-	SuspicionTimeout = 4 * time.Second
+	SuspicionTimeout = 3 * time.Second
 	// HearsayGrace is added to it where the suspicion was heard from another node.
 	HearsayGrace = 1500 * time.Millisecond
 	// PauseGap between two ticks means that this node itself was paused.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -36,6 +36,31 @@
 	return &jsonrpc2.Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
+// retryData is the data of an error that names when to come back.
+type retryData struct {
+	RetryAfterMs int64 `json:"retry_after_ms"`
+}
+
+// Unavailable returns an error with wire.CodeUnavailable that tells when to come back.
+func Unavailable(retryAfter time.Duration, format string, args ...any) error {
+	e := &jsonrpc2.Error{Code: wire.CodeUnavailable, Message: fmt.Sprintf(format, args...)}
+	e.SetError(retryData{RetryAfterMs: retryAfter.Milliseconds()})
+	return e
+}
+
+// RetryAfter returns when to come back after err, or 0 if it does not tell.
+func RetryAfter(err error) time.Duration {
+	var e *jsonrpc2.Error
+	if !errors.As(err, &e) || e.Data == nil {
+		return 0
+	}
+	var d retryData
+	if json.Unmarshal(*e.Data, &d) != nil {
+		return 0
+	}
+	return time.Duration(d.RetryAfterMs) * time.Millisecond
+}
+
 // Code returns the jsonrpc2 code of err, or 0.
 func Code(err error) int64 {
 	var e *jsonrpc2.Error
--- /dev/null
+++ b/steward/claims.go
@@ -0,0 +1,342 @@
+package steward
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/claims"
+	"github.com/ibistrail/ibistrail/logtail"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+// Times and bounds of claims.
+const (
+	claimsTick = 20 * time.Millisecond
+	// claimFollowers is how many nodes of a zone read the stream of claims.
+	claimFollowers = 2
+	// claimAttempt bounds the wait for one node that may decide a claim.
+	claimAttempt = 2 * time.Second
+	// claimAppendTimeout bounds one append of claims.
+	claimAppendTimeout = time.Second
+	// DefaultClaimTimeout and MaxClaimTimeout bound the whole wait for a decision.
+	DefaultClaimTimeout = 5 * time.Second
+	MaxClaimTimeout     = 30 * time.Second
+	// claimRetryAfter is when a caller may come back after a claim that could not be decided.
+	claimRetryAfter = 2 * time.Second
+	// claimFailGrace is how long a claim may wait for its read-back after an append failed.
+	claimFailGrace = time.Second
+)
+
+// claimsDuty decides claims: on the first nodes of a zone by reading the stream, elsewhere by
+// asking these.
+type claimsDuty struct {
+	s *Steward
+
+	// cached are the followers at the members' version cachedAt.
+	cacheMu  sync.Mutex
+	cached   []wire.Node
+	cachedAt uint64
+
+	mu      sync.Mutex
+	relay   *claims.Relay // nil until this node follows the stream
+	tail    *logtail.Tail
+	waiting map[string][]*waiter
+	busy    bool
+}
+
+// waiter is a call that waits for the decision of its claim.
+type waiter struct {
+	done  chan claimEnd
+	since time.Time
+}
+
+type claimEnd struct {
+	result *wire.ClaimResult
+	err    error
+}
+
+func newClaims(s *Steward) *claimsDuty {
+	return &claimsDuty{s: s, waiting: map[string][]*waiter{}}
+}
+
+// Next implements logtail.Consumer.
+func (c *claimsDuty) Next() platform.Offset {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay.Next()
+}
+
+// Missed implements logtail.Consumer.
+func (c *claimsDuty) Missed(_ time.Time, first platform.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay.Missed(first)
+}
+
+// CaughtUp implements logtail.Consumer.
+func (c *claimsDuty) CaughtUp(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay.CaughtUp(at)
+}
+
+// Apply implements logtail.Consumer: decisions reach the calls that wait for them.
+func (c *claimsDuty) Apply(now time.Time, r platform.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.relay.Apply(now, r, c.tail.Retention()) {
+		end := claimEnd{result: d.Holder}
+		if d.Holder == nil {
+			end.err = claims.ErrTooMany
+		}
+		c.end(d.ClaimID, end)
+	}
+}
+
+// end answers all calls that wait for a claim. The caller holds mu.
+func (c *claimsDuty) end(claimID string, e claimEnd) {
+	for _, w := range c.waiting[claimID] {
+		w.done <- e // buffered for the one answer
+	}
+	delete(c.waiting, claimID)
+}
+
+// followers returns the nodes of each zone that read the stream, the relay of a zone first.
+func (c *claimsDuty) followers() []wire.Node {
+	at := c.s.members.version()
+	c.cacheMu.Lock()
+	defer c.cacheMu.Unlock()
+	if c.cachedAt != at || c.cached == nil {
+		c.cached, c.cachedAt = readersOf(c.s.members.Alive()), at
+	}
+	return c.cached
+}
+
+// readersOf returns the first nodes of each zone.
+func readersOf(live []wire.Node) []wire.Node {
+	slices.SortFunc(live, func(a, b wire.Node) int {
+		return cmp.Or(cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.ID, b.ID))
+	})
+	var out []wire.Node
+	n := 0
+	for i, node := range live {
+		if i == 0 || node.AvailabilityZone != live[i-1].AvailabilityZone {
+			n = 0
+		}
+		if n++; n <= claimFollowers {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+func (c *claimsDuty) run(ctx context.Context) error {
+	tick := time.NewTicker(claimsTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			c.step(ctx)
+		}
+	}
+}
+
+// step begins to follow when it is this node's turn, and appends what the relay asks for.
+func (c *claimsDuty) step(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relay == nil {
+		c.follow()
+		return
+	}
+	now := time.Now()
+	c.failLate(now)
+	if c.busy {
+		return
+	}
+	records := c.relay.Step(now, now.UnixMilli(), c.tail.Retention())
+	if len(records) == 0 {
+		return
+	}
+	c.busy = true
+	go c.append(ctx, records)
+}
+
+// follow starts reading the stream on a zone's first nodes. The caller holds mu.
+func (c *claimsDuty) follow() {
+	self := func(n wire.Node) bool { return n.ID == c.s.self.ID }
+	if _, _, ready := c.s.tables.inForce(); !ready || !slices.ContainsFunc(c.followers(), self) {
+		return
+	}
+	c.relay = claims.NewRelay(c.s.holder(), c.s.seed)
+	c.tail = c.s.tails.add(claims.Stream, c, c.followers)
+}
+
+func (c *claimsDuty) append(ctx context.Context, records []platform.NewRecord) {
+	actx, cancel := context.WithTimeout(ctx, claimAppendTimeout)
+	defer cancel()
+	_, err := c.s.log.Append(actx, claims.Stream, records)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	c.relay.Appended(time.Now(), err)
+}
+
+// failLate answers calls whose claim was not read back while the log cannot be written. Their
+// claim may still take effect; it never lets anyone else run the request.
+func (c *claimsDuty) failLate(now time.Time) {
+	if !c.relay.LogOut() {
+		return
+	}
+	for id, ws := range c.waiting {
+		if now.Sub(ws[0].since) >= claimFailGrace {
+			c.end(id, claimEnd{err: claims.ErrLogOut})
+		}
+	}
+}
+
+// claim serves a gate: the zone's readers decide, or those of other zones if these cannot.
+func (c *claimsDuty) claim(ctx context.Context, p wire.ClaimParams) (wire.ClaimResult, error) {
+	if err := claims.Check(&p); err != nil {
+		return wire.ClaimResult{}, rpc.Errorf(wire.CodeInvalid, "%v", err)
+	}
+	timeout := time.Duration(p.TimeoutMs) * time.Millisecond
+	if timeout <= 0 {
+		timeout = DefaultClaimTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, MaxClaimTimeout))
+	defer cancel()
+	err := rpc.Unavailable(claimRetryAfter, "no node that reads claims is known; try again")
+	for _, n := range c.deciders() {
+		var res *wire.ClaimResult
+		if res, err = c.ask(ctx, n, p); err == nil {
+			return *res, nil
+		}
+		if ctx.Err() != nil || errors.Is(err, claims.ErrTooMany) {
+			break
+		}
+	}
+	if rpc.Code(err) != 0 {
+		return wire.ClaimResult{}, err
+	}
+	return wire.ClaimResult{}, rpc.Unavailable(claimRetryAfter, "claim not decided: %v", err)
+}
+
+// deciders returns the readers of the own zone, then the relays of others.
+func (c *claimsDuty) deciders() []wire.Node {
+	var own, others []wire.Node
+	last := ""
+	for _, n := range c.followers() {
+		switch {
+		case n.AvailabilityZone == c.s.self.AvailabilityZone:
+			own = append(own, n)
+		case n.AvailabilityZone != last:
+			others = append(others, n)
+		}
+		last = n.AvailabilityZone
+	}
+	return append(own, others...)
+}
+
+// ask lets one node decide. Asking several is harmless: the claim is the same.
+func (c *claimsDuty) ask(ctx context.Context, n wire.Node, p wire.ClaimParams) (*wire.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimAttempt)
+	defer cancel()
+	if n.ID == c.s.self.ID {
+		return c.local(ctx, p)
+	}
+	var res wire.RelayClaimsResult
+	if err := c.s.polls.Call(ctx, n.StewardAddress, wire.MethodRelayClaims, wire.RelayClaimsParams{Claims: []wire.ClaimParams{p}}, &res); err != nil {
+		return nil, err
+	}
+	if len(res.Results) != 1 || res.Results[0] == nil {
+		return nil, claims.ErrNotReady
+	}
+	return res.Results[0], nil
+}
+
+// local decides a claim by this node's own reading.
+func (c *claimsDuty) local(ctx context.Context, p wire.ClaimParams) (*wire.ClaimResult, error) {
+	w := &waiter{done: make(chan claimEnd, 1), since: time.Now()}
+	c.mu.Lock()
+	if c.relay == nil {
+		c.mu.Unlock()
+		return nil, claims.ErrNotReady
+	}
+	res, err := c.relay.Add(w.since, p)
+	if res != nil || err != nil {
+		c.mu.Unlock()
+		return res, err
+	}
+	c.waiting[p.ClaimID] = append(c.waiting[p.ClaimID], w)
+	c.mu.Unlock()
+	select {
+	case e := <-w.done:
+		return e.result, e.err
+	case <-ctx.Done():
+		c.forget(p.ClaimID, w)
+		return nil, ctx.Err()
+	}
+}
+
+func (c *claimsDuty) forget(claimID string, w *waiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ws := slices.DeleteFunc(c.waiting[claimID], func(x *waiter) bool { return x == w })
+	if c.waiting[claimID] = ws; len(ws) == 0 {
+		delete(c.waiting, claimID)
+	}
+}
+
+// relayClaims serves stewards that do not read the stream themselves.
+func (c *claimsDuty) relayClaims(ctx context.Context, p wire.RelayClaimsParams) (wire.RelayClaimsResult, error) {
+	if len(p.Claims) == 0 || len(p.Claims) > claims.MaxPerRecord {
+		return wire.RelayClaimsResult{}, rpc.Errorf(wire.CodeTooLarge, "send 1 to %d claims at a time", claims.MaxPerRecord)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimAttempt)
+	defer cancel()
+	out := wire.RelayClaimsResult{Results: make([]*wire.ClaimResult, len(p.Claims))}
+	errs := make([]error, len(p.Claims))
+	var g errgroup.Group
+	for i := range p.Claims {
+		g.Go(func() error {
+			out.Results[i], errs[i] = c.local(ctx, p.Claims[i])
+			return nil
+		})
+	}
+	_ = g.Wait() // each claim has its own error
+	for _, err := range errs {
+		if err == nil {
+			return out, nil
+		}
+	}
+	return out, rpc.Unavailable(claimRetryAfter, "%v", errs[0])
+}
+
+// claimsStatus is the claims' part of the state dump.
+type claimsStatus struct {
+	Following bool         `json:"following"`
+	Ready     bool         `json:"ready"`
+	Held      int          `json:"held"`
+	Waiting   int          `json:"waiting"`
+	Stats     claims.Stats `json:"stats"`
+}
+
+func (c *claimsDuty) status() claimsStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relay == nil {
+		return claimsStatus{}
+	}
+	t := c.relay.Table()
+	return claimsStatus{Following: true, Ready: t.Ready(), Held: t.Len(), Waiting: len(c.waiting), Stats: t.Stats()}
+}
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -98,7 +99,7 @@
 func (l *leases) step(ctx context.Context) {
 	wanted := l.wanted()
 	l.mu.Lock()
-	for az := range wanted {
+	for _, az := range append(slices.Collect(maps.Keys(wanted)), l.s.self.AvailabilityZone) {
 		if l.zones[az] == nil {
 			l.zones[az] = l.follow(az)
 		}
@@ -113,11 +114,19 @@
 	}
 }
 
+// followers returns the nodes that read a zone's stream: its own nodes.
+func (l *leases) followers(az string) []wire.Node {
+	if az != l.s.self.AvailabilityZone {
+		return nil
+	}
+	return slices.DeleteFunc(l.s.members.Alive(), func(n wire.Node) bool { return n.AvailabilityZone != az })
+}
+
 func (l *leases) follow(az string) *zoneLeases {
 	z := &zoneLeases{manager: lease.NewManager(lease.Options{
 		Holder: l.s.holder(), TTL: time.Duration(l.s.opts.Settings.LeaseTTLMs) * time.Millisecond, Seed: l.s.seed,
 	})}
-	z.tail = l.s.tails.add(lease.Stream(az), z)
+	z.tail = l.s.tails.add(lease.Stream(az), z, func() []wire.Node { return l.followers(az) })
 	return z
 }
 
--- a/steward/state.go
+++ b/steward/state.go
@@ -191,6 +191,7 @@
 	Members    []wire.Member           `json:"members"`
 	Rumors     map[string][]wire.Rumor `json:"rumors"`
 	Leases     any                     `json:"leases"`
+	Claims     any                     `json:"claims"`
 	Pools      any                     `json:"pools"`
 	ConfigRead platform.Offset         `json:"config_next"`
 }
@@ -199,7 +200,7 @@
 	st, _ := s.hub.get()
 	d := dump{
 		Node: s.self, Started: s.started, State: st, Tails: s.tails.status(), Members: s.members.Members(),
-		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Pools: s.orders.status(), ConfigRead: s.tables.Next(),
+		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Claims: s.claims.status(), Pools: s.orders.status(), ConfigRead: s.tables.Next(),
 	}
 	for _, k := range []string{rumor.KindLeaving, rumor.KindVersion, rumor.KindDeath, rumor.KindCleared, rumor.KindEngines} {
 		d.Rumors[k] = s.members.kind(k)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -66,6 +66,7 @@
 	tables  *tables
 	tails   *tails
 	leases  *leases
+	claims  *claimsDuty
 	store   *versions
 	vms     *vmList
 	orders  *orders
@@ -97,8 +98,9 @@
 	s.members = newGossip(s.self, s.incarnation, s.seed, s.calls.Call, o.Log, s.markDirty)
 	s.tables = newTables(s.seed, s.markDirty)
 	s.tails = newTails(s)
-	s.tails.add(config.Stream, s.tables)
+	s.tails.add(config.Stream, s.tables, s.members.Alive)
 	s.leases = newLeases(s)
+	s.claims = newClaims(s)
 	s.store = newVersions(s, platform.NewStoreClient(set.StoreURL, httpClient(o.Dialer, control, "store")))
 	s.vms = newVMList(s, platform.NewVMListClient(set.VMListURL, httpClient(o.Dialer, control, "vms")))
 	s.orders = newOrders(s, platform.NewEngineClient(httpClient(o.Dialer, control, "engine")))
@@ -128,7 +130,7 @@
 	debug := &process.Debug{Metrics: s.opts.Metrics, State: func() any { return s.dump() }, Ready: s.ready, Routes: s.debugRoutes}
 	g.Go(func() error { return server.Serve(ctx, l.RPC) })
 	g.Go(func() error { return process.Serve(ctx, l.Debug, debug.Handler()) })
-	for _, run := range []func(context.Context) error{s.members.run, s.tails.run, s.leases.run, s.store.run, s.vms.run, s.orders.run, s.publishStates, s.carry} {
+	for _, run := range []func(context.Context) error{s.members.run, s.tails.run, s.leases.run, s.claims.run, s.store.run, s.vms.run, s.orders.run, s.publishStates, s.carry} {
 		g.Go(func() error { return run(ctx) })
 	}
 	s.opts.Log.Info("steward started", "address", l.RPC.Addr().String(), "debug", l.Debug.Addr().String(), "az", s.self.AvailabilityZone, "incarnation", s.incarnation)
@@ -173,15 +175,17 @@
 
 func (s *Steward) handlers() map[string]rpc.Handler {
 	return map[string]rpc.Handler{
-		wire.MethodWatch:   rpc.Handle(s.watch),
-		wire.MethodReport:  rpc.Handle(s.report),
-		wire.MethodGossip:  rpc.Handle(s.members.handle),
-		wire.MethodFetch:   rpc.Handle(s.tails.fetch),
-		wire.MethodStatus:  rpc.Handle(func(context.Context, wire.Empty) (wire.Member, error) { return s.status(), nil }),
-		wire.MethodApply:   rpc.Handle(s.apply),
-		wire.MethodGet:     rpc.Handle(s.get),
-		wire.MethodHistory: rpc.Handle(s.history),
-		wire.MethodNodes:   rpc.Handle(s.nodes),
+		wire.MethodWatch:       rpc.Handle(s.watch),
+		wire.MethodClaim:       rpc.Handle(s.claims.claim),
+		wire.MethodRelayClaims: rpc.Handle(s.claims.relayClaims),
+		wire.MethodReport:      rpc.Handle(s.report),
+		wire.MethodGossip:      rpc.Handle(s.members.handle),
+		wire.MethodFetch:       rpc.Handle(s.tails.fetch),
+		wire.MethodStatus:      rpc.Handle(func(context.Context, wire.Empty) (wire.Member, error) { return s.status(), nil }),
+		wire.MethodApply:       rpc.Handle(s.apply),
+		wire.MethodGet:         rpc.Handle(s.get),
+		wire.MethodHistory:     rpc.Handle(s.history),
+		wire.MethodNodes:       rpc.Handle(s.nodes),
 	}
 }
 
--- a/steward/tails.go
+++ b/steward/tails.go
@@ -21,50 +21,31 @@
 	mu sync.Mutex
 	// ctx is set while the tails run.
 	ctx     context.Context
-	streams map[string]*runningTail
+	streams map[string]*logtail.Tail
 	wg      sync.WaitGroup
 }
 
-type runningTail struct {
-	*logtail.Tail
-	cancel context.CancelFunc
-}
-
-func newTails(s *Steward) *tails { return &tails{s: s, streams: map[string]*runningTail{}} }
+func newTails(s *Steward) *tails { return &tails{s: s, streams: map[string]*logtail.Tail{}} }
 
-// add follows stream; it starts at once if the tails run.
-func (t *tails) add(stream string, c logtail.Consumer) *logtail.Tail {
+// add follows stream, which the live nodes read too; it starts at once if the tails run.
+func (t *tails) add(stream string, c logtail.Consumer, live func() []wire.Node) *logtail.Tail {
 	tail := logtail.New(logtail.Options{
 		Stream: stream, Self: t.s.self, Strategy: t.s.opts.Fetch, Seed: t.s.seed, Log: t.s.log, Consumer: c,
-		Live: t.s.members.Alive, Call: t.s.polls.Call, Logger: t.s.opts.Log,
+		Live: live, Call: t.s.polls.Call, Logger: t.s.opts.Log,
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &runningTail{Tail: tail}
-	t.streams[stream] = r
+	t.streams[stream] = tail
 	if t.ctx != nil {
-		t.start(r)
+		t.start(tail)
 	}
 	return tail
 }
 
-// remove stops following stream.
-func (t *tails) remove(stream string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.streams[stream]; r != nil {
-		if r.cancel != nil {
-			r.cancel()
-		}
-		delete(t.streams, stream)
-	}
-}
-
 // start runs a tail. The caller holds mu.
-func (t *tails) start(r *runningTail) {
-	ctx, cancel := context.WithCancel(t.ctx)
-	r.cancel = cancel
-	t.wg.Go(func() { _ = r.Run(ctx) }) // Run ends with its context only
+func (t *tails) start(tail *logtail.Tail) {
+	ctx := t.ctx
+	t.wg.Go(func() { _ = tail.Run(ctx) }) // Run ends with its context only
 }
 
 func (t *tails) run(ctx context.Context) error {
@@ -83,10 +64,7 @@
 func (t *tails) get(stream string) *logtail.Tail {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.streams[stream]; r != nil {
-		return r.Tail
-	}
-	return nil
+	return t.streams[stream]
 }
 
 // fetch serves records to peers.
