steward: wait for the published state in the test

Cause: the test read the state before it was published and failed once. Change: it waits until the state holds the pool. Conclusion: the fault was the test's.

--- a/steward/cluster_test.go
+++ b/steward/cluster_test.go
@@ -129,6 +129,12 @@
 	return st
 }
 
+// has tells whether a steward tells its gate of a pool.
+func (c *cluster) has(n *node, pool string) bool {
+	st := c.state(n)
+	return st.Tables != nil && st.Tables.Pool(pool) != nil
+}
+
 // apply publishes a change through n.
 func (c *cluster) apply(n *node, change config.Change) (wire.ApplyResult, error) {
 	var res wire.ApplyResult
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -18,7 +18,7 @@
 	is.NoErr(err)
 	is.True(res.Decision.Accepted)
 	c.eventually("tables at both", func() bool {
-		return c.state(a).Tables.Pool("drafting") != nil && c.state(b).Tables.Pool("drafting") != nil
+		return c.has(a, "drafting") && c.has(b, "drafting")
 	})
 	c.store.Publish("m", 2)
 	c.eventually("version 2 on each engine", func() bool {
