gate: the data plane's process

Cause: callers, trainers and peers need the process that joins the duties. Conclusion: ready to be joined with a steward.

--- a/api/api.go
+++ b/api/api.go
@@ -21,6 +21,8 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderSpans carries the weight version spans of a completion, as JSON, as a trailer when streamed.
 	HeaderSpans = "Ibistrail-Spans"
+	// HeaderReplayed is "true" on an answer that was kept from an earlier run of the same key or ticket.
+	HeaderReplayed = "Ibistrail-Replayed"
 )
 
 // Outcome tells what became of a request.
@@ -176,6 +178,14 @@
 	Message string `json:"message"`
 }
 
+// TicketResponse answers POST /v1/tickets.
+type TicketResponse struct {
+	// Ticket is sent as HeaderTicket with one non-idempotent request.
+	Ticket string `json:"ticket"`
+	// ExpiresMs is how long the ticket may be used, in milliseconds.
+	ExpiresMs int64 `json:"expires_ms"`
+}
+
 // Code is the machine-readable kind of an Error.
 type Code string
 
@@ -198,6 +208,8 @@
 	CodeStepConflict     Code = "step_conflict"
 	CodeDraining         Code = "draining"
 	CodeTooLarge         Code = "too_large"
+	CodeAnswerGone       Code = "answer_gone"
+	CodeTicketInvalid    Code = "ticket_invalid"
 )
 
 // Error is the body of each refused request, inside {"error": ...} as OpenAI's clients read it.
--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ibistrail/ibistrail/admission"
@@ -169,10 +170,19 @@
 	return err
 }
 
+// attemptID is unique on the engines, also when a request ID comes again.
 func (r *run) attemptID() string {
-	return r.call.RequestID + "-" + r.d.opts.GateID + "-" + strconv.Itoa(r.attempts)
+	return strings.Map(pathSafe, r.call.RequestID) + "-" + r.d.nonce + strconv.FormatUint(r.d.attempts.Add(1), 36)
 }
 
 func (r *run) explain(name, format string, args ...any) {
 	r.d.opts.Explain.Add(r.call.RequestID, name, format, args...)
 }
+
+// pathSafe keeps what may stand in a path segment.
+func pathSafe(c rune) rune {
+	if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '_' {
+		return c
+	}
+	return '-'
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/explain"
@@ -65,6 +67,9 @@
 	opts   Options
 	client *http.Client
 	meters meters
+	// nonce and attempts make attempt IDs.
+	nonce    string
+	attempts atomic.Uint64
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -97,7 +102,7 @@
 		opts.Report = func(wire.ReportParams) {}
 	}
 	return &Dispatcher{
-		opts: opts, client: newHTTPClient(opts.Dial), meters: newMeters(opts.Metrics),
+		opts: opts, nonce: uuid.NewString()[:8], client: newHTTPClient(opts.Dial), meters: newMeters(opts.Metrics),
 		rand: rand.New(rand.NewPCG(opts.Seed, 2)), pools: map[string]*pool{}, budgets: map[string]*retry.Budget{},
 		boots: map[string]string{}, book: quarantine.NewBook(), trials: map[string]chan struct{}{},
 	}
--- /dev/null
+++ b/gate/peers.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// maxNotified bounds the peers that are told at once of a quarantine; the rumor tells the others.
+const maxNotified = 64
+
+// rpcServer answers peers.
+func (g *Gate) rpcServer() *rpc.Server {
+	handlers := map[string]rpc.Handler{
+		wire.MethodKeyOutcome: rpc.Handle(g.keys.handleOutcome),
+		wire.MethodExplain:    rpc.Handle(g.handleExplain),
+		wire.MethodQuarantine: rpc.Handle(g.handleQuarantine),
+	}
+	maps.Copy(handlers, g.rollouts.Handlers())
+	return rpc.NewServer(rpc.Options{
+		Token: g.opts.PeerToken, Log: g.log, Bytes: g.opts.Metrics.SubMap("rpc_bytes"),
+	}, handlers)
+}
+
+func (g *Gate) handleExplain(_ context.Context, p wire.ExplainParams) (*wire.ExplainResult, error) {
+	events := g.explain.Events(p.RequestID)
+	if events == nil {
+		events = []wire.Event{}
+	}
+	return &wire.ExplainResult{Gate: g.opts.Settings.ID, Events: events}, nil
+}
+
+func (g *Gate) handleQuarantine(_ context.Context, n wire.QuarantineNotice) (*wire.Empty, error) {
+	g.dispatcher.Notice(n)
+	return &wire.Empty{}, nil
+}
+
+// notifyPeers tells peers of suspects and quarantines and waits for them until ctx ends.
+func (g *Gate) notifyPeers(ctx context.Context, n wire.QuarantineNotice) {
+	peers := g.state.Peers()
+	var wg sync.WaitGroup
+	for _, p := range peers[:min(len(peers), maxNotified)] {
+		wg.Go(func() {
+			if err := g.pool.Call(ctx, p.GateAddress, wire.MethodQuarantine, n, nil); err != nil {
+				g.log.Warn("quarantine_notice_failed", "peer", p.ID, "err", err)
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/gate/state.go
@@ -0,0 +1,189 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+// Bounds of the watch on the steward.
+const (
+	// watchWait is how long one watch waits for news.
+	watchWait = 10 * time.Second
+	// watchSlack is how much longer than watchWait an answer may take.
+	watchSlack = 5 * time.Second
+	// watchBackoff is the pause after a failed watch.
+	watchBackoff = 250 * time.Millisecond
+	// noRevision asks for any tables.
+	noRevision = platform.Offset(-1)
+)
+
+var (
+	errNoConfiguration = errors.New("no configuration is known yet; start the VM's steward and publish one with ibisctl apply")
+	errNoRows          = errors.New("the configuration has no routes; publish some with ibisctl apply")
+	errStopping        = errors.New("draining: a planned stop is in progress")
+)
+
+// stateHolder keeps the steward's state in force, also while the steward is away.
+type stateHolder struct {
+	mu       sync.RWMutex
+	tables   *config.Tables
+	revision platform.Offset
+	state    wire.State
+}
+
+// Tables returns the tables in force and their revision; nil before the first.
+func (h *stateHolder) Tables() (*config.Tables, platform.Offset) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.tables, h.revision
+}
+
+// Version returns the newest known weight version of model; 0 if unknown.
+func (h *stateHolder) Version(model string) int64 {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.state.Versions[model]
+}
+
+// Peers returns the live gates of other VMs.
+func (h *stateHolder) Peers() []wire.Node {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.state.Peers
+}
+
+// peer returns the live gate with that ID.
+func (h *stateHolder) peer(id string) (wire.Node, bool) {
+	for _, p := range h.Peers() {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return wire.Node{}, false
+}
+
+// apply puts a state in force, unless it is older than what is: a configuration never reverts.
+func (h *stateHolder) apply(s *wire.State) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !s.Ready || h.tables != nil && s.Revision < h.revision || h.tables == nil && s.Tables == nil {
+		return false
+	}
+	if s.Tables != nil {
+		h.tables, h.revision = s.Tables, s.Revision
+	}
+	h.state = *s
+	h.state.Tables = nil
+	return true
+}
+
+// ready returns nil once a configuration with rows is known.
+func (h *stateHolder) ready() error {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	switch {
+	case h.tables == nil:
+		return errNoConfiguration
+	case len(h.tables.Routes) == 0:
+		return errNoRows
+	}
+	return nil
+}
+
+// watch follows the state of the VM's steward; what is in force stays while it is away.
+func (g *Gate) watch(ctx context.Context) error {
+	var since uint64
+	away := false
+	for ctx.Err() == nil {
+		s, err := g.watchOnce(ctx, since)
+		if err != nil {
+			since = 0
+			if !away && ctx.Err() == nil {
+				g.log.Warn("steward_away", "err", err)
+			}
+			away = true
+			pause(ctx, watchBackoff)
+			continue
+		}
+		if away {
+			g.log.Info("steward_back", "seq", s.Seq)
+			away = false
+		}
+		since = s.Seq
+		g.apply(s)
+	}
+	return nil
+}
+
+// watchOnce asks once; the start of a planned stop ends the wait, so that the steward hears of it.
+func (g *Gate) watchOnce(ctx context.Context, since uint64) (*wire.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	tables, revision := g.state.Tables()
+	if tables == nil {
+		revision = noRevision
+	}
+	p := wire.WatchParams{
+		GateID: g.opts.Settings.ID, GateIncarnation: g.incarnation, Since: since, WaitMs: watchWait.Milliseconds(),
+		Revision: revision, Draining: g.stop.stopping(),
+	}
+	if p.Draining {
+		p.WaitMs = 0
+		pause(ctx, watchBackoff)
+	} else {
+		stop := context.AfterFunc(g.stop.began, cancel)
+		defer stop()
+	}
+	s := new(wire.State)
+	if err := g.pool.Call(ctx, g.opts.Settings.StewardAddress, wire.MethodWatch, p, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (g *Gate) apply(s *wire.State) {
+	before, revision := g.state.Tables()
+	if !g.state.apply(s) {
+		return
+	}
+	tables, now := g.state.Tables()
+	g.dispatcher.SetState(tables, s)
+	if before == nil || now != revision {
+		g.log.Info("configuration_in_force", "revision", now, "routes", len(tables.Routes), "pools", len(tables.Pools))
+	}
+}
+
+func (g *Gate) callSteward(ctx context.Context, method string, params, result any) error {
+	return g.pool.Call(ctx, g.opts.Settings.StewardAddress, method, params, result)
+}
+
+// reportVersions tells the steward which versions trainers stated.
+func (g *Gate) reportVersions(ctx context.Context) error {
+	var told map[string]int64
+	for pause(ctx, reportEvery) {
+		if v := g.rollouts.TrainerVersions(); len(v) > 0 && !maps.Equal(v, told) {
+			g.reports.add(wire.ReportParams{Versions: v})
+			told = v
+		}
+	}
+	return nil
+}
+
+// pause waits for d and returns false if ctx ended before.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -125,7 +125,7 @@
 	for _, x := range t.targets {
 		out = append(out, TargetState{
 			Name: x.Name, Address: x.Address, Blocked: x.blocked, Ejected: x.ejected(now), Alone: x.exclusive,
-			InFlight: x.inflight, Load: x.load(now), Limit: x.capacity(now), Prefixes: len(x.prefixes.held),
+			InFlight: x.inflight, Load: x.load(now), Limit: x.capacity(now), Prefixes: len(x.prefixes.sent.held),
 			Latency: x.health.latency, Version: x.version,
 		})
 	}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -31,16 +31,13 @@
 	return out
 }
 
-// prefixIndex remembers which prefixes a target's cache probably holds, the oldest forgotten first.
-type prefixIndex struct {
+// prefixSet is a bounded set of prefixes, the oldest forgotten first.
+type prefixSet struct {
 	held  map[uint64]bool
 	order []uint64
-	// boot and next follow the target's cache events.
-	boot string
-	next int64
 }
 
-func (p *prefixIndex) add(h uint64) {
+func (p *prefixSet) add(h uint64) {
 	if p.held == nil {
 		p.held = map[uint64]bool{}
 	}
@@ -55,16 +52,61 @@
 	p.order = append(p.order, h)
 }
 
-func (p *prefixIndex) evict(h uint64) { delete(p.held, h) }
+func (p *prefixSet) evict(h uint64) { delete(p.held, h) }
 
-// clear forgets all prefixes.
-func (p *prefixIndex) clear() { p.held, p.order = nil, nil }
+func (p *prefixSet) clear() { p.held, p.order = nil, nil }
+
+// prefixIndex remembers which prefixes a target's cache probably holds: those that this gate sent
+// there, and as hints those of the target's cache events.
+type prefixIndex struct {
+	sent, hinted prefixSet
+	// boot and last follow the target's cache events.
+	boot string
+	last int64
+}
+
+// clear forgets all prefixes, as the target's cache is empty.
+func (p *prefixIndex) clear() {
+	p.sent.clear()
+	p.hinted.clear()
+}
 
 // depth returns how many of the leading prefixes the target holds without a gap.
 func (p *prefixIndex) depth(prefixes []uint64) int {
 	n := 0
-	for n < len(prefixes) && p.held[prefixes[n]] {
+	for n < len(prefixes) && (p.sent.held[prefixes[n]] || p.hinted.held[prefixes[n]]) {
 		n++
 	}
 	return n
 }
+
+// take reads cache events. A gap discards the hints, a new incarnation all that is remembered.
+func (p *prefixIndex) take(ev *platform.CacheEvents) {
+	if p.boot != ev.Boot {
+		if p.boot != "" {
+			p.clear()
+		}
+		p.boot, p.last = ev.Boot, 0
+	}
+	for _, e := range ev.Events {
+		if e.Seq <= p.last {
+			continue
+		}
+		if p.last > 0 && e.Seq != p.last+1 {
+			p.hinted.clear()
+		}
+		p.last = e.Seq
+		if e.Evicted {
+			p.sent.evict(e.PrefixHash)
+			p.hinted.evict(e.PrefixHash)
+			continue
+		}
+		p.hinted.add(e.PrefixHash)
+	}
+	if ev.Next > p.last {
+		if p.last > 0 {
+			p.hinted.clear()
+		}
+		p.last = ev.Next
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -163,7 +163,7 @@
 		x.exclusive, x.reserved = true, false
 	}
 	for _, h := range q.Prefixes {
-		x.prefixes.add(h)
+		x.prefixes.sent.add(h)
 	}
 }
 
@@ -190,44 +190,21 @@
 	x.limit.Report(load.BatchLimit, x.others(now))
 }
 
-// CacheSince returns from where on the target's cache events are to be read.
+// CacheSince returns the sequence number after which the target's cache events are to be read.
 func (t *Table) CacheSince(address string) int64 {
 	if x := t.byAddr[address]; x != nil {
-		return x.prefixes.next
+		return x.prefixes.last
 	}
 	return 0
 }
 
-// CacheEvents takes a target's cache events as hints. A gap or a new boot discards what is
-// remembered of the target.
+// CacheEvents takes a target's cache events as hints.
 func (t *Table) CacheEvents(address string, ev *platform.CacheEvents) {
 	x := t.byAddr[address]
 	if x == nil {
 		return
 	}
-	p := &x.prefixes
-	if p.boot != "" && p.boot != ev.Boot {
-		p.clear()
-	}
-	p.boot = ev.Boot
-	for _, e := range ev.Events {
-		if e.Seq < p.next {
-			continue
-		}
-		if e.Seq > p.next && p.next > 0 {
-			p.clear()
-		}
-		p.next = e.Seq + 1
-		if e.Evicted {
-			p.evict(e.PrefixHash)
-		} else {
-			p.add(e.PrefixHash)
-		}
-	}
-	if ev.Next > p.next && p.next > 0 {
-		p.clear()
-	}
-	p.next = ev.Next
+	x.prefixes.take(ev)
 }
 
 // Forget discards the remembered prefixes of a target that has restarted.
--- a/ticket/book.go
+++ b/ticket/book.go
@@ -150,12 +150,14 @@
 }
 
 // Lookup tells what is known of a key, with a channel that is closed when a running one ends.
-func (b *Book) Lookup(now time.Time, key string) (status Status, known bool, a *Answer, done <-chan struct{}) {
+func (b *Book) Lookup(now time.Time, key, fingerprint string) (status Status, known bool, a *Answer, done <-chan struct{}) {
 	b.expire(now)
 	e := b.entries[key]
 	switch {
 	case e == nil:
-		return 0, false, nil, nil
+		return StatusNew, false, nil, nil
+	case e.fingerprint != fingerprint:
+		return StatusReused, true, nil, nil
 	case e.running:
 		return StatusRunning, true, nil, e.done
 	case e.answer != nil:
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -334,6 +334,10 @@
 
 // KeyOutcomeParams names a ticket or a claim.
 type KeyOutcomeParams struct {
+	// GateIncarnation is the owner; another incarnation knows nothing of the key.
+	GateIncarnation string `json:"gate_incarnation"`
+	// Burn asks that a key that has not run never will.
+	Burn        bool   `json:"burn,omitempty"`
 	Key         string `json:"key"`
 	Fingerprint string `json:"fingerprint"`
 	WaitMs      int64  `json:"wait_ms"`
@@ -341,8 +345,10 @@
 
 // KeyOutcomeResult carries the answer of a request that its owner ran.
 type KeyOutcomeResult struct {
-	Known   bool                `json:"known"`
-	Done    bool                `json:"done"`
+	Known bool `json:"known"`
+	Done  bool `json:"done"`
+	// Reused is true if the key belongs to a request with another fingerprint.
+	Reused  bool                `json:"reused,omitempty"`
 	Outcome api.Outcome         `json:"outcome"`
 	Status  int                 `json:"status"`
 	Header  map[string][]string `json:"header,omitempty"`
