--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -142,18 +142,10 @@
 	if end.free() {
 		return nil
 	}
-	return r.sleep(ctx, wait)
-}
-
-func (r *run) sleep(ctx context.Context, wait time.Duration) *api.Error {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !waitFor(ctx, wait) {
 		return errCallerGone()
 	}
+	return nil
 }
 
 // final gives an error the outcome that the attempts so far allow.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -26,6 +26,7 @@
 	maxStatusBytes = 1 << 20
 	// probeTimeout bounds the question whether a target lives.
 	probeTimeout = time.Second
+	probeEvery   = 50 * time.Millisecond
 	// resumeTimeout bounds the wait for the answer to a resume.
 	resumeTimeout = 5 * time.Second
 )
@@ -128,13 +129,31 @@
 func (d *Dispatcher) isDead(ctx context.Context, address, boot string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
-	var s platform.EngineStatus
-	_, err := d.get(ctx, address, platform.PathStatus, &s)
-	if err != nil {
-		return refusedConn(err)
+	for ctx.Err() == nil {
+		var s platform.EngineStatus
+		_, err := d.get(ctx, address, platform.PathStatus, &s)
+		if err == nil {
+			d.setBoot(address, s.Boot)
+			return boot != "" && s.Boot != "" && s.Boot != boot
+		}
+		if refusedConn(err) {
+			return true
+		}
+		waitFor(ctx, probeEvery) // a process that is ending may still accept connections
+	}
+	return false
+}
+
+// waitFor waits for t and returns false if ctx ended before.
+func waitFor(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	d.setBoot(address, s.Boot)
-	return boot != "" && s.Boot != "" && s.Boot != boot
 }
 
 // get reads a small JSON answer; draining is the target's own signal.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -127,14 +127,10 @@
 		return e
 	}
 	r.d.meters.retries.Add(string(end.kind), 1)
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !waitFor(ctx, wait) {
 		return errCallerGone()
 	}
+	return nil
 }
 
 // attempt sends the call to the target of l and gives the place back.
