--- /dev/null
+++ b/gate/service_test.go
@@ -0,0 +1,150 @@
+package gate
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/fake/service"
+	"github.com/matryer/is"
+)
+
+// breakingTarget accepts connections, answers the first request on each and breaks the connection
+// once it reads the first bytes of a second one, which is how a broken idle connection looks.
+func breakingTarget(t *testing.T, requests *atomic.Int64) string {
+	l := listener(t)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveBreaking(c, requests)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveBreaking(c net.Conn, requests *atomic.Int64) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if requests.Add(1)%2 == 0 {
+			return // read whole, no answer
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func TestStandardClientSendsAgainAndTheGateDoesNot(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	address := breakingTarget(t, &requests)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("x"))
+		is.NoErr(err)
+		req.Header.Set(api.HeaderIdempotencyKey, "k")
+		resp, err := client.Do(req)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	is.Equal(requests.Load(), int64(3)) // two calls, three requests: net/http sent one again
+
+	requests.Store(0)
+	f := newFleet(t, fleetOptions{gates: 1, tables: func(tb *config.Tables) {
+		tb.Pools[1].Targets = []config.Target{{Name: "s", Address: address, AvailabilityZone: zone}}
+	}})
+	for i, want := range []api.Outcome{api.OutcomeDone, api.OutcomeUnknown, api.OutcomeDone} {
+		r := f.send(0, http.MethodPost, "/corrections/1", "x", api.HeaderIdempotencyKey, string(rune('a'+i)))
+		is.Equal(outcome(r), want)
+	}
+	is.Equal(requests.Load(), int64(3)) // three calls, three requests
+}
+
+func TestNonIdempotentCallIsOneAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{gates: 1, services: 3})
+	for _, s := range f.services {
+		is.NoErr(s.SetFaults(service.Faults{DieAt: service.PointAccept, DieCalls: -1}))
+	}
+	r := f.send(0, http.MethodPost, "/corrections/1", "x")
+	is.Equal(outcome(r), api.OutcomeUnknown)
+	is.Equal(r.Header.Get("X-Should-Retry"), "false")
+	is.Equal(f.executed(), int64(0))
+	f.svcSrv[0].Crash()
+	f.svcSrv[1].Crash()
+	is.NoErr(f.services[2].SetFaults(service.Faults{}))
+	for range 5 {
+		r := f.send(0, http.MethodPost, "/corrections/1", "x")
+		is.Equal(outcome(r), api.OutcomeDone) // targets that refuse the connection cost nothing
+	}
+	is.Equal(f.executed(), int64(5))
+	f.svcSrv[2].Crash()
+	r = f.send(0, http.MethodPost, "/corrections/1", "x")
+	is.Equal(outcome(r), api.OutcomeNotRun)
+	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
+}
+
+func TestIdempotentCallMovesOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{gates: 1, services: 2})
+	is.NoErr(f.services[0].SetFaults(service.Faults{DieAt: service.PointMidBody, DieCalls: -1}))
+	for range 6 {
+		r := f.send(0, http.MethodGet, "/log/entries?from=3", "")
+		is.Equal(r.StatusCode, http.StatusOK)
+		is.True(strings.Contains(text(t, r), `"path":"/log/entries"`))
+	}
+}
+
+func TestTokenStaysAtTheGateAndAnotherPathHasNoRoute(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Value
+	l := listener(t)
+	srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen.Store(r.Header.Clone()) })}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { srv.Close() })
+	f := newFleet(t, fleetOptions{gates: 1, tables: func(tb *config.Tables) {
+		tb.Pools[1].Targets = []config.Target{{Name: "s", Address: l.Addr().String(), AvailabilityZone: zone}}
+	}})
+	is.Equal(f.send(0, http.MethodGet, "/log/x", "", api.HeaderDeadline, "5000").StatusCode, http.StatusOK)
+	h := seen.Load().(http.Header)
+	is.Equal(h.Get("Authorization"), "")
+	is.True(h.Get(api.HeaderDeadline) != "")
+	is.Equal(f.send(0, http.MethodGet, "/logs", "").StatusCode, http.StatusNotFound)
+}
+
+func TestBoundsOnRequests(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{gates: 1, engines: 1, services: 1})
+	r := f.send(0, http.MethodPost, "/corrections/1", strings.Repeat("x", 1<<20+1))
+	is.Equal(r.StatusCode, http.StatusRequestEntityTooLarge)
+	is.Equal(outcome(r), api.OutcomeNotRun)
+	deep := `{"model":"m","prompt":` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + `}`
+	for _, body := range []string{deep, `{"model":1}`, `{"model":"drafting","prompt":""}`, `{"model":"drafting","prompt":"p","max_tokens":0}`, `{"model":"drafting","prompt":"p","n":2}`, `{`} {
+		r := f.send(0, http.MethodPost, "/v1/completions", body)
+		is.Equal(r.StatusCode, http.StatusBadRequest)
+		is.Equal(code(t, r), api.CodeBadRequest)
+	}
+	r = f.send(0, http.MethodPost, "/v1/completions", `{"model":"drafting","prompt":"p"}`, api.HeaderDeadline, "soon")
+	is.Equal(r.StatusCode, http.StatusBadRequest)
+	is.Equal(f.executed(), int64(0))
+}
