rollout: leave the fingerprint to dispatch, name score calls

Cause: dispatch computes one fingerprint for a prompt on a route; a second formula would split the suspects. Change: calls carry none; score calls bear a request ID for explain. Measured: go test ./rollout passes. Conclusion: one place decides.

--- a/rollout/perform.go
+++ b/rollout/perform.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -119,11 +117,10 @@
 }
 
 func (r *runner) call(e StartAttempt) dispatch.Call {
-	sum := sha256.Sum256([]byte(r.route.Name + "\x00" + e.Prompt))
 	return dispatch.Call{
 		RequestID: string(e.ID), Customer: r.route.Customer, Route: r.route.Name, Caller: r.key.trainer,
 		Pool: r.route.Pool, Model: r.m.model(r.route.Pool), Prompt: e.Prompt, MaxTokens: r.spec.MaxTokens, Seed: e.Seed,
-		Priority: int(r.route.Priority), Deadline: r.deadline, Fingerprint: hex.EncodeToString(sum[:]),
+		Priority: int(r.route.Priority), Deadline: r.deadline,
 		Tokens: e.Tokens, Text: e.Text, Spans: e.Spans, MinVersion: e.MinVersion, Trainer: true,
 	}
 }
@@ -165,7 +162,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	ans, cerr := r.m.opts.Services.CallService(ctx, dispatch.ServiceCall{
-		Route: row.Name, Customer: row.Customer, Path: strings.TrimSuffix(row.PathPrefix, "/") + "/score", Method: http.MethodPost,
+		RequestID: string(e.ID) + "-score", Route: row.Name, Customer: row.Customer, Caller: r.key.trainer, Path: strings.TrimSuffix(row.PathPrefix, "/") + "/score", Method: http.MethodPost,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Deadline: deadline,
 		Idempotent: true, IdempotencyKey: string(e.ID),
 	})
