--- /dev/null
+++ b/load/weights.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+)
+
+// publisher publishes versions of one model to the weight store and knows the newest.
+type publisher struct {
+	site    *Site
+	model   string
+	version atomic.Int64
+}
+
+// newPublisher returns a publisher of model whose newest version is version.
+func newPublisher(site *Site, model string, version int64) *publisher {
+	p := &publisher{site: site, model: model}
+	p.version.Store(version)
+	return p
+}
+
+// publish publishes the next version. The trainer has moved on once its weights exist.
+func (p *publisher) publish(ctx context.Context) error {
+	v := p.version.Load() + 1
+	url := fmt.Sprintf("%s/v1/models/%s/versions/%d", p.site.Endpoints.Store, p.model, v)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := p.site.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("weight store answers %s to version %d of %s", resp.Status, v, p.model)
+	}
+	p.version.Store(v)
+	return nil
+}
