--- /dev/null
+++ b/load/cli.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/spf13/cobra"
+)
+
+// NewCommand returns the command line of ibisload.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "ibisload",
+		Short:         "Load, experiments and checks against a deployment of ibistrail",
+		Version:       process.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(demoCommand())
+	return root
+}
+
+// demoFlags are the flags of `ibisload demo`.
+type demoFlags struct {
+	endpoints, tables, result string
+	add                       []string
+	seconds                   float64
+	seed, version             int64
+	verbose                   bool
+}
+
+func demoCommand() *cobra.Command {
+	f := demoFlags{}
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Run trainers and callers against a running deployment and check what they get",
+		Long: "Run each trainer and caller of a deployment for a time, check each answer, and print one line\n" +
+			"with the counts. The exit status is 1 if a promise was broken.",
+		Example: "  ibisload demo --endpoints run/endpoints.json --seconds 10\n" +
+			"  ibisload demo --endpoints run/songhan/endpoints.json --add run/magnolia/result.json",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	c.Flags().StringVar(&f.endpoints, "endpoints", "run/endpoints.json", "endpoints that ibisfake plan has written")
+	c.Flags().StringVar(&f.tables, "tables", "", "tables of the deployment (default: tables.json beside the endpoints)")
+	c.Flags().StringVar(&f.result, "result", "", "write the counts to this file, as JSON")
+	c.Flags().StringArrayVar(&f.add, "add", nil, "add the counts of an earlier result to the line")
+	c.Flags().Float64Var(&f.seconds, "seconds", 10, "how long to send, in seconds")
+	c.Flags().Int64Var(&f.seed, "seed", 1, "seed of arrivals and prompts")
+	c.Flags().Int64Var(&f.version, "weights", 1, "weight version that the engines start with")
+	c.Flags().BoolVar(&f.verbose, "verbose", false, "log retries and resubmissions")
+	return c
+}
+
+func (f *demoFlags) run(cmd *cobra.Command) error {
+	if f.tables == "" {
+		f.tables = filepath.Join(filepath.Dir(f.endpoints), "tables.json")
+	}
+	site, err := OpenSite(f.endpoints, f.tables)
+	if err != nil {
+		return err
+	}
+	level := slog.LevelError
+	if f.verbose {
+		level = slog.LevelInfo
+	}
+	tally, err := Demo(cmd.Context(), DemoOptions{
+		Site: site, Length: time.Duration(f.seconds * float64(time.Second)), Seed: f.seed, Version: f.version,
+		Log: process.NewLogger(cmd.ErrOrStderr(), level, "ibisload", "demo"),
+	})
+	if err != nil {
+		return err
+	}
+	if err := f.write(tally); err != nil {
+		return err
+	}
+	for _, path := range f.add {
+		var earlier Tally
+		if err := readJSON(path, &earlier); err != nil {
+			return err
+		}
+		tally.Add(&earlier)
+	}
+	for _, p := range tally.Problems {
+		fmt.Fprintln(cmd.ErrOrStderr(), "problem:", p)
+	}
+	if tally.Wrong > 0 {
+		fmt.Fprintf(cmd.ErrOrStderr(), "wrong=%d\n", tally.Wrong)
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "callers: requests=%d answered=%d\n", tally.Calls, tally.Answered)
+	fmt.Fprintln(cmd.OutOrStdout(), tally.Line())
+	if !tally.Good() {
+		return fmt.Errorf("a promise was broken; see the problems above")
+	}
+	return nil
+}
+
+func (f *demoFlags) write(t *Tally) error {
+	if f.result == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(t, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.result, append(raw, '\n'), 0o644)
+}
+
+// Main runs the command line until ctx ends and returns the exit status.
+func Main(ctx context.Context) int {
+	if err := NewCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "ibisload:", err)
+		return 1
+	}
+	return 0
+}
