--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -19,7 +19,7 @@
 mkdir -p "$dir/logs"
 dir=$(cd "$dir" && pwd)
 
-declare -A pid_of ended
+declare -A pid_of=() ended=()
 names=()
 stopping=0
 
