--- a/claims/table.go
+++ b/claims/table.go
@@ -108,10 +108,10 @@
 	if rec.Offset < t.next {
 		return nil
 	}
-	t.Missed(min(t.next, rec.Offset))
 	if rec.Offset > t.next {
 		t.Missed(rec.Offset)
 	}
+	t.ready = t.ready || rec.Offset == 1
 	t.next = rec.Offset + 1
 	r, err := decode(rec.Data)
 	if err != nil {
--- a/lease/table.go
+++ b/lease/table.go
@@ -57,10 +57,10 @@
 	if rec.Offset < t.next {
 		return "", false
 	}
-	t.Missed(min(t.next, rec.Offset))
 	if rec.Offset > t.next {
 		t.Missed(rec.Offset)
 	}
+	t.ready = t.ready || rec.Offset == 1
 	t.next = rec.Offset + 1
 	r, err := decode(rec.Data)
 	if err != nil {
