--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ibistrail/ibistrail/admission"
@@ -141,18 +142,10 @@
 	if end.free() {
 		return nil
 	}
-	return r.sleep(ctx, wait)
-}
-
-func (r *run) sleep(ctx context.Context, wait time.Duration) *api.Error {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !waitFor(ctx, wait) {
 		return errCallerGone()
 	}
+	return nil
 }
 
 // final gives an error the outcome that the attempts so far allow.
@@ -169,10 +162,19 @@
 	return err
 }
 
+// attemptID is unique on the engines, also when a request ID comes again.
 func (r *run) attemptID() string {
-	return r.call.RequestID + "-" + r.d.opts.GateID + "-" + strconv.Itoa(r.attempts)
+	return strings.Map(pathSafe, r.call.RequestID) + "-" + r.d.nonce + strconv.FormatUint(r.d.attempts.Add(1), 36)
 }
 
 func (r *run) explain(name, format string, args ...any) {
 	r.d.opts.Explain.Add(r.call.RequestID, name, format, args...)
 }
+
+// pathSafe keeps what may stand in a path segment.
+func pathSafe(c rune) rune {
+	if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '_' {
+		return c
+	}
+	return '-'
+}
