rpc: a given-up call no longer ends the others on its connection

Cause: scenario stop-second-signal: at SIGTERM the gate cancels its long poll to tell that it drains; the pool took that for a broken link and closed the connection, so that a claim in flight on it was refused as not run. Change: a cancelled call leaves the connection alone; a timeout retires it for new calls and closes it with its last one; only other failures close it at once.

--- a/rpc/pool.go
+++ b/rpc/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -15,7 +16,14 @@
 type Pool struct {
 	opts  Options
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*pooled
+}
+
+// pooled is one connection and how many calls are open on it.
+type pooled struct {
+	*jsonrpc2.Conn
+	calls   int
+	retired bool // gets no new calls; closed with its last call
 }
 
 // NewPool returns a pool without connections.
@@ -23,7 +31,7 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
-	return &Pool{opts: opts, conns: map[string]*jsonrpc2.Conn{}}
+	return &Pool{opts: opts, conns: map[string]*pooled{}}
 }
 
 // Close ends all connections.
@@ -55,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.release(c)
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return fmt.Errorf("rpc: encode %s: %w", method, err)
@@ -66,9 +75,7 @@
 		p.opts.Bytes.Add("rx."+method, int64(len(res)))
 	}
 	if err != nil {
-		if Code(err) == 0 {
-			p.drop(address, c)
-		}
+		p.failed(address, c, err)
 		return fmt.Errorf("rpc: call %s at %s: %w", method, address, err)
 	}
 	if result == nil {
@@ -80,32 +87,68 @@
 	return nil
 }
 
-// drop closes a connection that failed or timed out: a cut link must not be trusted again.
-func (p *Pool) drop(address string, c *jsonrpc2.Conn) {
+// failed decides what an error of one call means for its connection. A caller that gave up says
+// nothing about the link; after a timeout no new call may trust it, but those that are open on it go on.
+func (p *Pool) failed(address string, c *pooled, err error) {
+	switch {
+	case Code(err) != 0 || errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded):
+		p.mu.Lock()
+		p.forget(address, c)
+		c.retired = true
+		p.mu.Unlock()
+	default:
+		p.drop(address, c)
+	}
+}
+
+// release ends a call, and the connection if it was retired and this was its last call.
+func (p *Pool) release(c *pooled) {
 	p.mu.Lock()
+	c.calls--
+	last := c.retired && c.calls == 0
+	p.mu.Unlock()
+	if last {
+		c.Close()
+	}
+}
+
+// forget takes c out of the pool; p.mu is held.
+func (p *Pool) forget(address string, c *pooled) {
 	if p.conns[address] == c {
 		delete(p.conns, address)
 	}
+}
+
+// drop closes a connection that failed.
+func (p *Pool) drop(address string, c *pooled) {
+	p.mu.Lock()
+	p.forget(address, c)
 	p.mu.Unlock()
 	c.Close()
 }
 
-func (p *Pool) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+// conn returns a connection to address with a call counted on it.
+func (p *Pool) conn(ctx context.Context, address string) (*pooled, error) {
 	p.mu.Lock()
 	c := p.conns[address]
-	p.mu.Unlock()
 	if c != nil {
 		select {
 		case <-c.DisconnectNotify():
-			p.drop(address, c)
+			p.forget(address, c)
+			c = nil
 		default:
-			return c, nil
+			c.calls++
 		}
 	}
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
 	return p.dial(ctx, address)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*pooled, error) {
 	dctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	nc, err := p.opts.Dial(dctx, address)
@@ -123,10 +166,12 @@
 	defer p.mu.Unlock()
 	if old := p.conns[address]; old != nil {
 		c.Close()
+		old.calls++
 		return old, nil
 	}
-	p.conns[address] = c
-	return c, nil
+	n := &pooled{Conn: c, calls: 1}
+	p.conns[address] = n
+	return n, nil
 }
 
 // noRequests refuses requests that a server sends to a client.
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -78,3 +78,24 @@
 	is.NoErr(c.scan(make([]byte, 129)))                                  // the message
 	is.True(c.scan(binary.AppendUvarint(nil, MaxMessageBytes+1)) != nil) // too long
 }
+
+func TestGivenUpCallEndsNoOther(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	begun := make(chan struct{}, 3)
+	wait := func(context.Context, int) (int, error) { begun <- struct{}{}; <-release; return 1, nil }
+	addr := start(t, Options{Token: "s"}, map[string]Handler{"wait": Handle(wait)})
+	p := NewPool(Options{Token: "s"})
+	defer p.Close()
+	other := make(chan error, 1)
+	go func() { other <- p.Call(context.Background(), addr, "wait", 1, nil) }()
+	<-begun
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-begun; cancel() }()
+	is.True(p.Call(ctx, addr, "wait", 1, nil) != nil) // given up
+	ctx, cancel = context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	is.True(p.Call(ctx, addr, "wait", 1, nil) != nil) // timed out
+	close(release)
+	is.NoErr(<-other)
+}
--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -29,6 +29,7 @@
 	procs   map[string]*proc
 	blocked map[string]map[string]bool // by process, addresses that it may not dial
 
+	warm   int // calls that tried whether claims are decided
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -127,12 +128,25 @@
 	return c.await("claims through each gate", c.claims)
 }
 
-// claims tells whether a call with a caller's own key is run through each gate.
+// claims tells whether each steward that reads the claims knows all of them, and whether a call with
+// a caller's own key is run through each gate.
 func (c *cluster) claims() error {
+	for i := range c.plan.Stewards {
+		var state struct {
+			Claims struct{ Following, Ready bool }
+		}
+		if err := c.getJSON("http://"+c.plan.Stewards[i].DebugAddress+"/debug/state", &state); err != nil {
+			return err
+		}
+		if !state.Claims.Ready && (state.Claims.Following || i < 2*len(c.plan.Zones)) {
+			return fmt.Errorf("steward%d does not know all claims", i+1)
+		}
+	}
+	path, as := c.nonIdempotent()
 	for i, g := range c.plan.Gates {
-		route, as := c.nonIdempotent()
-		id := fmt.Sprintf("warm-%d", i+1)
-		r := c.call(callClient(), request{url: "http://" + g.GateHTTP, as: as, method: http.MethodPost, path: route + "/warm",
+		c.warm++
+		id := fmt.Sprintf("warm-%d", c.warm)
+		r := c.call(callClient(), request{url: "http://" + g.GateHTTP, as: as, method: http.MethodPost, path: path + "/warm",
 			body: []byte(id), header: map[string]string{service.HeaderCheck: id, "Idempotency-Key": id}})
 		if r.Outcome != "done" {
 			return fmt.Errorf("gate%d: %s", i+1, compact(r))
--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"os/exec"
@@ -55,20 +54,23 @@
 
 // matches compares a field with one of the wanted values.
 func matches(got any, want string) error {
-	if n, ok := got.(float64); ok {
-		in, err := inRange(int64(n), want)
-		if err == nil && in {
+	for _, alternative := range strings.Split(want, "|") {
+		n, number := got.(float64)
+		if !number && fmt.Sprint(got) == alternative {
 			return nil
 		}
-		return errors.Join(err, fmt.Errorf("is %v, want %s", n, want))
-	}
-	s := fmt.Sprint(got)
-	for _, alternative := range strings.Split(want, "|") {
-		if s == alternative {
+		if !number {
+			continue
+		}
+		in, err := inRange(int64(n), alternative)
+		if err != nil {
+			return err
+		}
+		if in {
 			return nil
 		}
 	}
-	return fmt.Errorf("is %q, want %q", s, want)
+	return fmt.Errorf("is %v, want %s", got, want)
 }
 
 // cmdCheck tells whether a condition holds now, cmdAwait waits until it does. Conditions:
@@ -86,6 +88,7 @@
 //	quiet TARGET MARK MS     no request arrived at a target later than MS milliseconds after MARK
 //	step NAME RANGE          samples that a trainer holds
 //	sent LOAD RANGE          requests that a load has sent
+//	claims                   stewards know all claims, and calls with keys run through each gate
 //	exec PROGRAM ARG…        the program succeeds
 func (c *cluster) cmdCheck(w words) error { return c.condition(w) }
 
@@ -123,6 +126,8 @@
 		return c.held(args)
 	case "sent":
 		return c.sent(args)
+	case "claims":
+		return c.claims()
 	case "exec":
 		return c.exec(args)
 	}
