gate, ctl: explain by the operators' token

Cause: gate.explain was served to nodes only, so that ibisctl explain got no answer from running gates. Change: gates serve it openly and compare the operators' token; plans give gates its hash; one comparison in settings for both processes. Measured: go test ./gate ./settings ./steward ./fake/deployment, pass. Conclusion: ibisctl explain works against running gates.

--- a/fake/deployment/plan.go
+++ b/fake/deployment/plan.go
@@ -175,7 +175,7 @@
 func (b *planner) addNode(node settings.Node) {
 	b.d.Gates = append(b.d.Gates, settings.Gate{
 		Node: node, DebugAddress: b.address(), BalancerLagMs: b.o.BalancerLagMs, DrainTimeoutMs: b.o.DrainTimeoutMs,
-		MaxBodyBytes: DefaultMaxBodyBytes, Policy: b.o.Policy,
+		MaxBodyBytes: DefaultMaxBodyBytes, OperatorTokenSHA256: sha256Hex(OperatorToken), Policy: b.o.Policy,
 	})
 	pl := b.d.Platform
 	b.d.Stewards = append(b.d.Stewards, settings.Steward{
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/settings"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -22,10 +23,14 @@
 	maps.Copy(handlers, g.rollouts.Handlers())
 	return rpc.NewServer(rpc.Options{
 		Token: g.opts.PeerToken, Log: g.log, Bytes: g.opts.Metrics.SubMap("rpc_bytes"),
+		Open: map[string]bool{wire.MethodExplain: true}, // operators, by their token
 	}, handlers)
 }
 
 func (g *Gate) handleExplain(_ context.Context, p wire.ExplainParams) (*wire.ExplainResult, error) {
+	if !settings.MatchesToken(g.opts.Settings.OperatorTokenSHA256, p.Token) {
+		return nil, rpc.Errorf(wire.CodeUnauthorized, "operator token is wrong; set the token whose SHA-256 is operator_token_sha256 in the gate's settings")
+	}
 	events := g.explain.Events(p.RequestID)
 	if events == nil {
 		events = []wire.Event{}
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,7 +1,10 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"crypto/subtle"
 	_ "embed"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -179,3 +182,9 @@
 	}
 	return false
 }
+
+// MatchesToken tells whether token is the one whose hex SHA-256 is hash; an empty hash matches none.
+func MatchesToken(hash, token string) bool {
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(hash)) == 1
+}
--- a/steward/operator.go
+++ b/steward/operator.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"errors"
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/settings"
 	"github.com/ibistrail/ibistrail/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -29,9 +27,7 @@
 )
 
 func (s *Steward) authorize(token string) error {
-	sum := sha256.Sum256([]byte(token))
-	want := []byte(s.opts.Settings.OperatorTokenSHA256)
-	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), want) != 1 {
+	if !settings.MatchesToken(s.opts.Settings.OperatorTokenSHA256, token) {
 		return rpc.Errorf(wire.CodeUnauthorized, "operator token is wrong; set the token whose SHA-256 is operator_token_sha256 in the steward's settings")
 	}
 	return nil
