--- /dev/null
+++ b/settings/docs_test.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/ibistrail/ibistrail/config"
+)
+
+// TestConfigurationPageNamesEachField keeps docs/CONFIGURATION.md and the schemas together.
+func TestConfigurationPageNamesEachField(t *testing.T) {
+	page, err := os.ReadFile("../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	prefix := map[string]string{"caller": "callers[].", "target": "targets[].", "weights": "weights."}
+	for _, raw := range [][]byte{Schema, config.Schema} {
+		var doc struct {
+			Defs map[string]struct {
+				Properties map[string]any `json:"properties"`
+			} `json:"$defs"`
+		}
+		if err := json.Unmarshal(raw, &doc); err != nil {
+			t.Fatal(err)
+		}
+		for name, def := range doc.Defs {
+			for field := range def.Properties {
+				if !strings.Contains(string(page), "`"+prefix[name]+field+"`") {
+					t.Errorf("docs/CONFIGURATION.md does not name `%s%s`", prefix[name], field)
+				}
+			}
+		}
+	}
+}
+
+// TestConfigurationPageHasValidTables checks the page's example.
+func TestConfigurationPageHasValidTables(t *testing.T) {
+	page, err := os.ReadFile("../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```json\n")
+	example, _, found := strings.Cut(rest, "```")
+	if !found {
+		t.Fatal("the page has no example")
+	}
+	if _, problems := config.ParseTables([]byte(example)); len(problems) > 0 {
+		t.Error(problems)
+	}
+}
