--- a/config/machine.go
+++ b/config/machine.go
@@ -27,15 +27,14 @@
 	ready bool
 	// scanning is true while records before next are missing: changes cannot be decided until a
 	// snapshot is found. What was in force before stays in force.
-	scanning     bool
-	first        platform.Offset // oldest retained offset, as far as known
-	next         platform.Offset
-	state        Snapshot
-	decided      map[string]Decided
-	history      []Decision
-	lastSnapshot platform.Offset
-	stats        Stats
-	window       platform.Offset
+	scanning bool
+	first    platform.Offset // oldest retained offset, as far as known
+	next     platform.Offset
+	state    Snapshot
+	decided  map[string]Decided
+	history  []Decision
+	stats    Stats
+	window   platform.Offset
 }
 
 // Stats count records that a Machine did not act on.
@@ -75,8 +74,10 @@
 // Stats returns counts of records that were not acted on.
 func (m *Machine) Stats() Stats { return m.stats }
 
-// LastSnapshot returns the offset of the newest snapshot record that was seen; 0 means none.
-func (m *Machine) LastSnapshot() platform.Offset { return m.lastSnapshot }
+// LastSnapshot returns the offset of the newest snapshot record that carries the state forward; 0
+// means none. One whose state is older than the snapshot before it does not count, since records
+// that it needs expire first.
+func (m *Machine) LastSnapshot() platform.Offset { return m.state.LastSnapshot }
 
 // Tables returns the tables in force, which the caller must not modify.
 func (m *Machine) Tables() *Tables {
@@ -135,7 +136,7 @@
 
 func (m *Machine) adopt(s Snapshot) {
 	m.state = emptySnapshot()
-	m.state.Revision, m.state.Incomplete = s.Revision, s.Incomplete
+	m.state.Revision, m.state.Incomplete, m.state.LastSnapshot = s.Revision, s.Incomplete, s.LastSnapshot
 	m.state.Tables = sorted(s.Tables)
 	maps.Copy(m.state.Rows, s.Rows)
 	maps.Copy(m.state.Deleted, s.Deleted)
@@ -170,30 +171,35 @@
 	}
 	m.advance(rec.Offset)
 	if err != nil || rec.ID == "" {
-		m.refuse(err)
+		m.refuse(rec.Offset, err)
 		return nil
 	}
 	return m.applyChange(rec, *r.Change)
 }
 
-// refuse counts a record that cannot be read. One of a newer format may hold a change that newer
-// programs have in force, so that this state is no basis for a snapshot any more.
-func (m *Machine) refuse(err error) {
+// refuse counts a record that cannot be read. A change of a newer format may be in force on newer
+// nodes; a snapshot of a newer format tells that such nodes carry the state forward.
+func (m *Machine) refuse(at platform.Offset, err error) {
 	var newer *NewerFormatError
 	if !errors.As(err, &newer) {
 		m.stats.Malformed++
 		return
 	}
 	m.stats.Newer++
-	if newer.Type != RecordSnapshot {
-		m.state.Incomplete = true
+	if newer.Type == RecordSnapshot {
+		m.state.LastSnapshot = at
+		return
 	}
+	m.state.Incomplete = true
 }
 
 func (m *Machine) applySnapshot(at platform.Offset, s Snapshot) {
-	m.lastSnapshot = at
+	useful := s.Revision < at && s.Revision >= m.state.LastSnapshot
 	if !m.scanning {
 		m.advance(at)
+		if useful {
+			m.state.LastSnapshot = at
+		}
 		return
 	}
 	// All records after the snapshot's revision must still be there to be read.
--- a/config/record.go
+++ b/config/record.go
@@ -56,11 +56,9 @@
 	return encode(c.ID, LogRecord{Format: Format, Type: RecordChange, Change: &c})
 }
 
-// EncodeSnapshot returns the log record of s under the unique record ID id.
+// EncodeSnapshot returns the log record of s under the unique record ID id. An incomplete snapshot
+// is a last resort: it is for a log that no node of the newer release carries forward any more.
 func EncodeSnapshot(s Snapshot, id string) (platform.NewRecord, error) {
-	if s.Incomplete {
-		return platform.NewRecord{}, errors.New("config: snapshot is incomplete; let a node of the newer release write it")
-	}
 	return encode(id, LogRecord{Format: Format, Type: RecordSnapshot, Snapshot: &s})
 }
 
--- a/config/tables.go
+++ b/config/tables.go
@@ -210,7 +210,9 @@
 	Deleted map[RowKey]RowInfo `json:"deleted,omitempty"`
 	// Decided are the changes decided within the last DecidedWindow offsets, the oldest first.
 	Decided []Decided `json:"decided,omitempty"`
+	// LastSnapshot is the offset of the newest snapshot record that carries the state forward.
+	LastSnapshot platform.Offset `json:"last_snapshot,omitempty"`
 	// Incomplete is true when the writer passed a record of a newer format, so that its tables may
-	// lack a change; such a snapshot is never appended to the log.
+	// lack a change.
 	Incomplete bool `json:"incomplete,omitempty"`
 }
--- a/logtail/carry.go
+++ b/logtail/carry.go
@@ -13,13 +13,17 @@
 	// carryRetry is the share of the retention after which an append that was not read back is
 	// made again.
 	carryRetry = 0.02
+	// carryLastResort is the share of the retention after which a state that may lack a change of a
+	// newer format is carried forward too, since no node of the newer release does it.
+	carryLastResort = 0.7
 )
 
 // Carry tells when what must outlive the retention of the log has to be appended again. It reads
 // no clock.
 type Carry struct {
-	rng *rand.Rand
-	at  time.Time
+	rng  *rand.Rand
+	at   time.Time
+	seen time.Time
 }
 
 // NewCarry returns a schedule whose draws come from seed.
@@ -27,6 +31,7 @@
 
 // Seen tells that a snapshot was read soon after it was appended.
 func (c *Carry) Seen(now time.Time, retention time.Duration) {
+	c.seen = now
 	c.at = now.Add(share(retention, carryMin+carrySpan*c.rng.Float64()))
 }
 
@@ -36,6 +41,7 @@
 		return false
 	}
 	if c.at.IsZero() { // nothing is known of the age of what was read
+		c.seen = now
 		c.at = now.Add(share(retention, carrySpan*c.rng.Float64()))
 	}
 	if now.Before(c.at) {
@@ -45,4 +51,9 @@
 	return true
 }
 
+// LastResort tells whether nobody has appended one for so long that it is soon lost.
+func (c *Carry) LastResort(now time.Time, retention time.Duration) bool {
+	return retention > 0 && !c.seen.IsZero() && now.Sub(c.seen) >= share(retention, carryLastResort)
+}
+
 func share(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -82,7 +82,8 @@
 	if !t.machine.Ready() || t.machine.Scanning() || t.machine.Revision() == 0 || !t.carry.Due(now, retention) {
 		return config.Snapshot{}, false
 	}
-	return t.machine.Snapshot(), true
+	snap := t.machine.Snapshot()
+	return snap, !snap.Incomplete || t.carry.LastResort(now, retention)
 }
 
 // Snapshot implements logtail.Snapshotter.
