--- a/claims/main_test.go
+++ b/claims/main_test.go
@@ -12,5 +12,8 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("1")
 	}
+	if f := flag.Lookup("rapid.steps"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("100") // a snapshot takes many steps
+	}
 	os.Exit(m.Run())
 }
