--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -31,10 +31,8 @@
 
 type proc struct {
 	*Manager
-	name     string
-	paused   bool
-	waited   time.Duration
-	caughtUp bool
+	name   string
+	paused bool
 }
 
 func newWorld(n int) *world {
--- /dev/null
+++ b/rumor/rumor_test.go
@@ -0,0 +1,124 @@
+package rumor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func fact(kind, key string, seq int64, ttl time.Duration) wire.Rumor {
+	return wire.Rumor{Kind: kind, Key: key, Seq: seq, Expires: now.Add(ttl).UnixMilli()}
+}
+
+func TestLargerSeqWinsAndEntriesExpire(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	is.True(s.Put(now, fact(KindVersion, "m", 2, time.Minute)))
+	is.True(!s.Put(now, fact(KindVersion, "m", 1, time.Hour)))
+	is.True(s.Put(now, fact(KindVersion, "m", 3, time.Minute)))
+	is.Equal(s.Kind(KindVersion)[0].Seq, int64(3))
+	is.True(!s.Put(now, fact(KindVersion, "n", 1, -time.Second)))
+	is.True(!s.Put(now, fact(KindVersion, "n", 1, 2*MaxTTL))) // nobody may claim to know for ever
+	s.Expire(now.Add(2 * time.Minute))
+	is.Equal(s.Len(), 0)
+}
+
+func TestStoreIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	for i := range MaxEntries {
+		s.Put(now, fact(KindDeath, fmt.Sprint(i), 1, time.Hour))
+	}
+	is.True(!s.Put(now, fact(KindDeath, "short", 1, time.Minute)))
+	is.True(s.Put(now, fact(KindDeath, "long", 1, 2*time.Hour)))
+	is.Equal(s.Len(), MaxEntries)
+}
+
+func TestNewsEndsAfterSomeSendings(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Put(now, fact(KindVersion, "m", 1, time.Hour))
+	is.True(s.Fresh())
+	is.True(!s.Fresh())
+	sent := 0
+	for len(s.News(true)) > 0 {
+		sent++
+	}
+	is.Equal(sent, minSends+nodesBits)
+}
+
+func TestSomeKindsStayInTheZone(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Put(now, fact(KindEngines, "p/a", 1, time.Hour))
+	is.Equal(len(s.News(false)), 0)
+	is.Equal(s.Hash(false), New().Hash(false))
+	is.True(s.Hash(true) != New().Hash(true))
+	is.Equal(len(s.News(true)), 1)
+}
+
+func TestTablesThatDifferAreMadeEqualByParts(t *testing.T) {
+	is := is.New(t)
+	a, b := New(), New()
+	for i := range 100 {
+		a.Put(now, fact(KindVersion, fmt.Sprint("a", i), 1, time.Hour))
+		b.Put(now, fact(KindVersion, fmt.Sprint("b", i), 1, time.Hour))
+	}
+	rounds := 0
+	for ; a.Hash(true) != b.Hash(true); rounds++ {
+		is.True(rounds <= Buckets)
+		part := a.Differing(b.Digests(true), true)[:1]
+		told := a.InBuckets(part, nil, true)
+		back := b.InBuckets(part, told, true)
+		b.Merge(now, told)
+		a.Merge(now, back)
+	}
+	is.Equal(a.Len(), 200)
+}
+
+func deaths(s *Store, engine string, alone bool, fingerprints ...string) {
+	for _, fp := range fingerprints {
+		s.Put(now, NewDeath(now, wire.Death{Fingerprint: fp, Target: engine, Boot: "1", Alone: alone}))
+	}
+}
+
+func TestJudge(t *testing.T) {
+	type verdict struct{ barred, suspects int }
+	for name, c := range map[string]struct {
+		report func(s *Store)
+		want   verdict
+	}{
+		"one death makes suspects of all": {func(s *Store) { deaths(s, "e1", false, "poison", "x", "y") }, verdict{0, 3}},
+		"second death alone bars":         {func(s *Store) { deaths(s, "e1", false, "poison", "x"); deaths(s, "e2", true, "poison") }, verdict{1, 1}},
+		"second death not alone, nobody else in both": {func(s *Store) {
+			deaths(s, "e1", false, "poison", "x")
+			deaths(s, "e2", false, "poison", "y")
+		}, verdict{1, 2}},
+		"two in both deaths are told apart by running alone": {func(s *Store) {
+			deaths(s, "e1", false, "poison", "x")
+			deaths(s, "e2", false, "poison", "x")
+		}, verdict{0, 2}},
+		"the same death told by two gates counts once": {func(s *Store) { deaths(s, "e1", true, "poison"); deaths(s, "e1", true, "poison") }, verdict{0, 1}},
+		"clearing undoes earlier deaths": {func(s *Store) {
+			deaths(s, "e1", false, "x")
+			s.Put(now, NewCleared(now.Add(time.Second), "x"))
+		}, verdict{0, 0}},
+		"a death after the clearing counts": {func(s *Store) {
+			s.Put(now, NewCleared(now.Add(-time.Second), "x"))
+			deaths(s, "e1", false, "x")
+		}, verdict{0, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := New()
+			c.report(s)
+			barred, suspects := s.Judge()
+			is.Equal(verdict{len(barred), len(suspects)}, c.want)
+		})
+	}
+}
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -208,7 +208,8 @@
 	s, p, target := &e.status, &c.pool, c.Target()
 	switch {
 	case p.Model != "" && s.Model != p.Model:
-		return platform.Order{Kind: platform.OrderLoadModel, Model: p.Model, Version: target, Mode: c.mode()}, true
+		version := cmp.Or(target, c.newest)
+		return platform.Order{Kind: platform.OrderLoadModel, Model: p.Model, Version: version, Mode: c.mode()}, version > 0
 	case target > 0 && s.Version != target && (s.Version < target || !p.Weights.Follow):
 		return platform.Order{Kind: platform.OrderLoadVersion, Model: p.Model, Version: target, Mode: c.mode()}, true
 	case !sameSet(s.Adapters, p.Adapters):
--- /dev/null
+++ b/weights/weights_test.go
@@ -0,0 +1,255 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// bench is a core before modelled engines.
+type bench struct {
+	now     time.Time
+	core    *Core
+	pool    config.Pool
+	engines map[string]*platform.EngineStatus
+	leaving map[string]bool
+}
+
+func newBench(n int, w config.Weights) *bench {
+	b := &bench{now: time.Unix(1000, 0), core: New(Options{AvailabilityZone: "a"}), engines: map[string]*platform.EngineStatus{}, leaving: map[string]bool{}}
+	b.pool = config.Pool{Name: "p", Kind: config.PoolEngines, Model: "m", Weights: &w}
+	for i := range n {
+		a := fmt.Sprintf("e%d", i)
+		b.pool.Targets = append(b.pool.Targets, config.Target{Name: a, Address: a, AvailabilityZone: "a"})
+		b.engines[a] = &platform.EngineStatus{Boot: "1", Model: "m", Version: 1}
+	}
+	b.core.SetPool(b.pool, func(a string) bool { return b.leaving[a] })
+	b.observe()
+	return b
+}
+
+func (b *bench) observe() {
+	for a, s := range b.engines {
+		b.core.Observed(b.now, a, s)
+	}
+}
+
+// done carries an order out.
+func (b *bench) done(o OrderTo) {
+	s := b.engines[o.Address]
+	switch o.Order.Kind {
+	case platform.OrderLoadVersion:
+		s.Version = o.Order.Version
+	case platform.OrderLoadModel:
+		s.Model, s.Version = o.Order.Model, o.Order.Version
+	case platform.OrderSetAdapters:
+		s.Adapters = o.Order.Adapters
+	case platform.OrderSetRole:
+		s.Role = o.Order.Role
+	}
+	b.core.Observed(b.now, o.Address, s)
+	b.core.Ordered(b.now, o.Address, ResultDone)
+}
+
+func TestWavesKeepTheFloorAndTheRate(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8, config.Weights{Follow: true, ServingFloorPercent: 50})
+	b.core.SetNewest(2, 3)
+	first := b.core.Step(b.now)
+	is.Equal(len(first), 3) // the store's rate
+	is.Equal(len(b.core.Step(b.now)), 0)
+	b.core.SetNewest(2, 8)
+	second := b.core.Step(b.now)
+	is.Equal(len(second), 1) // the floor of 4
+	for _, o := range append(first, second...) {
+		b.done(o)
+	}
+	is.Equal(len(b.core.Step(b.now)), 4)
+}
+
+func TestFloorThatLeavesNoRoomStillSwapsOneByOne(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, config.Weights{Follow: true, ServingFloorPercent: 100})
+	b.core.SetNewest(2, 8)
+	o := b.core.Step(b.now)
+	is.Equal(len(o), 1)
+	is.Equal(len(b.core.Step(b.now)), 0)
+	b.done(o[0])
+	is.Equal(len(b.core.Step(b.now)), 1)
+}
+
+func TestOnlyTheNewestVersionIsOrdered(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, config.Weights{Follow: true})
+	b.core.SetNewest(2, 1)
+	o := b.core.Step(b.now)
+	is.Equal(o[0].Order.Version, int64(2))
+	b.core.SetNewest(4, 1)
+	b.core.SetNewest(3, 1) // told late
+	b.done(o[0])
+	o = b.core.Step(b.now)
+	is.Equal(o[0].Order.Version, int64(4))
+	is.Equal(o[0].Address, "e1") // the one with the oldest weights
+}
+
+func TestFollowingNeverGoesBackButAPinDoes(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, config.Weights{Follow: true})
+	b.engines["e0"].Version = 5
+	b.observe()
+	b.core.SetNewest(3, 1)
+	is.Equal(len(b.core.Step(b.now)), 0)
+	b.pool.Weights = &config.Weights{Version: 2}
+	b.core.SetPool(b.pool, func(string) bool { return false })
+	is.Equal(b.core.Step(b.now)[0].Order.Version, int64(2))
+}
+
+func TestFailedSwapIsRepairedAfterAPause(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, config.Weights{Follow: true})
+	b.core.SetNewest(2, 1)
+	o := b.core.Step(b.now)
+	b.core.Ordered(b.now, o[0].Address, ResultFailed)
+	is.Equal(len(b.core.Step(b.now)), 0)
+	b.now = b.now.Add(BackoffMin)
+	b.observe()
+	is.Equal(len(b.core.Step(b.now)), 1)
+}
+
+func TestSwapThatTookEffectWithoutAnAnswerIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, config.Weights{Follow: true})
+	b.core.SetNewest(2, 1)
+	o := b.core.Step(b.now)
+	b.engines["e0"].Version = 2
+	b.observe()
+	b.core.Ordered(b.now, o[0].Address, ResultFailed)
+	b.now = b.now.Add(BackoffMax)
+	b.observe()
+	is.Equal(len(b.core.Step(b.now)), 0)
+}
+
+func TestEngineBackWithOldWeightsIsOrderedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, config.Weights{Follow: true})
+	b.core.SetNewest(2, 1)
+	b.done(b.core.Step(b.now)[0])
+	b.core.Observed(b.now, "e0", nil)
+	b.engines["e0"] = &platform.EngineStatus{Boot: "2", Model: "m", Version: 1}
+	b.observe()
+	is.Equal(len(b.core.Step(b.now)), 1)
+}
+
+func TestNoOrderWithoutAFreshStatusOrToLeavingEngines(t *testing.T) {
+	is := is.New(t)
+	b := newBench(3, config.Weights{Follow: true})
+	b.core.SetNewest(2, 3)
+	b.leaving["e0"] = true
+	b.engines["e1"].Draining = true
+	b.core.SetPool(b.pool, func(a string) bool { return b.leaving[a] })
+	b.observe()
+	b.core.Observed(b.now, "e2", nil)
+	is.Equal(len(b.core.Step(b.now)), 0)
+	b.now = b.now.Add(StatusFresh + time.Second)
+	is.Equal(len(b.core.Step(b.now)), 0)
+}
+
+func TestModelAdaptersAndRoleFollowTheRow(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, config.Weights{Follow: true})
+	b.pool.Model, b.pool.Adapters, b.pool.Role = "n", []string{"x"}, "draft"
+	b.core.SetPool(b.pool, func(string) bool { return false })
+	is.Equal(len(b.core.Step(b.now)), 0) // no version of the model is known
+	b.core.SetNewest(7, 1)
+	var kinds []platform.OrderKind
+	for range 4 {
+		for _, o := range b.core.Step(b.now) {
+			kinds = append(kinds, o.Order.Kind)
+			b.done(o)
+		}
+	}
+	is.Equal(kinds, []platform.OrderKind{platform.OrderLoadModel, platform.OrderSetAdapters, platform.OrderSetRole})
+	is.Equal(*b.engines["e0"], platform.EngineStatus{Boot: "1", Model: "n", Version: 7, Adapters: []string{"x"}, Role: "draft"})
+}
+
+func TestBusyStoreHalvesTheWave(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8, config.Weights{Follow: true})
+	b.core.SetNewest(2, 8)
+	for _, o := range b.core.Step(b.now) {
+		b.core.Ordered(b.now, o.Address, ResultStoreBusy)
+	}
+	b.now = b.now.Add(BackoffMin)
+	b.observe()
+	is.Equal(len(b.core.Step(b.now)), 1)
+}
+
+func TestObjectiveChoosesTheMode(t *testing.T) {
+	is := is.New(t)
+	for weight, mode := range map[float64]platform.SwapMode{0: platform.SwapDrain, 0.2: platform.SwapDrain, 0.8: platform.SwapNow, 1: platform.SwapNow} {
+		b := newBench(1, config.Weights{Follow: true, StalenessWeight: weight})
+		b.core.SetNewest(2, 1)
+		is.Equal(b.core.Step(b.now)[0].Order.Mode, mode)
+	}
+}
+
+func TestAllAtOnceOrdersAll(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8, config.Weights{Follow: true, ServingFloorPercent: 90})
+	b.core.opts.AllAtOnce = true
+	b.core.SetNewest(2, 1)
+	is.Equal(len(b.core.Step(b.now)), 8)
+}
+
+// Whatever engines do, the floor and the rate hold and all end with the newest version.
+func TestWavesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "engines")
+		floor := rapid.IntRange(0, 100).Draw(t, "floor")
+		rate := rapid.IntRange(1, 5).Draw(t, "rate")
+		b := newBench(n, config.Weights{Follow: true, ServingFloorPercent: floor})
+		open := map[string]OrderTo{}
+		newest := int64(1)
+		turn := func(fail bool) {
+			b.now = b.now.Add(500 * time.Millisecond)
+			b.observe()
+			for _, o := range b.core.Step(b.now) {
+				open[o.Address] = o
+			}
+			room := n - b.core.floor(n)
+			if len(open) > max(1, min(room, rate)) {
+				t.Fatalf("%d of %d engines load, floor %d%%, rate %d", len(open), n, floor, rate)
+			}
+			for a, o := range open {
+				switch {
+				case !fail || rapid.Bool().Draw(t, "ends"):
+					b.done(o)
+					delete(open, a)
+				case rapid.Bool().Draw(t, "fails"):
+					b.core.Ordered(b.now, a, ResultFailed)
+					delete(open, a)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "turns") {
+			if rapid.IntRange(0, 3).Draw(t, "publish") == 0 {
+				newest++
+			}
+			b.core.SetNewest(newest, rate)
+			turn(true)
+		}
+		for range 200 {
+			turn(false)
+		}
+		for a, s := range b.engines {
+			if s.Version != newest {
+				t.Fatalf("%s runs %d, not %d", a, s.Version, newest)
+			}
+		}
+	})
+}
