steward: tests of failures; ready without the first long poll

Cause: a node waited for a whole poll before it knew that a stream is empty; each starting node thought itself the first of its zone and read the claims for ever. Change: the first read does not wait; a node reads claims after it has been the first for 3 s. Measured: go test -race ./steward passes; with the first change alone TestOneKeyHasOneHolderThroughAllStewards failed.

--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -140,14 +140,14 @@
 
 func (t *Tail) readLog(ctx context.Context) (time.Duration, error) {
 	from := t.opts.Consumer.Next()
-	sent := time.Now()
-	res, err := t.opts.Log.Read(ctx, t.opts.Stream, from, ReadLimit, PollWait.Milliseconds())
+	sent, wait := time.Now(), t.wait()
+	res, err := t.opts.Log.Read(ctx, t.opts.Stream, from, ReadLimit, wait.Milliseconds())
 	if err != nil {
 		return 0, fmt.Errorf("read stream %s at %d: %w", t.opts.Stream, from, err)
 	}
 	at := sent
 	if len(res.Records) == 0 {
-		at = sent.Add(min(time.Since(sent), PollWait)) // the log has waited so long
+		at = sent.Add(min(time.Since(sent), wait)) // the log has waited so long
 	}
 	t.take(&wire.FetchResult{Records: res.Records, Next: res.Next, First: res.First, RetentionMs: res.RetentionMs}, at)
 	return 0, nil
@@ -156,7 +156,7 @@
 func (t *Tail) readPeer(ctx context.Context, n wire.Node) (time.Duration, error) {
 	from := t.opts.Consumer.Next()
 	var res wire.FetchResult
-	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: PollWait.Milliseconds()}
+	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: t.wait().Milliseconds()}
 	if err := t.opts.Call(ctx, n.StewardAddress, wire.MethodFetch, p, &res); err != nil {
 		return 0, err
 	}
@@ -165,6 +165,16 @@
 	return age, nil
 }
 
+// wait returns how long a source may wait for new records: not at all until the end was read once.
+func (t *Tail) wait() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.freshAt.IsZero() {
+		return 0
+	}
+	return PollWait
+}
+
 // take applies an answer whose Next was the end of the log at a time.
 func (t *Tail) take(res *wire.FetchResult, at time.Time) {
 	c := t.opts.Consumer
--- a/steward/claims.go
+++ b/steward/claims.go
@@ -21,6 +21,9 @@
 	claimsTick = 20 * time.Millisecond
 	// claimFollowers is how many nodes of a zone read the stream of claims.
 	claimFollowers = 2
+	// claimFollowAfter is how long a node must have been one of these before it reads the stream:
+	// at its start it does not know the others.
+	claimFollowAfter = 3 * time.Second
 	// claimAttempt bounds the wait for one node that may decide a claim.
 	claimAttempt = 2 * time.Second
 	// claimAppendTimeout bounds one append of claims.
@@ -49,6 +52,7 @@
 	tail    *logtail.Tail
 	waiting map[string][]*waiter
 	busy    bool
+	turnAt  time.Time // since when it is this node's turn to follow
 }
 
 // waiter is a call that waits for the decision of its claim.
@@ -154,11 +158,11 @@
 func (c *claimsDuty) step(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if c.relay == nil {
-		c.follow()
+		c.follow(now)
 		return
 	}
-	now := time.Now()
 	c.failLate(now)
 	if c.busy {
 		return
@@ -172,9 +176,16 @@
 }
 
 // follow starts reading the stream on a zone's first nodes. The caller holds mu.
-func (c *claimsDuty) follow() {
+func (c *claimsDuty) follow(now time.Time) {
 	self := func(n wire.Node) bool { return n.ID == c.s.self.ID }
 	if _, _, ready := c.s.tables.inForce(); !ready || !slices.ContainsFunc(c.followers(), self) {
+		c.turnAt = time.Time{}
+		return
+	}
+	if c.turnAt.IsZero() {
+		c.turnAt = now
+	}
+	if now.Sub(c.turnAt) < claimFollowAfter {
 		return
 	}
 	c.relay = claims.NewRelay(c.s.holder(), c.s.seed)
--- a/steward/cluster_test.go
+++ b/steward/cluster_test.go
@@ -172,3 +172,22 @@
 	r := config.Route{Name: "draft", Kind: config.RouteCompletions, Customer: "magnolia", Model: "m", Pool: "drafting", TimeoutMs: 10_000, Callers: []config.Caller{{Name: "desk", TokenSHA256: hex.EncodeToString(sum[:])}}}
 	return config.Change{ID: id, Author: "test", Edits: []config.Edit{{Key: config.PoolKey(p.Name), Pool: &p}, {Key: config.RouteKey(r.Name), Route: &r}}}
 }
+
+// platformAddresses are what a zone that is cut from the platform cannot reach.
+func (c *cluster) platformAddresses() []string {
+	return []string{c.urls.log[len("http://"):], c.urls.store[len("http://"):], c.urls.vms[len("http://"):]}
+}
+
+// claim asks a steward, as a gate does.
+func (c *cluster) claim(n *node, key int, id string) (wire.ClaimResult, error) {
+	var res wire.ClaimResult
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	peers := rpc.NewPool(rpc.Options{Token: testPeerToken})
+	defer peers.Close()
+	err := peers.Call(ctx, n.set.StewardAddress, wire.MethodClaim, wire.ClaimParams{
+		Key: fmt.Sprintf("%064x", key), Fingerprint: fmt.Sprintf("%064x", 1), GateID: n.set.ID, GateIncarnation: "i", ClaimID: id,
+		TimeoutMs: waitTimeout.Milliseconds(),
+	}, &res)
+	return res, err
+}
--- /dev/null
+++ b/steward/failure_test.go
@@ -0,0 +1,263 @@
+package steward
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/fake/engine"
+	"github.com/ibistrail/ibistrail/fake/logservice"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+// servicePool is a change that adds a pool of plain services.
+func servicePool(id, name string) config.Change {
+	p := config.Pool{Name: name, Kind: config.PoolServices, Targets: []config.Target{{Name: "s", Address: "127.0.0.1:9", AvailabilityZone: "a"}}}
+	return config.Change{ID: id, Author: "test", Edits: []config.Edit{{Key: config.PoolKey(name), Pool: &p}}}
+}
+
+// must applies a change that has to be accepted.
+func (c *cluster) must(n *node, change config.Change) {
+	c.t.Helper()
+	res, err := c.apply(n, change)
+	if err != nil || !res.Decision.Accepted {
+		c.t.Fatalf("change %s: %+v, %v", change.ID, res.Decision, err)
+	}
+}
+
+// settle waits until all nodes are ready and know one another.
+func (c *cluster) settle() {
+	c.t.Helper()
+	c.eventually("all ready and known to one another", func() bool {
+		for _, n := range c.nodes {
+			if n.ready() != nil || len(n.members.Alive()) != len(c.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestZoneCutFromThePlatformFollowsThroughPeers(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	a1, a2, b := c.start("a1", "a"), c.start("a2", "a"), c.start("b1", "b")
+	c.settle()
+	a1.dial.SetUnreachable(c.platformAddresses())
+	a2.dial.SetUnreachable(c.platformAddresses())
+	c.must(b, servicePool("c1", "pantry"))
+	c.eventually("the change in the cut zone", func() bool { return c.has(a1, "pantry") && c.has(a2, "pantry") })
+}
+
+func TestNodeStartsFromPeersWhileThePlatformIsOut(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	c.must(a, servicePool("c1", "pantry"))
+	if err := c.log.SetFaults(logservice.Faults{Outage: true}); err != nil {
+		t.Fatal(err)
+	}
+	late := c.start("b1", "b", a.set.StewardAddress)
+	c.eventually("the late node ready with the tables", func() bool { return c.has(late, "pantry") })
+}
+
+func TestNodeWithoutLogAndPeersIsNotReady(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	is.NoErr(c.log.SetFaults(logservice.Faults{Outage: true}))
+	n := c.start("a1", "a")
+	c.eventually("a failed read", func() bool { return n.tails.get(config.Stream).Status().LastError != "" })
+	is.True(n.ready() != nil)
+	is.True(!c.state(n).Ready)
+	_, err := c.apply(n, servicePool("c1", "pantry"))
+	is.Equal(rpc.Code(err), int64(wire.CodeNotReady))
+	is.NoErr(c.log.SetFaults(logservice.Faults{}))
+	c.eventually("ready once the log is back", func() bool { return n.ready() == nil })
+}
+
+func TestTablesOutliveRetention(t *testing.T) {
+	c := newCluster(t, logservice.Options{RetentionMs: 3000})
+	a := c.start("a1", "a")
+	c.settle()
+	c.must(a, servicePool("c1", "pantry"))
+	c.eventually("two snapshots", func() bool { return a.tables.lastSnapshot() > 2 })
+	c.eventually("the change's record gone", func() bool { return a.tails.get(config.Stream).Status().First > 1 })
+	a.stop()
+	delete(c.nodes, "a1")
+	b := c.start("b1", "b")
+	c.eventually("tables from the snapshot", func() bool { return c.has(b, "pantry") })
+}
+
+func TestLostAppendAnswerAppliesOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	is.NoErr(c.log.SetFaults(logservice.Faults{LoseAppendAnswers: 1, Stream: config.Stream}))
+	c.must(a, servicePool("c1", "pantry"))
+	is.Equal(len(a.tables.history(0)), 1)
+}
+
+func TestApplyInAnOutageSaysThatItIsOpen(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	is.NoErr(c.log.SetFaults(logservice.Faults{Outage: true}))
+	var res wire.ApplyResult
+	err := c.calls.Call(t.Context(), a.set.StewardAddress, wire.MethodApply, wire.ApplyParams{
+		OperatorParams: wire.OperatorParams{Token: testOperatorToken}, Change: servicePool("c1", "pantry"), TimeoutMs: 200,
+	}, &res)
+	is.Equal(rpc.Code(err), int64(wire.CodeUnavailable))
+	is.NoErr(c.log.SetFaults(logservice.Faults{}))
+	c.must(a, servicePool("c1", "pantry")) // again under the same id
+}
+
+func TestOperatorNeedsTheToken(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	for method, params := range map[string]any{
+		wire.MethodApply: wire.ApplyParams{Change: servicePool("c1", "pantry")}, wire.MethodGet: wire.OperatorParams{Token: "x"},
+		wire.MethodHistory: wire.HistoryParams{}, wire.MethodNodes: wire.OperatorParams{}, wire.MethodGossip: wire.GossipParams{},
+		wire.MethodClaim: wire.ClaimParams{}, wire.MethodFetch: wire.FetchParams{Stream: config.Stream},
+	} {
+		err := c.calls.Call(t.Context(), a.set.StewardAddress, method, params, nil)
+		is.Equal(rpc.Code(err), int64(wire.CodeUnauthorized)) // of a stranger
+	}
+}
+
+func TestRelayIsReplacedWhenItStops(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	a1, a2, a3 := c.start("a1", "a"), c.start("a2", "a"), c.start("a3", "a")
+	c.settle()
+	c.eventually("a2 and a3 read through a1", func() bool {
+		return a2.tails.get(config.Stream).Status().Source.Node.ID == "a1" && a3.tails.get(config.Stream).Status().Source.Node.ID == "a1"
+	})
+	a1.stop()
+	delete(c.nodes, "a1")
+	c.must(a2, servicePool("c1", "pantry"))
+	c.eventually("the change at a3", func() bool { return c.has(a3, "pantry") })
+	c.eventually("a3 reads through a2", func() bool { return a3.tails.get(config.Stream).Status().Source.Node.ID == "a2" })
+}
+
+func TestNodesTellTheirRevision(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	b := c.start("b1", "b")
+	c.settle()
+	c.must(a, servicePool("c1", "pantry"))
+	c.eventually("the change at b", func() bool { return c.has(b, "pantry") })
+	res, err := a.nodes(t.Context(), wire.OperatorParams{Token: testOperatorToken})
+	is.NoErr(err)
+	is.Equal(len(res.Members), 2)
+	for _, m := range res.Members {
+		is.Equal(m.Revision, res.Latest)
+	}
+}
+
+func TestOneKeyHasOneHolderThroughAllStewards(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	for _, id := range []string{"a1", "a2", "a3", "b1"} {
+		c.start(id, id[:1])
+	}
+	c.settle()
+	c.eventually("readers of claims ready", func() bool {
+		return c.nodes["a1"].claims.status().Ready && c.nodes["a2"].claims.status().Ready && c.nodes["b1"].claims.status().Ready
+	})
+	is.True(!c.nodes["a3"].claims.status().Following)
+	var wg sync.WaitGroup
+	results := make([]wire.ClaimResult, 12)
+	errs := make([]error, len(results))
+	for i := range results {
+		n := c.nodes[[]string{"a1", "a2", "a3", "b1"}[i%4]]
+		wg.Go(func() { results[i], errs[i] = c.claim(n, 7, fmt.Sprintf("claim-%d", i)) })
+	}
+	wg.Wait()
+	for i := range results {
+		is.NoErr(errs[i])
+		is.Equal(results[i].ClaimID, results[0].ClaimID)
+	}
+	is.NoErr(c.log.SetFaults(logservice.Faults{Outage: true}))
+	held, err := c.claim(c.nodes["a3"], 7, "late")
+	is.NoErr(err) // decided claims still answer
+	is.Equal(held.ClaimID, results[0].ClaimID)
+	began := time.Now()
+	_, err = c.claim(c.nodes["a3"], 8, "new")
+	is.Equal(rpc.Code(err), int64(wire.CodeUnavailable))
+	is.True(rpc.RetryAfter(err) > 0)
+	is.True(time.Since(began) < waitTimeout/2) // not held until its deadline
+}
+
+func TestClaimWithALostAnswerIsDecidedAtReadBack(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	c.eventually("claims ready", func() bool { return a.claims.status().Ready })
+	is.NoErr(c.log.SetFaults(logservice.Faults{LoseAppendAnswers: 1, Stream: "claims"}))
+	res, err := c.claim(a, 1, "c1")
+	is.NoErr(err)
+	is.Equal(res.ClaimID, "c1")
+}
+
+func TestWeightOrdersGoOnAfterTheirHolderStops(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	for _, id := range []string{"a1", "a2"} {
+		c.start(id, "a")
+	}
+	c.settle()
+	engines, targets := c.engines(2, "a", engine.Options{Model: "m", Version: 1, FencingChecked: true})
+	c.must(c.nodes["a1"], poolChange("c1", targets))
+	holder := ""
+	c.eventually("a holder", func() bool {
+		for id, n := range c.nodes {
+			if len(n.orders.status()) > 0 {
+				holder = id
+			}
+		}
+		return holder != ""
+	})
+	c.nodes[holder].stop()
+	delete(c.nodes, holder)
+	c.store.Publish("m", 2)
+	c.eventually("version 2 by the other node's orders", func() bool {
+		return engines[0].Status().Version == 2 && engines[1].Status().Version == 2
+	})
+}
+
+func TestLeavingTargetsAreToldEverywhere(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	a, b := c.start("a1", "a"), c.start("b1", "b")
+	c.settle()
+	c.must(a, servicePool("c1", "pantry"))
+	if _, err := a.report(t.Context(), wire.ReportParams{Leaving: []string{"127.0.0.1:77"}}); err != nil {
+		t.Fatal(err)
+	}
+	c.vms.Put(platform.VM{Name: "t", Address: "127.0.0.1:9", AvailabilityZone: "a", Role: platform.VMRoleTarget, Leaving: true})
+	c.eventually("both reasons at b", func() bool {
+		d := c.state(b).Draining
+		return d["127.0.0.1:77"] != "" && d["127.0.0.1:9"] != ""
+	})
+}
+
+func TestPoisonRequestIsBarredEverywhereAfterTwoDeaths(t *testing.T) {
+	c := newCluster(t, logservice.Options{})
+	a, b := c.start("a1", "a"), c.start("b1", "b")
+	c.settle()
+	report := func(n *node, d ...wire.Death) {
+		if _, err := n.report(t.Context(), wire.ReportParams{Deaths: d}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	report(a, wire.Death{Fingerprint: "bad", Target: "e1", Boot: "1"}, wire.Death{Fingerprint: "good", Target: "e1", Boot: "1"})
+	c.eventually("suspects at b", func() bool { return len(c.state(b).Suspects) == 2 })
+	report(b, wire.Death{Fingerprint: "bad", Target: "e2", Boot: "1", Alone: true})
+	c.eventually("barred at a", func() bool { q := c.state(a).Quarantined; return len(q) == 1 && q[0].Fingerprint == "bad" })
+}
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -142,6 +142,13 @@
 	return t.current, t.machine.Revision(), t.machine.Ready()
 }
 
+// lastSnapshot returns the offset of the newest snapshot record, 0 if none was seen.
+func (t *tables) lastSnapshot() platform.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.LastSnapshot()
+}
+
 func (t *tables) history(limit int) []config.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
