--- a/wire/wire.go
+++ b/wire/wire.go
@@ -51,6 +51,8 @@
 	MethodKeyOutcome = "gate.key_outcome"
 	// MethodExplain returns what a gate knows of a request: ExplainParams -> ExplainResult.
 	MethodExplain = "gate.explain"
+	// MethodQuarantine tells a peer of suspects and quarantined requests at once: QuarantineNotice -> Empty.
+	MethodQuarantine = "gate.quarantine"
 )
 
 // Error codes of jsonrpc2 answers.
@@ -188,6 +190,16 @@
 	Results []*ClaimResult `json:"results"`
 }
 
+// QuarantineNotice tells peers of requests whose runs ended with dead engines, ahead of the rumor.
+type QuarantineNotice struct {
+	// Deaths make their fingerprints suspects.
+	Deaths []Death `json:"deaths"`
+	// Quarantined get a final answer at once.
+	Quarantined []Quarantine `json:"quarantined"`
+	// Cleared are fingerprints that proved harmless.
+	Cleared []string `json:"cleared"`
+}
+
 // MemberStatus is the state of a node in membership.
 type MemberStatus string
 
@@ -323,6 +335,8 @@
 	Trainer string          `json:"trainer"`
 	StepID  string          `json:"step_id"`
 	Pull    api.PullRequest `json:"pull"`
+	// Release gives the step up instead; the answer is empty.
+	Release bool `json:"release,omitempty"`
 }
 
 // HandoverParams gives a step with its undelivered samples to a peer on a planned stop.
@@ -330,6 +344,8 @@
 	Trainer string       `json:"trainer"`
 	Spec    api.StepSpec `json:"spec"`
 	Samples []api.Sample `json:"samples"`
+	// RemainingMs is the time left until the step's deadline, in milliseconds.
+	RemainingMs int64 `json:"remaining_ms,omitempty"`
 }
 
 // HandoverResult tells that the peer runs the step now.
@@ -339,6 +355,10 @@
 
 // KeyOutcomeParams names a ticket or a claim.
 type KeyOutcomeParams struct {
+	// GateIncarnation is the owner; another incarnation knows nothing of the key.
+	GateIncarnation string `json:"gate_incarnation"`
+	// Burn asks that a key that has not run never will.
+	Burn        bool   `json:"burn,omitempty"`
 	Key         string `json:"key"`
 	Fingerprint string `json:"fingerprint"`
 	WaitMs      int64  `json:"wait_ms"`
@@ -346,8 +366,10 @@
 
 // KeyOutcomeResult carries the answer of a request that its owner ran.
 type KeyOutcomeResult struct {
-	Known   bool                `json:"known"`
-	Done    bool                `json:"done"`
+	Known bool `json:"known"`
+	Done  bool `json:"done"`
+	// Reused is true if the key belongs to a request with another fingerprint.
+	Reused  bool                `json:"reused,omitempty"`
 	Outcome api.Outcome         `json:"outcome"`
 	Status  int                 `json:"status"`
 	Header  map[string][]string `json:"header,omitempty"`
