--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,185 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func any(*Waiter) bool { return true }
+
+func offer(t *testing.T, q *Queue, now time.Time, r Request) *Waiter {
+	t.Helper()
+	w, _, refusal := q.Offer(now, r, 0.5)
+	if refusal != nil {
+		t.Fatalf("refused: %+v", refusal)
+	}
+	return w
+}
+
+func TestClassesInOrderAndLowerClassesNotStarved(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	for range 40 {
+		offer(t, q, start, Request{Priority: 2, Share: "trainer", Trainer: true})
+		offer(t, q, start, Request{Priority: 0, Share: "editor"})
+	}
+	lower := 0
+	for range 32 {
+		if q.Next(start, any).Priority == 2 {
+			lower++
+		}
+	}
+	is.Equal(lower, 32/LowerClassEvery)
+}
+
+func TestFairSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	for range 60 {
+		offer(t, q, start, Request{Share: "greedy", Weight: 1})
+	}
+	for range 30 {
+		offer(t, q, start, Request{Share: "heavy", Weight: 2})
+	}
+	got := map[string]int{}
+	for range 30 {
+		got[q.Next(start, any).Share]++
+	}
+	is.Equal(got, map[string]int{"greedy": 10, "heavy": 20})
+}
+
+// drain makes q measure a drain rate of perSecond.
+func drain(t *testing.T, q *Queue, now time.Time, perSecond int) time.Time {
+	for range perSecond * 2 {
+		now = now.Add(time.Second / time.Duration(perSecond))
+		offer(t, q, now, Request{Share: "x"})
+		q.Next(now, any)
+	}
+	return now
+}
+
+func TestRequestThatCannotMakeItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	now := drain(t, q, start, 10)
+	q.Finished(0, 500*time.Millisecond)
+	for range 20 {
+		offer(t, q, now, Request{Share: "x", Deadline: now.Add(10 * time.Second)})
+	}
+	_, _, refusal := q.Offer(now, Request{Share: "x", Deadline: now.Add(2 * time.Second)}, 0.5)
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, ReasonDeadline)
+	is.True(refusal.RetryAfter > time.Second && refusal.RetryAfter < 4*time.Second) // 20 waiting at 10 a second
+	_, _, early := q.Offer(now, Request{Share: "x", Deadline: now.Add(2 * time.Second)}, 0)
+	_, _, late := q.Offer(now, Request{Share: "x", Deadline: now.Add(2 * time.Second)}, 0.99)
+	is.True(early.RetryAfter < late.RetryAfter) // spread by jitter
+	urgent, _, refusal := q.Offer(now, Request{Share: "y", Priority: 0, Deadline: now.Add(2 * time.Second)}, 0.5)
+	is.True(refusal == nil && urgent != nil) // another caller's fair share is not behind the greedy one
+}
+
+func TestNobodyWaitsWithoutBound(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	caller := offer(t, q, start, Request{Share: "a"})
+	short := offer(t, q, start, Request{Share: "a", Deadline: start.Add(time.Second)})
+	trainer := offer(t, q, start, Request{Share: "t", Trainer: true})
+	is.Equal(len(q.Expire(start.Add(400*time.Millisecond), 0)), 0)
+	q.Expire(start.Add(600*time.Millisecond), 0) // half of its time is left to go elsewhere
+	is.Equal(short.State(), Refused)
+	q.Expire(start.Add(MaxCallerWait+time.Millisecond), 0)
+	is.Equal(caller.State(), Refused)
+	is.Equal(trainer.State(), Waiting)
+	q.Expire(start.Add(MaxTrainerWait+time.Millisecond), 0)
+	is.Equal(trainer.State(), Refused)
+	is.Equal(q.Len(), 0)
+}
+
+func TestFullQueueMakesRoomForHigherClass(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	for range MaxWaiting {
+		offer(t, q, start, Request{Priority: 5, Share: "t", Trainer: true})
+	}
+	_, _, refusal := q.Offer(start, Request{Priority: 5, Share: "t"}, 0.5)
+	is.Equal(refusal.Reason, ReasonFull)
+	w, displaced, refusal := q.Offer(start, Request{Priority: 0, Share: "e"}, 0.5)
+	is.True(refusal == nil)
+	is.Equal(displaced.State(), Refused)
+	is.Equal(displaced.Refusal.Reason, ReasonDisplace)
+	is.Equal(q.Next(start, any), w)
+}
+
+// A waiter is decided once: who was granted is never refused, and the other way round.
+func TestEachWaiterIsDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now := NewQueue(), start
+		var all []*Waiter
+		seen := map[*Waiter]State{}
+		decided := func(w *Waiter, s State) {
+			if old, ok := seen[w]; ok {
+				t.Fatalf("decided twice: %v, then %v", old, s)
+			}
+			if w.State() != s {
+				t.Fatalf("state %v, want %v", w.State(), s)
+			}
+			seen[w] = s
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				r := Request{Priority: config.Priority(rapid.IntRange(0, 3).Draw(t, "class")), Share: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "share")}
+				if w, _, _ := q.Offer(now, r, 0.5); w != nil {
+					all = append(all, w)
+				}
+			case 2:
+				if w := q.Next(now, any); w != nil {
+					decided(w, Granted)
+				}
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				for _, w := range q.Expire(now, 0.5) {
+					decided(w, Refused)
+				}
+			case 4:
+				if len(all) > 0 {
+					w := rapid.SampledFrom(all).Draw(t, "gone")
+					if q.Remove(w) {
+						decided(w, Gone)
+					}
+				}
+			}
+			if q.Len()+len(seen) != len(all) {
+				t.Fatalf("%d waiting and %d decided of %d", q.Len(), len(seen), len(all))
+			}
+		}
+	})
+}
+
+func TestLimitFollowsBatchAndOthers(t *testing.T) {
+	is := is.New(t)
+	l := NewLimit(0)
+	l.Report(16, 0)
+	is.Equal(l.Value(), 18) // an eighth waits there, so that the batch stays full
+	l.Report(16, 10)
+	is.Equal(l.Value(), 8)
+	l.Report(16, 40)
+	is.Equal(l.Value(), 1)
+	l.Report(16, 0)
+	l.Refused(start)
+	is.True(l.Value() < 16)
+	is.Equal(NewLimit(5).Value(), 5)
+	unknown := NewLimit(0)
+	for range 50 {
+		unknown.Observe(start, 0.01)
+	}
+	grown := unknown.Value()
+	is.True(grown > initialLimit)
+	unknown.Observe(start.Add(time.Minute), 1)
+	is.True(unknown.Value() < grown)
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -40,7 +40,9 @@
 	kind    config.PoolKind
 	// leaving are targets that said themselves that they are draining, and when.
 	leaving map[string]time.Time
-	gone    bool
+	// draining are targets that the steward says get no new work, with the reason.
+	draining map[string]string
+	gone     bool
 }
 
 // lease is a request's place on a target.
@@ -70,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.kind = row.Kind
+	p.kind, p.draining = row.Kind, draining
 	p.table.Update(now, row, p.blocked(now, draining))
 	for address, v := range versions {
 		p.table.SetVersion(address, v)
@@ -252,6 +254,8 @@
 	}
 	if known {
 		delete(p.leaving, address)
+		p.table.Block(p.now(), address, p.draining[address])
+		p.pump(p.now())
 	}
 	return false
 }
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -103,6 +103,7 @@
 	d.qmu.Unlock()
 	if was {
 		d.opts.Report(wire.ReportParams{Cleared: []string{fingerprint}})
+		go d.notify(context.Background(), wire.QuarantineNotice{Cleared: []string{fingerprint}})
 	}
 }
 
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -20,6 +20,8 @@
 	// maxSuspects and maxBarred bound the book; the oldest are forgotten.
 	maxSuspects = 4096
 	maxBarred   = 1024
+	// maxExplained bounds the deaths whose cause is remembered.
+	maxExplained = 256
 	// deathsToBar is the number of dead targets that quarantines a request.
 	deathsToBar = 2
 )
@@ -37,6 +39,19 @@
 type Book struct {
 	suspects map[string]*suspect
 	barred   map[string]wire.Quarantine
+	// explained are deaths that a quarantined request caused; who shared the target is no suspect.
+	explained []explanation
+}
+
+// explanation is a death whose cause is known, kept for SuspectTTL.
+type explanation struct {
+	place
+	until time.Time
+}
+
+// same tells whether both name one run of a target; an unknown incarnation may be any.
+func (p place) same(q place) bool {
+	return p.target == q.target && (p.boot == q.boot || p.boot == "" || q.boot == "")
 }
 
 // NewBook returns an empty book.
@@ -58,13 +73,16 @@
 	if q, ok := b.Barred(now, d.Fingerprint); ok {
 		return Verdict{Quarantined: true, Quarantine: q}
 	}
+	p := place{d.Target, d.Boot}
+	if b.isExplained(now, p) {
+		return Verdict{}
+	}
 	s := b.suspects[d.Fingerprint]
 	if s == nil || now.After(s.until) {
 		s = &suspect{}
 		b.suspects[d.Fingerprint] = s
 	}
 	s.until = now.Add(SuspectTTL)
-	p := place{d.Target, d.Boot}
 	if !slices.Contains(s.places, p) {
 		s.places = append(s.places, p)
 	}
@@ -93,6 +111,10 @@
 	if s := b.suspects[q.Fingerprint]; s != nil {
 		delete(b.suspects, q.Fingerprint)
 		cleared = b.clearShared(s.places)
+		for _, p := range s.places {
+			b.explained = append(b.explained, explanation{p, now.Add(SuspectTTL)})
+		}
+		b.explained = b.explained[max(0, len(b.explained)-maxExplained):]
 	}
 	b.bound(now)
 	return cleared
@@ -102,7 +124,7 @@
 func (b *Book) clearShared(places []place) []string {
 	var cleared []string
 	for fp, s := range b.suspects {
-		s.places = slices.DeleteFunc(s.places, func(p place) bool { return slices.Contains(places, p) })
+		s.places = slices.DeleteFunc(s.places, func(p place) bool { return slices.ContainsFunc(places, p.same) })
 		if len(s.places) == 0 {
 			delete(b.suspects, fp)
 			cleared = append(cleared, fp)
@@ -112,6 +134,10 @@
 	return cleared
 }
 
+func (b *Book) isExplained(now time.Time, p place) bool {
+	return slices.ContainsFunc(b.explained, func(e explanation) bool { return !now.After(e.until) && e.same(p) && e.boot != "" && p.boot != "" })
+}
+
 // Clear drops the suspicion of a request that ran to its end.
 func (b *Book) Clear(fingerprint string) bool {
 	_, ok := b.suspects[fingerprint]
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,207 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTable(policy string, n int, zones ...string) *Table {
+	t := NewTable(Options{AvailabilityZone: "a", GateID: "g", Policy: policy, Rand: rand.New(rand.NewPCG(1, 1))})
+	t.Update(start, testPool(n, zones...), nil)
+	return t
+}
+
+func testPool(n int, zones ...string) *config.Pool {
+	p := &config.Pool{Name: "p", Kind: config.PoolEngines}
+	for i := range n {
+		az := "a"
+		if len(zones) > 0 {
+			az = zones[i%len(zones)]
+		}
+		p.Targets = append(p.Targets, config.Target{Name: fmt.Sprint(i), Address: address(i), AvailabilityZone: az})
+	}
+	return p
+}
+
+func address(i int) string { return fmt.Sprintf("t%d", i) }
+
+func TestOwnCountsCorrectTheLaggingReport(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	tb.Report(start, "t0", platform.Load{Running: 4, BatchLimit: 16})
+	tb.Report(start, "t1", platform.Load{Running: 2, BatchLimit: 16})
+	q := Query{}
+	got := map[string]int{}
+	for range 8 { // without own counts all would go to t1
+		a, ok := tb.Pick(start, q)
+		is.True(ok)
+		tb.Start(start, a, q)
+		got[a]++
+	}
+	is.Equal(got, map[string]int{"t0": 3, "t1": 5})
+	later := start.Add(100 * time.Millisecond)
+	tb.Report(later, "t1", platform.Load{Running: 7, BatchLimit: 16, AgeMs: 50})
+	is.Equal(tb.byAddr["t1"].load(later), 7) // 5 of the 7 are the own ones
+}
+
+func TestOwnZoneFirstThenSpillOver(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 4, "a", "b")
+	q := Query{}
+	for i := range 4 {
+		tb.Report(start, address(i), platform.Load{BatchLimit: 2})
+	}
+	zone := func(a string) string { return tb.byAddr[a].AvailabilityZone }
+	for i := range 8 {
+		a, ok := tb.Pick(start, q)
+		is.True(ok)
+		is.Equal(zone(a) == "a", i < 4)
+		tb.Start(start, a, q)
+	}
+	_, ok := tb.Pick(start, q)
+	is.Equal(ok, false) // all are full: the request queues
+}
+
+func TestPrefixAffinityHasALoadBound(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 4)
+	for i := range 4 {
+		tb.Report(start, address(i), platform.Load{BatchLimit: 16})
+	}
+	q := Query{Prefixes: Prefixes(strings.Repeat("x", 1024))}
+	first, _ := tb.Pick(start, q)
+	tb.Start(start, first, q)
+	got := map[string]int{first: 1}
+	for range 40 {
+		a, _ := tb.Pick(start, q)
+		tb.Start(start, a, q)
+		got[a]++
+	}
+	is.True(got[first] >= 8)
+	is.True(got[first] <= 16) // the bound spreads a hot prefix
+}
+
+func TestCacheEventsAreHints(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	prompt := strings.Repeat("y", platform.PrefixBytes)
+	h := platform.PrefixHash(prompt)
+	q := Prefixes(prompt)
+	x := tb.byAddr["t0"]
+	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 1, Events: []platform.CacheEvent{{Seq: 1, PrefixHash: h}}})
+	is.Equal(x.prefixes.depth(q), 1)
+	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 3, Events: []platform.CacheEvent{{Seq: 3, PrefixHash: 5}}})
+	is.Equal(x.prefixes.depth(q), 0) // the gap may have been its eviction
+	tb.Start(start, "t0", Query{Prefixes: q})
+	is.Equal(x.prefixes.depth(q), 1)
+	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 4, Events: []platform.CacheEvent{{Seq: 4, PrefixHash: h, Evicted: true}}})
+	is.Equal(x.prefixes.depth(q), 0)
+	tb.Start(start, "t0", Query{Prefixes: q})
+	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "c", Next: 0})
+	is.Equal(x.prefixes.depth(q), 0) // a restart empties the cache
+}
+
+func TestSlowTargetsAreEjectedWithAFloor(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 4)
+	now := start
+	for range 20 {
+		for i := range 4 {
+			tb.Succeeded(now, address(i), []float64{0.01, 0.01, 0.2, 0.4}[i])
+		}
+	}
+	for range ejectAfterFailures {
+		tb.Failed(now, "t0")
+		tb.Failed(now, "t1")
+	}
+	ejected := 0
+	for _, x := range tb.targets {
+		if x.ejected(now) {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 2) // the slow ones; half of the pool stays, also when it fails
+	is.True(tb.byAddr["t3"].ejected(now))
+	now = now.Add(ejectMax)
+	for _, x := range tb.targets {
+		is.Equal(x.ejected(now), false) // it is tried again
+	}
+}
+
+func TestNewTargetRampsUp(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 3)
+	now := start.Add(time.Minute)
+	tb.Update(now, testPool(4), nil)
+	for i := range 4 {
+		tb.Report(now, address(i), platform.Load{BatchLimit: 16})
+	}
+	is.True(tb.byAddr["t3"].capacity(now) < tb.byAddr["t0"].capacity(now)/2)
+	is.Equal(tb.byAddr["t3"].capacity(now.Add(RampUp)), tb.byAddr["t0"].capacity(now))
+}
+
+func TestBlockedTargetsGetNothing(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	tb.Update(start, testPool(2), map[string]string{"t0": "leaving"})
+	for range 20 {
+		a, ok := tb.Pick(start, Query{Avoid: []string{"t1"}}) // avoiding is a wish, leaving is not
+		is.True(ok)
+		is.Equal(a, "t1")
+	}
+	tb.Block(start, "t1", "it said so itself")
+	_, ok := tb.Pick(start, Query{})
+	is.Equal(ok, false)
+	is.Equal(tb.Possible(Query{}), false)
+}
+
+func TestMinVersionKeepsOffOldEngines(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	tb.SetVersion("t0", 3)
+	tb.SetVersion("t1", 4)
+	for range 10 {
+		a, _ := tb.Pick(start, Query{MinVersion: 4})
+		is.Equal(a, "t1")
+	}
+	is.Equal(tb.Possible(Query{MinVersion: 5}), false)
+}
+
+func TestAloneEmptiesOneTarget(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 3)
+	for i := range 3 {
+		tb.Start(start, address(i), Query{})
+	}
+	_, ok := tb.Pick(start, Query{Alone: true})
+	is.Equal(ok, false)
+	tb.Reserve(start)
+	var reserved string
+	for _, x := range tb.targets {
+		if x.reserved {
+			reserved = x.Address
+		}
+	}
+	for range 20 {
+		a, _ := tb.Pick(start, Query{})
+		is.True(a != reserved)
+	}
+	tb.End(start, reserved, Query{})
+	a, ok := tb.Pick(start, Query{Alone: true})
+	is.True(ok)
+	is.Equal(a, reserved)
+	tb.Start(start, a, Query{Alone: true})
+	_, ok = tb.Pick(start, Query{Alone: true})
+	is.Equal(ok, false) // one at a time in a small pool
+	tb.End(start, a, Query{Alone: true})
+	is.Equal(tb.byAddr[a].exclusive, false)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -108,10 +108,10 @@
 	x.blocked = reason
 }
 
-// Block stops new work to a target that said itself that it is draining.
+// Block stops new work to a target; an empty reason lets it get work again, unless its row says draining.
 func (t *Table) Block(now time.Time, address, reason string) {
 	if x := t.byAddr[address]; x != nil {
-		x.setBlocked(now, reason)
+		x.setBlocked(now, blockReason(x.Target, map[string]string{address: reason}))
 	}
 }
 
--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,95 @@
+package ticket
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestTicketNamesOneIncarnation(t *testing.T) {
+	is := is.New(t)
+	m := NewMinter("g", "i1", []byte("secret"))
+	s, err := m.Mint(start, bytes.Repeat([]byte{1}, nonceBytes))
+	is.NoErr(err)
+	tk, err := Parse(s)
+	is.NoErr(err)
+	is.Equal(tk.Gate, "g")
+	is.NoErr(m.Verify(start, tk))
+	is.Equal(m.Verify(start.Add(TTL+time.Second), tk), ErrExpired)
+	is.Equal(NewMinter("g", "i2", []byte("secret")).Verify(start, tk), ErrForged)
+	is.Equal(NewMinter("g", "i1", []byte("other")).Verify(start, tk), ErrForged)
+	for _, bad := range []string{"", "....", "a.b", s + ".x", "!" + s} {
+		_, err := Parse(bad)
+		is.Equal(err, ErrMalformed)
+	}
+}
+
+func TestOutcomesOutliveTickets(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	status, _, _ := b.Begin(start, "k", "fp", "c1")
+	is.Equal(status, StatusNew)
+	b.Release(start, "k")
+	_, id, _ := b.Begin(start, "k", "fp", "c2")
+	is.Equal(id, "c1") // the same claim is made again
+	status, _, _ = b.Begin(start, "k", "fp", "c3")
+	is.Equal(status, StatusRunning)
+	status, _, _ = b.Begin(start, "k", "other", "c3")
+	is.Equal(status, StatusReused)
+	b.Finish(start, "k", &Answer{Outcome: api.OutcomeDone, Status: 200, Body: make([]byte, maxOneAnswerBytes+1)})
+	status, _, _ = b.Begin(start.Add(TTL), "k", "fp", "c4")
+	is.Equal(status, StatusGone) // too large to keep, yet known to have run
+	is.Equal(b.Burn(start, "k", "fp"), false)
+	is.True(b.Burn(start, "k2", "fp"))
+	status, _, a := b.Begin(start, "k2", "fp", "")
+	is.Equal(status, StatusDone)
+	is.Equal(a.Outcome, api.OutcomeNotRun)
+	b.Begin(start.Add(2*KeepFor), "k3", "fp", "")
+	is.Equal(b.Len(), 1)
+}
+
+// Within a key's lifetime at most one Begin may run to its Finish.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now, end := NewBook(), start, start.Add(TTL)
+		ran, running := 0, false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				status, _, _ := b.Begin(now, "k", "fp", "c")
+				if status == StatusNew {
+					if running || ran > 0 {
+						t.Fatalf("may run again: running=%t ran=%d", running, ran)
+					}
+					running = true
+				}
+			case 1:
+				if running {
+					b.Finish(now, "k", &Answer{Outcome: api.OutcomeDone, Body: make([]byte, rapid.IntRange(0, 2*maxOneAnswerBytes).Draw(t, "size"))})
+					running, ran = false, ran+1
+				}
+			case 2:
+				if running {
+					b.Release(now, "k")
+					running = false
+				}
+			case 3:
+				now = minTime(end, now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "s"))*time.Second))
+				b.Begin(now, "another", "fp", "c")
+			}
+		}
+	})
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
