--- a/load/cli.go
+++ b/load/cli.go
@@ -22,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand())
+	root.AddCommand(demoCommand(), runCommand(), benchCommand())
 	return root
 }
 
