rollout: hedge by gain in step time, keep the queue in the step

Ruled out: too few finished attempts for estimates, weight swaps. Change: the window follows the wait for first tokens, so that slots wait in the step; a hedge has to gain against both the further attempt and the rest of the step; estimates and window pass on to the trainer's next step; at most two attempts on a slot, the one behind is given up.

--- a/load/metrics.go
+++ b/load/metrics.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"expvar"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
@@ -36,6 +38,7 @@
 	s.stepMetrics(m)
 	s.callMetrics(m)
 	s.engineMetrics(m)
+	s.gateMetrics(m)
 	if end, ok := s.lastFaultEnd(); ok {
 		m["recovery_s"] = s.recovery(end)
 	}
@@ -161,6 +164,17 @@
 	}
 }
 
+// gateMetrics adds up the counters of the gates' rollouts.
+func (s *session) gateMetrics(m map[string]float64) {
+	for _, v := range s.w.vms {
+		v.metrics.Do(func(kv expvar.KeyValue) {
+			if n, ok := kv.Value.(*expvar.Int); ok && strings.HasPrefix(kv.Key, "rollout_") {
+				m[kv.Key] += float64(n.Value())
+			}
+		})
+	}
+}
+
 // capacity returns the decode rate of all engines with full batches, in tokens per second.
 func (s *session) capacity() float64 {
 	sum := 0.0
--- a/load/run.go
+++ b/load/run.go
@@ -1,9 +1,11 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,6 +103,7 @@
 		}
 		s.calls = append(s.calls, m.arrivals(site, route, uint64(s.seed)*100+uint64(i), s.x.length())...)
 	}
+	slices.SortStableFunc(s.calls, func(a, b *call) int { return cmp.Compare(a.at, b.at) })
 	for i, m := range s.x.Trainers {
 		route := site.Tables.Route(m.Route)
 		if route == nil {
--- a/load/table.go
+++ b/load/table.go
@@ -80,12 +80,7 @@
 
 // moreIsBetter tells the good direction of a metric by its name.
 func moreIsBetter(metric string) bool {
-	for _, s := range []string{"on_time_share", "per_s", "goodput", "steps"} {
-		if strings.Contains(metric, s) {
-			return true
-		}
-	}
-	return false
+	return strings.HasSuffix(metric, "_on_time_share") || strings.HasSuffix(metric, "_per_s") || strings.HasPrefix(metric, "goodput") || metric == "steps"
 }
 
 // best returns the best baseline of a metric.
--- a/rollout/answer.go
+++ b/rollout/answer.go
@@ -21,13 +21,16 @@
 		s.attemptFailed(now, a, sl, m)
 		return nil
 	}
-	s.window.succeeded()
+	if !m.First.IsZero() {
+		a.first = m.First
+	}
+	s.window.observe(a.waited(), s.stats.usual().duration)
 	oldest, ok := oldestVersion(m.Tokens, m.Spans)
 	if !ok || oldest < s.need(s.version) {
 		s.unusable(now, sl, m, ok)
 		return nil
 	}
-	s.stats.add(now.Sub(a.started), a, len(m.Tokens), now)
+	s.stats.add(now, a, len(m.Tokens), a.continued)
 	var effects []Effect
 	for _, other := range append([]*attempt(nil), sl.running...) {
 		effects = append(effects, s.cancel(other))
--- a/rollout/hedge.go
+++ b/rollout/hedge.go
@@ -1,118 +1,115 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// stats describe the finished attempts of a step.
-type stats struct {
-	durations []time.Duration
-	lengths   []int
-	// perToken and firstToken are the times of one token and until the first one.
-	perToken   []time.Duration
-	firstToken []time.Duration
-	next       int
-	medians    *medians
+// straggler is a running slot with its estimates.
+type straggler struct {
+	slot int
+	a    *attempt
+	// left is how long the slot takes as it runs now; again is how long a further attempt takes
+	// that goes on from its tokens.
+	left, again time.Duration
 }
 
-// medians are kept until the next finished attempt.
-type medians struct{ duration, perToken, firstToken time.Duration }
-
-// add records an attempt that took d and made tokens.
-func (st *stats) add(d time.Duration, a *attempt, tokens int, now time.Time) {
-	st.medians = nil
-	first, per := d, time.Duration(0)
-	if !a.first.IsZero() {
-		first = a.first.Sub(a.started)
-	}
-	if tokens > 0 {
-		per = now.Sub(a.started.Add(first)) / time.Duration(tokens)
-	}
-	if per <= 0 {
-		per = d / time.Duration(max(1, tokens))
-	}
-	if len(st.durations) < StatsSize {
-		st.durations = append(st.durations, d)
-		st.lengths = append(st.lengths, tokens)
-		st.perToken = append(st.perToken, per)
-		st.firstToken = append(st.firstToken, first)
-		return
+// hedge starts a further attempt, from the tokens so far, for each straggler whose step time is
+// expected to gain more than the engine time that the attempt costs.
+//
+// The gain in step time is what the straggler takes beyond both the further attempt and the rest of
+// the step: as long as others take as long anyway, there is nothing to gain.
+func (s *Step) hedge(now time.Time) []Effect {
+	if !s.opts.Hedging || len(s.stats.last) < MinHedgeStats || now.Before(s.notBefore) || !now.Before(s.opts.Deadline) {
+		return nil
 	}
-	i := st.next % StatsSize
-	st.next++
-	st.durations[i], st.lengths[i], st.perToken[i], st.firstToken[i] = d, tokens, per, first
-}
-
-func median(d []time.Duration) time.Duration {
-	if len(d) == 0 {
-		return 0
+	running, pending := s.stragglers(now)
+	var effects []Effect
+	for i, st := range running {
+		if !s.mayHedge() {
+			break
+		}
+		rest := s.restTime(running[i+1:], pending)
+		gain := st.left - max(st.again, rest)
+		if gain < MinHedgeGain || gain < st.again {
+			continue
+		}
+		effects = append(effects, s.hedgeSlot(now, st)...)
 	}
-	sorted := slices.Clone(d)
-	slices.Sort(sorted)
-	return sorted[len(sorted)/2]
+	return effects
 }
 
-func (st *stats) usual() medians {
-	if st.medians == nil {
-		st.medians = &medians{median(st.durations), median(st.perToken), median(st.firstToken)}
+// stragglers returns the running slots, the longest left first, and the number of slots to be started.
+func (s *Step) stragglers(now time.Time) (running []straggler, pending int) {
+	usual := s.stats.usual()
+	for i := range s.slots {
+		sl := &s.slots[i]
+		switch sl.state {
+		case slotPending:
+			pending++
+		case slotRunning:
+			st := straggler{slot: i}
+			for _, a := range sl.running {
+				tokens := s.stats.remaining(a.tokens, s.opts.Spec.MaxTokens)
+				if left := s.timeLeft(now, a, tokens, usual); st.a == nil || left < st.left {
+					st.a, st.left = a, left
+					st.again = usual.wait + time.Duration(tokens)*usual.perToken
+				}
+			}
+			running = append(running, st)
+		}
 	}
-	return *st.medians
+	slices.SortFunc(running, func(a, b straggler) int { return cmp.Compare(b.left, a.left) })
+	return running, pending
 }
 
-// remaining returns the expected number of tokens after the first n, of at most limit in all.
-func (st *stats) remaining(n, limit int) int {
-	sum, count := 0, 0
-	for _, l := range st.lengths {
-		if l > n {
-			sum += l - n
-			count++
+// restTime estimates how long the step takes without its stragglers: the pending slots, and the
+// slots that run as usual.
+func (s *Step) restTime(others []straggler, pending int) time.Duration {
+	usual := s.stats.usual()
+	rest := time.Duration(0)
+	for _, o := range others {
+		if o.left <= 2*o.again {
+			rest = o.left
+			break
 		}
 	}
-	if count == 0 {
-		return min(limit-n, max(1, n/2))
-	}
-	return min(limit-n, max(1, sum/count))
+	waves := time.Duration((pending + s.window.size() - 1) / max(1, s.window.size()))
+	return max(rest, waves*usual.duration)
 }
 
-// hedge starts a second attempt, from the tokens so far, for each straggler whose step time is
-// expected to gain more than the engine time that the second attempt costs.
-func (s *Step) hedge(now time.Time) []Effect {
-	if !s.opts.Hedging || len(s.stats.durations) < MinHedgeStats || now.Before(s.notBefore) || !now.Before(s.opts.Deadline) {
-		return nil
-	}
-	usual := s.stats.usual()
+// hedgeSlot starts a further attempt on a slot. Of three attempts the one that is behind is given up.
+func (s *Step) hedgeSlot(now time.Time, st straggler) []Effect {
 	var effects []Effect
-	for i := range s.slots {
-		sl := &s.slots[i]
-		if sl.state != slotRunning || len(sl.running) != 1 || !s.mayHedge() {
-			continue
+	sl := &s.slots[st.slot]
+	if len(sl.running) >= MaxAttemptsPerSlot {
+		behind := slices.MinFunc(sl.running, func(a, b *attempt) int { return cmp.Compare(a.tokens, b.tokens) })
+		if behind == st.a || now.Sub(st.a.started) < 2*st.again {
+			return nil
 		}
-		a := sl.running[0]
-		left := s.stats.remaining(a.tokens, s.opts.Spec.MaxTokens)
-		cost := usual.firstToken + time.Duration(left)*usual.perToken
-		gain := s.timeLeft(now, a, left, usual.perToken) - cost
-		if gain < MinHedgeGain || gain < cost {
-			continue
-		}
-		s.hedges++
-		s.Counts.Hedged++
-		effects = append(effects, s.begin(now, i, a.id))
+		effects = append(effects, s.cancel(behind))
 	}
-	return effects
+	s.hedges++
+	s.Counts.Hedged++
+	return append(effects, s.begin(now, st.slot, st.a.id))
 }
 
 func (s *Step) mayHedge() bool {
 	return s.hedges < max(MinHedges, len(s.slots)*HedgePercent/100) && len(s.attempts) < s.window.size()
 }
 
-// timeLeft estimates how long an attempt still takes for left tokens: as long again as it has been
-// silent beyond the usual, and then at its own rate.
-func (s *Step) timeLeft(now time.Time, a *attempt, left int, usual time.Duration) time.Duration {
-	if a.tokens == 0 || a.first.IsZero() {
-		return now.Sub(a.started) + time.Duration(left)*usual
+// timeLeft estimates how long an attempt still takes for tokens: as long again as it has been silent
+// beyond the usual, and then at its own rate.
+func (s *Step) timeLeft(now time.Time, a *attempt, tokens int, usual medians) time.Duration {
+	made := a.tokens - a.continued
+	if made <= 0 || a.first.IsZero() {
+		return max(0, now.Sub(a.started)-usual.wait) + usual.wait + time.Duration(tokens)*usual.perToken
+	}
+	own := usual.perToken
+	if made > 1 {
+		own = a.last.Sub(a.first) / time.Duration(made-1)
 	}
-	own := a.last.Sub(a.started) / time.Duration(max(1, a.tokens))
-	silent := now.Sub(a.last) - own
-	return max(0, silent) + time.Duration(left)*max(own, usual/2)
+	silent := max(0, now.Sub(a.last)-2*own-TickInterval)
+	return silent + time.Duration(tokens)*max(own, usual.perToken/2)
 }
--- a/rollout/limits.go
+++ b/rollout/limits.go
@@ -59,8 +59,10 @@
 	MinHedgeGain = 100 * time.Millisecond
 	// MinHedgeStats is the number of finished attempts below which nothing is hedged.
 	MinHedgeStats = 4
-	// HedgePercent is the share of second attempts in the slots of a step, in percent.
-	HedgePercent = 15
-	// MinHedges is the number of second attempts that each step may make.
+	// HedgePercent is the share of further attempts in the slots of a step, in percent.
+	HedgePercent = 50
+	// MinHedges is the number of further attempts that each step may make.
 	MinHedges = 2
+	// MaxAttemptsPerSlot bounds the attempts that run on one slot.
+	MaxAttemptsPerSlot = 2
 )
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -51,6 +51,9 @@
 // stepKey names a step; steps are private to their trainer.
 type stepKey struct{ trainer, id string }
 
+// pastKey names the steps that learn from each other.
+type pastKey struct{ trainer, route string }
+
 // moved tells where a step has been handed over to.
 type moved struct{ owner, address string }
 
@@ -67,7 +70,9 @@
 	// forgotten are the keys of moved and finished, oldest first.
 	forgotten []stepKey
 	stated    map[string]int64
-	wg        sync.WaitGroup
+	// past is what steps have learned, by trainer and route.
+	past map[pastKey]*Past
+	wg   sync.WaitGroup
 }
 
 // NewManager returns a manager without steps.
@@ -83,7 +88,7 @@
 	}
 	return &Manager{
 		opts: opts, ctx: context.Background(), steps: map[stepKey]*runner{}, moved: map[stepKey]moved{},
-		finished: map[stepKey]int{}, stated: map[string]int64{},
+		finished: map[stepKey]int{}, stated: map[string]int64{}, past: map[pastKey]*Past{},
 	}
 }
 
@@ -212,6 +217,10 @@
 	if m.steps[r.key] == r {
 		delete(m.steps, r.key)
 	}
+	if len(m.past) >= MaxFinished {
+		clear(m.past)
+	}
+	m.past[pastKey{r.key.trainer, r.route.Name}] = r.step.Past()
 	switch {
 	case end.to.owner != "":
 		m.moved[r.key] = end.to
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -34,8 +34,9 @@
 	Tokens int
 	// Oldest is the oldest version among the tokens; 0 means none yet.
 	Oldest int64
-	// Last is when the last token arrived.
-	Last time.Time
+	// First and Last are when the first and the last token arrived.
+	First time.Time
+	Last  time.Time
 }
 
 // Answered tells that an attempt has ended; with Err set, Tokens, Text and Spans hold what arrived before.
@@ -45,7 +46,9 @@
 	Tokens []int
 	Spans  []api.Span
 	Engine string
-	Err    *api.Error
+	// First is when the first token arrived; zero if unknown.
+	First time.Time
+	Err   *api.Error
 }
 
 // Scored tells how a score call ended.
--- a/rollout/perform.go
+++ b/rollout/perform.go
@@ -22,6 +22,7 @@
 	text   strings.Builder
 	tokens []int
 	spans  []api.Span
+	first  time.Time
 	last   time.Time
 	engine string
 }
@@ -34,6 +35,9 @@
 	p.tokens = append(p.tokens, piece.Tokens...)
 	p.spans = appendSpan(p.spans, piece.Version, len(piece.Tokens))
 	p.last, p.engine = p.now(), piece.Engine
+	if p.first.IsZero() {
+		p.first = p.last
+	}
 }
 
 func appendSpan(spans []api.Span, version int64, tokens int) []api.Span {
@@ -53,7 +57,7 @@
 	if p.last.IsZero() {
 		return Progress{}, false
 	}
-	out := Progress{ID: id, Tokens: len(p.tokens), Last: p.last}
+	out := Progress{ID: id, Tokens: len(p.tokens), First: p.first, Last: p.last}
 	for _, s := range p.spans {
 		if s.Version > 0 && (out.Oldest == 0 || s.Version < out.Oldest) {
 			out.Oldest = s.Version
@@ -109,11 +113,14 @@
 }
 
 func answer(id AttemptID, p *progress, res *dispatch.Result, err *api.Error) Answered {
+	p.mu.Lock()
+	first := p.first
+	p.mu.Unlock()
 	if err != nil {
 		text, tokens, spans, engine := p.copy()
-		return Answered{ID: id, Text: text, Tokens: tokens, Spans: spans, Engine: engine, Err: err}
+		return Answered{ID: id, Text: text, Tokens: tokens, Spans: spans, Engine: engine, First: first, Err: err}
 	}
-	return Answered{ID: id, Text: res.Text, Tokens: res.Tokens, Spans: res.Spans, Engine: res.Engine}
+	return Answered{ID: id, Text: res.Text, Tokens: res.Tokens, Spans: res.Spans, Engine: res.Engine, First: first}
 }
 
 func (r *runner) call(e StartAttempt) dispatch.Call {
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -92,7 +92,7 @@
 		exports: make(chan chan export), moves: make(chan moved), done: make(chan struct{}),
 		tasks: map[AttemptID]*task{}, lastPull: m.opts.Now(),
 	}
-	r.step = NewStep(StepOptions{Spec: spec, Prefix: spec.ID + "-" + uuid.NewString()[:8], Deadline: deadline, Hedging: m.opts.Hedging})
+	r.step = NewStep(StepOptions{Spec: spec, Prefix: spec.ID + "-" + uuid.NewString()[:8], Deadline: deadline, Hedging: m.opts.Hedging, Past: m.past[pastKey{key.trainer, route.Name}]})
 	r.ctx, r.cancel = context.WithCancel(m.ctx)
 	r.seen.Store(r.describe())
 	return r
--- a/rollout/start.go
+++ b/rollout/start.go
@@ -43,7 +43,10 @@
 	g := s.groups[sl.group]
 	a := &attempt{
 		id:   AttemptID(fmt.Sprintf("%s-%d-%d", s.opts.Prefix, i, sl.started)),
-		slot: i, started: now, hedge: from != "",
+		slot: i, started: now,
+	}
+	if f := s.attempts[from]; f != nil {
+		a.tokens, a.continued, a.oldest = f.tokens, f.tokens, f.oldest
 	}
 	sl.started++
 	sl.state = slotRunning
@@ -57,6 +60,7 @@
 	if r := sl.resume; r != nil && from == "" {
 		if oldest, ok := oldestVersion(r.Tokens, r.Spans); ok && oldest >= e.MinVersion {
 			e.Tokens, e.Text, e.Spans = r.Tokens, r.Text, r.Spans
+			a.tokens, a.continued, a.oldest = len(r.Tokens), len(r.Tokens), oldest
 		}
 		sl.resume = nil
 	}
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -47,7 +47,8 @@
 	first   time.Time
 	tokens  int
 	oldest  int64
-	hedge   bool
+	// continued is the number of tokens that came from an earlier attempt.
+	continued int
 }
 
 type group struct {
@@ -65,6 +66,14 @@
 	Deadline time.Time
 	// Hedging lets stragglers run a second time.
 	Hedging bool
+	// Past is what an earlier step of the trainer has learned; nil means nothing.
+	Past *Past
+}
+
+// Past is what a step has learned about the pool.
+type Past struct {
+	stats  stats
+	window window
 }
 
 // Step is the pure state of one step: messages in, effects out. It knows slots, not attempts: the
@@ -110,6 +119,9 @@
 		opts: opts, attempts: map[AttemptID]*attempt{}, scoring: map[AttemptID]int{},
 		version: opts.Spec.TrainerVersion, window: newWindow(),
 	}
+	if opts.Past != nil {
+		s.stats, s.window = opts.Past.stats.clone(), opts.Past.window
+	}
 	for i, g := range opts.Spec.Groups {
 		s.groups = append(s.groups, group{id: g.ID, prompt: g.Prompt, first: len(s.slots), n: g.Samples})
 		for range g.Samples {
@@ -136,6 +148,7 @@
 		for _, p := range m.Progress {
 			effects = append(effects, s.progressed(p)...)
 		}
+		s.window.settle(now, s.stats.usual().duration)
 		effects = append(effects, s.start(now)...)
 		return append(effects, s.hedge(now)...)
 	case Answered:
@@ -150,6 +163,9 @@
 	return append(effects, s.start(now)...)
 }
 
+// Past returns what the step has learned, for the next one.
+func (s *Step) Past() *Past { return &Past{stats: s.stats.clone(), window: s.window} }
+
 // Slots returns the number of slots.
 func (s *Step) Slots() int { return len(s.slots) }
 
@@ -219,7 +235,7 @@
 // cancel forgets an attempt; its answer will be dropped.
 func (s *Step) cancel(a *attempt) Effect {
 	s.Counts.Cancelled++
-	s.Counts.WastedTokens += int64(a.tokens)
+	s.Counts.WastedTokens += int64(a.tokens - a.continued)
 	s.forget(a)
 	return CancelAttempt{ID: a.id}
 }
@@ -248,10 +264,7 @@
 		return nil
 	}
 	if m.Tokens > a.tokens {
-		a.tokens, a.last = m.Tokens, m.Last
-		if a.first.IsZero() {
-			a.first = m.Last
-		}
+		a.tokens, a.first, a.last = m.Tokens, m.First, m.Last
 	}
 	a.oldest = m.Oldest
 	if a.oldest > 0 && a.oldest < s.need(s.version) {
