--- a/steward/tables.go
+++ b/steward/tables.go
@@ -82,7 +82,8 @@
 	if !t.machine.Ready() || t.machine.Scanning() || t.machine.Revision() == 0 || !t.carry.Due(now, retention) {
 		return config.Snapshot{}, false
 	}
-	return t.machine.Snapshot(), true
+	snap := t.machine.Snapshot()
+	return snap, !snap.Incomplete || t.carry.LastResort(now, retention)
 }
 
 // Snapshot implements logtail.Snapshotter.
@@ -142,6 +143,13 @@
 	return t.current, t.machine.Revision(), t.machine.Ready()
 }
 
+// lastSnapshot returns the offset of the newest snapshot record, 0 if none was seen.
+func (t *tables) lastSnapshot() platform.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.LastSnapshot()
+}
+
 func (t *tables) history(limit int) []config.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
