rpc: a frame holds one message; strangers are bounded

Cause: jsonrpc2.VarintObjectCodec leaves what follows a message in its frame in the stream, and reads it as the next frame: a message inside another's frame passed MaxMessageBytes unseen, so that anyone could make a node hold any amount of memory (seen: a server answered id 2 hidden in the frame of id 1). A peer that sends or reads nothing kept its connection and goroutines for ever, and answers to nobody went to the log. Conclusion: memory that a stranger can make a server hold is bounded; 64 idle strangers can still keep nodes from connecting for 2 minutes, which the network has to keep off.

--- /dev/null
+++ b/rpc/codec.go
@@ -0,0 +1,61 @@
+package rpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// codec frames each message with its length as a varint, as jsonrpc2.VarintObjectCodec does, and
+// bounds it: a frame holds one message and nothing else.
+type codec struct {
+	jsonrpc2.VarintObjectCodec
+	// limit is the longest message that is read, in bytes.
+	limit *atomic.Int64
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c codec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if limit := c.limit.Load(); size > uint64(limit) {
+		return fmt.Errorf("rpc: message of %d bytes, above %d; send less at a time", size, limit)
+	}
+	data, err := io.ReadAll(io.LimitReader(stream, int64(size))) // memory grows with what arrives
+	if err != nil {
+		return err
+	}
+	if uint64(len(data)) < size {
+		return io.ErrUnexpectedEOF
+	}
+	return json.Unmarshal(data, v)
+}
+
+// newStream returns the messages on c, of at most limit bytes.
+func newStream(c net.Conn, limit *atomic.Int64) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(&writeBoundConn{Conn: c}, codec{limit: limit})
+}
+
+// quiet keeps a peer from filling the log with answers that nobody waits for.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
+
+// writeBoundConn gives up on a peer that does not read.
+type writeBoundConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c *writeBoundConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/rpc/hostile_test.go
@@ -0,0 +1,173 @@
+package rpc
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+func frame(body string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(body))), body...)
+}
+
+// answers sends data on a raw connection and returns all that comes back until the server ends it.
+func answers(t *testing.T, addr string, data []byte) []string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() { _, _ = c.Write(data) }() // the server may end it early
+	if err := c.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	r := bufio.NewReader(c)
+	for {
+		n, err := binary.ReadUvarint(r)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("the server keeps the connection open after the answers %q", out)
+		}
+		if err != nil {
+			return out
+		}
+		body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+		if err != nil {
+			return out
+		}
+		out = append(out, string(body))
+	}
+}
+
+func openServer(t *testing.T) string {
+	return start(t, Options{Token: "s", Open: map[string]bool{"double": true}}, map[string]Handler{"double": Handle(double)})
+}
+
+// TestFrameEndsWithItsMessage: what follows a message in its frame must not be read as a frame of
+// its own, whose length nobody has checked.
+func TestFrameEndsWithItsMessage(t *testing.T) {
+	is := is.New(t)
+	first := `{"jsonrpc":"2.0","id":1,"method":"double","params":1}`
+	inner := string(frame(`{"jsonrpc":"2.0","id":2,"method":"double","params":2}`))
+	// json.Decoder reads ahead 512 bytes; what follows is left in the stream.
+	padding := strings.Repeat(" ", 512-len(first))
+	for _, a := range answers(t, openServer(t), frame(first+padding+inner)) {
+		is.True(!strings.Contains(a, `"id":2`)) // answered a message inside another's frame
+	}
+}
+
+func TestStrangerMaySendOnlyShortMessages(t *testing.T) {
+	is := is.New(t)
+	addr := openServer(t)
+	params := strings.Repeat("1", MaxStrangerMessageBytes)
+	long := frame(fmt.Sprintf(`{"jsonrpc":"2.0","id":1,"method":"double","params":%s}`, params))
+	is.Equal(len(answers(t, addr, long)), 0)
+	p := NewPool(Options{Token: "s"})
+	defer p.Close()
+	var got any
+	err := p.Call(context.Background(), addr, "double", json.RawMessage(params), &got) // a node of the deployment
+	is.Equal(Code(err), int64(jsonrpc2.CodeInvalidParams))
+}
+
+func TestSilentStrangerIsClosed(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewServer(Options{Token: "s"}, map[string]Handler{"double": Handle(double)})
+	s.strangerTime = 20 * time.Millisecond
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	defer func() { cancel(); <-done }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, io.EOF)) // closed by the server
+	p := NewPool(Options{Token: "s"})
+	defer p.Close()
+	is.NoErr(p.Call(ctx, l.Addr().String(), "double", 1, nil))
+	time.Sleep(3 * s.strangerTime) // a node may be silent for longer
+	p.mu.Lock()
+	conn := p.conns[l.Addr().String()]
+	p.mu.Unlock()
+	is.NoErr(conn.Call(ctx, "double", 1, nil))
+}
+
+func TestTooManyStrangersAreRefused(t *testing.T) {
+	is := is.New(t)
+	addr := openServer(t)
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range MaxStrangers {
+		c, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		conns = append(conns, c)
+		_, err = c.Write(frame(`{"jsonrpc":"2.0","id":1,"method":"double","params":1}`))
+		is.NoErr(err)
+		_, err = c.Read(make([]byte, 1)) // the server has taken it up
+		is.NoErr(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	conns = append(conns, c)
+	_, err = c.Read(make([]byte, 1))
+	is.True(err != nil) // refused at once
+}
+
+// FuzzMessage sends any bytes to a server, before and after the hello, and expects that it ends
+// that connection and still answers others.
+func FuzzMessage(f *testing.F) {
+	for _, s := range []string{`{"jsonrpc":"2.0","id":1,"method":"double","params":1}`, `{"jsonrpc":"2.0","id":1,"result":1}`, `null`, `[]`, `{"method":"hello","id":1,"params":"s"}`} {
+		f.Add(frame(s), true)
+	}
+	s := NewServer(Options{Token: "s", Open: map[string]bool{"double": true}}, map[string]Handler{"double": Handle(double), "echo": Handle(echo)})
+	f.Fuzz(func(t *testing.T, data []byte, known bool) {
+		if known {
+			data = append(frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":"s"}`), data...)
+		}
+		client, server := net.Pipe()
+		ended := make(chan struct{})
+		go func() { s.serveConn(context.Background(), server); close(ended) }()
+		drained := make(chan struct{})
+		go func() { _, _ = io.Copy(io.Discard, client); close(drained) }()
+		_, _ = client.Write(data) // the server may end it early
+		client.Close()
+		<-ended
+		<-drained
+		checkAnswers(t, s)
+	})
+}
+
+func echo(_ context.Context, v any) (any, error) { return v, nil }
+
+// checkAnswers calls s over a new connection.
+func checkAnswers(t *testing.T, s *Server) {
+	client, server := net.Pipe()
+	ended := make(chan struct{})
+	go func() { s.serveConn(context.Background(), server); close(ended) }()
+	p := NewPool(Options{Token: "s", Dial: func(context.Context, string) (net.Conn, error) { return client, nil }})
+	var got int
+	if err := p.Call(context.Background(), "pipe", "double", 21, &got); err != nil || got != 42 {
+		t.Fatalf("a good client got %d, %v", got, err)
+	}
+	p.Close()
+	<-ended
+}
--- a/rpc/pool.go
+++ b/rpc/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -14,6 +15,7 @@
 // Pool keeps one connection to each address, opened when first needed.
 type Pool struct {
 	opts  Options
+	limit atomic.Int64 // of one message, in bytes
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
 }
@@ -23,7 +25,9 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
-	return &Pool{opts: opts, conns: map[string]*jsonrpc2.Conn{}}
+	p := &Pool{opts: opts, conns: map[string]*jsonrpc2.Conn{}}
+	p.limit.Store(MaxMessageBytes)
+	return p
 }
 
 // Close ends all connections.
@@ -112,7 +116,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
 	}
-	c := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(newLimitedConn(nc), jsonrpc2.VarintObjectCodec{}), noRequests{})
+	c := jsonrpc2.NewConn(context.Background(), newStream(nc, &p.limit), noRequests{}, quiet())
 	if p.opts.Token != "" {
 		if err := c.Call(dctx, methodHello, p.opts.Token, nil); err != nil {
 			c.Close()
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ibistrail/ibistrail/wire"
@@ -21,6 +22,8 @@
 const (
 	// DialTimeout bounds the set-up of a connection.
 	DialTimeout = 2 * time.Second
+	// WriteTimeout bounds the sending of one message.
+	WriteTimeout = 30 * time.Second
 	// MaxMessageBytes bounds one message; a longer one ends the connection.
 	MaxMessageBytes = 32 << 20
 	// MaxInFlightPerConn bounds the requests that one connection has open at a server.
@@ -28,6 +31,16 @@
 	methodHello        = "hello"
 )
 
+// Bounds of strangers: connections whose peer has not shown the token, such as ibisctl's.
+const (
+	// MaxStrangers bounds them at a server; one more is closed at once.
+	MaxStrangers = 64
+	// MaxStrangerMessageBytes bounds one message of theirs.
+	MaxStrangerMessageBytes = 1 << 20
+	// MaxStrangerTime is how long they stay open.
+	MaxStrangerTime = 2 * time.Minute
+)
+
 // Handler answers one method. It returns the result, or an error; an *jsonrpc2.Error is sent as it is.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -102,13 +115,15 @@
 
 // Server answers methods on a listener.
 type Server struct {
-	opts     Options
-	handlers map[string]Handler
+	opts         Options
+	handlers     map[string]Handler
+	strangerTime time.Duration
+	strangers    atomic.Int64
 }
 
 // NewServer returns a server of handlers by method.
 func NewServer(opts Options, handlers map[string]Handler) *Server {
-	return &Server{opts: opts, handlers: handlers}
+	return &Server{opts: opts, handlers: handlers, strangerTime: MaxStrangerTime}
 }
 
 // Serve accepts connections on l until ctx ends.
@@ -130,8 +145,15 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
-	sc := &serverConn{s: s, slots: make(chan struct{}, MaxInFlightPerConn)}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(newLimitedConn(c), jsonrpc2.VarintObjectCodec{}), sc)
+	sc := &serverConn{s: s, conn: c, slots: make(chan struct{}, MaxInFlightPerConn)}
+	defer sc.leave()
+	if s.strangers.Add(1) > MaxStrangers {
+		c.Close()
+		return
+	}
+	sc.limit.Store(MaxStrangerMessageBytes)
+	_ = c.SetReadDeadline(time.Now().Add(s.strangerTime)) // an ended connection fails at the first read
+	conn := jsonrpc2.NewConn(ctx, newStream(c, &sc.limit), sc, quiet())
 	defer conn.Close()
 	select {
 	case <-ctx.Done():
@@ -142,9 +164,35 @@
 // serverConn is the state of one accepted connection.
 type serverConn struct {
 	s     *Server
+	conn  net.Conn
+	limit atomic.Int64 // of one message, in bytes
 	slots chan struct{}
 	mu    sync.Mutex
 	known bool
+	left  bool
+}
+
+// admit lifts the bounds of strangers.
+func (sc *serverConn) admit() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.known || sc.left {
+		return
+	}
+	sc.known = true
+	sc.s.strangers.Add(-1)
+	sc.limit.Store(MaxMessageBytes)
+	_ = sc.conn.SetReadDeadline(time.Time{}) // an ended connection fails at the next read
+}
+
+// leave counts a stranger out.
+func (sc *serverConn) leave() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if !sc.known {
+		sc.s.strangers.Add(-1)
+	}
+	sc.left = true
 }
 
 // Handle answers one request on its own goroutine, so that a long poll holds up no other.
@@ -175,9 +223,7 @@
 		reply(ctx, conn, req, nil, Errorf(wire.CodeUnauthorized, "peer token differs; give all nodes of a deployment the same peer_token_file"))
 		return
 	}
-	sc.mu.Lock()
-	sc.known = true
-	sc.mu.Unlock()
+	sc.admit()
 	reply(ctx, conn, req, wire.Empty{}, nil)
 }
 
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -1,9 +1,15 @@
 package rpc
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
+	"io"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,10 +77,16 @@
 
 func TestTooLongMessageEndsConnection(t *testing.T) {
 	is := is.New(t)
-	c := newLimitedConn(nil)
-	is.NoErr(c.scan(append(binary.AppendUvarint(nil, 3), 'a', 'b', 'c')))
-	is.NoErr(c.scan([]byte{0x81}))                                       // half of a length
-	is.NoErr(c.scan([]byte{0x01}))                                       // 129 bytes follow
-	is.NoErr(c.scan(make([]byte, 129)))                                  // the message
-	is.True(c.scan(binary.AppendUvarint(nil, MaxMessageBytes+1)) != nil) // too long
+	var limit atomic.Int64
+	limit.Store(MaxMessageBytes)
+	read := func(data []byte) error {
+		var v any
+		return codec{limit: &limit}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v)
+	}
+	is.NoErr(read(frame(`{"a":1}`)))
+	is.NoErr(read(frame(`"` + strings.Repeat("a", 129) + `"`))) // a length of two bytes
+	is.True(errors.Is(read(frame(`{"a":1}`)[:4]), io.ErrUnexpectedEOF))
+	err := read(binary.AppendUvarint(nil, MaxMessageBytes+1))
+	is.True(err != nil && strings.Contains(err.Error(), "send less")) // refused before it arrives
+	is.True(read(bytes.Repeat([]byte{0xff}, 20)) != nil)              // no length at all
 }
