--- a/rpc/pool.go
+++ b/rpc/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -15,6 +16,7 @@
 // Pool keeps one connection to each address, opened when first needed.
 type Pool struct {
 	opts  Options
+	limit atomic.Int64 // of one message, in bytes
 	mu    sync.Mutex
 	conns map[string]*pooled
 }
@@ -31,7 +33,9 @@
 	if opts.Dial == nil {
 		opts.Dial = dialTCP
 	}
-	return &Pool{opts: opts, conns: map[string]*pooled{}}
+	p := &Pool{opts: opts, conns: map[string]*pooled{}}
+	p.limit.Store(MaxMessageBytes)
+	return p
 }
 
 // Close ends all connections.
@@ -155,7 +159,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
 	}
-	c := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(newLimitedConn(nc), jsonrpc2.VarintObjectCodec{}), noRequests{})
+	c := jsonrpc2.NewConn(context.Background(), newStream(nc, &p.limit), noRequests{}, quiet())
 	if p.opts.Token != "" {
 		if err := c.Call(dctx, methodHello, p.opts.Token, nil); err != nil {
 			c.Close()
