--- a/config/validate_routes.go
+++ b/config/validate_routes.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// reservedPath is the tree of paths that gates serve themselves.
-const reservedPath = "/v1"
+// reservedPaths are the trees of paths that gates serve themselves.
+var reservedPaths = []string{"/v1", "/healthz", "/readyz"}
 
 func (v *validation) checkRoutes() {
 	names := make(map[string]bool, len(v.t.Routes))
@@ -85,9 +85,11 @@
 		v.add(rowPath("routes", i), "add the path prefix of its requests, such as /desk", "route %q of kind http has no path_prefix", r.Name)
 		return
 	}
-	p := trimSlash(r.PathPrefix)
-	if p == reservedPath || strings.HasPrefix(p, reservedPath+"/") {
-		v.add(rowPath("routes", i, "path_prefix"), "choose a prefix outside "+reservedPath, "path_prefix %s is served by the gates themselves", r.PathPrefix)
+	p := trimSlash(r.PathPrefix) + "/"
+	for _, reserved := range reservedPaths {
+		if strings.HasPrefix(p, reserved+"/") {
+			v.add(rowPath("routes", i, "path_prefix"), "choose a prefix outside "+strings.Join(reservedPaths, ", "), "path_prefix %s is served by the gates themselves", r.PathPrefix)
+		}
 	}
 }
 
--- a/config/validate_test.go
+++ b/config/validate_test.go
@@ -63,6 +63,7 @@
 		{"pool twice", `"name":"desk","kind":"services"`, `"name":"engines","kind":"services"`, "/pools/1/name", "stands twice", "own name"},
 		{"one token, two callers", `00000000000b`, `00000000000a`, "/routes/2/callers/0/token_sha256", "same token", "own token"},
 		{"reserved path", `"/desk"`, `"/v1/desk"`, "/routes/1/path_prefix", "gates themselves", "outside /v1"},
+		{"path of the balancer's check", `"/desk"`, `"/readyz/"`, "/routes/1/path_prefix", "gates themselves", "outside /v1"},
 		{"path missing", `"path_prefix":"/desk",`, ``, "/routes/1", "no path_prefix", "/desk"},
 		{"field twice", `"priority":0`, `"priority":0,"priority":1`, "/routes/1/priority", "stands twice", "remove"},
 		{"no callers", `[{"name":"trainer","token_sha256":"000000000000000000000000000000000000000000000000000000000000000b"}]`, `[]`, "/routes/2/callers", "below 1", "callers"},
