config: decide a change at the size to design for in 4 ms

Cause: with 2,300 targets, 60 routes and 600 callers, 20.6 ms and 21 MB of garbage went into each decided change, a third of it into JSON pointers of places without a problem. Change: the place is built only for a problem; one replacer for all. Measured: go test ./config -run xxx -bench AtSize: before 20.6 ms, 21.5 MB, 28,763 allocations; after 4.2, 4.0, 3.3 ms, 1.2 MB, 7,834 allocations (encoding and Diff included, three runs, machine shared).

--- a/config/validate_routes.go
+++ b/config/validate_routes.go
@@ -102,13 +102,13 @@
 		inRoute := map[string]bool{}
 		for j := range v.t.Routes[i].Callers {
 			c := &v.t.Routes[i].Callers[j]
-			at := rowPath("routes", i, "callers", strconv.Itoa(j), "token_sha256")
+			at := func() string { return rowPath("routes", i, "callers", strconv.Itoa(j), "token_sha256") }
 			if inRoute[c.TokenSHA256] {
-				v.add(at, "list each token once a route", "the token stands twice in route %q", v.t.Routes[i].Name)
+				v.add(at(), "list each token once a route", "the token stands twice in route %q", v.t.Routes[i].Name)
 			}
 			inRoute[c.TokenSHA256] = true
 			if other, ok := owner[c.TokenSHA256]; ok && other != c.Name {
-				v.add(at, "give each caller its own token", "callers %q and %q have the same token", other, c.Name)
+				v.add(at(), "give each caller its own token", "callers %q and %q have the same token", other, c.Name)
 			}
 			owner[c.TokenSHA256] = c.Name
 		}
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -219,6 +219,6 @@
 	return b.String()
 }
 
-func escape(token string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(token)
-}
+var escaper = strings.NewReplacer("~", "~0", "/", "~1")
+
+func escape(token string) string { return escaper.Replace(token) }
