ctl: say that the log is out, not that time is up

Cause: with the log out, apply ended with exit code 5 and a bare deadline, though stewards had answered that the change was not read back; drain named a flag that it does not have. Change: an answer is preferred over a later timeout; drain says to run it again. Conclusion: exit code 4 means the log or the stewards, 5 means time.

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -86,7 +86,8 @@
 	if len(change.Edits) == 0 {
 		return a.unchanged(ctx, c, e, got.Snapshot.Revision)
 	}
-	decision, err := c.publish(ctx, change)
+	again := "send it again with --change-id " + change.ID + ", which has no second effect"
+	decision, err := c.publish(ctx, change, again)
 	if err != nil {
 		return err
 	}
@@ -138,15 +139,16 @@
 	return change, nil
 }
 
-// publish sends the change until a steward tells how it was decided.
-func (c *client) publish(ctx context.Context, change config.Change) (*config.Decision, error) {
+// publish sends the change until a steward tells how it was decided; again tells the operator how
+// to go on if none does.
+func (c *client) publish(ctx context.Context, change config.Change, again string) (*config.Decision, error) {
 	var r wire.ApplyResult
 	params := wire.ApplyParams{OperatorParams: c.auth(), Change: change, TimeoutMs: c.share().Milliseconds() * 9 / 10}
 	err := c.call(ctx, wire.MethodApply, params, &r)
 	var e *Error
 	if errors.As(err, &e) && (e.Exit == ExitUnavailable || e.Exit == ExitTimeout) {
 		e.Message = fmt.Sprintf("the change %s was not seen to be decided: %s", change.ID, e.Message)
-		e.Remedy = fmt.Sprintf("it may still come in force: look with `ibisctl history`, or send it again with --change-id %s, which has no second effect", change.ID)
+		e.Remedy = "it may still come in force: look with `ibisctl history`, or " + again
 	}
 	if err != nil {
 		return nil, err
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -54,25 +54,30 @@
 // call asks the servers in turn until one answers. All methods may be repeated: a change that is
 // applied twice is decided once, by its ID.
 func (c *client) call(ctx context.Context, method string, params, result any) error {
-	var err error
+	var last, answered error // answered says more than a timeout
 	for round := range triesPerCall {
 		if round > 0 && !pause(ctx, retryPause) {
 			break
 		}
 		for _, s := range c.servers {
-			err = c.callOne(ctx, s, method, params, result)
-			if err == nil {
+			last = c.callOne(ctx, s, method, params, result)
+			if last == nil {
 				return nil
 			}
-			if code := rpc.Code(err); code != 0 && code != wire.CodeUnavailable && code != wire.CodeNotReady {
-				return remoteError(err)
+			if code := rpc.Code(last); code == wire.CodeUnavailable || code == wire.CodeNotReady {
+				answered = last
+			} else if code != 0 {
+				return remoteError(last)
 			}
 			if ctx.Err() != nil {
-				return remoteError(err)
+				break
 			}
 		}
 	}
-	return remoteError(err)
+	if answered != nil {
+		return remoteError(answered)
+	}
+	return remoteError(last)
 }
 
 // callOne leaves time for the other servers.
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -117,6 +117,21 @@
 	is.Equal(len(s.machine.History()), 2) // the second copy was not decided again
 }
 
+func TestOutageOfTheLogIsTold(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	s.loseAnswers = 1000
+	mine := tables()
+	mine.Routes[0].TimeoutMs = 5000
+	code, _, stderr := run(t, []string{s.address, s.address}, "apply", writeJSON(t, mine), "--change-id", "mine", "--timeout", "500ms")
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "the change mine was not seen to be decided"))
+	is.True(strings.Contains(stderr, "--change-id mine"))
+	code, _, stderr = run(t, []string{s.address}, "drain", "s1", "--timeout", "500ms")
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "run the same command again"))
+}
+
 func TestNextServerIsTried(t *testing.T) {
 	is := is.New(t)
 	s := applied(t)
--- a/ctl/drain.go
+++ b/ctl/drain.go
@@ -59,7 +59,7 @@
 			return a.unchanged(ctx, c, e, got.Snapshot.Revision)
 		}
 		change.Note, change.ID = e.note, uuid.NewString()
-		d, err := c.publish(ctx, change)
+		d, err := c.publish(ctx, change, "run the same command again, which changes nothing twice")
 		if err != nil {
 			return err
 		}
