--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -111,7 +111,7 @@
 	s.loseAnswers = 1
 	mine := tables()
 	mine.Routes[0].TimeoutMs = 5000
-	code, _, stderr := run(t, []string{s.address}, "apply", writeJSON(t, mine))
+	code, _, stderr := run(t, []string{s.address, s.address}, "apply", writeJSON(t, mine), "--timeout", "2s")
 	is.Equal(stderr, "")
 	is.Equal(code, ExitOK)
 	is.Equal(len(s.machine.History()), 2) // the second copy was not decided again
@@ -132,6 +132,21 @@
 	is.True(strings.Contains(stderr, "run the same command again"))
 }
 
+func TestAnswerSaysMoreThanATimeout(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan struct{}, triesPerCall)
+	address := serve(t, map[string]rpc.Handler{wire.MethodGet: rpc.Handle(func(ctx context.Context, _ wire.OperatorParams) (wire.GetResult, error) {
+		asked <- struct{}{}
+		if len(asked) > 1 {
+			<-ctx.Done() // hangs
+		}
+		return wire.GetResult{}, rpc.Errorf(wire.CodeUnavailable, "the log is out")
+	})})
+	code, _, stderr := run(t, []string{address}, "get", "--timeout", "1s")
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "the log is out"))
+}
+
 func TestNextServerIsTried(t *testing.T) {
 	is := is.New(t)
 	s := applied(t)
--- a/ctl/steward_test.go
+++ b/ctl/steward_test.go
@@ -27,7 +27,8 @@
 	members []wire.Member
 	// rivals are changes that come in just before the operator's.
 	rivals []config.Change
-	// loseAnswers counts applies that take effect and are answered with CodeUnavailable.
+	// loseAnswers counts applies that take effect and are answered with CodeUnavailable when their
+	// time is up.
 	loseAnswers int
 	address     string
 }
@@ -94,23 +95,32 @@
 	return wire.NodesResult{Latest: s.machine.Revision(), Members: append([]wire.Member{}, s.members...)}, authorize(p.Token)
 }
 
-func (s *steward) apply(_ context.Context, p wire.ApplyParams) (wire.ApplyResult, error) {
+func (s *steward) apply(ctx context.Context, p wire.ApplyParams) (wire.ApplyResult, error) {
 	if err := authorize(p.Token); err != nil {
 		return wire.ApplyResult{}, err
 	}
+	d, seen := s.publish(p.Change)
+	if seen {
+		return wire.ApplyResult{Decision: d}, nil
+	}
+	pause(ctx, time.Duration(p.TimeoutMs)*time.Millisecond)
+	return wire.ApplyResult{}, rpc.Errorf(wire.CodeUnavailable, "not read back in time")
+}
+
+// publish decides a change and tells whether its decision is seen.
+func (s *steward) publish(c config.Change) (d config.Decision, seen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.rivals {
 		s.decide(r)
 	}
 	s.rivals = nil
-	s.decide(p.Change)
+	s.decide(c)
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
-		return wire.ApplyResult{}, rpc.Errorf(wire.CodeUnavailable, "not read back in time")
+		return config.Decision{}, false
 	}
-	d, _ := s.machine.Lookup(p.Change.ID)
-	return wire.ApplyResult{Decision: d}, nil
+	return s.machine.Lookup(c.ID)
 }
 
 func (s *steward) decide(c config.Change) {
