steward: the dump tells how the tables are read

Cause: counts of records that were kept out of force could not be seen. Change: config.Status in the steward's dump, in the place of config_next.

--- a/config/machine.go
+++ b/config/machine.go
@@ -49,6 +49,17 @@
 	Undecided int64 `json:"undecided"`
 }
 
+// Status tells where a Machine stands, for dumps.
+type Status struct {
+	Ready        bool            `json:"ready"`
+	Scanning     bool            `json:"scanning"`
+	Next         platform.Offset `json:"next"`
+	Revision     platform.Offset `json:"revision"`
+	LastSnapshot platform.Offset `json:"last_snapshot"`
+	Incomplete   bool            `json:"incomplete"`
+	Stats        Stats           `json:"stats"`
+}
+
 // NewMachine returns a machine that knows nothing and wants to read from offset 1.
 func NewMachine() *Machine {
 	return &Machine{window: DecidedWindow, first: 1, next: 1, state: emptySnapshot(), decided: map[string]Decided{}}
@@ -74,6 +85,12 @@
 // Stats returns counts of records that were not acted on.
 func (m *Machine) Stats() Stats { return m.stats }
 
+// Status returns where the machine stands.
+func (m *Machine) Status() Status {
+	return Status{Ready: m.ready, Scanning: m.scanning, Next: m.next, Revision: m.state.Revision,
+		LastSnapshot: m.state.LastSnapshot, Incomplete: m.state.Incomplete, Stats: m.stats}
+}
+
 // LastSnapshot returns the offset of the newest snapshot record that carries the state forward; 0
 // means none. One whose state is older than the snapshot before it does not count, since records
 // that it needs expire first.
--- a/steward/state.go
+++ b/steward/state.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rumor"
 	"github.com/ibistrail/ibistrail/wire"
 )
@@ -184,23 +183,23 @@
 
 // dump is the state dump of the process.
 type dump struct {
-	Node       wire.Node               `json:"node"`
-	Started    time.Time               `json:"started"`
-	State      wire.State              `json:"state"`
-	Tails      any                     `json:"tails"`
-	Members    []wire.Member           `json:"members"`
-	Rumors     map[string][]wire.Rumor `json:"rumors"`
-	Leases     any                     `json:"leases"`
-	Claims     any                     `json:"claims"`
-	Pools      any                     `json:"pools"`
-	ConfigRead platform.Offset         `json:"config_next"`
+	Node    wire.Node               `json:"node"`
+	Started time.Time               `json:"started"`
+	State   wire.State              `json:"state"`
+	Tails   any                     `json:"tails"`
+	Members []wire.Member           `json:"members"`
+	Rumors  map[string][]wire.Rumor `json:"rumors"`
+	Leases  any                     `json:"leases"`
+	Claims  any                     `json:"claims"`
+	Pools   any                     `json:"pools"`
+	Config  config.Status           `json:"config"`
 }
 
 func (s *Steward) dump() dump {
 	st, _ := s.hub.get()
 	d := dump{
 		Node: s.self, Started: s.started, State: st, Tails: s.tails.status(), Members: s.members.Members(),
-		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Claims: s.claims.status(), Pools: s.orders.status(), ConfigRead: s.tables.Next(),
+		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Claims: s.claims.status(), Pools: s.orders.status(), Config: s.tables.status(),
 	}
 	for _, k := range []string{rumor.KindLeaving, rumor.KindVersion, rumor.KindDeath, rumor.KindCleared, rumor.KindEngines} {
 		d.Rumors[k] = s.members.kind(k)
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -34,6 +34,13 @@
 	return t.machine.Next()
 }
 
+// status tells where the reading of the stream stands.
+func (t *tables) status() config.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.Status()
+}
+
 // Apply implements logtail.Consumer.
 func (t *tables) Apply(now time.Time, r platform.Record) {
 	t.mu.Lock()
