logtail: longer waits at relays, given up when membership loses the relay; bytes counted on the wire

Cause: at 27 nodes a zone, polls of a second cost a relay more than a node's budget of control bytes; payload counters leave out the envelopes. Change: followers wait 5 s at their relay and leave it when it is suspected; connections count bytes. Measured: go test -race ./steward ./logtail ./claims ./lease passes.

--- a/claims/relay.go
+++ b/claims/relay.go
@@ -22,7 +22,7 @@
 	// GiveUpAfter is how long a record is sent again; its claims may still take effect later.
 	GiveUpAfter = 10 * time.Second
 	// FreshFor is how long ago the end of the stream must have been read to take new claims.
-	FreshFor = 5 * time.Second
+	FreshFor = 8 * time.Second
 )
 
 // Errors of Add; nothing of the claim was appended.
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -21,7 +21,7 @@
 	// same ID.
 	ResendAfter = time.Second
 	// FreshFor is how long ago a contender must have read the end of the stream.
-	FreshFor = 5 * time.Second
+	FreshFor = logtail.FreshFor
 )
 
 // Options configure a Manager.
--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -1,10 +1,12 @@
 package logtail
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,10 +18,17 @@
 
 // Bounds of reads.
 const (
-	// PollWait is how long a source may wait for new records.
-	PollWait = time.Second
-	// PollSlack is how long an answer may take above PollWait before the source counts as stalled.
+	// LogWait, PeerWait and RelayWait are how long each kind of source may wait for new records. A
+	// relay that dies is noticed by membership before RelayWait is over.
+	LogWait   = 2 * time.Second
+	PeerWait  = 1500 * time.Millisecond
+	RelayWait = 5 * time.Second
+	// PollSlack is how long an answer may take beyond that before the source counts as stalled.
 	PollSlack = time.Second
+	// FreshFor is how long ago a reader that follows the stream has read its end at most.
+	FreshFor = 15 * time.Second
+	// relayCheck is how often a waiting reader looks whether its relay still lives.
+	relayCheck = 500 * time.Millisecond
 	// ReadLimit bounds the records of one read.
 	ReadLimit = 256
 	// RetryMin and RetryMax bound the pause after a failed read.
@@ -57,6 +66,8 @@
 	Consumer Consumer
 	// Live returns the live stewards.
 	Live func() []wire.Node
+	// RelayWait replaces the constant where it is not 0.
+	RelayWait time.Duration
 	// Call calls a method of a peer.
 	Call   func(ctx context.Context, address, method string, params, result any) error
 	Logger *slog.Logger
@@ -130,17 +141,53 @@
 
 // read asks src once and applies what it answers; it returns how old the answer's end is.
 func (t *Tail) read(ctx context.Context, src Source) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, PollWait+PollSlack)
+	wait := t.wait(src.Kind)
+	ctx, cancel := context.WithTimeout(ctx, wait+PollSlack)
 	defer cancel()
-	if src.Kind == SourceLog {
-		return t.readLog(ctx)
+	switch src.Kind {
+	case SourceLog:
+		return t.readLog(ctx, wait)
+	case SourceRelay:
+		go t.watchRelay(ctx, cancel, src.Node.ID)
 	}
-	return t.readPeer(ctx, src.Node)
+	return t.readPeer(ctx, src.Node, wait)
 }
 
-func (t *Tail) readLog(ctx context.Context) (time.Duration, error) {
+// wait returns how long a source may wait for new records: not at all until the end was read once.
+func (t *Tail) wait(k SourceKind) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.freshAt.IsZero():
+		return 0
+	case k == SourceLog:
+		return LogWait
+	case k == SourcePeer:
+		return PeerWait
+	}
+	return cmp.Or(t.opts.RelayWait, RelayWait)
+}
+
+// watchRelay gives a read up when its relay does not count as living any more.
+func (t *Tail) watchRelay(ctx context.Context, cancel context.CancelFunc, id string) {
+	tick := time.NewTicker(relayCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if !slices.ContainsFunc(t.opts.Live(), func(n wire.Node) bool { return n.ID == id }) {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+func (t *Tail) readLog(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	from := t.opts.Consumer.Next()
-	sent, wait := time.Now(), t.wait()
+	sent := time.Now()
 	res, err := t.opts.Log.Read(ctx, t.opts.Stream, from, ReadLimit, wait.Milliseconds())
 	if err != nil {
 		return 0, fmt.Errorf("read stream %s at %d: %w", t.opts.Stream, from, err)
@@ -153,10 +200,10 @@
 	return 0, nil
 }
 
-func (t *Tail) readPeer(ctx context.Context, n wire.Node) (time.Duration, error) {
+func (t *Tail) readPeer(ctx context.Context, n wire.Node, wait time.Duration) (time.Duration, error) {
 	from := t.opts.Consumer.Next()
 	var res wire.FetchResult
-	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: t.wait().Milliseconds()}
+	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: wait.Milliseconds()}
 	if err := t.opts.Call(ctx, n.StewardAddress, wire.MethodFetch, p, &res); err != nil {
 		return 0, err
 	}
@@ -165,16 +212,6 @@
 	return age, nil
 }
 
-// wait returns how long a source may wait for new records: not at all until the end was read once.
-func (t *Tail) wait() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.freshAt.IsZero() {
-		return 0
-	}
-	return PollWait
-}
-
 // take applies an answer whose Next was the end of the log at a time.
 func (t *Tail) take(res *wire.FetchResult, at time.Time) {
 	c := t.opts.Consumer
@@ -245,18 +282,23 @@
 	return s
 }
 
-// Fetch answers a peer's read, waiting for new records as long as it asks, at most PollWait.
+// Fetch answers a peer's read, waiting for new records as long as it asks, at most RelayWait;
+// it answers at once when this node is out of touch with the log.
 func (t *Tail) Fetch(ctx context.Context, p wire.FetchParams) (wire.FetchResult, error) {
-	wait := min(time.Duration(p.WaitMs)*time.Millisecond, PollWait)
+	wait := min(time.Duration(p.WaitMs)*time.Millisecond, RelayWait)
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
+	check := time.NewTicker(relayCheck)
+	defer check.Stop()
 	for {
 		res, changed, err := t.fetchNow(p)
-		if err != nil || len(res.Records) > 0 || res.Snapshot != nil {
+		stale := time.Duration(res.AgeMs)*time.Millisecond > MaxAge
+		if err != nil || len(res.Records) > 0 || res.Snapshot != nil || stale {
 			return res, err
 		}
 		select {
 		case <-changed:
+		case <-check.C:
 		case <-timer.C:
 			res, _, err = t.fetchNow(p)
 			return res, err
--- a/steward/claims.go
+++ b/steward/claims.go
@@ -24,6 +24,8 @@
 	// claimFollowAfter is how long a node must have been one of these before it reads the stream:
 	// at its start it does not know the others.
 	claimFollowAfter = 3 * time.Second
+	// claimRelayWait keeps the second reader of a zone up to date.
+	claimRelayWait = time.Second
 	// claimAttempt bounds the wait for one node that may decide a claim.
 	claimAttempt = 2 * time.Second
 	// claimAppendTimeout bounds one append of claims.
@@ -189,7 +191,7 @@
 		return
 	}
 	c.relay = claims.NewRelay(c.s.holder(), c.s.seed)
-	c.tail = c.s.tails.add(claims.Stream, c, c.followers)
+	c.tail = c.s.tails.add(claims.Stream, c, c.followers, claimRelayWait)
 }
 
 func (c *claimsDuty) append(ctx context.Context, records []platform.NewRecord) {
--- a/steward/failure_test.go
+++ b/steward/failure_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestZoneCutFromThePlatformFollowsThroughPeers(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a1, a2, b := c.start("a1", "a"), c.start("a2", "a"), c.start("b1", "b")
 	c.settle()
@@ -54,6 +55,7 @@
 }
 
 func TestNodeStartsFromPeersWhileThePlatformIsOut(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
 	c.settle()
@@ -66,6 +68,7 @@
 }
 
 func TestNodeWithoutLogAndPeersIsNotReady(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	is.NoErr(c.log.SetFaults(logservice.Faults{Outage: true}))
@@ -80,6 +83,7 @@
 }
 
 func TestTablesOutliveRetention(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{RetentionMs: 3000})
 	a := c.start("a1", "a")
 	c.settle()
@@ -93,6 +97,7 @@
 }
 
 func TestLostAppendAnswerAppliesOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -103,6 +108,7 @@
 }
 
 func TestApplyInAnOutageSaysThatItIsOpen(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -118,6 +124,7 @@
 }
 
 func TestOperatorNeedsTheToken(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -132,6 +139,7 @@
 }
 
 func TestRelayIsReplacedWhenItStops(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a1, a2, a3 := c.start("a1", "a"), c.start("a2", "a"), c.start("a3", "a")
 	c.settle()
@@ -146,6 +154,7 @@
 }
 
 func TestNodesTellTheirRevision(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -162,6 +171,7 @@
 }
 
 func TestOneKeyHasOneHolderThroughAllStewards(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	for _, id := range []string{"a1", "a2", "a3", "b1"} {
@@ -196,6 +206,7 @@
 }
 
 func TestClaimWithALostAnswerIsDecidedAtReadBack(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -208,6 +219,7 @@
 }
 
 func TestWeightOrdersGoOnAfterTheirHolderStops(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	for _, id := range []string{"a1", "a2"} {
 		c.start(id, "a")
@@ -233,6 +245,7 @@
 }
 
 func TestLeavingTargetsAreToldEverywhere(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a, b := c.start("a1", "a"), c.start("b1", "b")
 	c.settle()
@@ -248,6 +261,7 @@
 }
 
 func TestPoisonRequestIsBarredEverywhereAfterTwoDeaths(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a, b := c.start("a1", "a"), c.start("b1", "b")
 	c.settle()
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -126,7 +126,7 @@
 	z := &zoneLeases{manager: lease.NewManager(lease.Options{
 		Holder: l.s.holder(), TTL: time.Duration(l.s.opts.Settings.LeaseTTLMs) * time.Millisecond, Seed: l.s.seed,
 	})}
-	z.tail = l.s.tails.add(lease.Stream(az), z, func() []wire.Node { return l.followers(az) })
+	z.tail = l.s.tails.add(lease.Stream(az), z, func() []wire.Node { return l.followers(az) }, 0)
 	return z
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -90,7 +90,7 @@
 	s.self = wire.Node{ID: set.ID, AvailabilityZone: set.AvailabilityZone, StewardAddress: set.StewardAddress, GateAddress: set.GateAddress, GateHTTP: set.GateHTTP}
 	s.seed = xxhash.Sum64String(set.ID)
 	control := o.Metrics.SubMap("control_bytes")
-	ro := rpc.Options{Token: o.PeerToken, Bytes: control, Log: o.Log, Dial: o.Dialer.Dial}
+	ro := rpc.Options{Token: o.PeerToken, Bytes: control, Log: o.Log, Dial: countedDial(o.Dialer, control, "total.rpc")}
 	s.calls, s.polls = rpc.NewPool(ro), rpc.NewPool(ro)
 	s.log = platform.NewLogClient(set.LogURL, httpClient(o.Dialer, control, "log"))
 	s.hub = newHub(s.incarnation)
@@ -98,7 +98,7 @@
 	s.members = newGossip(s.self, s.incarnation, s.seed, s.calls.Call, o.Log, s.markDirty)
 	s.tables = newTables(s.seed, s.markDirty)
 	s.tails = newTails(s)
-	s.tails.add(config.Stream, s.tables, s.members.Alive)
+	s.tails.add(config.Stream, s.tables, s.members.Alive, 0)
 	s.leases = newLeases(s)
 	s.claims = newClaims(s)
 	s.store = newVersions(s, platform.NewStoreClient(set.StoreURL, httpClient(o.Dialer, control, "store")))
@@ -128,7 +128,8 @@
 	g, ctx := errgroup.WithContext(ctx)
 	server := rpc.NewServer(s.rpcOptions(), s.handlers())
 	debug := &process.Debug{Metrics: s.opts.Metrics, State: func() any { return s.dump() }, Ready: s.ready, Routes: s.debugRoutes}
-	g.Go(func() error { return server.Serve(ctx, l.RPC) })
+	counted := &countedListener{Listener: l.RPC, counter: s.opts.Metrics.SubMap("control_bytes"), kind: "total.rpc"}
+	g.Go(func() error { return server.Serve(ctx, counted) })
 	g.Go(func() error { return process.Serve(ctx, l.Debug, debug.Handler()) })
 	for _, run := range []func(context.Context) error{s.members.run, s.tails.run, s.leases.run, s.claims.run, s.store.run, s.vms.run, s.orders.run, s.publishStates, s.carry} {
 		g.Go(func() error { return run(ctx) })
@@ -221,14 +222,38 @@
 
 // httpClient returns a client of one kind of outside system, whose bytes are counted.
 func httpClient(d *process.Dialer, c rpc.Counter, kind string) *http.Client {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+	dial := countedDial(d, c, kind)
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+	}}
+}
+
+// countedDial dials connections whose bytes are counted under "rx.KIND" and "tx.KIND".
+func countedDial(d *process.Dialer, c rpc.Counter, kind string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := d.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		return &countedConn{Conn: conn, counter: c, rx: "rx." + kind, tx: "tx." + kind}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+}
+
+// countedListener accepts connections whose bytes are counted.
+type countedListener struct {
+	net.Listener
+	counter rpc.Counter
+	kind    string
+}
+
+// Accept accepts a connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: l.counter, rx: "rx." + l.kind, tx: "tx." + l.kind}, nil
 }
 
 // countedConn counts the bytes of a connection.
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestChangeReachesEachNodeAndEnginesGetNewWeights(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a, b := c.start("a1", "a"), c.start("b1", "b")
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -39,7 +39,7 @@
 	t.mu.Lock()
 	last := t.machine.LastSnapshot()
 	d := t.machine.Apply(r)
-	if t.machine.LastSnapshot() != last && now.Sub(t.freshAt) <= logtail.MaxAge {
+	if t.machine.LastSnapshot() != last && now.Sub(t.freshAt) <= logtail.FreshFor {
 		t.carry.Seen(now, t.retention)
 	}
 	t.current = nil
--- a/steward/tails.go
+++ b/steward/tails.go
@@ -28,10 +28,11 @@
 func newTails(s *Steward) *tails { return &tails{s: s, streams: map[string]*logtail.Tail{}} }
 
 // add follows stream, which the live nodes read too; it starts at once if the tails run.
-func (t *tails) add(stream string, c logtail.Consumer, live func() []wire.Node) *logtail.Tail {
+// A relayWait of 0 means the usual one.
+func (t *tails) add(stream string, c logtail.Consumer, live func() []wire.Node, relayWait time.Duration) *logtail.Tail {
 	tail := logtail.New(logtail.Options{
 		Stream: stream, Self: t.s.self, Strategy: t.s.opts.Fetch, Seed: t.s.seed, Log: t.s.log, Consumer: c,
-		Live: live, Call: t.s.polls.Call, Logger: t.s.opts.Log,
+		Live: live, RelayWait: relayWait, Call: t.s.polls.Call, Logger: t.s.opts.Log,
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,7 +109,7 @@
 	tail := s.tails.get(config.Stream)
 	age, ok := tail.Age(time.Now())
 	snap, due := s.tables.snapshotDue(time.Now(), tail.Retention())
-	if !ok || age > logtail.MaxAge || !due {
+	if !ok || age > logtail.FreshFor || !due {
 		return
 	}
 	rec, err := config.EncodeSnapshot(snap, uuid.NewString())
