--- a/claims/record.go
+++ b/claims/record.go
@@ -120,3 +120,8 @@
 	}
 	return raw
 }
+
+// NewRecord returns the log record of claims that a writer makes at a time, in Unix milliseconds.
+func NewRecord(id string, clockMs int64, list []Claim) platform.NewRecord {
+	return platform.NewRecord{ID: id, Data: encode(Record{Type: TypeClaims, ClockMs: clockMs, Claims: list})}
+}
--- a/claims/relay.go
+++ b/claims/relay.go
@@ -167,7 +167,7 @@
 
 func (r *Relay) batch(now time.Time, clockMs int64) platform.NewRecord {
 	n := min(len(r.queue), MaxPerRecord)
-	rec := platform.NewRecord{ID: r.id(), Data: encode(Record{Type: TypeClaims, ClockMs: clockMs, Claims: r.queue[:n]})}
+	rec := NewRecord(r.id(), clockMs, r.queue[:n])
 	r.queue = append([]Claim(nil), r.queue[n:]...)
 	r.open = append(r.open, &batch{record: rec, first: now, sent: now, claims: n})
 	r.waiting += n
--- a/logtail/planner.go
+++ b/logtail/planner.go
@@ -1,6 +1,6 @@
 // Package logtail follows a stream of the platform's log. In each availability zone one node reads
-// the log and relays it to the others; a node reads the log itself when the relay is dead or
-// stalls, and reads from peers when the log cannot be reached.
+// the log and relays it to the others, along a tree; a node reads the log itself when the one
+// above it is dead or stalls, and reads from peers when the log cannot be reached.
 package logtail
 
 import (
@@ -41,7 +41,9 @@
 // Bounds of the planner.
 const (
 	// MaxAge is how far behind the end of the log a source may be before another one is tried.
-	MaxAge = 5 * time.Second
+	MaxAge = 10 * time.Second
+	// RelayFanout is how many nodes read through one node of their zone.
+	RelayFanout = 4
 	// AvoidFor is how long a source that failed is avoided.
 	AvoidFor = 2 * time.Second
 )
@@ -69,23 +71,27 @@
 	return &Planner{opts: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(len(o.Self.ID)))), avoid: map[string]time.Time{}}
 }
 
-// Relay returns the node of peers that reads the log for zone az: the one with the lowest ID.
-func Relay(peers []wire.Node, az string) (wire.Node, bool) {
-	var relay wire.Node
-	for _, n := range peers {
-		if n.AvailabilityZone == az && (relay.ID == "" || n.ID < relay.ID) {
-			relay = n
+// Parent returns the node of its zone through which self reads: the nodes of a zone, ordered by ID,
+// form a tree whose root reads the log. ok is false for the root.
+func Parent(live []wire.Node, self wire.Node) (parent wire.Node, ok bool) {
+	zone := []wire.Node{self}
+	for _, n := range live {
+		if n.AvailabilityZone == self.AvailabilityZone && n.ID != self.ID {
+			zone = append(zone, n)
 		}
 	}
-	return relay, relay.ID != ""
+	slices.SortFunc(zone, func(a, b wire.Node) int { return strings.Compare(a.ID, b.ID) })
+	i := slices.IndexFunc(zone, func(n wire.Node) bool { return n.ID == self.ID })
+	if i == 0 {
+		return wire.Node{}, false
+	}
+	return zone[(i-1)/RelayFanout], true
 }
 
 // Plan returns the source of the next read; live are the live nodes, this one included or not.
 func (p *Planner) Plan(now time.Time, live []wire.Node) Source {
-	self := p.opts.Self
-	relay, ok := Relay(append(slices.Clip(live), self), self.AvailabilityZone)
-	if ok && relay.ID != self.ID && !p.avoided(now, relay.ID) {
-		return Source{Kind: SourceRelay, Node: relay}
+	if parent, ok := Parent(live, p.opts.Self); ok && !p.avoided(now, parent.ID) {
+		return Source{Kind: SourceRelay, Node: parent}
 	}
 	if !p.avoided(now, "") {
 		return Source{Kind: SourceLog}
--- a/logtail/planner_test.go
+++ b/logtail/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,6 +31,28 @@
 	is.Equal(src.Node.ID, "a1")
 }
 
+func TestNodeServesFewOthers(t *testing.T) {
+	is := is.New(t)
+	var zone []wire.Node
+	for i := range 27 {
+		zone = append(zone, node(fmt.Sprintf("a%02d", i), "a"))
+	}
+	children, depth := map[string]int{}, map[string]int{}
+	for _, n := range zone {
+		if parent, ok := Parent(zone, n); ok {
+			children[parent.ID]++
+			depth[n.ID] = depth[parent.ID] + 1
+		}
+	}
+	for id, n := range children {
+		if n > RelayFanout {
+			t.Errorf("%s serves %d", id, n)
+		}
+	}
+	is.Equal(depth["a26"], 3)
+	is.Equal(depth["a00"], 0)
+}
+
 func TestDeadRelayIsReplaced(t *testing.T) {
 	is := is.New(t)
 	live := []wire.Node{node("a1", "a"), node("a2", "a"), node("a3", "a")}
--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -22,7 +22,7 @@
 	// relay that dies is noticed by membership before RelayWait is over.
 	LogWait   = 2 * time.Second
 	PeerWait  = 1500 * time.Millisecond
-	RelayWait = 5 * time.Second
+	RelayWait = 2 * time.Second
 	// PollSlack is how long an answer may take beyond that before the source counts as stalled.
 	PollSlack = time.Second
 	// FreshFor is how long ago a reader that follows the stream has read its end at most.
--- a/rpc/pool.go
+++ b/rpc/pool.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("rpc: dial %s: %w", address, err)
 	}
-	c := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(newLimitedConn(nc), jsonrpc2.VarintObjectCodec{}), noRequests{})
+	c := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(newLimitedConn(nc), jsonrpc2.VarintObjectCodec{}), noRequests{}, quiet)
 	if p.opts.Token != "" {
 		if err := c.Call(dctx, methodHello, p.opts.Token, nil); err != nil {
 			c.Close()
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"log/slog"
 	"net"
 	"sync"
@@ -28,6 +30,9 @@
 	methodHello        = "hello"
 )
 
+// quiet keeps the library's lines out of the log: a lost connection is an error of the call.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Handler answers one method. It returns the result, or an error; an *jsonrpc2.Error is sent as it is.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -131,7 +136,7 @@
 
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
 	sc := &serverConn{s: s, slots: make(chan struct{}, MaxInFlightPerConn)}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(newLimitedConn(c), jsonrpc2.VarintObjectCodec{}), sc)
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(newLimitedConn(c), jsonrpc2.VarintObjectCodec{}), sc, quiet)
 	defer conn.Close()
 	select {
 	case <-ctx.Done():
--- a/steward/state.go
+++ b/steward/state.go
@@ -94,18 +94,20 @@
 			s.opts.Log.Info("ready", "revision", revision, "after", s.readyAt.Sub(s.started))
 		}
 	}
-	st.Draining = s.draining(tb)
+	leaving := s.leavingRumors()
+	st.Draining = draining(tb, leaving)
 	st.Quarantined, st.Suspects = s.members.judge()
 	for _, m := range s.members.Members() {
-		if m.Node.ID != s.self.ID && m.Status != wire.StatusDead && m.Status != wire.StatusLeft && m.GateIncarnation != "" && !m.GateDraining && !s.vms.leavingAddress(m.Node.StewardAddress) {
+		_, leaves := leavingReason(leaving, m.Node.StewardAddress)
+		if m.Node.ID != s.self.ID && (m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect) && m.GateIncarnation != "" && !m.GateDraining && !leaves {
 			st.Peers = append(st.Peers, m.Node)
 		}
 	}
 	return st
 }
 
-// draining merges the pool's rows, the list of VMs and the rumors; one word suffices.
-func (s *Steward) draining(tb *config.Tables) map[string]string {
+// leavingRumors returns the addresses that are told to be leaving, with the reasons.
+func (s *Steward) leavingRumors() map[string]string {
 	out := map[string]string{}
 	for _, r := range s.members.kind(rumor.KindLeaving) {
 		var reason string
@@ -113,13 +115,20 @@
 			out[r.Key] = reason
 		}
 	}
+	return out
+}
+
+// draining merges the pool's rows, the list of VMs and what was seen of targets; one word suffices.
+func draining(tb *config.Tables, leaving map[string]string) map[string]string {
+	out := maps.Clone(leaving)
 	for i := range tb.Pools {
 		for _, t := range tb.Pools[i].Targets {
-			switch {
-			case t.Draining:
+			if t.Draining {
 				out[t.Address] = "pool row says draining"
-			case s.vms.leavingTarget(t.Address):
-				out[t.Address] = "list of VMs says leaving"
+			} else if len(leaving) > 0 {
+				if reason, ok := leavingReason(leaving, t.Address); ok {
+					out[t.Address] = reason
+				}
 			}
 		}
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -198,6 +198,15 @@
 	return nil
 }
 
+// Members returns the known nodes, sorted by ID, without their revisions.
+func (s *Steward) Members() []wire.Member { return s.members.Members() }
+
+// Snapshot returns the tables in force, empty while none are known.
+func (s *Steward) Snapshot() config.Snapshot {
+	snap, _ := s.tables.Snapshot()
+	return snap
+}
+
 // status returns this node as a member.
 func (s *Steward) status() wire.Member {
 	_, revision, _ := s.tables.inForce()
--- a/steward/vmlist.go
+++ b/steward/vmlist.go
@@ -2,40 +2,51 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/wire"
 )
 
 // Times of the questions to the list of VMs.
 const (
+	// vmPoll is how often all nodes together ask for the list, which has no short form: each asks
+	// more rarely the more they are, and tells the others what is leaving.
 	vmPoll    = 2 * time.Second
 	vmTimeout = 2 * time.Second
+	// vmRetry is the pause after a question without an answer.
+	vmRetry = 2 * time.Second
+	// listSays is the reason of a target that leaves by the list.
+	listSays = "list of VMs says leaving"
 )
 
-// vmList keeps the newest answer of the platform's list of VMs.
+// vmList asks for the platform's list of VMs and spreads which of them are leaving.
 type vmList struct {
 	s      *Steward
 	lister platform.VMLister
 
 	mu      sync.Mutex
-	entry   map[string]platform.VM // by steward address
-	leaving map[string]bool        // addresses of leaving target VMs, with or without port
+	entries int // VMs of the newest answer
+	askedAt time.Time
 }
 
 func newVMList(s *Steward, l platform.VMLister) *vmList {
-	v := &vmList{s: s, lister: l, entry: map[string]platform.VM{}, leaving: map[string]bool{}}
 	s.members.setContacts(s.opts.Settings.Seeds)
-	return v
+	return &vmList{s: s, lister: l}
 }
 
 func (v *vmList) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		v.poll(ctx)
-		timer := time.NewTimer(vmPoll/2 + rand.N(vmPoll))
+		pause := vmPoll * time.Duration(max(1, len(v.s.members.Alive())))
+		if !v.poll(ctx) {
+			pause = vmRetry
+		}
+		timer := time.NewTimer(pause/2 + rand.N(pause))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -45,48 +56,60 @@
 	return nil
 }
 
-// poll asks once; without an answer the last one stays in force.
-func (v *vmList) poll(ctx context.Context) {
+// poll asks once and tells whether there was an answer; without one the last stays in force.
+func (v *vmList) poll(ctx context.Context) bool {
 	cctx, cancel := context.WithTimeout(ctx, vmTimeout)
 	defer cancel()
 	list, err := v.lister.VMs(cctx)
 	if err != nil {
 		v.s.opts.Metrics.Add("vm_list_errors", 1)
-		return
+		return false
 	}
-	entry, leaving := map[string]platform.VM{}, map[string]bool{}
+	now := time.Now()
+	told := v.told()
 	contacts := append([]string(nil), v.s.opts.Settings.Seeds...)
+	var rumors []wire.Rumor
 	for _, vm := range list.VMs {
-		if vm.Role == platform.VMRoleEntry {
-			entry[vm.Address] = vm
-			if !vm.Leaving {
-				contacts = append(contacts, vm.Address)
-			}
-		} else if vm.Leaving {
-			leaving[vm.Address] = true
+		r, known := told[vm.Address]
+		switch {
+		case vm.Leaving && (!known || r.Expires < now.Add(leavingTTL/2).UnixMilli()):
+			rumors = append(rumors, newLeaving(now, vm.Address, listSays))
+		case !vm.Leaving && known:
+			rumors = append(rumors, newLeaving(now, vm.Address, ""))
+		}
+		if vm.Role == platform.VMRoleEntry && !vm.Leaving {
+			contacts = append(contacts, vm.Address)
 		}
 	}
 	v.mu.Lock()
-	v.entry, v.leaving = entry, leaving
+	v.entries, v.askedAt = len(list.VMs), now
 	v.mu.Unlock()
+	v.s.members.put(rumors...)
 	v.s.members.setContacts(contacts)
-	v.s.markDirty()
+	return true
 }
 
-// leavingTarget tells whether the list says that the VM of a target is leaving.
-func (v *vmList) leavingTarget(address string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.leaving[address] {
-		return true
+// told returns what was spread of the list's leaving VMs, by address.
+func (v *vmList) told() map[string]wire.Rumor {
+	out := map[string]wire.Rumor{}
+	for _, r := range v.s.members.kind(rumor.KindLeaving) {
+		var reason string
+		if json.Unmarshal(r.Value, &reason) == nil && reason == listSays {
+			out[r.Key] = r
+		}
 	}
-	host, _, err := net.SplitHostPort(address)
-	return err == nil && v.leaving[host]
+	return out
 }
 
-// leavingAddress tells whether the list says that an entry VM is leaving.
-func (v *vmList) leavingAddress(steward string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.entry[steward].Leaving
+// leavingReason finds an address, or its host where the list names VMs without a port.
+func leavingReason(leaving map[string]string, address string) (string, bool) {
+	if reason, ok := leaving[address]; ok {
+		return reason, true
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", false
+	}
+	reason, ok := leaving[host]
+	return reason, ok
 }
