logtail: a reader of an empty stream through a relay becomes ready; steward: only the store's word on versions counts

Cause: a relay told a reader of an empty stream nothing about what is missing, so that the reader of claims waited until the first record (TestOneKeyHasOneHolderThroughAllStewards hung once). A version that a trainer states could have been ordered although the store has none such. A steward's planned restart took its gate out of the peers at once. Change: the relay tells the oldest offset of an empty stream; a stated version makes the steward ask the store; a gate counts for 15 s after its steward left by plan.

--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -321,7 +321,9 @@
 	case ok:
 		res.Records = records
 	case p.From >= t.next && !t.freshAt.IsZero():
-		// Nothing after p.From exists as far as this node knows.
+		// Nothing after p.From exists as far as this node knows; a reader of an empty stream learns
+		// from First that nothing is missing before it either.
+		res.First = t.first
 	case hasSnapshot && snapshot.Revision >= p.From:
 		res.Snapshot = &snapshot
 	default:
--- /dev/null
+++ b/logtail/tail_test.go
@@ -0,0 +1,115 @@
+package logtail
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+// stream is a log with one stream.
+type stream struct {
+	mu      sync.Mutex
+	records []platform.Record
+	first   platform.Offset
+}
+
+func (s *stream) Append(_ context.Context, _ string, rs []platform.NewRecord) (platform.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rs {
+		s.records = append(s.records, platform.Record{Offset: platform.Offset(len(s.records) + 1), ID: r.ID, Data: r.Data})
+	}
+	return platform.Offset(len(s.records)), nil
+}
+
+func (s *stream) Read(_ context.Context, _ string, from platform.Offset, limit int, _ int64) (*platform.ReadResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := &platform.ReadResponse{First: max(s.first, 1), Next: platform.Offset(len(s.records) + 1)}
+	for i := max(from, res.First); i < res.Next && len(res.Records) < limit; i++ {
+		res.Records = append(res.Records, s.records[i-1])
+	}
+	return res, nil
+}
+
+// consumer notes what it is told.
+type consumer struct {
+	next   platform.Offset
+	missed []platform.Offset
+}
+
+func (c *consumer) Next() platform.Offset { return c.next }
+func (c *consumer) Apply(_ time.Time, r platform.Record) {
+	if r.Offset == c.next {
+		c.next++
+	}
+}
+func (c *consumer) Missed(_ time.Time, first platform.Offset) {
+	c.missed = append(c.missed, first)
+	c.next = max(c.next, first)
+}
+func (c *consumer) CaughtUp(time.Time) {}
+
+// tails returns a tail that reads s itself and one that reads through it.
+func tails(s *stream) (root, leaf *Tail, at *consumer) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	root = New(Options{Stream: "s", Self: node("a1", "a"), Log: s, Consumer: &consumer{next: 1}, Logger: quiet})
+	at = &consumer{next: 1}
+	leaf = New(Options{Stream: "s", Self: node("a2", "a"), Log: s, Consumer: at, Logger: quiet, Live: func() []wire.Node { return []wire.Node{node("a1", "a")} },
+		Call: func(ctx context.Context, _, _ string, params, result any) error {
+			res, err := root.Fetch(ctx, params.(wire.FetchParams))
+			*result.(*wire.FetchResult) = res
+			return err
+		}})
+	return root, leaf, at
+}
+
+func read(t *testing.T, tail *Tail, k SourceKind) error {
+	t.Helper()
+	_, err := tail.read(t.Context(), Source{Kind: k, Node: node("a1", "a")})
+	return err
+}
+
+func TestReaderOfAnEmptyStreamLearnsThatNothingIsMissing(t *testing.T) {
+	is := is.New(t)
+	root, leaf, at := tails(&stream{})
+	is.True(read(t, leaf, SourceRelay) != nil) // the relay knows nothing itself
+	is.NoErr(read(t, root, SourceLog))
+	is.NoErr(read(t, leaf, SourceRelay))
+	is.Equal(at.missed, []platform.Offset{1})
+}
+
+func TestRecordsPassThroughTheRelay(t *testing.T) {
+	is := is.New(t)
+	s := &stream{}
+	root, leaf, at := tails(s)
+	is.NoErr(read(t, root, SourceLog))
+	_, err := s.Append(t.Context(), "s", []platform.NewRecord{{ID: "1", Data: json.RawMessage("1")}, {ID: "2", Data: json.RawMessage("2")}})
+	is.NoErr(err)
+	is.NoErr(read(t, root, SourceLog))
+	is.NoErr(read(t, leaf, SourceRelay))
+	is.Equal(at.next, platform.Offset(3))
+	age, ok := leaf.Age(time.Now())
+	is.True(ok && age < MaxAge)
+}
+
+func TestRelayThatDoesNotReachBackSaysSo(t *testing.T) {
+	is := is.New(t)
+	s := &stream{first: 3}
+	_, err := s.Append(t.Context(), "s", []platform.NewRecord{{ID: "1"}, {ID: "2"}, {ID: "3"}})
+	is.NoErr(err)
+	root, leaf, at := tails(s)
+	is.NoErr(read(t, root, SourceLog))
+	is.True(read(t, leaf, SourceRelay) != nil)
+	is.NoErr(read(t, leaf, SourceLog)) // the log itself tells what is gone
+	is.Equal(at.next, platform.Offset(4))
+	is.Equal(at.missed, []platform.Offset{3})
+}
--- a/steward/failure_test.go
+++ b/steward/failure_test.go
@@ -275,3 +275,30 @@
 	report(b, wire.Death{Fingerprint: "bad", Target: "e2", Boot: "1", Alone: true})
 	c.eventually("barred at a", func() bool { q := c.state(a).Quarantined; return len(q) == 1 && q[0].Fingerprint == "bad" })
 }
+
+func TestTrainersWordAboutAVersionIsCheckedWithTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	c.store.Publish("m", 3)
+	_, err := a.report(t.Context(), wire.ReportParams{Versions: map[string]int64{"m": 1 << 40}})
+	is.NoErr(err)
+	c.eventually("the store's version", func() bool { return c.state(a).Versions["m"] == 3 })
+}
+
+func TestGateOutlivesThePlannedRestartOfItsSteward(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a, b := c.start("a1", "a"), c.start("b1", "b")
+	c.settle()
+	go func() {
+		_, _ = b.watch(t.Context(), wire.WatchParams{GateID: "b1", GateIncarnation: "g", WaitMs: waitTimeout.Milliseconds()})
+	}()
+	c.eventually("b's gate at a", func() bool { return len(c.state(a).Peers) == 1 })
+	b.stop()
+	c.eventually("b left", func() bool { return len(a.members.Alive()) == 1 })
+	is.Equal(len(c.state(a).Peers), 1)
+}
--- a/steward/state.go
+++ b/steward/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +21,8 @@
 	stateRefresh = time.Second
 	// GateSilence is how long a gate may not have watched before it counts as gone.
 	GateSilence = 10 * time.Second
+	// restartGrace is how long the gate of a VM counts as living after its steward left by plan.
+	restartGrace = 15 * time.Second
 )
 
 // gateWatch keeps what the VM's gate last told of itself.
@@ -67,6 +68,9 @@
 	refresh := time.NewTicker(stateRefresh)
 	defer refresh.Stop()
 	for {
+		if _, live := s.gate.last(); !live {
+			s.members.setSelf("", false)
+		}
 		s.hub.set(s.build())
 		select {
 		case <-ctx.Done():
@@ -97,13 +101,28 @@
 	leaving := s.leavingRumors()
 	st.Draining = draining(tb, leaving)
 	st.Quarantined, st.Suspects = s.members.judge()
+	st.Peers = s.peers(leaving)
+	return st
+}
+
+// peers returns the gates of other VMs that live. A gate outlives the planned restart of its
+// steward, so it counts for a while longer.
+func (s *Steward) peers(leaving map[string]string) []wire.Node {
+	now := time.Now()
+	var out []wire.Node
 	for _, m := range s.members.Members() {
+		if m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect {
+			s.aliveAt[m.Node.ID] = now
+		}
+		restarts := m.Status == wire.StatusLeft && now.Sub(s.aliveAt[m.Node.ID]) < restartGrace
+		live := m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect || restarts
 		_, leaves := leavingReason(leaving, m.Node.StewardAddress)
-		if m.Node.ID != s.self.ID && (m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect) && m.GateIncarnation != "" && !m.GateDraining && !leaves {
-			st.Peers = append(st.Peers, m.Node)
+		if live && m.Node.ID != s.self.ID && m.GateIncarnation != "" && !m.GateDraining && !leaves {
+			out = append(out, m.Node)
 		}
 	}
-	return st
+	maps.DeleteFunc(s.aliveAt, func(_ string, at time.Time) bool { return now.Sub(at) > restartGrace })
+	return out
 }
 
 // leavingRumors returns the addresses that are told to be leaving, with the reasons.
@@ -169,8 +188,8 @@
 	for _, fp := range p.Cleared {
 		rumors = append(rumors, rumor.NewCleared(now, fp))
 	}
-	for _, model := range slices.Sorted(maps.Keys(p.Versions)) {
-		rumors = append(rumors, newVersion(now, model, p.Versions[model]))
+	for model, version := range p.Versions {
+		s.store.hint(model, version)
 	}
 	s.members.put(rumors...)
 	return wire.Empty{}, nil
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -75,6 +75,7 @@
 	dirty   chan struct{}
 	started time.Time
 	readyAt time.Time
+	aliveAt map[string]time.Time // when other nodes were last seen alive, for publishStates
 }
 
 // New returns a steward that knows nothing yet.
@@ -86,7 +87,7 @@
 	if set.LeaseTTLMs == 0 {
 		set.LeaseTTLMs = DefaultLeaseTTL.Milliseconds()
 	}
-	s := &Steward{opts: o, incarnation: time.Now().UnixMilli(), dirty: make(chan struct{}, 1), started: time.Now()}
+	s := &Steward{opts: o, incarnation: time.Now().UnixMilli(), dirty: make(chan struct{}, 1), started: time.Now(), aliveAt: map[string]time.Time{}}
 	s.self = wire.Node{ID: set.ID, AvailabilityZone: set.AvailabilityZone, StewardAddress: set.StewardAddress, GateAddress: set.GateAddress, GateHTTP: set.GateHTTP}
 	s.seed = xxhash.Sum64String(set.ID)
 	control := o.Metrics.SubMap("control_bytes")
--- a/steward/versions.go
+++ b/steward/versions.go
@@ -24,6 +24,8 @@
 	versionPollers = 2
 	// rateTTL is how long the store's rate is remembered.
 	rateTTL = time.Hour
+	// maxHints bounds the models that trainers' words make this node ask for.
+	maxHints = 64
 	// storeTimeout bounds one question.
 	storeTimeout = 2 * time.Second
 	// DefaultLoadRate holds until the store has told its own.
@@ -43,10 +45,11 @@
 	toldAt time.Time
 	asked  map[string]time.Time // by model, when the next question is due
 	latest map[string]int64
+	hinted map[string]bool
 }
 
 func newVersions(s *Steward, store platform.WeightStore) *versions {
-	return &versions{s: s, store: store, asked: map[string]time.Time{}, latest: map[string]int64{}}
+	return &versions{s: s, store: store, asked: map[string]time.Time{}, latest: map[string]int64{}, hinted: map[string]bool{}}
 }
 
 func (v *versions) run(ctx context.Context) error {
@@ -64,6 +67,16 @@
 	}
 }
 
+// hint tells that a trainer stated a version. Only the store's word counts, so it is asked soon.
+func (v *versions) hint(model string, version int64) {
+	known := v.s.versions()[model]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version > known && len(v.hinted) < maxHints {
+		v.hinted[model] = true
+	}
+}
+
 // due returns the models that this node should ask for now.
 func (v *versions) due(now time.Time) []string {
 	tb, _, ready := v.s.tables.inForce()
@@ -74,6 +87,9 @@
 		v.basis, v.charge = at, v.inCharge(tb)
 	}
 	every := maps.Clone(v.charge)
+	if every == nil {
+		every = map[string]time.Duration{}
+	}
 	for _, model := range v.s.orders.models() {
 		if every[model] == 0 {
 			every[model] = versionPollOthers
@@ -82,10 +98,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []string
+	for model := range v.hinted {
+		every[model] = versionPoll
+	}
 	for _, model := range slices.Sorted(maps.Keys(every)) {
 		if now.Sub(v.asked[model]) >= every[model] {
 			v.asked[model] = now
 			out = append(out, model)
+			delete(v.hinted, model)
 		}
 	}
 	return out
