--- a/claims/relay.go
+++ b/claims/relay.go
@@ -22,7 +22,7 @@
 	// GiveUpAfter is how long a record is sent again; its claims may still take effect later.
 	GiveUpAfter = 10 * time.Second
 	// FreshFor is how long ago the end of the stream must have been read to take new claims.
-	FreshFor = 5 * time.Second
+	FreshFor = 8 * time.Second
 )
 
 // Errors of Add; nothing of the claim was appended.
@@ -167,7 +167,7 @@
 
 func (r *Relay) batch(now time.Time, clockMs int64) platform.NewRecord {
 	n := min(len(r.queue), MaxPerRecord)
-	rec := platform.NewRecord{ID: r.id(), Data: encode(Record{Type: TypeClaims, ClockMs: clockMs, Claims: r.queue[:n]})}
+	rec := NewRecord(r.id(), clockMs, r.queue[:n])
 	r.queue = append([]Claim(nil), r.queue[n:]...)
 	r.open = append(r.open, &batch{record: rec, first: now, sent: now, claims: n})
 	r.waiting += n
--- a/steward/failure_test.go
+++ b/steward/failure_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestZoneCutFromThePlatformFollowsThroughPeers(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a1, a2, b := c.start("a1", "a"), c.start("a2", "a"), c.start("b1", "b")
 	c.settle()
@@ -54,6 +55,7 @@
 }
 
 func TestNodeStartsFromPeersWhileThePlatformIsOut(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
 	c.settle()
@@ -66,6 +68,7 @@
 }
 
 func TestNodeWithoutLogAndPeersIsNotReady(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	is.NoErr(c.log.SetFaults(logservice.Faults{Outage: true}))
@@ -80,6 +83,7 @@
 }
 
 func TestTablesOutliveRetention(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{RetentionMs: 3000})
 	a := c.start("a1", "a")
 	c.settle()
@@ -93,6 +97,7 @@
 }
 
 func TestLostAppendAnswerAppliesOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -103,6 +108,7 @@
 }
 
 func TestApplyInAnOutageSaysThatItIsOpen(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -118,6 +124,7 @@
 }
 
 func TestOperatorNeedsTheToken(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -132,6 +139,7 @@
 }
 
 func TestRelayIsReplacedWhenItStops(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a1, a2, a3 := c.start("a1", "a"), c.start("a2", "a"), c.start("a3", "a")
 	c.settle()
@@ -146,6 +154,7 @@
 }
 
 func TestNodesTellTheirRevision(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -162,6 +171,7 @@
 }
 
 func TestOneKeyHasOneHolderThroughAllStewards(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	for _, id := range []string{"a1", "a2", "a3", "b1"} {
@@ -196,6 +206,7 @@
 }
 
 func TestClaimWithALostAnswerIsDecidedAtReadBack(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, logservice.Options{})
 	a := c.start("a1", "a")
@@ -208,6 +219,7 @@
 }
 
 func TestWeightOrdersGoOnAfterTheirHolderStops(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	for _, id := range []string{"a1", "a2"} {
 		c.start(id, "a")
@@ -233,6 +245,7 @@
 }
 
 func TestLeavingTargetsAreToldEverywhere(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a, b := c.start("a1", "a"), c.start("b1", "b")
 	c.settle()
@@ -248,6 +261,7 @@
 }
 
 func TestPoisonRequestIsBarredEverywhereAfterTwoDeaths(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, logservice.Options{})
 	a, b := c.start("a1", "a"), c.start("b1", "b")
 	c.settle()
@@ -261,3 +275,30 @@
 	report(b, wire.Death{Fingerprint: "bad", Target: "e2", Boot: "1", Alone: true})
 	c.eventually("barred at a", func() bool { q := c.state(a).Quarantined; return len(q) == 1 && q[0].Fingerprint == "bad" })
 }
+
+func TestTrainersWordAboutAVersionIsCheckedWithTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a := c.start("a1", "a")
+	c.settle()
+	c.store.Publish("m", 3)
+	_, err := a.report(t.Context(), wire.ReportParams{Versions: map[string]int64{"m": 1 << 40}})
+	is.NoErr(err)
+	c.eventually("the store's version", func() bool { return c.state(a).Versions["m"] == 3 })
+}
+
+func TestGateOutlivesThePlannedRestartOfItsSteward(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a, b := c.start("a1", "a"), c.start("b1", "b")
+	c.settle()
+	go func() {
+		_, _ = b.watch(t.Context(), wire.WatchParams{GateID: "b1", GateIncarnation: "g", WaitMs: waitTimeout.Milliseconds()})
+	}()
+	c.eventually("b's gate at a", func() bool { return len(c.state(a).Peers) == 1 })
+	b.stop()
+	c.eventually("b left", func() bool { return len(a.members.Alive()) == 1 })
+	is.Equal(len(c.state(a).Peers), 1)
+}
