--- a/load/metrics.go
+++ b/load/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/fake/engine"
 )
 
 // binLength is the resolution of a run's time line.
@@ -39,6 +40,7 @@
 	s.callMetrics(m)
 	s.engineMetrics(m)
 	s.gateMetrics(m)
+	s.weightMetrics(m)
 	if end, ok := s.lastFaultEnd(); ok {
 		m["recovery_s"] = s.recovery(end)
 	}
@@ -164,6 +166,35 @@
 	}
 }
 
+// weightMetrics tells how long after its publication an engine runs a version or a newer one.
+func (s *session) weightMetrics(m map[string]float64) {
+	var lags []time.Duration
+	for _, p := range s.models {
+		for _, e := range s.w.engines.Engines {
+			if e.Status().Model == p.model {
+				lags = append(lags, versionLags(p.published, e.Journal().Versions)...)
+			}
+		}
+	}
+	if len(lags) > 0 {
+		m["weights_lag_p50_ms"] = quantile(lags, 0.50)
+		m["weights_lag_p99_ms"] = quantile(lags, 0.99)
+	}
+}
+
+func versionLags(published map[int64]time.Time, ran []engine.VersionEntry) []time.Duration {
+	var lags []time.Duration
+	for v, at := range published {
+		for _, r := range ran {
+			if r.Version >= v && r.Time.After(at) {
+				lags = append(lags, r.Time.Sub(at))
+				break
+			}
+		}
+	}
+	return lags
+}
+
 // gateMetrics adds up the counters of the gates' rollouts.
 func (s *session) gateMetrics(m map[string]float64) {
 	for _, v := range s.w.vms {
--- a/load/weights.go
+++ b/load/weights.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // publisher publishes versions of one model to the weight store and knows the newest.
@@ -12,11 +14,14 @@
 	site    *Site
 	model   string
 	version atomic.Int64
+	mu      sync.Mutex
+	// published are the times of versions.
+	published map[int64]time.Time
 }
 
 // newPublisher returns a publisher of model whose newest version is version.
 func newPublisher(site *Site, model string, version int64) *publisher {
-	p := &publisher{site: site, model: model}
+	p := &publisher{site: site, model: model, published: map[int64]time.Time{}}
 	p.version.Store(version)
 	return p
 }
@@ -38,5 +43,8 @@
 		return fmt.Errorf("weight store answers %s to version %d of %s", resp.Status, v, p.model)
 	}
 	p.version.Store(v)
+	p.mu.Lock()
+	p.published[v] = time.Now()
+	p.mu.Unlock()
 	return nil
 }
