rollout: see an engine that turned slow, leave queues alone

Change: the rate is that of late; silent attempts count as a queue when they are many; hedging waits for a quarter of the step's slots to finish, in this step or earlier ones.

--- a/rollout/hedge.go
+++ b/rollout/hedge.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// rateInterval is the least time over which an attempt's rate is told.
+const rateInterval = 100 * time.Millisecond
+
 // straggler is a running slot with its estimates.
 type straggler struct {
 	slot int
@@ -21,7 +24,7 @@
 // The gain in step time is what the straggler takes beyond both the further attempt and the rest of
 // the step: as long as others take as long anyway, there is nothing to gain.
 func (s *Step) hedge(now time.Time) []Effect {
-	if !s.opts.Hedging || len(s.stats.last) < MinHedgeStats || now.Before(s.notBefore) || !now.Before(s.opts.Deadline) {
+	if !s.opts.Hedging || len(s.stats.last) < max(MinHedgeStats, len(s.slots)*MinHedgeStatsPercent/100) || now.Before(s.notBefore) || !now.Before(s.opts.Deadline) {
 		return nil
 	}
 	running, pending := s.stragglers(now)
@@ -43,6 +46,7 @@
 // stragglers returns the running slots, the longest left first, and the number of slots to be started.
 func (s *Step) stragglers(now time.Time) (running []straggler, pending int) {
 	usual := s.stats.usual()
+	queueing := s.queueing()
 	for i := range s.slots {
 		sl := &s.slots[i]
 		switch sl.state {
@@ -50,6 +54,10 @@
 			pending++
 		case slotRunning:
 			st := straggler{slot: i}
+			if queueing && sl.silent() {
+				pending++
+				continue
+			}
 			for _, a := range sl.running {
 				tokens := s.stats.remaining(a.tokens, s.opts.Spec.MaxTokens)
 				if left := s.timeLeft(now, a, tokens, usual); st.a == nil || left < st.left {
@@ -64,6 +72,28 @@
 	return running, pending
 }
 
+// silent tells whether no attempt on the slot has made a token yet.
+func (sl *slot) silent() bool {
+	for _, a := range sl.running {
+		if !a.first.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// queueing tells whether so many attempts wait for their first token that they wait for a place,
+// not for a target that is stuck.
+func (s *Step) queueing() bool {
+	silent := 0
+	for _, a := range s.attempts {
+		if a.first.IsZero() {
+			silent++
+		}
+	}
+	return silent > max(MaxStuck, len(s.attempts)*MaxStuckPercent/100)
+}
+
 // restTime estimates how long the step takes without its stragglers: the pending slots, and the
 // slots that run as usual.
 func (s *Step) restTime(others []straggler, pending int) time.Duration {
@@ -106,10 +136,27 @@
 	if made <= 0 || a.first.IsZero() {
 		return max(0, now.Sub(a.started)-usual.wait) + usual.wait + time.Duration(tokens)*usual.perToken
 	}
-	own := usual.perToken
-	if made > 1 {
-		own = a.last.Sub(a.first) / time.Duration(made-1)
-	}
+	own := a.recentPerToken(now, usual.perToken)
 	silent := max(0, now.Sub(a.last)-2*own-TickInterval)
 	return silent + time.Duration(tokens)*max(own, usual.perToken/2)
 }
+
+// remember keeps marks of the attempt's progress, so that its rate can be told of late.
+func (a *attempt) remember() {
+	if a.mark.at.IsZero() {
+		a.before, a.mark = progressMark{a.first, a.continued + 1}, progressMark{a.last, a.tokens}
+		return
+	}
+	if a.last.Sub(a.mark.at) >= rateInterval {
+		a.before, a.mark = a.mark, progressMark{a.last, a.tokens}
+	}
+}
+
+// recentPerToken returns the time of a token since the earlier mark.
+func (a *attempt) recentPerToken(now time.Time, usual time.Duration) time.Duration {
+	made := a.tokens - a.before.tokens
+	if made <= 0 {
+		return max(usual, now.Sub(a.before.at))
+	}
+	return a.last.Sub(a.before.at) / time.Duration(made)
+}
--- a/rollout/limits.go
+++ b/rollout/limits.go
@@ -59,6 +59,13 @@
 	MinHedgeGain = 100 * time.Millisecond
 	// MinHedgeStats is the number of finished attempts below which nothing is hedged.
 	MinHedgeStats = 4
+	// MinHedgeStatsPercent is the share of a step's slots that must have finished before, in this
+	// step or earlier ones, in percent: the first to finish are the short ones.
+	MinHedgeStatsPercent = 25
+	// MaxStuck and MaxStuckPercent bound the attempts without a token that count as stuck; more are
+	// a queue.
+	MaxStuck        = 2
+	MaxStuckPercent = 10
 	// HedgePercent is the share of further attempts in the slots of a step, in percent.
 	HedgePercent = 50
 	// MinHedges is the number of further attempts that each step may make.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -49,6 +49,14 @@
 	oldest  int64
 	// continued is the number of tokens that came from an earlier attempt.
 	continued int
+	// before and mark are two earlier states of its progress, rateInterval apart.
+	before, mark progressMark
+}
+
+// progressMark is how far an attempt was at a time.
+type progressMark struct {
+	at     time.Time
+	tokens int
 }
 
 type group struct {
@@ -265,6 +273,7 @@
 	}
 	if m.Tokens > a.tokens {
 		a.tokens, a.first, a.last = m.Tokens, m.First, m.Last
+		a.remember()
 	}
 	a.oldest = m.Oldest
 	if a.oldest > 0 && a.oldest < s.need(s.version) {
