gate: a claimed key that was not run is lent to the gate that can run it

Cause: a call refused as not run (claim unavailable) whose claim took effect later in the log could not be run through another gate: the asker got 'not run' from the owner and refused with ticket_invalid, 409. Seen in TestScenarios/once-refused-then-elsewhere. Ruled out: the claim table (it told the right holder). Change: the holder of a claim lends it, once to each holder, and no longer runs it itself; the borrower runs under the same claim ID. A loan whose answer is lost ends in 'unknown', never in a second run.

--- a/gate/keys.go
+++ b/gate/keys.go
@@ -22,6 +22,8 @@
 	claimRetryAfter = time.Second
 	// peerTimeout bounds a question to the owner of a key.
 	peerTimeout = 2 * time.Second
+	// maxLoans bounds how often a key that was not run may be lent on while its holder is looked for.
+	maxLoans = 3
 	// runningRetryAfter is when a caller may ask again for a request in progress.
 	runningRetryAfter = 500 * time.Millisecond
 )
@@ -95,7 +97,11 @@
 		return nil, false, errTicket(perr)
 	}
 	if !k.minter.Own(t) {
-		return k.ask(ctx, t.Gate, t.Incarnation, q, true)
+		res, err := k.ask(ctx, ticket.Holder{Gate: t.Gate, Incarnation: t.Incarnation}, q, wire.KeyOutcomeParams{Burn: true})
+		if err != nil {
+			return nil, false, err
+		}
+		return answered(res)
 	}
 	now := time.Now()
 	verr := k.minter.Verify(now, t)
@@ -113,6 +119,10 @@
 // byClaim runs a call if this gate's claim of the caller's key is the first in the log.
 func (k *keys) byClaim(ctx context.Context, q keyed) (*ticket.Answer, bool, *api.Error) {
 	status, claimID, kept := k.begin(time.Now(), q, uuid.NewString())
+	if status == ticket.StatusLent {
+		lessee, _ := k.lessee(q)
+		return k.borrow(ctx, lessee, q)
+	}
 	if status != ticket.StatusNew {
 		return settled(status, kept)
 	}
@@ -133,8 +143,48 @@
 		k.release(q)
 		return nil, false, errAnswerGone(api.OutcomeUnknown)
 	}
+	return k.borrow(ctx, ticket.Holder{Gate: res.GateID, Incarnation: res.GateIncarnation}, q)
+}
+
+// borrow asks the holder of a claimed key for its answer. Where the holder has not run the request,
+// it lends its claim to this gate, which then runs it.
+func (k *keys) borrow(ctx context.Context, holder ticket.Holder, q keyed) (*ticket.Answer, bool, *api.Error) {
+	own := ticket.Holder{Gate: k.gate.opts.Settings.ID, Incarnation: k.gate.incarnation}
+	for range maxLoans {
+		if holder == own {
+			break // lent to this gate before, which knows nothing of it any more
+		}
+		res, err := k.ask(ctx, holder, q, wire.KeyOutcomeParams{BorrowerID: own.Gate, BorrowerIncarnation: own.Incarnation})
+		switch {
+		case err != nil:
+			k.release(q)
+			return nil, false, err
+		case res.LentTo != "":
+			holder = ticket.Holder{Gate: res.LentTo, Incarnation: res.LentIncarnation}
+			continue
+		case res.ClaimID == "":
+			k.release(q)
+			return answered(res)
+		}
+		if !k.borrowed(q, res.ClaimID) {
+			return nil, false, errRunning()
+		}
+		return k.run(ctx, q)
+	}
 	k.release(q)
-	return k.ask(ctx, res.GateID, res.GateIncarnation, q, false)
+	return nil, false, errOwnerGone(holder.Gate)
+}
+
+func (k *keys) lessee(q keyed) (ticket.Holder, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Lessee(q.key)
+}
+
+func (k *keys) borrowed(q keyed, claimID string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Borrow(time.Now(), q.key, claimID)
 }
 
 func (k *keys) claim(ctx context.Context, q keyed, claimID string) (*wire.ClaimResult, error) {
@@ -163,21 +213,27 @@
 	return a, false, err
 }
 
-// ask asks the incarnation that owns a key what became of it. A gate that has gone takes the answer with it.
-func (k *keys) ask(ctx context.Context, gateID, incarnation string, q keyed, burn bool) (*ticket.Answer, bool, *api.Error) {
-	peer, ok := k.gate.state.peer(gateID)
+// ask asks the holder of a key what became of it. A gate that has gone takes the answer with it.
+func (k *keys) ask(ctx context.Context, holder ticket.Holder, q keyed, p wire.KeyOutcomeParams) (*wire.KeyOutcomeResult, *api.Error) {
+	peer, ok := k.gate.state.peer(holder.Gate)
 	if !ok {
-		return nil, false, errOwnerGone(gateID)
+		return nil, errOwnerGone(holder.Gate)
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	p.GateIncarnation, p.Key, p.Fingerprint, p.WaitMs = holder.Incarnation, q.key, q.fingerprint, peerTimeout.Milliseconds()/2
 	res := new(wire.KeyOutcomeResult)
-	p := wire.KeyOutcomeParams{GateIncarnation: incarnation, Burn: burn, Key: q.key, Fingerprint: q.fingerprint, WaitMs: peerTimeout.Milliseconds() / 2}
 	err := k.gate.pool.Call(ctx, peer.GateAddress, wire.MethodKeyOutcome, p, res)
-	k.gate.explain.Add(q.call.RequestID, "asked_owner", "owner=%s known=%t done=%t outcome=%s err=%v", gateID, res.Known, res.Done, res.Outcome, err)
+	k.gate.explain.Add(q.call.RequestID, "asked_owner", "owner=%s known=%t done=%t lent=%t outcome=%s err=%v", holder.Gate, res.Known, res.Done, res.ClaimID != "", res.Outcome, err)
+	if err != nil || !res.Known {
+		return nil, errOwnerGone(holder.Gate)
+	}
+	return res, nil
+}
+
+// answered answers a caller with what the holder of its key knows.
+func answered(res *wire.KeyOutcomeResult) (*ticket.Answer, bool, *api.Error) {
 	switch {
-	case err != nil || !res.Known:
-		return nil, false, errOwnerGone(gateID)
 	case !res.Done:
 		return nil, false, errRunning()
 	case res.Reused:
@@ -192,19 +248,33 @@
 		return &wire.KeyOutcomeResult{}, nil
 	}
 	k.mu.Lock()
-	status, known, a, running := k.book.Lookup(time.Now(), p.Key, p.Fingerprint)
-	if (!known || status == ticket.StatusNew) && p.Burn && k.book.Burn(time.Now(), p.Key, p.Fingerprint) {
-		k.mu.Unlock()
-		return &wire.KeyOutcomeResult{Known: true, Done: true, Outcome: api.OutcomeNotRun}, nil
-	}
+	status, _, _, running := k.book.Lookup(time.Now(), p.Key, p.Fingerprint)
 	k.mu.Unlock()
-	if status == ticket.StatusRunning && known {
+	if status == ticket.StatusRunning {
 		k.await(ctx, running, time.Duration(p.WaitMs)*time.Millisecond)
-		k.mu.Lock()
-		status, known, a, _ = k.book.Lookup(time.Now(), p.Key, p.Fingerprint)
-		k.mu.Unlock()
 	}
-	return outcomeResult(status, known, a), nil
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.outcome(time.Now(), p), nil
+}
+
+// outcome burns or lends a key that has not run, as the asker wishes, or tells what became of it.
+func (k *keys) outcome(now time.Time, p wire.KeyOutcomeParams) *wire.KeyOutcomeResult {
+	if p.Burn && k.book.Burn(now, p.Key, p.Fingerprint) {
+		return &wire.KeyOutcomeResult{Known: true, Done: true, Outcome: api.OutcomeNotRun}
+	}
+	if p.BorrowerID != "" {
+		borrower := ticket.Holder{Gate: p.BorrowerID, Incarnation: p.BorrowerIncarnation}
+		if id, ok := k.book.Lend(now, p.Key, p.Fingerprint, borrower); ok {
+			return &wire.KeyOutcomeResult{Known: true, ClaimID: id}
+		}
+	}
+	status, known, a, _ := k.book.Lookup(now, p.Key, p.Fingerprint)
+	if status == ticket.StatusLent {
+		lessee, _ := k.book.Lessee(p.Key)
+		return &wire.KeyOutcomeResult{Known: true, LentTo: lessee.Gate, LentIncarnation: lessee.Incarnation}
+	}
+	return outcomeResult(status, known, a)
 }
 
 func (k *keys) await(ctx context.Context, running <-chan struct{}, wait time.Duration) {
--- a/ticket/book.go
+++ b/ticket/book.go
@@ -35,8 +35,16 @@
 	StatusReused
 	// StatusFull means that no further key can be kept now.
 	StatusFull
+	// StatusLent means that the right to run the request went to another Holder.
+	StatusLent
 )
 
+// Holder is the incarnation of a gate that may run a key.
+type Holder struct {
+	Gate        string
+	Incarnation string
+}
+
 // Answer is what became of a request.
 type Answer struct {
 	Outcome api.Outcome
@@ -63,6 +71,7 @@
 	running     bool
 	answer      *Answer
 	gone        bool
+	lent        *Holder
 	until       time.Time
 	done        chan struct{}
 }
@@ -99,6 +108,8 @@
 		return StatusDone, "", e.answer
 	case e.gone:
 		return StatusGone, "", nil
+	case e.lent != nil:
+		return StatusLent, "", nil
 	}
 	e.running = true
 	e.done = make(chan struct{})
@@ -138,7 +149,7 @@
 // Burn makes sure that a key that has not run never will, and returns true if it has not.
 func (b *Book) Burn(now time.Time, key, fingerprint string) bool {
 	b.expire(now)
-	if e := b.entries[key]; e != nil && (e.running || e.answer != nil || e.gone) {
+	if e := b.entries[key]; e != nil && (e.running || e.answer != nil || e.gone || e.lent != nil) {
 		return false
 	}
 	status, _, _ := b.Begin(now, key, fingerprint, "")
@@ -149,6 +160,42 @@
 	return true
 }
 
+// Lend gives the right to run a claimed key that has not run to another holder. It does so once: a
+// second holder, or the same one again, gets nothing, as the first may have run the request.
+func (b *Book) Lend(now time.Time, key, fingerprint string, to Holder) (claimID string, ok bool) {
+	b.expire(now)
+	e := b.entries[key]
+	if e == nil || e.fingerprint != fingerprint || e.claimID == "" || e.running || e.answer != nil || e.gone || e.lent != nil {
+		return "", false
+	}
+	e.lent = &to
+	e.until = now.Add(KeepFor)
+	return e.claimID, true
+}
+
+// Borrow makes a key hold the claim that its former holder has lent, and its request run here: one
+// that is in progress, or that was lent from here before. It returns false for any other key.
+func (b *Book) Borrow(now time.Time, key, claimID string) bool {
+	e := b.entries[key]
+	switch {
+	case e == nil || (!e.running && e.lent == nil):
+		return false
+	case e.lent != nil:
+		e.lent, e.running, e.done = nil, true, make(chan struct{})
+	}
+	e.claimID, e.until = claimID, now.Add(KeepFor)
+	return true
+}
+
+// Lessee returns the holder to whom a key was lent.
+func (b *Book) Lessee(key string) (Holder, bool) {
+	e := b.entries[key]
+	if e == nil || e.lent == nil {
+		return Holder{}, false
+	}
+	return *e.lent, true
+}
+
 // Lookup tells what is known of a key, with a channel that is closed when a running one ends.
 func (b *Book) Lookup(now time.Time, key, fingerprint string) (status Status, known bool, a *Answer, done <-chan struct{}) {
 	b.expire(now)
@@ -164,6 +211,8 @@
 		return StatusDone, true, e.answer, nil
 	case e.gone:
 		return StatusGone, true, nil, nil
+	case e.lent != nil:
+		return StatusLent, true, nil, nil
 	}
 	return StatusNew, true, nil, nil
 }
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -54,6 +54,41 @@
 	is.Equal(b.Len(), 1)
 }
 
+// A claim that was not run may be lent, once by each holder; who has lent it may not run it.
+func TestClaimIsLentOnceByEachHolder(t *testing.T) {
+	is := is.New(t)
+	a, b := NewBook(), NewBook()
+	holderA, holderB := Holder{"a", "1"}, Holder{"b", "1"}
+	_, ok := a.Lend(start, "k", "fp", holderB)
+	is.Equal(ok, false) // nothing is known of the key
+	a.Begin(start, "k", "fp", "c1")
+	_, ok = a.Lend(start, "k", "fp", holderB)
+	is.Equal(ok, false) // in progress
+	a.Release(start, "k")
+	b.Begin(start, "k", "fp", "c2")
+	id, ok := a.Lend(start, "k", "fp", holderB)
+	is.True(ok)
+	is.Equal(id, "c1")
+	_, ok = a.Lend(start, "k", "fp", holderB)
+	is.Equal(ok, false) // the borrower may have run it
+	status, _, _ := a.Begin(start, "k", "fp", "c3")
+	is.Equal(status, StatusLent)
+	is.Equal(a.Burn(start, "k", "fp"), false)
+	lessee, _ := a.Lessee("k")
+	is.Equal(lessee, holderB)
+
+	is.True(b.Borrow(start, "k", id))
+	b.Release(start, "k")
+	id, ok = b.Lend(start, "k", "fp", holderA)
+	is.True(ok)
+	is.Equal(id, "c1")
+	is.True(a.Borrow(start, "k", id))
+	status, _, _ = a.Begin(start, "k", "fp", "c4")
+	is.Equal(status, StatusRunning)
+	a.Finish(start, "k", &Answer{Outcome: api.OutcomeDone})
+	is.Equal(a.Borrow(start, "k", "c5"), false)
+}
+
 // Within a key's lifetime at most one Begin may run to its Finish.
 func TestKeyRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -358,10 +358,13 @@
 	// GateIncarnation is the owner; another incarnation knows nothing of the key.
 	GateIncarnation string `json:"gate_incarnation"`
 	// Burn asks that a key that has not run never will.
-	Burn        bool   `json:"burn,omitempty"`
-	Key         string `json:"key"`
-	Fingerprint string `json:"fingerprint"`
-	WaitMs      int64  `json:"wait_ms"`
+	Burn bool `json:"burn,omitempty"`
+	// BorrowerID and BorrowerIncarnation, if set, ask for the right to run a claimed key that has not run.
+	BorrowerID          string `json:"borrower_id,omitempty"`
+	BorrowerIncarnation string `json:"borrower_incarnation,omitempty"`
+	Key                 string `json:"key"`
+	Fingerprint         string `json:"fingerprint"`
+	WaitMs              int64  `json:"wait_ms"`
 }
 
 // KeyOutcomeResult carries the answer of a request that its owner ran.
@@ -369,11 +372,16 @@
 	Known bool `json:"known"`
 	Done  bool `json:"done"`
 	// Reused is true if the key belongs to a request with another fingerprint.
-	Reused  bool                `json:"reused,omitempty"`
-	Outcome api.Outcome         `json:"outcome"`
-	Status  int                 `json:"status"`
-	Header  map[string][]string `json:"header,omitempty"`
-	Body    []byte              `json:"body,omitempty"`
+	Reused bool `json:"reused,omitempty"`
+	// ClaimID is set where the asker has become the holder of the claim and may run the request.
+	ClaimID string `json:"claim_id,omitempty"`
+	// LentTo and LentIncarnation name the holder to ask instead.
+	LentTo          string              `json:"lent_to,omitempty"`
+	LentIncarnation string              `json:"lent_incarnation,omitempty"`
+	Outcome         api.Outcome         `json:"outcome"`
+	Status          int                 `json:"status"`
+	Header          map[string][]string `json:"header,omitempty"`
+	Body            []byte              `json:"body,omitempty"`
 }
 
 // ExplainParams names a request by its HeaderRequestID or its step ID.
