--- a/steward/state.go
+++ b/steward/state.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rumor"
 	"github.com/ibistrail/ibistrail/wire"
 )
@@ -22,6 +20,8 @@
 	stateRefresh = time.Second
 	// GateSilence is how long a gate may not have watched before it counts as gone.
 	GateSilence = 10 * time.Second
+	// restartGrace is how long the gate of a VM counts as living after its steward left by plan.
+	restartGrace = 15 * time.Second
 )
 
 // gateWatch keeps what the VM's gate last told of itself.
@@ -67,6 +67,9 @@
 	refresh := time.NewTicker(stateRefresh)
 	defer refresh.Stop()
 	for {
+		if _, live := s.gate.last(); !live {
+			s.members.setSelf("", false)
+		}
 		s.hub.set(s.build())
 		select {
 		case <-ctx.Done():
@@ -94,18 +97,35 @@
 			s.opts.Log.Info("ready", "revision", revision, "after", s.readyAt.Sub(s.started))
 		}
 	}
-	st.Draining = s.draining(tb)
+	leaving := s.leavingRumors()
+	st.Draining = draining(tb, leaving)
 	st.Quarantined, st.Suspects = s.members.judge()
+	st.Peers = s.peers(leaving)
+	return st
+}
+
+// peers returns the gates of other VMs that live. A gate outlives the planned restart of its
+// steward, so it counts for a while longer.
+func (s *Steward) peers(leaving map[string]string) []wire.Node {
+	now := time.Now()
+	var out []wire.Node
 	for _, m := range s.members.Members() {
-		if m.Node.ID != s.self.ID && m.Status != wire.StatusDead && m.Status != wire.StatusLeft && m.GateIncarnation != "" && !m.GateDraining && !s.vms.leavingAddress(m.Node.StewardAddress) {
-			st.Peers = append(st.Peers, m.Node)
+		if m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect {
+			s.aliveAt[m.Node.ID] = now
+		}
+		restarts := m.Status == wire.StatusLeft && now.Sub(s.aliveAt[m.Node.ID]) < restartGrace
+		live := m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect || restarts
+		_, leaves := leavingReason(leaving, m.Node.StewardAddress)
+		if live && m.Node.ID != s.self.ID && m.GateIncarnation != "" && !m.GateDraining && !leaves {
+			out = append(out, m.Node)
 		}
 	}
-	return st
+	maps.DeleteFunc(s.aliveAt, func(_ string, at time.Time) bool { return now.Sub(at) > restartGrace })
+	return out
 }
 
-// draining merges the pool's rows, the list of VMs and the rumors; one word suffices.
-func (s *Steward) draining(tb *config.Tables) map[string]string {
+// leavingRumors returns the addresses that are told to be leaving, with the reasons.
+func (s *Steward) leavingRumors() map[string]string {
 	out := map[string]string{}
 	for _, r := range s.members.kind(rumor.KindLeaving) {
 		var reason string
@@ -113,13 +133,20 @@
 			out[r.Key] = reason
 		}
 	}
+	return out
+}
+
+// draining merges the pool's rows, the list of VMs and what was seen of targets; one word suffices.
+func draining(tb *config.Tables, leaving map[string]string) map[string]string {
+	out := maps.Clone(leaving)
 	for i := range tb.Pools {
 		for _, t := range tb.Pools[i].Targets {
-			switch {
-			case t.Draining:
+			if t.Draining {
 				out[t.Address] = "pool row says draining"
-			case s.vms.leavingTarget(t.Address):
-				out[t.Address] = "list of VMs says leaving"
+			} else if len(leaving) > 0 {
+				if reason, ok := leavingReason(leaving, t.Address); ok {
+					out[t.Address] = reason
+				}
 			}
 		}
 	}
@@ -160,8 +187,8 @@
 	for _, fp := range p.Cleared {
 		rumors = append(rumors, rumor.NewCleared(now, fp))
 	}
-	for _, model := range slices.Sorted(maps.Keys(p.Versions)) {
-		rumors = append(rumors, newVersion(now, model, p.Versions[model]))
+	for model, version := range p.Versions {
+		s.store.hint(model, version)
 	}
 	s.members.put(rumors...)
 	return wire.Empty{}, nil
@@ -184,23 +211,23 @@
 
 // dump is the state dump of the process.
 type dump struct {
-	Node       wire.Node               `json:"node"`
-	Started    time.Time               `json:"started"`
-	State      wire.State              `json:"state"`
-	Tails      any                     `json:"tails"`
-	Members    []wire.Member           `json:"members"`
-	Rumors     map[string][]wire.Rumor `json:"rumors"`
-	Leases     any                     `json:"leases"`
-	Claims     any                     `json:"claims"`
-	Pools      any                     `json:"pools"`
-	ConfigRead platform.Offset         `json:"config_next"`
+	Node    wire.Node               `json:"node"`
+	Started time.Time               `json:"started"`
+	State   wire.State              `json:"state"`
+	Tails   any                     `json:"tails"`
+	Members []wire.Member           `json:"members"`
+	Rumors  map[string][]wire.Rumor `json:"rumors"`
+	Leases  any                     `json:"leases"`
+	Claims  any                     `json:"claims"`
+	Pools   any                     `json:"pools"`
+	Config  config.Status           `json:"config"`
 }
 
 func (s *Steward) dump() dump {
 	st, _ := s.hub.get()
 	d := dump{
 		Node: s.self, Started: s.started, State: st, Tails: s.tails.status(), Members: s.members.Members(),
-		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Claims: s.claims.status(), Pools: s.orders.status(), ConfigRead: s.tables.Next(),
+		Rumors: map[string][]wire.Rumor{}, Leases: s.leases.status(), Claims: s.claims.status(), Pools: s.orders.status(), Config: s.tables.status(),
 	}
 	for _, k := range []string{rumor.KindLeaving, rumor.KindVersion, rumor.KindDeath, rumor.KindCleared, rumor.KindEngines} {
 		d.Rumors[k] = s.members.kind(k)
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -34,12 +34,19 @@
 	return t.machine.Next()
 }
 
+// status tells where the reading of the stream stands.
+func (t *tables) status() config.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.Status()
+}
+
 // Apply implements logtail.Consumer.
 func (t *tables) Apply(now time.Time, r platform.Record) {
 	t.mu.Lock()
 	last := t.machine.LastSnapshot()
 	d := t.machine.Apply(r)
-	if t.machine.LastSnapshot() != last && now.Sub(t.freshAt) <= logtail.MaxAge {
+	if t.machine.LastSnapshot() != last && now.Sub(t.freshAt) <= logtail.FreshFor {
 		t.carry.Seen(now, t.retention)
 	}
 	t.current = nil
