--- a/config/validate_routes.go
+++ b/config/validate_routes.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// reservedPath is the tree of paths that gates serve themselves.
-const reservedPath = "/v1"
+// reservedPaths are the trees of paths that gates serve themselves.
+var reservedPaths = []string{"/v1", "/healthz", "/readyz"}
 
 func (v *validation) checkRoutes() {
 	names := make(map[string]bool, len(v.t.Routes))
@@ -85,9 +85,11 @@
 		v.add(rowPath("routes", i), "add the path prefix of its requests, such as /desk", "route %q of kind http has no path_prefix", r.Name)
 		return
 	}
-	p := trimSlash(r.PathPrefix)
-	if p == reservedPath || strings.HasPrefix(p, reservedPath+"/") {
-		v.add(rowPath("routes", i, "path_prefix"), "choose a prefix outside "+reservedPath, "path_prefix %s is served by the gates themselves", r.PathPrefix)
+	p := trimSlash(r.PathPrefix) + "/"
+	for _, reserved := range reservedPaths {
+		if strings.HasPrefix(p, reserved+"/") {
+			v.add(rowPath("routes", i, "path_prefix"), "choose a prefix outside "+strings.Join(reservedPaths, ", "), "path_prefix %s is served by the gates themselves", r.PathPrefix)
+		}
 	}
 }
 
@@ -100,13 +102,13 @@
 		inRoute := map[string]bool{}
 		for j := range v.t.Routes[i].Callers {
 			c := &v.t.Routes[i].Callers[j]
-			at := rowPath("routes", i, "callers", strconv.Itoa(j), "token_sha256")
+			at := func() string { return rowPath("routes", i, "callers", strconv.Itoa(j), "token_sha256") }
 			if inRoute[c.TokenSHA256] {
-				v.add(at, "list each token once a route", "the token stands twice in route %q", v.t.Routes[i].Name)
+				v.add(at(), "list each token once a route", "the token stands twice in route %q", v.t.Routes[i].Name)
 			}
 			inRoute[c.TokenSHA256] = true
 			if other, ok := owner[c.TokenSHA256]; ok && other != c.Name {
-				v.add(at, "give each caller its own token", "callers %q and %q have the same token", other, c.Name)
+				v.add(at(), "give each caller its own token", "callers %q and %q have the same token", other, c.Name)
 			}
 			owner[c.TokenSHA256] = c.Name
 		}
