steward, lease: a node reads only the shard of leases in which it contends

Cause: with one stream of leases a zone, each renewal wakes every node of the zone: the measurement at 10 to 50 nodes showed the busiest node and the zone's reader above 6 KB/s. Change: eight streams a zone, chosen by the pool's name; three candidates a shard, each pool first with another one; a later candidate hands its lease back once members are stable; idle engines are asked every 5 s.

--- a/lease/manager.go
+++ b/lease/manager.go
@@ -123,6 +123,9 @@
 	return int64(l.Token), true
 }
 
+// Holds tells whether this process has key and has not given it up.
+func (m *Manager) Holds(key string) bool { return !m.valid[key].IsZero() }
+
 // Holder returns who holds key as far as this reader knows.
 func (m *Manager) Holder(key string) (Lease, bool) {
 	l, _, ok := m.table.Get(key)
--- a/lease/record.go
+++ b/lease/record.go
@@ -6,13 +6,25 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"time"
 
 	"github.com/ibistrail/ibistrail/platform"
 )
 
-// Stream returns the log stream of the leases of an availability zone.
-func Stream(az string) string { return "leases-" + az }
+// Shards is the number of streams that hold the leases of an availability zone: a node reads only
+// those in which it contends. A lease must never change its stream.
+const Shards = 8
+
+// ShardOf returns the shard of a lease.
+func ShardOf(key string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key)) // a hash takes every write
+	return int(h.Sum32() % Shards)
+}
+
+// Stream returns the log stream of a shard of the leases of an availability zone.
+func Stream(az string, shard int) string { return fmt.Sprintf("leases-%s-%d", az, shard) }
 
 // Format is the format of records that this program reads and writes.
 const Format = 1
--- /dev/null
+++ b/steward/duties_test.go
@@ -0,0 +1,75 @@
+package steward
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+// fleet returns nodes and pools at the size to design for.
+func fleet(zones, nodes, pools int) ([]wire.Node, *config.Tables) {
+	az := func(i int) string { return fmt.Sprintf("z%02d", i%zones) }
+	var live []wire.Node
+	for i := range nodes {
+		live = append(live, wire.Node{ID: fmt.Sprintf("n%03d", i), AvailabilityZone: az(i)})
+	}
+	tb := &config.Tables{}
+	for i := range pools {
+		tb.Pools = append(tb.Pools, config.Pool{Name: fmt.Sprintf("pool-%d", i), Kind: config.PoolEngines, Targets: []config.Target{{AvailabilityZone: az(i)}}})
+	}
+	return live, tb
+}
+
+func TestEachPoolHasItsCandidatesAndNoNodeHasMany(t *testing.T) {
+	is := is.New(t)
+	live, tb := fleet(14, 380, 256)
+	ranks := map[string]map[int]string{}
+	worst := 0
+	for _, n := range live {
+		first := 0
+		duties := dutiesOf(tb, live, n.ID)
+		is.True(len(duties) <= 2) // streams that a node reads
+		for _, pools := range duties {
+			for pool, rank := range pools {
+				if ranks[pool] == nil {
+					ranks[pool] = map[int]string{}
+				}
+				is.Equal(ranks[pool][rank], "") // one node a rank
+				ranks[pool][rank] = n.ID
+				if rank == 0 {
+					first++
+				}
+			}
+		}
+		worst = max(worst, first)
+	}
+	is.Equal(len(ranks), 256)
+	for _, r := range ranks {
+		is.Equal(len(r), candidates)
+	}
+	t.Logf("most pools of one node: %d", worst)
+	is.True(worst <= 5)
+}
+
+func TestZoneWithoutNodesIsServedByOthers(t *testing.T) {
+	is := is.New(t)
+	live, tb := fleet(2, 6, 4)
+	var others []wire.Node
+	for _, n := range live {
+		if n.AvailabilityZone == "z01" {
+			others = append(others, n)
+		}
+	}
+	held := map[string]bool{}
+	for _, n := range others {
+		for _, pools := range dutiesOf(tb, others, n.ID) {
+			for pool := range pools {
+				held[pool] = true
+			}
+		}
+	}
+	is.Equal(len(held), 4)
+}
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -24,16 +24,31 @@
 	candidates = 3
 	// candidateDelay is how much longer each next candidate waits.
 	candidateDelay = 2 * time.Second
+	// handBackAfter is how long tables and members must have been the same before a later candidate
+	// gives a lease up; handBackPause how long it then leaves it; handBackEvery how rarely it does.
+	handBackAfter = 30 * time.Second
+	handBackPause = 5 * time.Second
+	handBackEvery = 5 * time.Minute
 )
 
-// leases runs a lease manager for each zone in which this node is a candidate.
+// shard names a stream of leases.
+type shard struct {
+	az    string
+	index int
+}
+
+func (s shard) stream() string { return lease.Stream(s.az, s.index) }
+
+// leases runs a lease manager for each shard in which this node is a candidate.
 type leases struct {
-	s     *Steward
-	mu    sync.Mutex
-	zones map[string]*zoneLeases
-	// duties is what this node is a candidate for, at the tables and members of basis.
-	duties map[string]map[string]time.Duration
+	s      *Steward
+	mu     sync.Mutex
+	shards map[shard]*shardLeases
+	// duties are the pools that this node contends for, with its rank among the candidates, at the
+	// tables and members of basis.
+	duties map[shard]map[string]int
 	basis  basis
+	since  time.Time // of basis
 }
 
 // basis names the tables and members that a derived value was made from.
@@ -42,41 +57,43 @@
 	members uint64
 }
 
-// zoneLeases is the manager of one zone's stream.
-type zoneLeases struct {
+// shardLeases is the manager of one shard's stream.
+type shardLeases struct {
 	mu      sync.Mutex
 	manager *lease.Manager
 	tail    *logtail.Tail
 	busy    bool // an append is under way
+	// handedBack is when a pool's lease was last given up in favour of the first candidate.
+	handedBack map[string]time.Time
 }
 
 func newLeases(s *Steward) *leases {
-	return &leases{s: s, zones: map[string]*zoneLeases{}}
+	return &leases{s: s, shards: map[shard]*shardLeases{}}
 }
 
 // Next implements logtail.Consumer.
-func (z *zoneLeases) Next() platform.Offset {
+func (z *shardLeases) Next() platform.Offset {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	return z.manager.Next()
 }
 
 // Apply implements logtail.Consumer.
-func (z *zoneLeases) Apply(now time.Time, r platform.Record) {
+func (z *shardLeases) Apply(now time.Time, r platform.Record) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.Apply(now, r)
 }
 
 // Missed implements logtail.Consumer.
-func (z *zoneLeases) Missed(now time.Time, first platform.Offset) {
+func (z *shardLeases) Missed(now time.Time, first platform.Offset) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.Missed(now, first)
 }
 
 // CaughtUp implements logtail.Consumer.
-func (z *zoneLeases) CaughtUp(at time.Time) {
+func (z *shardLeases) CaughtUp(at time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.CaughtUp(at)
@@ -95,43 +112,54 @@
 	}
 }
 
-// step says what is wanted in each zone and appends what the managers ask for.
+// step says what is wanted in each shard and appends what the managers ask for.
 func (l *leases) step(ctx context.Context) {
-	wanted := l.wanted()
+	now := time.Now()
+	duties := l.update(now)
 	l.mu.Lock()
-	for _, az := range append(slices.Collect(maps.Keys(wanted)), l.s.self.AvailabilityZone) {
-		if l.zones[az] == nil {
-			l.zones[az] = l.follow(az)
+	for k := range duties {
+		if l.shards[k] == nil {
+			l.shards[k] = l.follow(k)
 		}
 	}
-	zones := make(map[string]*zoneLeases, len(l.zones))
-	for az, z := range l.zones {
-		zones[az] = z
-	}
+	shards, stable := maps.Clone(l.shards), now.Sub(l.since) > handBackAfter
 	l.mu.Unlock()
-	for az, z := range zones {
-		z.step(ctx, l.s, lease.Stream(az), wanted[az])
-	}
-}
-
-// followers returns the nodes that read a zone's stream: its own nodes.
-func (l *leases) followers(az string) []wire.Node {
-	if az != l.s.self.AvailabilityZone {
-		return nil
+	for k, z := range shards {
+		z.step(ctx, l.s, k.stream(), z.wanted(now, duties[k], stable))
 	}
-	return slices.DeleteFunc(l.s.members.Alive(), func(n wire.Node) bool { return n.AvailabilityZone != az })
 }
 
-func (l *leases) follow(az string) *zoneLeases {
-	z := &zoneLeases{manager: lease.NewManager(lease.Options{
+func (l *leases) follow(k shard) *shardLeases {
+	z := &shardLeases{handedBack: map[string]time.Time{}, manager: lease.NewManager(lease.Options{
 		Holder: l.s.holder(), TTL: time.Duration(l.s.opts.Settings.LeaseTTLMs) * time.Millisecond, Seed: l.s.seed,
 	})}
-	z.tail = l.s.tails.add(lease.Stream(az), z, func() []wire.Node { return l.followers(az) }, 0)
+	followers := func() []wire.Node { return candidatesOf(l.s.members.Alive(), k) }
+	z.tail = l.s.tails.add(k.stream(), z, followers, 0)
 	return z
 }
 
+// wanted turns ranks into delays. A node that holds a lease in place of the first candidate gives
+// it up once the members have been stable, so that the work spreads evenly.
+func (z *shardLeases) wanted(now time.Time, ranks map[string]int, stable bool) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(ranks))
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for pool, rank := range ranks {
+		ago := now.Sub(z.handedBack[pool])
+		switch {
+		case rank > 0 && ago < handBackPause:
+			continue
+		case rank > 0 && stable && ago > handBackEvery && z.manager.Holds(pool):
+			z.handedBack[pool] = now
+			continue
+		}
+		out[pool] = time.Duration(rank) * candidateDelay
+	}
+	return out
+}
+
 // step appends the manager's records together, one append at a time.
-func (z *zoneLeases) step(ctx context.Context, s *Steward, stream string, want map[string]time.Duration) {
+func (z *shardLeases) step(ctx context.Context, s *Steward, stream string, want map[string]time.Duration) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.Want(want)
@@ -156,45 +184,81 @@
 	}()
 }
 
-// wanted returns for each zone the pools whose lease this node contends for, with its delay.
-func (l *leases) wanted() map[string]map[string]time.Duration {
+// update works out what this node contends for, when the tables or the members have changed.
+func (l *leases) update(now time.Time) map[shard]map[string]int {
 	tb, _, ready := l.s.tables.inForce()
 	if !ready {
 		return nil
 	}
-	now := basis{tb, l.s.members.version()}
-	if l.basis == now {
-		return l.duties
-	}
-	duties := l.candidacies(tb)
+	at := basis{tb, l.s.members.version()}
 	l.mu.Lock()
-	l.basis, l.duties = now, duties
-	l.mu.Unlock()
-	return duties
+	defer l.mu.Unlock()
+	if l.basis != at {
+		l.basis, l.since = at, now
+		l.duties = dutiesOf(tb, l.s.members.Alive(), l.s.self.ID)
+	}
+	return l.duties
 }
 
-func (l *leases) candidacies(tb *config.Tables) map[string]map[string]time.Duration {
-	out := map[string]map[string]time.Duration{}
-	live := l.s.members.Alive()
+// dutiesOf returns the pools for whose leases a node contends, with its rank.
+func dutiesOf(tb *config.Tables, live []wire.Node, self string) map[shard]map[string]int {
+	out := map[shard]map[string]int{}
+	groups := map[shard][]wire.Node{}
 	for i := range tb.Pools {
 		p := &tb.Pools[i]
 		if p.Kind != config.PoolEngines {
 			continue
 		}
 		for _, az := range zonesOf(p) {
-			rank, ok := candidateRank(live, l.s.self.ID, az, p.Name)
+			k := shard{az, lease.ShardOf(p.Name)}
+			if _, ok := groups[k]; !ok {
+				groups[k] = candidatesOf(live, k)
+			}
+			rank, ok := rankIn(groups[k], self, p.Name)
 			if !ok {
 				continue
 			}
-			if out[az] == nil {
-				out[az] = map[string]time.Duration{}
+			if out[k] == nil {
+				out[k] = map[string]int{}
 			}
-			out[az][p.Name] = time.Duration(rank) * candidateDelay
+			out[k][p.Name] = rank
 		}
 	}
 	return out
 }
 
+// candidatesOf returns the nodes that contend for the leases of a shard: some of the zone's own,
+// others for each shard, or of all nodes where the zone has none.
+func candidatesOf(live []wire.Node, k shard) []wire.Node {
+	in := slices.DeleteFunc(slices.Clone(live), func(n wire.Node) bool { return n.AvailabilityZone != k.az })
+	if len(in) == 0 {
+		in = slices.Clone(live)
+	}
+	if len(in) <= candidates {
+		return in
+	}
+	slices.SortFunc(in, func(a, b wire.Node) int { return strings.Compare(a.ID, b.ID) })
+	out := make([]wire.Node, candidates)
+	for i := range out {
+		out[i] = in[(k.index*candidates+i)%len(in)]
+	}
+	return out
+}
+
+// rankIn returns a node's place among the candidates for a pool; each pool begins with another one.
+func rankIn(group []wire.Node, self, pool string) (int, bool) {
+	group = slices.Clone(group)
+	slices.SortFunc(group, func(a, b wire.Node) int { return strings.Compare(a.ID, b.ID) })
+	i := slices.IndexFunc(group, func(n wire.Node) bool { return n.ID == self })
+	if i < 0 {
+		return 0, false
+	}
+	h := fnv.New32()
+	_, _ = h.Write([]byte(pool)) // a hash takes every write
+	first := int(h.Sum32() % uint32(len(group)))
+	return (i - first + len(group)) % len(group), true
+}
+
 func zonesOf(p *config.Pool) []string {
 	var out []string
 	for _, t := range p.Targets {
@@ -205,17 +269,6 @@
 	return out
 }
 
-// candidateRank returns this node's place among the candidates for a pool's lease in a zone: the
-// zone's own nodes, or all where the zone has none.
-func candidateRank(live []wire.Node, self, az, pool string) (int, bool) {
-	in := slices.DeleteFunc(slices.Clone(live), func(n wire.Node) bool { return n.AvailabilityZone != az })
-	if len(in) == 0 {
-		in = slices.Clone(live)
-	}
-	rank := rankOf(in, self, pool+"/"+az)
-	return rank, rank >= 0 && rank < candidates
-}
-
 // rankOf orders nodes by a hash of their ID and what they are wanted for, which spreads the work.
 func rankOf(nodes []wire.Node, self, what string) int {
 	score := func(id string) string {
@@ -227,17 +280,23 @@
 	return slices.IndexFunc(nodes, func(n wire.Node) bool { return n.ID == self })
 }
 
-// candidate returns what this node is a candidate for, by zone and pool.
-func (l *leases) candidate() map[string]map[string]time.Duration {
+// candidate returns the pools that this node contends for, by zone.
+func (l *leases) candidate() map[string][]string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.duties
+	out := map[string][]string{}
+	for k, pools := range l.duties {
+		for name := range pools {
+			out[k.az] = append(out[k.az], name)
+		}
+	}
+	return out
 }
 
 // may tells whether this node may order the engines of pool in az now.
 func (l *leases) may(az string, p *config.Pool) (token int64, ok bool) {
 	l.mu.Lock()
-	z := l.zones[az]
+	z := l.shards[shard{az, lease.ShardOf(p.Name)}]
 	l.mu.Unlock()
 	if z == nil {
 		return 0, false
@@ -251,7 +310,8 @@
 func (l *leases) release(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for az, z := range l.zones {
+	var wg sync.WaitGroup
+	for k, z := range l.shards {
 		z.mu.Lock()
 		z.manager.Want(nil)
 		records := z.manager.Step(time.Now(), 0)
@@ -259,20 +319,23 @@
 		if len(records) == 0 {
 			continue
 		}
-		if _, err := l.s.log.Append(ctx, lease.Stream(az), records); err != nil {
-			l.s.opts.Log.Warn("leases not released; they expire", "az", az, "error", err)
-		}
+		wg.Go(func() {
+			if _, err := l.s.log.Append(ctx, k.stream(), records); err != nil {
+				l.s.opts.Log.Warn("leases not released; they expire", "stream", k.stream(), "error", err)
+			}
+		})
 	}
+	wg.Wait()
 }
 
-// status is the leases' part of the state dump, by zone.
+// status is the leases' part of the state dump, by stream.
 func (l *leases) status() map[string][]lease.Lease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string][]lease.Lease{}
-	for az, z := range l.zones {
+	for k, z := range l.shards {
 		z.mu.Lock()
-		out[az] = z.manager.Leases()
+		out[k.stream()] = z.manager.Leases()
 		z.mu.Unlock()
 	}
 	return out
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -23,7 +23,7 @@
 	ordersTick = 100 * time.Millisecond
 	// statusIdle and statusActive are how often an engine's status is read, the latter while the
 	// pool does not run what its row asks for.
-	statusIdle   = 3 * time.Second
+	statusIdle   = 5 * time.Second
 	statusActive = 500 * time.Millisecond
 	// statusTimeout bounds one question.
 	statusTimeout = time.Second
@@ -94,7 +94,7 @@
 	}
 	held := map[poolZone]bool{}
 	for az, pools := range o.s.leases.candidate() {
-		for name := range pools {
+		for _, name := range pools {
 			p := st.Tables.Pool(name)
 			if p == nil {
 				continue
--- a/steward/versions.go
+++ b/steward/versions.go
@@ -113,13 +113,17 @@
 
 // inCharge returns the models that this node asks for on behalf of all.
 func (v *versions) inCharge(tb *config.Tables) map[string]time.Duration {
-	out := map[string]time.Duration{}
+	out, ranked := map[string]time.Duration{}, map[string]bool{}
 	live := v.s.members.Alive()
 	for i := range tb.Pools {
 		p := &tb.Pools[i]
 		if p.Kind != config.PoolEngines || p.Weights == nil || !p.Weights.Follow || p.Model == "" {
 			continue
 		}
+		if ranked[p.Model] {
+			continue
+		}
+		ranked[p.Model] = true
 		if rank := rankOf(slices.Clone(live), v.s.self.ID, p.Model); rank >= 0 && rank < versionPollers {
 			out[p.Model] = versionPoll
 		}
