--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -29,6 +29,9 @@
 	procs   map[string]*proc
 	blocked map[string]map[string]bool // by process, addresses that it may not dial
 
+	// revisionAtStart is the configuration's revision once the deployment is ready.
+	revisionAtStart int64
+
 	warm   int // calls that tried whether claims are decided
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -125,7 +128,11 @@
 	if err := c.awaitReady(c.gateNames()...); err != nil {
 		return err
 	}
-	return c.await("claims through each gate", c.claims)
+	if err := c.await("claims through each gate", c.claims); err != nil {
+		return err
+	}
+	c.revisionAtStart, err = c.gateRevision(0)
+	return err
 }
 
 // claims tells whether each steward that reads the claims knows all of them, and whether a call with
--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -82,7 +82,7 @@
 //	running|stopped PROC…    processes
 //	version TARGET RANGE     the weight version that an engine runs
 //	versions MODEL RANGE     the same for each engine of the model
-//	revision RANGE GATE…     the configuration that gates have in force
+//	revision RANGE GATE…     the configuration that gates have in force; +RANGE counts from the deployment
 //	nodes RANGE              nodes that a steward knows to be alive
 //	orders TARGET RANGE      orders that an engine took in, applied ones
 //	quiet TARGET MARK MS     no request arrived at a target later than MS milliseconds after MARK
@@ -265,22 +265,32 @@
 		if !ok {
 			return fmt.Errorf("no gate %q", name)
 		}
-		resp, err := c.http.Get("http://" + c.plan.Gates[i].GateHTTP + "/readyz")
+		n, err := c.gateRevision(i)
 		if err != nil {
 			return err
 		}
-		resp.Body.Close()
-		n, err := strconv.ParseInt(resp.Header.Get("Ibistrail-Revision"), 10, 64)
-		if err != nil {
-			return err
+		if since, ok := strings.CutPrefix(args[0], "+"); ok {
+			err = within(n-c.revisionAtStart, since, "revision of "+name+" since the deployment")
+		} else {
+			err = within(n, args[0], "revision of "+name)
 		}
-		if err := within(n, args[0], "revision of "+name); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// gateRevision returns the revision that a gate has in force.
+func (c *cluster) gateRevision(i int) (int64, error) {
+	resp, err := c.http.Get("http://" + c.plan.Gates[i].GateHTTP + "/readyz")
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return strconv.ParseInt(resp.Header.Get("Ibistrail-Revision"), 10, 64)
+}
+
 func (c *cluster) nodes(args words) error {
 	cmd := exec.Command(filepath.Join(binDir, "ibisctl"), "nodes", "--output", "json")
 	cmd.Env = append(cmd.Environ(), "IBISCTL_SERVER="+c.ts.Getenv("IBISCTL_SERVER"), "IBISCTL_TOKEN_FILE="+c.ts.Getenv("IBISCTL_TOKEN_FILE"))
--- a/scenario/standin_test.go
+++ b/scenario/standin_test.go
@@ -93,6 +93,12 @@
 	return err
 }
 
+// cmdAppend appends a record to a stream: append STREAM ID JSON.
+func (c *cluster) cmdAppend(w words) error {
+	_, err := platform.NewLogClient(c.plan.Endpoints.Log, c.http).Append(c.ctx, w[0], []platform.NewRecord{{ID: w[1], Data: json.RawMessage(w[2])}})
+	return err
+}
+
 // cmdLeaving marks a VM on the list of VMs.
 func (c *cluster) cmdLeaving(w words) error {
 	for _, name := range w.bares() {
