--- a/logtail/tail_test.go
+++ b/logtail/tail_test.go
@@ -113,3 +113,28 @@
 	is.Equal(at.next, platform.Offset(4))
 	is.Equal(at.missed, []platform.Offset{3})
 }
+
+// asking is a consumer that asks its tail for the retention, as those of the steward do under their locks.
+type asking struct {
+	consumer
+	tail *Tail
+}
+
+func (a *asking) Next() platform.Offset {
+	a.tail.Retention()
+	return a.next
+}
+
+func TestConsumerMayAskTheTail(t *testing.T) {
+	is := is.New(t)
+	a := &asking{consumer: consumer{next: 1}}
+	a.tail = New(Options{Stream: "s", Log: &stream{}, Consumer: a, Logger: slog.New(slog.DiscardHandler)})
+	done := make(chan error, 1)
+	go func() { done <- read(t, a.tail, SourceLog) }()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the tail holds its lock while it asks its consumer")
+	}
+}
