routing: rollouts keep off engines that report no weight version

Cause: two of four engines reported no version; their samples were dropped and the slots ran there again, as nothing told routing (20 of 32 samples in 60 s in TestScenarios/versions-unreported).

--- a/dispatch/assemble.go
+++ b/dispatch/assemble.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// endsUnversioned tells whether the newest tokens came without a weight version.
+func (a *answer) endsUnversioned() bool {
+	return len(a.spans) > 0 && a.spans[len(a.spans)-1].Version == 0
+}
+
 func appendSpan(spans []api.Span, version int64, n int) []api.Span {
 	if n == 0 {
 		return spans
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -51,6 +51,9 @@
 	case endDone:
 		l.finished(s.secondsPerToken(r.d.opts.Now()))
 		r.d.cleared(r.call.Fingerprint)
+		if r.answer.endsUnversioned() {
+			r.pool.with(func(now time.Time, t *routing.Table) { t.Unversioned(now, l.address) })
+		}
 		return
 	case endRefused:
 		l.failed(func(now time.Time, t *routing.Table) { t.Overloaded(now, l.address) })
--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
-		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Alone: alone}
+		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Versioned: r.call.Trainer, Alone: alone}
 		unlock, ok := r.d.trial(ctx, r.call.Fingerprint, alone)
 		if !ok {
 			return nil, errCallerGone()
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		preferred := t.opts.Policy != PolicyDefault || !x.ejected(now)
-		preferred = preferred && !slices.Contains(q.Avoid, x.Address)
+		preferred = preferred && !slices.Contains(q.Avoid, x.Address) && (!q.Versioned || x.versions(now))
 		if preferred {
 			healthy++
 		}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -205,3 +205,20 @@
 	tb.End(start, a, Query{Alone: true})
 	is.Equal(tb.byAddr[a].exclusive, false)
 }
+
+func TestTargetWithoutVersionsIsAvoidedWhereTheyAreNeeded(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	tb.Unversioned(start, "t0")
+	seen := map[string]bool{}
+	for range 20 {
+		a, _ := tb.Pick(start, Query{Versioned: true})
+		is.Equal(a, "t1")
+		a, _ = tb.Pick(start, Query{})
+		seen[a] = true
+	}
+	is.True(seen["t0"]) // others need no version
+	tb.Unversioned(start, "t1")
+	_, ok := tb.Pick(start, Query{Versioned: true})
+	is.True(ok) // none is left, so any is tried
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -42,6 +42,8 @@
 	Avoid []string
 	// MinVersion keeps the request off targets whose known weight version is lower.
 	MinVersion int64
+	// Versioned asks for a target that reports weight versions, while one is left.
+	Versioned bool
 	// Alone asks for a target that runs nothing else of this gate's.
 	Alone bool
 	// AnyLoad ignores limits (baselines without admission).
--- a/routing/target.go
+++ b/routing/target.go
@@ -42,6 +42,8 @@
 	since      time.Time
 	ramp       bool
 	version    int64
+	// unversionedUntil is when the target may be trusted again to report weight versions.
+	unversionedUntil time.Time
 }
 
 // health is what ejection knows of a target.
