--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -135,7 +135,7 @@
 	}
 	t.mu.Unlock()
 	if moved {
-		t.opts.Logger.Info("log source changed", "stream", t.opts.Stream, "source", s.Kind, "peer", s.Node.ID)
+		t.opts.Logger.Info("log_source_changed", "stream", t.opts.Stream, "source", s.Kind, "peer", s.Node.ID)
 	}
 }
 
--- a/steward/gossip.go
+++ b/steward/gossip.go
@@ -111,7 +111,7 @@
 				g.exchange(ctx, s)
 			}()
 		default:
-			g.log.Warn("gossip message dropped", "to", s.To.ID, "reason", "too many messages wait for answers")
+			g.log.Warn("gossip_dropped", "to", s.To.ID, "reason", "too many messages wait for answers")
 			g.finish(ctx, s, nil)
 		}
 	}
@@ -232,7 +232,7 @@
 	for _, m := range g.members {
 		if old := g.statuses[m.Node.ID]; old != m.Status {
 			g.statuses[m.Node.ID] = m.Status
-			g.log.Info("member status", "member", m.Node.ID, "az", m.Node.AvailabilityZone, "status", m.Status, "incarnation", m.Incarnation)
+			g.log.Info("member_status", "member", m.Node.ID, "az", m.Node.AvailabilityZone, "status", m.Status, "incarnation", m.Incarnation)
 		}
 	}
 	g.changed()
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -148,7 +148,7 @@
 		defer cancel()
 		if _, err := s.log.Append(actx, stream, records); err != nil {
 			// What takes effect is seen at read-back; the manager sends again what is not.
-			s.opts.Log.Warn("lease append unanswered", "stream", stream, "error", err)
+			s.opts.Log.Warn("lease_append_unanswered", "stream", stream, "err", err)
 		}
 		z.mu.Lock()
 		z.busy = false
@@ -260,7 +260,7 @@
 			continue
 		}
 		if _, err := l.s.log.Append(ctx, lease.Stream(az), records); err != nil {
-			l.s.opts.Log.Warn("leases not released; they expire", "az", az, "error", err)
+			l.s.opts.Log.Warn("leases_not_released", "az", az, "err", err)
 		}
 	}
 }
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -148,7 +148,7 @@
 			AvailabilityZone: key.az, AllAtOnce: o.s.opts.Settings.Policy.Waves == allAtOnce,
 		})}
 		o.pools[key] = p
-		o.s.opts.Log.Info("pool taken up", "pool", key.pool, "az", key.az)
+		o.s.opts.Log.Info("pool_taken_up", "pool", key.pool, "az", key.az)
 	}
 	return p
 }
@@ -251,11 +251,11 @@
 	s.opts.Metrics.Latency("order_seconds").Observe(took)
 	log := s.opts.Log.With("pool", p.key.pool, "az", p.key.az, "engine", o.Address, "kind", o.Order.Kind, "version", o.Order.Version, "mode", o.Order.Mode, "token", token, "took", took)
 	if err == nil {
-		log.Info("order done")
+		log.Info("order_done")
 		return weights.ResultDone
 	}
 	s.opts.Metrics.Add("orders_failed", 1)
-	log.Warn("order failed", "error", err)
+	log.Warn("order_failed", "err", err)
 	var limited *platform.ErrRateLimited
 	if errors.As(err, &limited) {
 		return weights.ResultStoreBusy
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -135,7 +135,7 @@
 	for _, run := range []func(context.Context) error{s.members.run, s.tails.run, s.leases.run, s.claims.run, s.store.run, s.vms.run, s.orders.run, s.publishStates, s.carry} {
 		g.Go(func() error { return run(ctx) })
 	}
-	s.opts.Log.Info("steward started", "address", l.RPC.Addr().String(), "debug", l.Debug.Addr().String(), "az", s.self.AvailabilityZone, "incarnation", s.incarnation)
+	s.opts.Log.Info("steward_started", "address", l.RPC.Addr().String(), "debug", l.Debug.Addr().String(), "az", s.self.AvailabilityZone, "incarnation", s.incarnation)
 	err := g.Wait()
 	s.farewell()
 	return err
@@ -165,7 +165,7 @@
 	defer cancel()
 	s.leases.release(ctx)
 	s.members.leave(ctx)
-	s.opts.Log.Info("steward stopped")
+	s.opts.Log.Info("steward_stopped")
 }
 
 func (s *Steward) rpcOptions() rpc.Options {
--- a/steward/tails.go
+++ b/steward/tails.go
@@ -114,11 +114,15 @@
 	}
 	rec, err := config.EncodeSnapshot(snap, uuid.NewString())
 	if err != nil {
-		s.opts.Log.Warn("snapshot not carried", "reason", err)
+		s.opts.Log.Warn("snapshot_not_carried", "reason", err)
 		return
 	}
 	actx, cancel := context.WithTimeout(ctx, AppendTimeout)
 	defer cancel()
 	_, err = s.log.Append(actx, config.Stream, []platform.NewRecord{rec})
-	s.opts.Log.Info("snapshot carried", "revision", snap.Revision, "error", err)
+	if err != nil {
+		s.opts.Log.Warn("snapshot_append_unanswered", "revision", snap.Revision, "err", err)
+		return
+	}
+	s.opts.Log.Info("snapshot_carried", "revision", snap.Revision)
 }
--- a/steward/versions.go
+++ b/steward/versions.go
@@ -149,7 +149,7 @@
 	}
 	v.mu.Unlock()
 	if moved {
-		v.s.opts.Log.Info("new weights", "model", model, "version", w.Version, "load_rate", w.LoadRate)
+		v.s.opts.Log.Info("weights_published", "model", model, "version", w.Version, "load_rate", w.LoadRate)
 	}
 	v.s.members.put(news...)
 }
