steward, rumor: what engines run is spread when it changes, not every 30 s

Cause: at 25 nodes gossip was 1820 of 3650 bytes a second of a node, growing with the pools of a zone. Change: such a rumor lives 10 minutes, is sent six times by each node that learns it, and at most every 2 s for a pool; leaving engines are told again each minute.

--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -46,9 +46,9 @@
 	// Buckets is the number of parts whose digests are compared.
 	Buckets = 16
 	// minSends is the least number of messages that carry a piece of news.
-	minSends = 4
+	minSends = 3
 	// nodesBits stands for the size of the deployment in the number of sendings.
-	nodesBits = 5
+	nodesBits = 3
 )
 
 type key struct{ kind, key string }
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -29,6 +29,8 @@
 	statusTimeout = time.Second
 	// orderTimeout bounds one order; the status tells afterwards what became of it.
 	orderTimeout = 60 * time.Second
+	// tellPause is the least time between two rumors of what a pool's engines run.
+	tellPause = 2 * time.Second
 	// allAtOnce is the policy that orders all engines together.
 	allAtOnce = "all-at-once"
 )
@@ -54,14 +56,16 @@
 	o   *orders
 	key poolZone
 
-	mu       sync.Mutex
-	core     *weights.Core
-	row      config.Pool
-	askedAt  time.Time
-	asking   bool
-	told     string // what was last spread of the engines
-	toldAt   time.Time
-	leavings map[string]bool // engines that this node has told to be leaving
+	mu      sync.Mutex
+	core    *weights.Core
+	row     config.Pool
+	askedAt time.Time
+	asking  bool
+	told    string // what was last spread of the engines
+	toldAt  time.Time
+	// remindedAt is when leaving engines were last told again.
+	remindedAt time.Time
+	leavings   map[string]bool // engines that this node has told to be leaving
 }
 
 func newOrders(s *Steward, e *platform.EngineClient) *orders {
@@ -268,7 +272,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	refresh := now.Sub(p.toldAt) > enginesTTL/2
+	refresh, remind := now.Sub(p.toldAt) > enginesTTL/2, now.Sub(p.remindedAt) > leavingTTL/2
+	if remind {
+		p.remindedAt = now
+	}
 	seen := map[string]int64{}
 	var rumors []wire.Rumor
 	for _, e := range p.core.Engines() {
@@ -276,7 +283,7 @@
 			continue
 		}
 		seen[e.Address] = e.Status.Version
-		if e.Reached && (e.Status.Draining != p.leavings[e.Address] || (e.Status.Draining && refresh)) {
+		if e.Reached && (e.Status.Draining != p.leavings[e.Address] || (e.Status.Draining && remind)) {
 			p.leavings[e.Address] = e.Status.Draining
 			reason := ""
 			if e.Status.Draining {
@@ -285,7 +292,7 @@
 			rumors = append(rumors, newLeaving(now, e.Address, reason))
 		}
 	}
-	if text := string(encode(seen)); p.told != text || refresh {
+	if text := string(encode(seen)); refresh || (p.told != text && now.Sub(p.toldAt) >= tellPause) {
 		p.told, p.toldAt = text, now
 		rumors = append(rumors, wire.Rumor{
 			Kind: rumor.KindEngines, Key: p.key.pool + "/" + p.key.az, Seq: now.UnixMilli(),
--- a/steward/state.go
+++ b/steward/state.go
@@ -198,7 +198,7 @@
 const (
 	leavingTTL = 2 * time.Minute
 	versionTTL = time.Hour
-	enginesTTL = time.Minute
+	enginesTTL = 10 * time.Minute
 )
 
 func newLeaving(now time.Time, address, reason string) wire.Rumor {
