--- a/scripts/gotest.sh
+++ b/scripts/gotest.sh
@@ -29,9 +29,21 @@
 	fi
 done <<<"$leaves"
 
-if [ "$unexpected" = 1 ] || { [ "$status" != 0 ] && [ -z "$leaves" ]; }; then
-	grep -v '"Action":"\(run\|pause\|cont\|start\|pass\)"' "$json" | sed -n 's/.*"Output":"\(.*\)"}$/\1/p' |
-		sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g; s/\\u003c/</g; s/\\u003e/>/g' | grep -v '^\(=== \|ok  \|PASS\|?   \)' | tail -n 300
+# show PATTERN: what the tests whose JSON lines match printed.
+show() {
+	grep "$1" "$json" | sed -n 's/.*"Output":"\(.*\)"}$/\1/p' |
+		sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g; s/\\u003c/</g; s/\\u003e/>/g; s/\\u0026/\&/g' | grep -v '^=== '
+}
+
+if [ "$unexpected" = 1 ]; then
+	while read -r pkg name; do
+		show "\"Package\":\"github.com/ibistrail/ibistrail/$pkg\",\"Test\":\"$name\","
+	done <<<"$leaves"
+	echo "FAIL"
+	exit 1
+fi
+if [ "$status" != 0 ] && [ -z "$leaves" ]; then
+	show '"Action":"\(build-output\|output\)"' | grep -v '^\(ok  \|PASS\|--- PASS\|?   \)' | tail -n 100
 	cat "$json.err"
 	echo "FAIL"
 	exit 1
