--- a/steward/leases.go
+++ b/steward/leases.go
@@ -176,7 +176,7 @@
 		defer cancel()
 		if _, err := s.log.Append(actx, stream, records); err != nil {
 			// What takes effect is seen at read-back; the manager sends again what is not.
-			s.opts.Log.Warn("lease append unanswered", "stream", stream, "error", err)
+			s.opts.Log.Warn("lease_append_unanswered", "stream", stream, "err", err)
 		}
 		z.mu.Lock()
 		z.busy = false
@@ -321,7 +321,7 @@
 		}
 		wg.Go(func() {
 			if _, err := l.s.log.Append(ctx, k.stream(), records); err != nil {
-				l.s.opts.Log.Warn("leases not released; they expire", "stream", k.stream(), "error", err)
+				l.s.opts.Log.Warn("leases_not_released", "stream", k.stream(), "err", err)
 			}
 		})
 	}
