gate: follow a peer's steward while the own one is away

Cause: a gate whose steward was dead or frozen kept the configuration and the leaving targets that it had for as long as that lasted; a frozen steward was noticed after 15 s. Seen with a stopped steward: its gate stayed at the old revision. A gate that starts while its steward is away knows no peers and stays not ready.

--- a/gate/harness_test.go
+++ b/gate/harness_test.go
@@ -40,6 +40,21 @@
 	// loseClaim decides the next claim without answering it.
 	loseClaim bool
 	reports   []wire.ReportParams
+	// frozen, if set, holds all watches until it is closed.
+	frozen chan struct{}
+}
+
+func (s *steward) freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = make(chan struct{})
+}
+
+func (s *steward) thaw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.frozen)
+	s.frozen = nil
 }
 
 func (s *steward) set(change func(st *wire.State)) {
@@ -54,8 +69,16 @@
 func (s *steward) watch(ctx context.Context, p wire.WatchParams) (*wire.State, error) {
 	for {
 		s.mu.Lock()
-		st, changed := s.state, s.changed
+		st, changed, frozen := s.state, s.changed, s.frozen
 		s.mu.Unlock()
+		if frozen != nil {
+			select {
+			case <-frozen:
+				continue
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
 		if st.Seq > p.Since || p.WaitMs == 0 {
 			return &st, nil
 		}
--- a/gate/state.go
+++ b/gate/state.go
@@ -12,18 +12,6 @@
 	"github.com/ibistrail/ibistrail/wire"
 )
 
-// Bounds of the watch on the steward.
-const (
-	// watchWait is how long one watch waits for news.
-	watchWait = 10 * time.Second
-	// watchSlack is how much longer than watchWait an answer may take.
-	watchSlack = 5 * time.Second
-	// watchBackoff is the pause after a failed watch.
-	watchBackoff = 250 * time.Millisecond
-	// noRevision asks for any tables.
-	noRevision = platform.Offset(-1)
-)
-
 var (
 	errNoConfiguration = errors.New("no configuration is known yet; start the VM's steward and publish one with ibisctl apply")
 	errNoRows          = errors.New("the configuration has no routes; publish some with ibisctl apply")
@@ -97,57 +85,6 @@
 	return nil
 }
 
-// watch follows the state of the VM's steward; what is in force stays while it is away.
-func (g *Gate) watch(ctx context.Context) error {
-	var since uint64
-	away := false
-	for ctx.Err() == nil {
-		s, err := g.watchOnce(ctx, since)
-		if err != nil {
-			since = 0
-			if !away && ctx.Err() == nil {
-				g.log.Warn("steward_away", "err", err)
-			}
-			away = true
-			pause(ctx, watchBackoff)
-			continue
-		}
-		if away {
-			g.log.Info("steward_back", "seq", s.Seq)
-			away = false
-		}
-		since = s.Seq
-		g.apply(s)
-	}
-	return nil
-}
-
-// watchOnce asks once; the start of a planned stop ends the wait, so that the steward hears of it.
-func (g *Gate) watchOnce(ctx context.Context, since uint64) (*wire.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	tables, revision := g.state.Tables()
-	if tables == nil {
-		revision = noRevision
-	}
-	p := wire.WatchParams{
-		GateID: g.opts.Settings.ID, GateIncarnation: g.incarnation, Since: since, WaitMs: watchWait.Milliseconds(),
-		Revision: revision, Draining: g.stop.stopping(),
-	}
-	if p.Draining {
-		p.WaitMs = 0
-		pause(ctx, watchBackoff)
-	} else {
-		stop := context.AfterFunc(g.stop.began, cancel)
-		defer stop()
-	}
-	s := new(wire.State)
-	if err := g.pool.Call(ctx, g.opts.Settings.StewardAddress, wire.MethodWatch, p, s); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
 func (g *Gate) apply(s *wire.State) {
 	before, revision := g.state.Tables()
 	if !g.state.apply(s) {
--- /dev/null
+++ b/steward/guest_test.go
@@ -0,0 +1,35 @@
+package steward
+
+import (
+	"testing"
+
+	"github.com/ibistrail/ibistrail/fake/logservice"
+	"github.com/ibistrail/ibistrail/wire"
+	"github.com/matryer/is"
+)
+
+// TestGateOfAnotherVMIsNotTakenForTheOwn: a gate whose steward is away is told what is in force,
+// and membership does not list it as the gate of this VM.
+func TestGateOfAnotherVMIsNotTakenForTheOwn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, logservice.Options{})
+	a, b := c.start("a1", "a"), c.start("b1", "b")
+	c.settle()
+	c.must(a, servicePool("c1", "pantry"))
+	_, err := b.watch(t.Context(), wire.WatchParams{GateID: "b1", GateIncarnation: "gate-b"})
+	is.NoErr(err)
+	c.eventually("the change at b", func() bool { return c.has(b, "pantry") })
+	st, err := b.watch(t.Context(), wire.WatchParams{GateID: "a1", GateIncarnation: "gate-a", Revision: -1})
+	is.NoErr(err)
+	is.True(st.Ready)
+	is.True(st.Tables.Pool("pantry") != nil)
+	own, live := b.gate.last()
+	is.True(live)
+	is.Equal(own.GateIncarnation, "gate-b")
+	ids := map[string]bool{}
+	for _, p := range st.Peers {
+		ids[p.ID] = true
+	}
+	is.True(ids["b1"])
+	is.True(!ids["a1"])
+}
--- a/steward/state.go
+++ b/steward/state.go
@@ -54,14 +54,34 @@
 	return g.params, live
 }
 
-// watch serves the state to the VM's gate.
+// watch serves the state to the VM's gate, and to gates of other VMs whose own steward is away.
 func (s *Steward) watch(ctx context.Context, p wire.WatchParams) (wire.State, error) {
+	if p.GateID != s.self.ID {
+		st, err := s.hub.watch(ctx, p)
+		st.Peers = s.peersFor(p.GateID, st.Peers)
+		return st, err
+	}
 	s.gate.begin(p)
 	defer s.gate.end()
 	s.members.setSelf(p.GateIncarnation, p.Draining)
 	return s.hub.watch(ctx, p)
 }
 
+// peersFor returns the peers as the gate of another VM sees them: with this VM's gate, if it takes
+// work, and without its own.
+func (s *Steward) peersFor(gateID string, peers []wire.Node) []wire.Node {
+	out := make([]wire.Node, 0, len(peers)+1)
+	for _, n := range peers {
+		if n.ID != gateID {
+			out = append(out, n)
+		}
+	}
+	if gate, live := s.gate.last(); live && !gate.Draining {
+		out = append(out, s.self)
+	}
+	return out
+}
+
 // publishStates builds the state for the gate whenever something has changed.
 func (s *Steward) publishStates(ctx context.Context) error {
 	refresh := time.NewTicker(stateRefresh)
