ctl: ask the steward that answered first; say of whom nothing is known

Cause: with the first steward frozen, drain spent its whole time on it (20 s, exit code 5); watch called a revision in force on all live gates while the gate of a VM with a frozen steward served on unseen. Change: a steward that answered is asked first, a question takes at most 5 s of one steward; watch names nodes of which nothing is known. Measured: TestServerThatAnsweredIsAskedFirst; go test ./ctl, pass.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,9 +18,13 @@
 // retryPause is the pause between two rounds.
 const retryPause = 300 * time.Millisecond
 
+// readTimeout bounds one steward's answer to a question.
+const readTimeout = 5 * time.Second
+
 // client calls stewards, the next one when one does not answer.
 type client struct {
-	pool    *rpc.Pool
+	pool *rpc.Pool
+	// servers are in the order in which they are tried: the one that answered last comes first.
 	servers []string
 	token   string
 	timeout time.Duration
@@ -72,9 +77,10 @@
 		if round > 0 && !pause(ctx, retryPause) {
 			break
 		}
-		for _, s := range c.servers {
+		for i, s := range c.servers {
 			last = c.callOne(ctx, s, method, params, result)
 			if last == nil {
+				c.servers = append([]string{s}, slices.Delete(slices.Clone(c.servers), i, i+1)...)
 				return nil
 			}
 			if code := rpc.Code(last); code == wire.CodeUnavailable || code == wire.CodeNotReady {
@@ -95,7 +101,11 @@
 
 // callOne leaves time for the other servers.
 func (c *client) callOne(ctx context.Context, server, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.share())
+	timeout := c.share()
+	if method != wire.MethodApply {
+		timeout = min(timeout, readTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.pool.Call(ctx, server, method, params, result)
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +148,22 @@
 	is.True(strings.Contains(stderr, "the log is out"))
 }
 
+func TestServerThatAnsweredIsAskedFirst(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	var asked atomic.Int64
+	hang := func(ctx context.Context, _ json.RawMessage) (any, error) {
+		asked.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	frozen := serve(t, map[string]rpc.Handler{wire.MethodGet: hang, wire.MethodApply: hang})
+	code, _, stderr := run(t, []string{frozen, s.address}, "drain", "s1", "--timeout", "2s")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	is.Equal(asked.Load(), int64(1)) // once, for the tables, not again for the change
+}
+
 func TestNextServerIsTried(t *testing.T) {
 	is := is.New(t)
 	s := applied(t)
@@ -212,6 +229,7 @@
 	is.Equal(stderr, "")
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, "revision 1 is in force on all 2 live gates"))
+	is.True(strings.Contains(out, "does not answer: stuck"))
 	s.members = append(s.members, member("stuck", wire.StatusAlive, ""))
 	code, _, stderr = run(t, []string{s.address}, "watch", "--timeout", "600ms")
 	is.Equal(code, ExitTimeout)
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -36,9 +36,9 @@
 func (a *app) explainCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "explain REQUEST",
-		Short: "Print what the gates decided about a request or a step",
-		Long: `Ask all live gates for the recorded events of a request, by the request ID of its answer's header,
-or of a step, by its ID, and print them in order of time.`,
+		Short: "Print what the gates decided about a request or a sample",
+		Long: `Ask all live gates for the recorded events of a request, by the ID in its answer's header
+Ibistrail-Request-Id, or of a trainer's sample, by its attempt, and print them in order of time.`,
 		Example: `  ibisctl explain 5f1c7d0e-1f5f-4d3a-9b3e-3f1f5d8f4c11`,
 		Args:    cobra.ExactArgs(1),
 		RunE: a.remote(func(ctx context.Context, c *client, args []string) error {
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -37,12 +37,14 @@
 	Revision platform.Offset `json:"revision"`
 	Nodes    int             `json:"nodes"`
 	Pending  []string        `json:"pending"`
+	// Unknown are nodes that are dead to the others: if a gate lives there, nobody can tell what it has.
+	Unknown []string `json:"unknown"`
 }
 
 // watchUntil waits until all live gates have revision want, or the newest if want is 0.
 func (a *app) watchUntil(ctx context.Context, c *client, want platform.Offset) error {
 	shown := map[string]bool{}
-	last := watchResult{Revision: want, Pending: []string{}}
+	last := watchResult{Revision: want}
 	for {
 		n, err := c.nodes(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -69,6 +71,9 @@
 		return a.printJSON(r)
 	}
 	fmt.Fprintf(a.out, "revision %d is in force on all %d live gates\n", r.Revision, r.Nodes)
+	if len(r.Unknown) > 0 {
+		fmt.Fprintf(a.out, "not known of nodes whose steward does not answer: %s\n", strings.Join(r.Unknown, ", "))
+	}
 	return nil
 }
 
@@ -89,9 +94,12 @@
 }
 
 func progress(members []wire.Member, want platform.Offset) watchResult {
-	r := watchResult{Revision: want, Pending: []string{}}
+	r := watchResult{Revision: want, Pending: []string{}, Unknown: []string{}}
 	for i := range members {
 		m := &members[i]
+		if m.Status == wire.StatusDead {
+			r.Unknown = append(r.Unknown, m.Node.ID)
+		}
 		if !serving(m) {
 			continue
 		}
