ctl, config: an old file cannot bring a deleted row back unseen

Change: MovedSince reports a row that may have been deleted; a steward behind the file's revision is not asked for a diff; README's example is valid and checked by the test of the pages.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -279,3 +279,25 @@
 	is.Equal(m.LastSnapshot(), newer) // newer nodes carry it forward
 	is.True(!m.Snapshot().Incomplete)
 }
+
+func TestMovedSince(t *testing.T) {
+	is := is.New(t)
+	s, m := started(t)
+	old := m.Snapshot()
+	s.change(t, Change{ID: "del", Author: "ben", Base: 1, Edits: []Edit{{Key: RouteKey("desk"), Replaces: 1, Delete: true}}})
+	s.read(m)
+	edit := Diff(m.Snapshot(), old.Tables, "ana") // from a file of revision 1
+	is.Equal(len(edit.Edits), 1)
+	is.Equal(len(MovedSince(m.Snapshot(), 2, edit)), 0)
+	c := MovedSince(m.Snapshot(), 1, edit)
+	is.Equal(len(c), 1)
+	is.Equal(c[0].By, "ben")
+	for i := range DecidedWindow + 1 { // the deletion is forgotten
+		s.append(platform.NewRecord{ID: fmt.Sprint("filler", i), Data: []byte(`{}`)})
+	}
+	s.read(m)
+	is.Equal(len(m.Snapshot().Deleted), 0)
+	c = MovedSince(m.Snapshot(), 1, edit)
+	is.Equal(len(c), 1)
+	is.True(strings.Contains(c[0].Remedy, "may have been deleted"))
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -104,17 +104,22 @@
 	return next, nil
 }
 
-// MovedSince returns the rows that change edits and that were moved after revision.
+// MovedSince returns the rows that change edits and that were moved after revision, or may have
+// been: a row that is not there may have been deleted before what now remembers.
 func MovedSince(now Snapshot, revision platform.Offset, change Change) []Conflict {
 	var out []Conflict
 	for i := range change.Edits {
 		key := change.Edits[i].Key
-		info, ok := now.Rows[key]
-		if !ok {
-			info = now.Deleted[key]
+		info, exists := now.Rows[key]
+		known := exists
+		if !exists {
+			info, known = now.Deleted[key]
 		}
-		if info.Revision > revision {
-			out = append(out, Conflict{Key: key, Now: info.Revision, By: info.By, Remedy: remedyFor(ok, key)})
+		switch {
+		case known && info.Revision > revision:
+			out = append(out, Conflict{Key: key, Now: info.Revision, By: info.By, Remedy: remedyFor(exists, key)})
+		case !known && now.Revision-revision > DecidedWindow:
+			out = append(out, Conflict{Key: key, Remedy: fmt.Sprintf("the row may have been deleted since revision %d, which is too long ago to tell; apply it from a file without a revision to add it", revision)})
 		}
 	}
 	return out
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -122,6 +122,9 @@
 
 // change returns the edits that doc makes to the tables in force.
 func (e *editFlags) change(now config.Snapshot, doc *config.Document) (config.Change, error) {
+	if doc.Revision > now.Revision {
+		return config.Change{}, &Error{Exit: ExitUnavailable, Message: fmt.Sprintf("the steward has revision %d, behind revision %d of %s", now.Revision, doc.Revision, e.file), Remedy: "wait, or name another steward with --server"}
+	}
 	next := doc.Tables
 	if !e.replaceAll {
 		next = config.Overlay(now.Tables, doc.Tables)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -88,6 +88,10 @@
 	is.Equal(code, ExitConflict)
 	is.True(strings.Contains(stderr, "row pools/desk was moved by ben in revision 2"))
 	is.Equal(s.tables().Route("desk").TimeoutMs, int64(1000))
+	mine.Revision = 9 // of a steward that is ahead
+	code, _, stderr = run(t, []string{s.address}, "apply", writeJSON(t, mine))
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "behind revision 9"))
 }
 
 func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
--- a/ctl/problems.go
+++ b/ctl/problems.go
@@ -17,11 +17,18 @@
 func conflictError(conflicts []config.Conflict) error {
 	lines := make([]string, len(conflicts))
 	for i, c := range conflicts {
-		lines[i] = fmt.Sprintf("row %s was moved by %s in revision %d: %s", c.Key, orDash(c.By), c.Now, c.Remedy)
+		lines[i] = conflictLine(&c)
 	}
 	return &Error{Exit: ExitConflict, Message: "rejected, nothing was changed: " + strings.Join(lines, "\n")}
 }
 
+func conflictLine(c *config.Conflict) string {
+	if c.Now == 0 {
+		return fmt.Sprintf("row %s: %s", c.Key, c.Remedy)
+	}
+	return fmt.Sprintf("row %s was moved by %s in revision %d: %s", c.Key, orDash(c.By), c.Now, c.Remedy)
+}
+
 // relocate turns places in joined tables into places in file, or into the names of rows in force.
 func relocate(problems []config.Problem, joined, file *config.Tables) []config.Problem {
 	out := make([]config.Problem, len(problems))
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -35,18 +35,20 @@
 	}
 }
 
-// TestConfigurationPageHasValidTables checks the page's example.
-func TestConfigurationPageHasValidTables(t *testing.T) {
-	page, err := os.ReadFile("../docs/CONFIGURATION.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(page), "```json\n")
-	example, _, found := strings.Cut(rest, "```")
-	if !found {
-		t.Fatal("the page has no example")
-	}
-	if _, problems := config.ParseTables([]byte(example)); len(problems) > 0 {
-		t.Error(problems)
+// TestPagesHaveValidTables checks the examples of the pages for newcomers.
+func TestPagesHaveValidTables(t *testing.T) {
+	for _, name := range []string{"../docs/CONFIGURATION.md", "../README.md"} {
+		page, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, rest, _ := strings.Cut(string(page), "```json\n")
+		example, _, found := strings.Cut(rest, "```")
+		if !found {
+			t.Fatalf("%s has no example", name)
+		}
+		if _, problems := config.ParseTables([]byte(example)); len(problems) > 0 {
+			t.Errorf("%s: %v", name, problems)
+		}
 	}
 }
