--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -308,36 +308,41 @@
 	}
 }
 
+// fetchNow answers with what is known now; the channel is closed when there is more.
 func (t *Tail) fetchNow(p wire.FetchParams) (wire.FetchResult, <-chan struct{}, error) {
-	snapshot, hasSnapshot := t.snapshot()
+	res, changed, kept, err := t.kept(p)
+	if err != nil || kept {
+		return res, changed, err
+	}
+	s, ok := t.opts.Consumer.(Snapshotter)
+	if ok {
+		if snapshot, has := s.Snapshot(); has && snapshot.Revision >= p.From {
+			res.Snapshot = &snapshot
+			return res, changed, nil
+		}
+	}
+	return res, nil, rpc.Errorf(wire.CodeUnavailable, "stream %s is not kept from %d on here; read the log itself", p.Stream, p.From)
+}
+
+// kept answers from the kept records; it is false where they do not reach back to what is asked for.
+func (t *Tail) kept(p wire.FetchParams) (res wire.FetchResult, changed <-chan struct{}, kept bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.freshAt.IsZero() && len(t.buf.records) == 0 {
-		return wire.FetchResult{}, nil, rpc.Errorf(wire.CodeNotReady, "stream %s is not read here yet; ask another node", p.Stream)
+		return res, nil, false, rpc.Errorf(wire.CodeNotReady, "stream %s is not read here yet; ask another node", p.Stream)
 	}
-	res := wire.FetchResult{Next: t.next, RetentionMs: t.retention.Milliseconds(), AgeMs: t.ageMs()}
-	records, ok := t.buf.from(p.From, MaxFetchRecords)
-	switch {
-	case ok:
+	res = wire.FetchResult{Next: t.next, RetentionMs: t.retention.Milliseconds(), AgeMs: t.ageMs()}
+	if records, ok := t.buf.from(p.From, MaxFetchRecords); ok {
 		res.Records = records
-	case p.From >= t.next && !t.freshAt.IsZero():
+		return res, t.changed, true, nil
+	}
+	if p.From >= t.next && !t.freshAt.IsZero() {
 		// Nothing after p.From exists as far as this node knows; a reader of an empty stream learns
 		// from First that nothing is missing before it either.
 		res.First = t.first
-	case hasSnapshot && snapshot.Revision >= p.From:
-		res.Snapshot = &snapshot
-	default:
-		return res, nil, rpc.Errorf(wire.CodeUnavailable, "stream %s is not kept from %d on here; read the log itself", p.Stream, p.From)
-	}
-	return res, t.changed, nil
-}
-
-func (t *Tail) snapshot() (config.Snapshot, bool) {
-	s, ok := t.opts.Consumer.(Snapshotter)
-	if !ok {
-		return config.Snapshot{}, false
+		return res, t.changed, true, nil
 	}
-	return s.Snapshot()
+	return res, t.changed, false, nil
 }
 
 // ageMs returns the age in milliseconds; a tail that never caught up is as old as can be told.
--- a/membership/core.go
+++ b/membership/core.go
@@ -45,6 +45,8 @@
 	EagerFanout = 3
 	// minSends is the least number of messages that carry a piece of news.
 	minSends = 3
+	// joinSends is the number of messages that carry a node that was not known.
+	joinSends = 5
 )
 
 // Options configure a Core.
@@ -138,7 +140,8 @@
 	if m != nil && !newer(&in, &m.Member) {
 		return false
 	}
-	if m == nil {
+	fresh := m == nil
+	if fresh {
 		if len(c.members) >= MaxMembers {
 			return false
 		}
@@ -150,6 +153,9 @@
 	if in.Status == wire.StatusSuspect {
 		m.deadline = m.deadline.Add(HearsayGrace)
 	}
+	if fresh {
+		m.sends = joinSends // who joins is found by comparing tables too
+	}
 	return true
 }
 
