--- a/load/capacity/phases.go
+++ b/load/capacity/phases.go
@@ -43,7 +43,7 @@
 )
 
 // settle is how long the news of n nodes that join at a time are on their way.
-func settle(n int) time.Duration { return 12*time.Second + time.Duration(n)*450*time.Millisecond }
+func settle(n int) time.Duration { return 15*time.Second + time.Duration(n)*200*time.Millisecond }
 
 // results is all that was measured.
 type results struct {
