--- a/load/capacity/rows.go
+++ b/load/capacity/rows.go
@@ -38,9 +38,11 @@
 	VerdictOK      Verdict = "ok"
 	VerdictExceeds Verdict = "EXCEEDS"
 	VerdictInfo    Verdict = "info"
+	// VerdictNone means that there is no measurement; AtSize is -1.
+	VerdictNone Verdict = "NOT MEASURED"
 )
 
-// Row is one line of the table. Slope is NaN where a quantity is not a line.
+// Row is one line of the table. Slope is nil where a quantity is not a line.
 type Row struct {
 	Role     string    `json:"role"`
 	Quantity string    `json:"quantity"`
@@ -103,6 +105,8 @@
 
 func verdict(value, budget float64) Verdict {
 	switch {
+	case value == notMeasured:
+		return VerdictNone
 	case budget == 0:
 		return VerdictInfo
 	case value <= budget:
@@ -202,10 +206,13 @@
 	}
 }
 
-// quantile returns the q-quantile of list, the largest for q = 1.
+// notMeasured stands for a value that there is not.
+const notMeasured = -1
+
+// quantile returns the q-quantile of list, the largest for q = 1, notMeasured for none.
 func quantile(list []float64, q float64) float64 {
 	if len(list) == 0 {
-		return math.Inf(1) // not measured: exceeds any budget
+		return notMeasured
 	}
 	s := slices.Sorted(slices.Values(list))
 	return s[min(len(s)-1, int(math.Ceil(q*float64(len(s))))-1)]
--- a/load/cli.go
+++ b/load/cli.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/ibistrail/ibistrail/load/capacity"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/spf13/cobra"
 )
@@ -23,6 +24,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand(), runCommand(), benchCommand())
+	root.AddCommand(capacity.NewCommand())
 	return root
 }
 
