quarantine, routing: trials kept apart by an arbiter; prefixes have their places

Cause: (1) go test ./gate -run Poison failed about once in ten runs: an innocent suspect ran alone through one gate on the engine that the poison request killed through another, and was quarantined with it. (2) Each gate learned its own places of shared prompt beginnings, so that caches held each beginning several times. (3) A request of a high class waited at the gate for a place that other gates' requests had left long before. Change: (1) a pool's arbiter, the live gate that comes first for that pool, grants runs alone, one for a request and one for a target; notices to peers go in order; a death is explained also where the incarnation is unknown, for 5 s. (2) the place of a beginning is the first target within the load bound in an order by the beginning's hash, the same at each gate; the whole pool is used where the own zone is small. (3) lower classes do not count against a target's limit, up to twice the limit, and half a batch may wait at the target; callers come before rollouts of the same class in the engine's queue.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -11,7 +11,7 @@
 	maxLimit = 1024
 	// batchSlack is the share of the batch that may wait at the target, so that its batch stays full
 	// while reports lag.
-	batchSlack = 0.125
+	batchSlack = 0.5
 	// backoff shrinks a limit when the target refuses or slows down.
 	backoff = 0.7
 	// slowFactor is the growth of latency over its floor that counts as congestion.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -31,7 +31,6 @@
 // attempt runs the request on the engine of l until its end marker or a failure, and gives the
 // place back.
 func (r *run) attempt(ctx context.Context, l *lease) ended {
-	defer l.unlock()
 	if reason := r.pool.blockedNow(l.address); reason != "" {
 		l.release()
 		return ended{kind: endDraining, err: errors.New(reason)}
@@ -132,7 +131,7 @@
 	c := &s.run.call
 	body, err := json.Marshal(platform.CompletionRequest{
 		Model: c.Model, Prompt: c.Prompt, MaxTokens: c.MaxTokens, Seed: c.Seed, Stream: true, RequestID: s.id,
-		Priority: c.Priority, Adapter: c.Adapter, PrefixTokens: s.run.answer.tokens,
+		Priority: enginePriority(c), Adapter: c.Adapter, PrefixTokens: s.run.answer.tokens,
 	})
 	if err != nil {
 		return nil, ended{kind: endUnsent, err: err}
@@ -146,6 +145,14 @@
 	return s.check(ctx, resp)
 }
 
+// enginePriority orders an engine's queue: by class, and within a class callers, who wait, before rollouts.
+func enginePriority(c *Call) int {
+	if c.Trainer {
+		return 2*c.Priority + 1
+	}
+	return 2 * c.Priority
+}
+
 // unopened tells how an attempt ended that got no answer.
 func (s *stream) unopened(ctx context.Context, sent bool, err error) ended {
 	switch {
--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -62,6 +62,11 @@
 		r.attempts++
 		end := r.attempt(ctx, l)
 		r.explain("attempt_end", "attempt=%d target=%s end=%s tokens=%d detail=%q", r.attempts, l.address, end.kind, len(r.answer.tokens), end.detail())
+		dead := r.dead(ctx, l, end)
+		r.d.endTrial(r.call.Fingerprint, l)
+		if dead != nil {
+			return nil, r.final(ctx, dead)
+		}
 		if end.kind == endDone {
 			r.d.meters.tokens.Add("answered", int64(len(r.answer.tokens)))
 			return r.answer.result(l.address, r.attempts), nil
@@ -80,24 +85,24 @@
 		if err != nil {
 			return nil, err
 		}
-		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Alone: alone}
-		unlock, ok := r.d.trial(ctx, r.call.Fingerprint, alone)
-		if !ok {
-			return nil, errCallerGone()
-		}
+		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Alone: alone, Class: r.call.Priority}
 		l, err := r.pool.acquire(ctx, r.admission(), q)
 		if err != nil {
-			unlock()
 			return nil, err
 		}
-		still, err := r.d.suspicion(r.call.Fingerprint)
-		if err != nil || still != alone {
-			unlock()
+		if alone && !r.d.beginTrial(ctx, r.call.Fingerprint, l) {
 			l.release()
+			if !waitFor(ctx, trialRetry) {
+				return nil, errCallerGone()
+			}
 			continue
 		}
-		l.unlock = unlock
-		return l, nil
+		still, err := r.d.suspicion(r.call.Fingerprint)
+		if err == nil && still == alone {
+			return l, nil
+		}
+		r.d.endTrial(r.call.Fingerprint, l)
+		l.release()
 	}
 }
 
@@ -117,6 +122,15 @@
 	return 1
 }
 
+// dead records the death of the engine of l, if the attempt ended so; an error is the final answer.
+func (r *run) dead(ctx context.Context, l *lease, end ended) *api.Error {
+	if end.kind != endDead {
+		return nil
+	}
+	r.d.meters.deaths.Add(r.pool.name, 1)
+	return r.d.died(ctx, r.call.Fingerprint, l)
+}
+
 // next decides what follows an attempt that did not end the request: nil means another attempt.
 func (r *run) next(ctx context.Context, l *lease, end ended) *api.Error {
 	r.last = end.detail()
@@ -126,11 +140,6 @@
 		return errCallerGone()
 	case endRejected:
 		return end.rejection
-	case endDead:
-		r.d.meters.deaths.Add(r.pool.name, 1)
-		if err := r.d.died(ctx, r.call.Fingerprint, l); err != nil {
-			return err
-		}
 	}
 	r.avoid = append(r.avoid, l.address)
 	wait, ok := r.d.mayRetry(r.row, r.call.Deadline, r.attempts, end.free())
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -57,7 +57,10 @@
 	Report func(wire.ReportParams)
 	// Notify tells peers of suspects and quarantines before a final answer; nil tells nobody.
 	Notify func(ctx context.Context, n wire.QuarantineNotice)
-	Now    func() time.Time
+	// Trial asks the pool's arbiter to begin or end a suspect's run alone; an error means that no
+	// arbiter answered. nil means that this gate is the only one.
+	Trial func(ctx context.Context, p wire.TrialParams) (granted bool, err error)
+	Now   func() time.Time
 	// Seed starts the random choices.
 	Seed uint64
 }
@@ -78,10 +81,10 @@
 	budgets map[string]*retry.Budget
 	boots   map[string]string
 
-	qmu  sync.Mutex
-	book *quarantine.Book
-	// trials are the turns of suspects that run alone.
-	trials map[string]chan struct{}
+	qmu     sync.Mutex
+	book    *quarantine.Book
+	arbiter *quarantine.Arbiter
+	notices chan wire.QuarantineNotice
 }
 
 // New returns a dispatcher without a configuration.
@@ -101,11 +104,15 @@
 	if opts.Report == nil {
 		opts.Report = func(wire.ReportParams) {}
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		opts: opts, nonce: uuid.NewString()[:8], client: newHTTPClient(opts.Dial), meters: newMeters(opts.Metrics),
 		rand: rand.New(rand.NewPCG(opts.Seed, 2)), pools: map[string]*pool{}, budgets: map[string]*retry.Budget{},
-		boots: map[string]string{}, book: quarantine.NewBook(), trials: map[string]chan struct{}{},
+		boots: map[string]string{}, book: quarantine.NewBook(), arbiter: quarantine.NewArbiter(), notices: make(chan wire.QuarantineNotice, noticeQueue),
 	}
+	if d.opts.Trial == nil {
+		d.opts.Trial = func(_ context.Context, p wire.TrialParams) (bool, error) { return d.Arbitrate(p), nil }
+	}
+	return d
 }
 
 // newHTTPClient returns the client for requests that may be repeated.
@@ -126,6 +133,7 @@
 	defer wg.Wait()
 	defer d.client.CloseIdleConnections()
 	wg.Go(func() { d.pollLoads(ctx) })
+	wg.Go(func() { d.sendNotices(ctx) })
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -54,8 +54,8 @@
 	started time.Time
 	// boot is the engine's incarnation, once known.
 	boot string
-	// unlock ends the turn of a request that runs alone.
-	unlock func()
+	// proven is true while the pool's arbiter knows of the run alone.
+	proven bool
 }
 
 func newPool(name string, opts Options, seed uint64) *pool {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -85,7 +85,7 @@
 
 func (r *serviceRun) run(ctx context.Context) (*ServiceAnswer, *api.Error) {
 	for {
-		l, err := r.pool.acquire(ctx, r.admission(), routing.Query{Avoid: r.avoid})
+		l, err := r.pool.acquire(ctx, r.admission(), routing.Query{Avoid: r.avoid, Class: int(r.row.Priority)})
 		if err != nil {
 			return nil, r.final(ctx, err)
 		}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -14,6 +14,18 @@
 // notifyTimeout bounds the wait for peers to learn of a quarantine before its final answer.
 const notifyTimeout = 500 * time.Millisecond
 
+// Bounds of notices and trials.
+const (
+	// noticeQueue bounds the notices that wait to be sent.
+	noticeQueue = 1024
+	// maxJoined bounds the deaths that one notice carries.
+	maxJoined = 256
+	// trialTimeout bounds a question to the arbiter.
+	trialTimeout = 500 * time.Millisecond
+	// trialRetry is the wait before the arbiter is asked again.
+	trialRetry = 20 * time.Millisecond
+)
+
 // Fingerprint identifies a request by its content: what it asks for, not how often or how long.
 func Fingerprint(route, prompt string) string {
 	sum := sha256.Sum256([]byte(route + "\x00" + prompt))
@@ -34,34 +46,44 @@
 	return d.book.Suspect(now, fingerprint), nil
 }
 
-// trial makes runs alone of one fingerprint follow each other; it returns the function that ends the turn.
-func (d *Dispatcher) trial(ctx context.Context, fingerprint string, alone bool) (func(), bool) {
-	if !alone {
-		return func() {}, true
+// Arbitrate decides on a trial that a gate asks this one for, as the arbiter of its pool.
+func (d *Dispatcher) Arbitrate(p wire.TrialParams) bool {
+	d.qmu.Lock()
+	defer d.qmu.Unlock()
+	if p.End {
+		d.arbiter.End(p.Fingerprint, p.GateID)
+		return true
 	}
-	for {
-		d.qmu.Lock()
-		turn, taken := d.trials[fingerprint]
-		if !taken {
-			turn = make(chan struct{})
-			d.trials[fingerprint] = turn
-			d.qmu.Unlock()
-			return func() { d.endTrial(fingerprint, turn) }, true
-		}
-		d.qmu.Unlock()
-		select {
-		case <-turn:
-		case <-ctx.Done():
-			return nil, false
-		}
+	return d.arbiter.Begin(d.opts.Now(), p.Fingerprint, p.Target, p.GateID)
+}
+
+// beginTrial asks for the run of a suspect alone on the target of l. Without an arbiter the run
+// goes on, but its death proves nothing.
+func (d *Dispatcher) beginTrial(ctx context.Context, fingerprint string, l *lease) bool {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	granted, err := d.opts.Trial(ctx, wire.TrialParams{Pool: l.pool.name, Fingerprint: fingerprint, Target: l.address, GateID: d.opts.GateID})
+	if err != nil {
+		d.opts.Log.Warn("trial_without_arbiter", "pool", l.pool.name, "err", err)
+		return true
 	}
+	l.proven = granted
+	return granted
 }
 
-func (d *Dispatcher) endTrial(fingerprint string, turn chan struct{}) {
-	d.qmu.Lock()
-	delete(d.trials, fingerprint)
-	d.qmu.Unlock()
-	close(turn)
+// endTrial gives the trial of l back.
+func (d *Dispatcher) endTrial(fingerprint string, l *lease) {
+	if !l.proven {
+		return
+	}
+	p := wire.TrialParams{Pool: l.pool.name, Fingerprint: fingerprint, Target: l.address, GateID: d.opts.GateID, End: true}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+		defer cancel()
+		if _, err := d.opts.Trial(ctx, p); err != nil {
+			d.opts.Log.Warn("trial_not_ended", "pool", p.Pool, "err", err)
+		}
+	}()
 }
 
 // died records that the engine of l died while it ran the request, tells the steward and the
@@ -71,7 +93,7 @@
 	if d.opts.Policy.Quarantine == policyOff {
 		return nil
 	}
-	death := wire.Death{Fingerprint: fingerprint, Target: l.address, Boot: l.boot, Alone: l.query.Alone}
+	death := wire.Death{Fingerprint: fingerprint, Target: l.address, Boot: l.boot, Alone: l.proven}
 	d.qmu.Lock()
 	v := d.book.Death(d.opts.Now(), death)
 	d.qmu.Unlock()
@@ -79,7 +101,7 @@
 	d.opts.Report(wire.ReportParams{Deaths: []wire.Death{death}, Cleared: v.Cleared})
 	notice := wire.QuarantineNotice{Deaths: []wire.Death{death}, Cleared: v.Cleared}
 	if !v.Quarantined {
-		go d.notify(ctx, notice)
+		d.queueNotice(notice)
 		return nil
 	}
 	notice.Quarantined = []wire.Quarantine{v.Quarantine}
@@ -96,6 +118,40 @@
 	d.opts.Notify(ctx, n)
 }
 
+// queueNotice leaves a notice to sendNotices; one above the bound is left to the rumor.
+func (d *Dispatcher) queueNotice(n wire.QuarantineNotice) {
+	select {
+	case d.notices <- n:
+	default:
+		d.meters.deaths.Add("notices_dropped", 1)
+	}
+}
+
+// sendNotices tells peers in order, so that no older word comes after a newer one.
+func (d *Dispatcher) sendNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-d.notices:
+			d.notify(ctx, d.joinNotices(n))
+		}
+	}
+}
+
+// joinNotices adds the queued notices of the same kind to n.
+func (d *Dispatcher) joinNotices(n wire.QuarantineNotice) wire.QuarantineNotice {
+	for len(n.Cleared) == 0 && len(n.Deaths) < maxJoined {
+		select {
+		case m := <-d.notices:
+			n.Deaths, n.Cleared = append(n.Deaths, m.Deaths...), m.Cleared
+		default:
+			return n
+		}
+	}
+	return n
+}
+
 // cleared records that a request ran to its end, which ends its suspicion.
 func (d *Dispatcher) cleared(fingerprint string) {
 	d.qmu.Lock()
@@ -103,7 +159,7 @@
 	d.qmu.Unlock()
 	if was {
 		d.opts.Report(wire.ReportParams{Cleared: []string{fingerprint}})
-		go d.notify(context.Background(), wire.QuarantineNotice{Cleared: []string{fingerprint}})
+		d.queueNotice(wire.QuarantineNotice{Cleared: []string{fingerprint}})
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -80,7 +80,7 @@
 	g.dispatcher = dispatch.New(dispatch.Options{
 		GateID: opts.Settings.ID, AvailabilityZone: opts.Settings.AvailabilityZone, Policy: opts.Settings.Policy,
 		Dial: opts.Dialer.Dial, Log: opts.Log, Metrics: opts.Metrics, Explain: g.explain,
-		Report: g.reports.add, Notify: g.notifyPeers, Seed: binary.LittleEndian.Uint64(secret),
+		Report: g.reports.add, Notify: g.notifyPeers, Trial: g.trial, Seed: binary.LittleEndian.Uint64(secret),
 	})
 	g.rollouts = rollout.NewManager(rollout.Options{
 		GateID: opts.Settings.ID, AvailabilityZone: opts.Settings.AvailabilityZone, Completer: g.dispatcher,
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
 	"github.com/ibistrail/ibistrail/wire"
@@ -19,6 +20,7 @@
 		wire.MethodKeyOutcome: rpc.Handle(g.keys.handleOutcome),
 		wire.MethodExplain:    rpc.Handle(g.handleExplain),
 		wire.MethodQuarantine: rpc.Handle(g.handleQuarantine),
+		wire.MethodTrial:      rpc.Handle(g.handleTrial),
 	}
 	maps.Copy(handlers, g.rollouts.Handlers())
 	return rpc.NewServer(rpc.Options{
@@ -56,3 +58,23 @@
 	}
 	wg.Wait()
 }
+
+func (g *Gate) handleTrial(_ context.Context, p wire.TrialParams) (*wire.TrialResult, error) {
+	return &wire.TrialResult{Granted: g.dispatcher.Arbitrate(p)}, nil
+}
+
+// trial asks the arbiter of a pool, which is the live gate whose ID comes first in an order of the pool's own.
+func (g *Gate) trial(ctx context.Context, p wire.TrialParams) (bool, error) {
+	best, address := g.opts.Settings.ID, ""
+	for _, n := range g.state.Peers() {
+		if xxhash.Sum64String(p.Pool+"/"+n.ID) < xxhash.Sum64String(p.Pool+"/"+best) {
+			best, address = n.ID, n.GateAddress
+		}
+	}
+	if address == "" || best == g.opts.Settings.ID {
+		return g.dispatcher.Arbitrate(p), nil
+	}
+	res := new(wire.TrialResult)
+	err := g.pool.Call(ctx, address, wire.MethodTrial, p, res)
+	return res.Granted, err
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -20,6 +20,8 @@
 	// maxSuspects and maxBarred bound the book; the oldest are forgotten.
 	maxSuspects = 4096
 	maxBarred   = 1024
+	// unknownBootWindow is how long a death of an unknown incarnation stays explained.
+	unknownBootWindow = 5 * time.Second
 	// maxExplained bounds the deaths whose cause is remembered.
 	maxExplained = 256
 	// deathsToBar is the number of dead targets that quarantines a request.
@@ -46,7 +48,17 @@
 // explanation is a death whose cause is known, kept for SuspectTTL.
 type explanation struct {
 	place
-	until time.Time
+	at time.Time
+}
+
+// holds tells whether the explanation covers a death at p. Where an incarnation is unknown it
+// covers only what is told at about the same time.
+func (e explanation) holds(now time.Time, p place) bool {
+	window := SuspectTTL
+	if e.boot == "" || p.boot == "" {
+		window = unknownBootWindow
+	}
+	return e.same(p) && now.Sub(e.at) <= window
 }
 
 // same tells whether both name one run of a target; an unknown incarnation may be any.
@@ -112,7 +124,7 @@
 		delete(b.suspects, q.Fingerprint)
 		cleared = b.clearShared(s.places)
 		for _, p := range s.places {
-			b.explained = append(b.explained, explanation{p, now.Add(SuspectTTL)})
+			b.explained = append(b.explained, explanation{p, now})
 		}
 		b.explained = b.explained[max(0, len(b.explained)-maxExplained):]
 	}
@@ -135,7 +147,7 @@
 }
 
 func (b *Book) isExplained(now time.Time, p place) bool {
-	return slices.ContainsFunc(b.explained, func(e explanation) bool { return !now.After(e.until) && e.same(p) && e.boot != "" && p.boot != "" })
+	return slices.ContainsFunc(b.explained, func(e explanation) bool { return e.holds(now, p) })
 }
 
 // Clear drops the suspicion of a request that ran to its end.
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -52,3 +52,17 @@
 	}
 	is.True(len(b.barred) <= maxBarred)
 }
+
+func TestArbiterKeepsTrialsApart(t *testing.T) {
+	is := is.New(t)
+	a := NewArbiter()
+	is.True(a.Begin(start, "x", "t0", "g0"))
+	is.Equal(a.Begin(start, "x", "t1", "g1"), false) // one trial of a request
+	is.Equal(a.Begin(start, "y", "t0", "g1"), false) // one trial on a target
+	is.True(a.Begin(start, "y", "t1", "g1"))
+	a.End("x", "g1")
+	is.Equal(a.Begin(start, "x", "t2", "g1"), false) // only its gate ends it
+	a.End("x", "g0")
+	is.True(a.Begin(start, "x", "t0", "g1"))
+	is.True(a.Begin(start.Add(TrialTTL+time.Second), "z", "t0", "g1"))
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -22,11 +23,33 @@
 	case PolicyLeastReported:
 		return t.leastReported(usable), true
 	}
+	if x := t.affine(now, usable, q.Prefixes); x != nil {
+		return x.Address, true
+	}
+	return t.choose(now, t.near(now, usable)), true
+}
+
+// near returns the targets to choose from: those of the own zone that can start at once, else
+// those of other zones that can, else those of the own zone where the request would wait, else all.
+func (t *Table) near(now time.Time, usable []*target) []*target {
 	own := zoneOf(usable, t.opts.AvailabilityZone)
-	if len(own) > 0 {
-		return t.choose(now, own, q), true
+	for _, set := range [][]*target{free(now, own), free(now, usable), own} {
+		if len(set) > 0 {
+			return set
+		}
+	}
+	return usable
+}
+
+// free returns the targets whose batch has room.
+func free(now time.Time, targets []*target) []*target {
+	var out []*target
+	for _, x := range targets {
+		if x.utilization(now) <= 1 {
+			out = append(out, x)
+		}
 	}
-	return t.choose(now, usable, q), true
+	return out
 }
 
 // eligible returns the targets that may take the request now. Ejected and avoided targets are
@@ -43,7 +66,7 @@
 		if preferred {
 			healthy++
 		}
-		if !q.AnyLoad && !x.hasSlot(now) {
+		if !q.AnyLoad && !x.hasSlot(now, classOf(q)) {
 			continue
 		}
 		if preferred {
@@ -78,12 +101,8 @@
 	return out
 }
 
-// choose takes the target with the longest cached prefix if its load is within the bound, else
-// the less loaded of two random ones.
-func (t *Table) choose(now time.Time, targets []*target, q Query) string {
-	if x := t.affine(now, targets, q.Prefixes); x != nil {
-		return x.Address
-	}
+// choose takes the less loaded of two random targets.
+func (t *Table) choose(now time.Time, targets []*target) string {
 	a := targets[t.opts.Rand.IntN(len(targets))]
 	if len(targets) == 1 {
 		return a.Address
@@ -99,29 +118,71 @@
 	return a.Address
 }
 
-func (t *Table) affine(now time.Time, targets []*target, prefixes []uint64) *target {
-	if len(prefixes) == 0 {
+// affine returns the place of the prompt's shared beginning: the first target in an order that the
+// beginning's hash gives each gate alike, so that gates agree without a word and each beginning is
+// cached in few places. Where its load is above the bound, one that its cache events name is
+// taken, or the next in order. It returns nil for a prompt without a shared beginning.
+func (t *Table) affine(now time.Time, usable []*target, prefixes []uint64) *target {
+	depth := t.seen.depth(prefixes)
+	if depth == 0 {
 		return nil
 	}
-	mean := 0.0
-	for _, x := range targets {
-		mean += x.utilization(now)
+	targets := usable
+	if own := zoneOf(usable, t.opts.AvailabilityZone); depth < crossZoneBlocks || len(own) >= zoneTargets {
+		targets = own
 	}
-	mean /= float64(len(targets))
+	mean := meanUtilization(now, targets)
 	var best *target
-	depth := 0
 	for _, x := range targets {
-		d := x.prefixes.depth(prefixes)
-		if d == 0 || d < depth || !withinBound(now, x, mean) {
-			continue
-		}
-		if d > depth || x.utilization(now) < best.utilization(now) {
-			best, depth = x, d
+		if withinBound(now, x, mean) && (best == nil || before(x, best, prefixes[:depth])) {
+			best = x
 		}
 	}
+	first := firstPlace(targets, prefixes[depth-1])
+	if first != nil && withinBound(now, first, mean) {
+		return first
+	}
 	return best
 }
 
+// before tells whether x is the better place for prefixes than y.
+func before(x, y *target, prefixes []uint64) bool {
+	dx, dy := x.prefixes.hinted.depth(prefixes), y.prefixes.hinted.depth(prefixes)
+	if dx != dy {
+		return dx > dy
+	}
+	h := prefixes[len(prefixes)-1]
+	return place(h, x) < place(h, y)
+}
+
+func firstPlace(targets []*target, prefix uint64) *target {
+	var first *target
+	for _, x := range targets {
+		if first == nil || place(prefix, x) < place(prefix, first) {
+			first = x
+		}
+	}
+	return first
+}
+
+func meanUtilization(now time.Time, targets []*target) float64 {
+	mean := 0.0
+	for _, x := range targets {
+		mean += x.utilization(now)
+	}
+	return mean / float64(max(1, len(targets)))
+}
+
+// place ranks a target for a prefix.
+func place(prefix uint64, x *target) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], prefix)
+	d := xxhash.New()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(x.Address)
+	return d.Sum64()
+}
+
 func withinBound(now time.Time, x *target, mean float64) bool {
 	size := max(1, x.limit.Batch())
 	return x.utilization(now) <= affinityBound*mean+float64(affinitySlack)/float64(size)
@@ -141,7 +202,7 @@
 		if x.blocked != "" || x.inflight > 0 || x.ejected(now) || slices.Contains(q.Avoid, x.Address) && len(t.targets) > len(q.Avoid) {
 			continue
 		}
-		if best == nil || x.reserved && !best.reserved || x.reserved == best.reserved && t.rank(x) < t.rank(best) {
+		if best == nil || t.emptier(now, x, best) {
 			best = x
 		}
 	}
@@ -151,6 +212,17 @@
 	return best.Address, true
 }
 
+// emptier tells whether x suits a request that runs alone better than y.
+func (t *Table) emptier(now time.Time, x, y *target) bool {
+	if x.reserved != y.reserved {
+		return x.reserved
+	}
+	if lx, ly := x.load(now), y.load(now); lx != ly {
+		return lx < ly
+	}
+	return t.rank(x) < t.rank(y)
+}
+
 func (t *Table) rank(x *target) uint64 { return xxhash.Sum64String(t.opts.GateID + "/" + x.Address) }
 
 // Reserve keeps new requests off the target with the fewest own requests, so that it empties for
--- a/routing/table.go
+++ b/routing/table.go
@@ -32,6 +32,15 @@
 	affinityBound = 1.25
 	// affinitySlack is the number of requests by which a target may exceed that bound.
 	affinitySlack = 2
+	// zoneTargets is the number of targets from which on the own zone's caches suffice for
+	// prefixes; with fewer, a prefix has its place in the whole pool.
+	zoneTargets = 16
+	// crossZoneBlocks is the number of shared blocks from which on a cached prefix in another zone
+	// saves more than the way there costs.
+	crossZoneBlocks = 2
+	// overcommit is how far above its limit a target is used by requests that the target's own queue
+	// puts before those that are there.
+	overcommit = 2
 )
 
 // Query describes a request to be placed.
@@ -46,6 +55,8 @@
 	Alone bool
 	// AnyLoad ignores limits (baselines without admission).
 	AnyLoad bool
+	// Class is the request's priority; a lower number is served first.
+	Class int
 }
 
 // Options configure a Table.
@@ -64,6 +75,8 @@
 	byAddr  map[string]*target
 	next    int
 	started bool
+	// seen are prefixes of recent prompts, by which shared beginnings are found.
+	seen prefixSet
 }
 
 // NewTable returns a table without targets.
@@ -159,14 +172,18 @@
 		return
 	}
 	x.setInflight(now, x.inflight+1)
+	x.byClass[classOf(q)]++
 	if q.Alone {
 		x.exclusive, x.reserved = true, false
 	}
 	for _, h := range q.Prefixes {
 		x.prefixes.sent.add(h)
+		t.seen.add(h)
 	}
 }
 
+func classOf(q Query) int { return min(max(q.Class, 0), classes-1) }
+
 // End counts a request that has left address.
 func (t *Table) End(now time.Time, address string, q Query) {
 	x := t.byAddr[address]
@@ -174,6 +191,7 @@
 		return
 	}
 	x.setInflight(now, max(0, x.inflight-1))
+	x.byClass[classOf(q)] = max(0, x.byClass[classOf(q)]-1)
 	if q.Alone {
 		x.exclusive = false
 	}
--- a/routing/target.go
+++ b/routing/target.go
@@ -9,6 +9,7 @@
 
 // Bounds of a target's history.
 const (
+	classes = int(config.PriorityLowest) + 1
 	// historySize bounds the remembered changes of the own in-flight count.
 	historySize = 256
 	// reportTTL is the age after which a load report is no longer used.
@@ -32,6 +33,7 @@
 	exclusive bool
 	reserved  bool
 	inflight  int
+	byClass   [classes]int
 	history   []inflightAt
 	limit     *admission.Limit
 	// reported is the last reported load, taken at reportedAt.
@@ -112,5 +114,17 @@
 	return u
 }
 
-// hasSlot tells whether the own limit leaves room.
-func (t *target) hasSlot(now time.Time) bool { return t.inflight < t.capacity(now) }
+// hasSlot tells whether the own limit leaves room for a request of a class. Lower classes do not
+// count, up to a bound: targets honour priorities, so the request waits there for the next place
+// only, which this gate may see free much later.
+func (t *target) hasSlot(now time.Time, class int) bool {
+	limit := t.capacity(now)
+	if t.inflight < limit {
+		return true
+	}
+	n := 0
+	for c := range class + 1 {
+		n += t.byClass[c]
+	}
+	return n < limit && t.inflight < overcommit*limit
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -53,6 +53,8 @@
 	MethodExplain = "gate.explain"
 	// MethodQuarantine tells a peer of suspects and quarantined requests at once: QuarantineNotice -> Empty.
 	MethodQuarantine = "gate.quarantine"
+	// MethodTrial asks the arbiter of a pool for a suspect's run alone: TrialParams -> TrialResult.
+	MethodTrial = "gate.trial"
 )
 
 // Error codes of jsonrpc2 answers.
@@ -200,6 +202,20 @@
 	Cleared []string `json:"cleared"`
 }
 
+// TrialParams begins or ends the run of a suspect that is alone on its target.
+type TrialParams struct {
+	Pool        string `json:"pool"`
+	Fingerprint string `json:"fingerprint"`
+	Target      string `json:"target"`
+	GateID      string `json:"gate_id"`
+	End         bool   `json:"end,omitempty"`
+}
+
+// TrialResult tells whether the trial may begin.
+type TrialResult struct {
+	Granted bool `json:"granted"`
+}
+
 // MemberStatus is the state of a node in membership.
 type MemberStatus string
 
