ctl: a change that no steward would take is refused before it is sent

Cause: a message above the bound of strangers ends the connection, which read as 'no steward answers'. Change: apply refuses such a change with the remedy. Measured: TestTooLargeChangeIsRefusedBeforeSending; go test ./ctl, pass.

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/spf13/cobra"
 )
@@ -152,6 +153,9 @@
 // publish sends the change until a steward tells how it was decided; again tells the operator how
 // to go on if none does.
 func (c *client) publish(ctx context.Context, change config.Change, again string) (*config.Decision, error) {
+	if err := checkSize(&change); err != nil {
+		return nil, err
+	}
 	var r wire.ApplyResult
 	params := wire.ApplyParams{OperatorParams: c.auth(), Change: change, TimeoutMs: c.share().Milliseconds() * 9 / 10}
 	err := c.call(ctx, wire.MethodApply, params, &r)
@@ -166,6 +170,24 @@
 	return &r.Decision, nil
 }
 
+// maxChangeBytes bounds the encoded edits of one change, so that its message passes a steward.
+const maxChangeBytes = rpc.MaxStrangerMessageBytes - 4<<10
+
+func checkSize(c *config.Change) error {
+	const remedy = "apply the rows in several files"
+	if len(c.Edits) > config.MaxEdits {
+		return usageErrorf(remedy, "the change edits %d rows, above %d", len(c.Edits), config.MaxEdits)
+	}
+	rec, err := config.EncodeChange(*c)
+	if err != nil {
+		return &Error{Exit: ExitFailure, Message: "apply", Err: err}
+	}
+	if len(rec.Data) > maxChangeBytes {
+		return usageErrorf(remedy, "the change has %d bytes, above %d", len(rec.Data), maxChangeBytes)
+	}
+	return nil
+}
+
 func (a *app) unchanged(ctx context.Context, c *client, e *editFlags, revision platform.Offset) error {
 	if a.output == outputText {
 		fmt.Fprintf(a.out, "no change: the tables in force at revision %d have these rows already\n", revision)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -152,6 +153,28 @@
 	is.True(strings.Contains(stderr, "the log is out"))
 }
 
+func TestTooLargeChangeIsRefusedBeforeSending(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	all := tables()
+	for i := range 4000 {
+		all.Pools[0].Targets = append(all.Pools[0].Targets, config.Target{Name: fmt.Sprintf("%060d", i), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, 1+i%250),
+			AvailabilityZone: strings.Repeat("a", 60)})
+	}
+	for i := range 6 {
+		pool := all.Pools[0]
+		pool.Name, pool.Targets = fmt.Sprint("pool", i), nil
+		for j, t := range all.Pools[0].Targets {
+			t.Address = fmt.Sprintf("10.%d.%d.%d:8000", 2+i, j/250, 1+j%250)
+			pool.Targets = append(pool.Targets, t)
+		}
+		all.Pools = append(all.Pools, pool)
+	}
+	code, _, stderr := run(t, []string{s.address}, "apply", writeJSON(t, all))
+	is.Equal(code, ExitUsage)
+	is.True(strings.Contains(stderr, "apply the rows in several files"))
+}
+
 func TestServerThatAnsweredIsAskedFirst(t *testing.T) {
 	is := is.New(t)
 	s := applied(t)
