routing: a beginning's place is known before it comes again

Change: once a quarter of the prompts begins with a known block, an unknown beginning has its place too; the key is the shortest prefix that is not too common for one target; a target is preferred only while it can start the request at once.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -120,34 +120,34 @@
 
 // affine returns the place of the prompt's shared beginning: the first target in an order that the
 // beginning's hash gives each gate alike, so that gates agree without a word and each beginning is
-// cached in few places. Where its load is above the bound, one that its cache events name is
-// taken, or the next in order. It returns nil for a prompt without a shared beginning.
+// cached in few places. Where its load is above the bound, the one that holds most of the prompt
+// by what was sent there and by its cache events is taken, or the next in order. It returns nil for a prompt without a shared beginning.
 func (t *Table) affine(now time.Time, usable []*target, prefixes []uint64) *target {
-	depth := t.seen.depth(prefixes)
-	if depth == 0 {
+	key := t.heat.key(prefixes, len(usable))
+	if key < 0 {
 		return nil
 	}
 	targets := usable
-	if own := zoneOf(usable, t.opts.AvailabilityZone); depth < crossZoneBlocks || len(own) >= zoneTargets {
+	if own := zoneOf(usable, t.opts.AvailabilityZone); len(prefixes) < crossZoneBlocks || len(own) >= zoneTargets {
 		targets = own
 	}
 	mean := meanUtilization(now, targets)
+	first := firstPlace(targets, prefixes[key])
+	if first == nil || withinBound(now, first, mean) {
+		return first
+	}
 	var best *target
 	for _, x := range targets {
-		if withinBound(now, x, mean) && (best == nil || before(x, best, prefixes[:depth])) {
+		if withinBound(now, x, mean) && (best == nil || before(x, best, prefixes[:key+1])) {
 			best = x
 		}
 	}
-	first := firstPlace(targets, prefixes[depth-1])
-	if first != nil && withinBound(now, first, mean) {
-		return first
-	}
 	return best
 }
 
 // before tells whether x is the better place for prefixes than y.
 func before(x, y *target, prefixes []uint64) bool {
-	dx, dy := x.prefixes.hinted.depth(prefixes), y.prefixes.hinted.depth(prefixes)
+	dx, dy := x.prefixes.depth(prefixes), y.prefixes.depth(prefixes)
 	if dx != dy {
 		return dx > dy
 	}
@@ -183,9 +183,12 @@
 	return d.Sum64()
 }
 
+// withinBound tells whether a target may be preferred for a cached prefix: it can start the
+// request at once, and is not far above the others.
 func withinBound(now time.Time, x *target, mean float64) bool {
+	u := x.utilization(now)
 	size := max(1, x.limit.Batch())
-	return x.utilization(now) <= affinityBound*mean+float64(affinitySlack)/float64(size)
+	return u <= affinityFree || u <= 1 && u <= affinityBound*mean+float64(affinitySlack)/float64(size)
 }
 
 // pickAlone picks an idle target, a reserved one first, then each gate in an order of its own, so
--- a/routing/table.go
+++ b/routing/table.go
@@ -32,11 +32,13 @@
 	affinityBound = 1.25
 	// affinitySlack is the number of requests by which a target may exceed that bound.
 	affinitySlack = 2
+	// affinityFree is the utilization up to which a target is preferred whatever the mean.
+	affinityFree = 0.75
 	// zoneTargets is the number of targets from which on the own zone's caches suffice for
 	// prefixes; with fewer, a prefix has its place in the whole pool.
 	zoneTargets = 16
-	// crossZoneBlocks is the number of shared blocks from which on a cached prefix in another zone
-	// saves more than the way there costs.
+	// crossZoneBlocks is the number of whole blocks of a prompt from which on a cached prefix in
+	// another zone can save more than the way there costs.
 	crossZoneBlocks = 2
 	// overcommit is how far above its limit a target is used by requests that the target's own queue
 	// puts before those that are there.
@@ -75,8 +77,7 @@
 	byAddr  map[string]*target
 	next    int
 	started bool
-	// seen are prefixes of recent prompts, by which shared beginnings are found.
-	seen prefixSet
+	heat    heat
 }
 
 // NewTable returns a table without targets.
@@ -176,9 +177,9 @@
 	if q.Alone {
 		x.exclusive, x.reserved = true, false
 	}
+	t.heat.note(q.Prefixes)
 	for _, h := range q.Prefixes {
 		x.prefixes.sent.add(h)
-		t.seen.add(h)
 	}
 }
 
