--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +88,10 @@
 	is.Equal(code, ExitConflict)
 	is.True(strings.Contains(stderr, "row pools/desk was moved by ben in revision 2"))
 	is.Equal(s.tables().Route("desk").TimeoutMs, int64(1000))
+	mine.Revision = 9 // of a steward that is ahead
+	code, _, stderr = run(t, []string{s.address}, "apply", writeJSON(t, mine))
+	is.Equal(code, ExitUnavailable)
+	is.True(strings.Contains(stderr, "behind revision 9"))
 }
 
 func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
@@ -147,6 +152,22 @@
 	is.True(strings.Contains(stderr, "the log is out"))
 }
 
+func TestServerThatAnsweredIsAskedFirst(t *testing.T) {
+	is := is.New(t)
+	s := applied(t)
+	var asked atomic.Int64
+	hang := func(ctx context.Context, _ json.RawMessage) (any, error) {
+		asked.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	frozen := serve(t, map[string]rpc.Handler{wire.MethodGet: hang, wire.MethodApply: hang})
+	code, _, stderr := run(t, []string{frozen, s.address}, "drain", "s1", "--timeout", "2s")
+	is.Equal(stderr, "")
+	is.Equal(code, ExitOK)
+	is.Equal(asked.Load(), int64(1)) // once, for the tables, not again for the change
+}
+
 func TestNextServerIsTried(t *testing.T) {
 	is := is.New(t)
 	s := applied(t)
@@ -212,6 +233,7 @@
 	is.Equal(stderr, "")
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, "revision 1 is in force on all 2 live gates"))
+	is.True(strings.Contains(out, "does not answer: stuck"))
 	s.members = append(s.members, member("stuck", wire.StatusAlive, ""))
 	code, _, stderr = run(t, []string{s.address}, "watch", "--timeout", "600ms")
 	is.Equal(code, ExitTimeout)
--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return nil, err
 		}
-		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Alone: alone, Class: r.call.Priority}
+		q := routing.Query{Prefixes: r.prefixes, Avoid: r.avoid, MinVersion: r.call.MinVersion, Versioned: r.call.Trainer, Alone: alone, Class: r.call.Priority}
 		l, err := r.pool.acquire(ctx, r.admission(), q)
 		if err != nil {
 			return nil, err
