routing: a gate has its part of a target whatever others do

Cause: under overload the limit of a target fell to the batch less what others had there, mostly rollouts, so that a request of class 1 waited at the gate although the engine would have taken it next. Change: a gate keeps its share of twice the batch, by the number of gates, for requests that lower classes do not count against.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -56,6 +56,9 @@
 	return max(minLimit, int(l.adaptive))
 }
 
+// Full returns the limit of a target that nobody else uses; 0 while unknown.
+func (l *Limit) Full() int { return int(float64(l.batch) * (1 + batchSlack)) }
+
 // Batch returns the target's reported batch capacity; 0 while unknown.
 func (l *Limit) Batch() int { return l.batch }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -160,7 +160,7 @@
 			p = newPool(row.Name, d.opts, d.rand.Uint64())
 			d.pools[row.Name] = p
 		}
-		p.update(row, s.Draining, s.EngineVersions)
+		p.update(row, s)
 	}
 	for name, p := range d.pools {
 		if t.Pool(name) == nil {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/wire"
 )
 
 // verdict is the one decision on a waiting request: a target, or an error.
@@ -68,13 +69,14 @@
 }
 
 // update puts the pool's row and the draining targets in force.
-func (p *pool) update(row *config.Pool, draining map[string]string, versions map[string]int64) {
+func (p *pool) update(row *config.Pool, s *wire.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	p.kind, p.draining = row.Kind, draining
-	p.table.Update(now, row, p.blocked(now, draining))
-	for address, v := range versions {
+	p.kind, p.draining = row.Kind, s.Draining
+	p.table.Update(now, row, p.blocked(now, s.Draining))
+	p.table.SetGates(len(s.Peers) + 1)
+	for address, v := range s.EngineVersions {
 		p.table.SetVersion(address, v)
 	}
 	p.pump(now)
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -66,7 +66,7 @@
 		if preferred {
 			healthy++
 		}
-		if !q.AnyLoad && !x.hasSlot(now, classOf(q)) {
+		if !q.AnyLoad && !x.hasSlot(now, classOf(q), t.gates) {
 			continue
 		}
 		if preferred {
--- a/routing/table.go
+++ b/routing/table.go
@@ -80,11 +80,13 @@
 	next    int
 	started bool
 	heat    heat
+	// gates is the number of gates that share the targets.
+	gates int
 }
 
 // NewTable returns a table without targets.
 func NewTable(opts Options) *Table {
-	return &Table{opts: opts, byAddr: map[string]*target{}}
+	return &Table{opts: opts, byAddr: map[string]*target{}, gates: 1}
 }
 
 // Update puts the pool's targets in force. blocked names targets that get nothing new, by
@@ -124,6 +126,9 @@
 	x.blocked = reason
 }
 
+// SetGates tells how many gates share the targets.
+func (t *Table) SetGates(n int) { t.gates = n }
+
 // Block stops new work to a target; an empty reason lets it get work again, unless its row says draining.
 func (t *Table) Block(now time.Time, address, reason string) {
 	if x := t.byAddr[address]; x != nil {
--- a/routing/target.go
+++ b/routing/target.go
@@ -116,17 +116,20 @@
 	return u
 }
 
-// hasSlot tells whether the own limit leaves room for a request of a class. Lower classes do not
-// count, up to a bound: targets honour priorities, so the request waits there for the next place
-// only, which this gate may see free much later.
-func (t *target) hasSlot(now time.Time, class int) bool {
+// hasSlot tells whether there is room for a request of a class: within the own limit, or within the
+// part of the target that is this gate's whatever others do. Lower classes do not count, up to a
+// bound: targets honour priorities, so the request waits there for the next place only, which this
+// gate may see free much later.
+func (t *target) hasSlot(now time.Time, class, gates int) bool {
 	limit := t.capacity(now)
 	if t.inflight < limit {
 		return true
 	}
+	batch := t.limit.Batch()
+	own := max(limit, min(t.limit.Full(), overcommit*batch/max(1, gates)))
 	n := 0
 	for c := range class + 1 {
 		n += t.byClass[c]
 	}
-	return n < limit && t.inflight < overcommit*limit
+	return n < own && t.inflight < overcommit*max(limit, batch)
 }
