quarantine: a death proves something only if no rival was on the target; slow senders are ended

Cause: go test ./gate -run PoisonAtOnce (the poison request at once through three gates, new) failed once in 30 runs: an innocent suspect ran alone on an engine that the poison request reached through a gate that had not heard of it yet, and was quarantined. The steward was told of unproven deaths, by which it could bar one too. Change: after a death in a trial the gate tells its peers, gives them 100 ms to tell what they saw, and bars nobody if another suspect died at the same place as often; both run alone again. The steward hears of proven deaths only. A quarantine holds 10 minutes at gates as at stewards. The bound on a body's time is a field, so that a test can see that it ends a slow sender and not a long answer.

--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -20,6 +20,8 @@
 	noticeQueue = 1024
 	// maxJoined bounds the deaths that one notice carries.
 	maxJoined = 256
+	// settleTime is how long peers may take to tell of a death that they saw too.
+	settleTime = 100 * time.Millisecond
 	// trialTimeout bounds a question to the arbiter.
 	trialTimeout = 500 * time.Millisecond
 	// trialRetry is the wait before the arbiter is asked again.
@@ -86,29 +88,46 @@
 	}()
 }
 
-// died records that the engine of l died while it ran the request, tells the steward and the
-// peers, and returns the final answer if the request is quarantined by it.
+// died records that the engine of l died while it ran the request, tells the peers, and returns the
+// final answer if the request is quarantined by it. The steward is told of proven deaths only.
 func (d *Dispatcher) died(ctx context.Context, fingerprint string, l *lease) *api.Error {
 	l.pool.with(func(now time.Time, t *routing.Table) { t.Dead(now, l.address) })
 	if d.opts.Policy.Quarantine == policyOff {
 		return nil
 	}
-	death := wire.Death{Fingerprint: fingerprint, Target: l.address, Boot: l.boot, Alone: l.proven}
+	death := wire.Death{Fingerprint: fingerprint, Target: l.address, Boot: l.boot}
 	d.qmu.Lock()
-	v := d.book.Death(d.opts.Now(), death)
+	first := !d.book.Suspect(d.opts.Now(), fingerprint)
+	d.book.Death(d.opts.Now(), death)
 	d.qmu.Unlock()
-	d.opts.Log.Warn("target_died", "pool", l.pool.name, "target", l.address, "boot", l.boot, "fingerprint", fingerprint, "alone", death.Alone, "quarantined", v.Quarantined)
-	d.opts.Report(wire.ReportParams{Deaths: []wire.Death{death}, Cleared: v.Cleared})
-	notice := wire.QuarantineNotice{Deaths: []wire.Death{death}, Cleared: v.Cleared}
-	if !v.Quarantined {
+	d.opts.Log.Warn("target_died", "pool", l.pool.name, "target", l.address, "boot", l.boot, "fingerprint", fingerprint, "alone", l.proven)
+	notice := wire.QuarantineNotice{Deaths: []wire.Death{death}}
+	if first || !l.proven {
 		d.queueNotice(notice)
 		return nil
 	}
-	notice.Quarantined = []wire.Quarantine{v.Quarantine}
 	d.notify(ctx, notice)
+	waitFor(context.WithoutCancel(ctx), settleTime)
+	death.Alone = true
+	return d.judge(ctx, death)
+}
+
+// judge decides on a suspect whose target died while it ran alone. Peers have had the time to tell
+// whom else the target's death took.
+func (d *Dispatcher) judge(ctx context.Context, death wire.Death) *api.Error {
+	d.qmu.Lock()
+	v := d.book.Death(d.opts.Now(), death)
+	d.qmu.Unlock()
+	if !v.Quarantined {
+		return nil
+	}
+	d.opts.Log.Warn("request_quarantined", "fingerprint", death.Fingerprint, "deaths", v.Quarantine.Deaths, "cleared", len(v.Cleared))
+	d.opts.Report(wire.ReportParams{Deaths: v.Deaths, Cleared: v.Cleared})
+	d.notify(ctx, wire.QuarantineNotice{Cleared: v.Cleared, Quarantined: []wire.Quarantine{v.Quarantine}})
 	return errQuarantined(v.Quarantine)
 }
 
+// notify tells peers at once, within notifyTimeout.
 func (d *Dispatcher) notify(ctx context.Context, n wire.QuarantineNotice) {
 	if d.opts.Notify == nil {
 		return
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -171,6 +171,29 @@
 	}
 }
 
+func TestPoisonAtOnceThroughAllGatesHarmsNoInnocent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{gates: 3, engines: 9, rates: engine.Rates{DecodeTokensPerSecond: 200}})
+	f.faults(engine.Faults{PoisonSubstring: "poison"})
+	var wg sync.WaitGroup
+	for k := range 12 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("innocent %d", k)
+			if got, _ := f.complete(k%3, prompt, 30); got != expected(prompt, 1, 30) {
+				t.Errorf("%s got another answer", prompt)
+			}
+		})
+		wg.Go(func() {
+			r := f.send(k%3, http.MethodPost, "/v1/completions", completionBody("the poison", 10))
+			if r.StatusCode != http.StatusUnprocessableEntity {
+				t.Errorf("status %d", r.StatusCode)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(f.crashed() > 0) // how many depends on how many run before the first death is known
+}
+
 func TestDrainingTargetGetsNothingNew(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, fleetOptions{gates: 1, engines: 2})
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,6 +55,8 @@
 	reports     *reporter
 	keys        *keys
 	stop        *stopper
+	// readTimeout bounds the time in which a body arrives.
+	readTimeout time.Duration
 }
 
 // New returns a gate that does not run yet.
@@ -72,7 +74,7 @@
 	if _, err := rand.Read(secret); err != nil {
 		return nil, fmt.Errorf("gate: no randomness: %w", err)
 	}
-	g := &Gate{opts: opts, log: opts.Log, incarnation: uuid.NewString(), explain: explain.New(0, time.Now)}
+	g := &Gate{opts: opts, log: opts.Log, incarnation: uuid.NewString(), readTimeout: readTimeout, explain: explain.New(0, time.Now)}
 	g.pool = rpc.NewPool(rpc.Options{Token: opts.PeerToken, Log: opts.Log, Dial: opts.Dialer.Dial, Bytes: opts.Metrics.SubMap("rpc_bytes")})
 	g.state = &stateHolder{}
 	g.reports = newReporter(g.callSteward, opts.Log, opts.Metrics)
--- a/gate/harness_test.go
+++ b/gate/harness_test.go
@@ -143,6 +143,7 @@
 	rates                    engine.Rates
 	settings                 func(*settings.Gate)
 	tables                   func(*config.Tables)
+	readTimeout              time.Duration
 }
 
 func hash(token string) string {
@@ -241,6 +242,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if o.readTimeout > 0 {
+		g.readTimeout = o.readTimeout
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{gate: g, http: "http://" + ls.HTTP.Addr().String(), stop: cancel, done: make(chan struct{}),
 		node: wire.Node{ID: s.ID, AvailabilityZone: zone, GateAddress: ls.RPC.Addr().String(), GateHTTP: ls.HTTP.Addr().String()}}
--- a/gate/server.go
+++ b/gate/server.go
@@ -69,7 +69,7 @@
 		if g.stop.stopping() {
 			w.Header().Set("Connection", "close")
 		}
-		r.Body = newTimedBody(w, r.Body)
+		r.Body = newTimedBody(w, r.Body, g.readTimeout)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -81,12 +81,12 @@
 	conn *http.ResponseController
 }
 
-func newTimedBody(w http.ResponseWriter, body io.ReadCloser) io.ReadCloser {
+func newTimedBody(w http.ResponseWriter, body io.ReadCloser, within time.Duration) io.ReadCloser {
 	if body == nil || body == http.NoBody {
 		return body
 	}
 	b := &timedBody{ReadCloser: body, conn: http.NewResponseController(w)}
-	_ = b.conn.SetReadDeadline(time.Now().Add(readTimeout)) // a connection without deadlines is a test's
+	_ = b.conn.SetReadDeadline(time.Now().Add(within)) // a connection without deadlines is a test's
 	return b
 }
 
@@ -156,7 +156,7 @@
 	case errors.As(err, &tooLarge):
 		return nil, dispatch.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.OutcomeNotRun, 0, "the body exceeds %d bytes; send less", limit)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, dispatch.NewError(http.StatusRequestTimeout, api.CodeBadRequest, api.OutcomeNotRun, 0, "the body did not arrive within %s; send it faster", readTimeout)
+		return nil, dispatch.NewError(http.StatusRequestTimeout, api.CodeBadRequest, api.OutcomeNotRun, 0, "the body did not arrive within %s; send it faster", g.readTimeout)
 	}
 	return nil, badRequest("the body does not read: %v; send it whole", err)
 }
--- a/gate/service_test.go
+++ b/gate/service_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
@@ -148,3 +149,23 @@
 	is.Equal(r.StatusCode, http.StatusBadRequest)
 	is.Equal(f.executed(), int64(0))
 }
+
+func TestSlowSenderIsEndedAndLongAnswersAreNot(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{gates: 1, services: 1, readTimeout: 100 * time.Millisecond})
+	is.NoErr(f.services[0].SetFaults(service.Faults{DelayMs: 400}))
+	r := f.send(0, http.MethodPost, "/corrections/1", "whole at once")
+	is.Equal(r.StatusCode, http.StatusOK) // the bound is on the body, not on the answer
+
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.nodes[0].http, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /corrections/2 HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer "+editorToken+"\r\nContent-Length: 10\r\n\r\nhalf")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.Equal(outcome(resp), api.OutcomeNotRun)
+	is.Equal(f.executed(), int64(1))
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -16,7 +16,7 @@
 	// SuspectTTL is how long a suspicion holds.
 	SuspectTTL = 10 * time.Minute
 	// TTL is how long a quarantine holds.
-	TTL = time.Hour
+	TTL = 10 * time.Minute
 	// maxSuspects and maxBarred bound the book; the oldest are forgotten.
 	maxSuspects = 4096
 	maxBarred   = 1024
@@ -76,6 +76,8 @@
 	// Quarantined is true if the request gets its final answer.
 	Quarantined bool
 	Quarantine  wire.Quarantine
+	// Deaths are all deaths of the quarantined request.
+	Deaths []wire.Death
 	// Cleared are suspects that shared the earlier targets.
 	Cleared []string
 }
@@ -99,11 +101,28 @@
 		s.places = append(s.places, p)
 	}
 	b.bound(now)
-	if !d.Alone || len(s.places) < deathsToBar {
+	if !d.Alone || len(s.places) < deathsToBar || b.hasRival(d.Fingerprint, p) {
 		return Verdict{}
 	}
 	q := wire.Quarantine{Fingerprint: d.Fingerprint, Until: now.Add(TTL), Deaths: len(s.places)}
-	return Verdict{Quarantined: true, Quarantine: q, Cleared: b.bar(now, q)}
+	v := Verdict{Quarantined: true, Quarantine: q}
+	for _, p := range s.places {
+		v.Deaths = append(v.Deaths, wire.Death{Fingerprint: d.Fingerprint, Target: p.target, Boot: p.boot, Alone: true})
+	}
+	v.Cleared = b.bar(now, q)
+	return v
+}
+
+// hasRival tells whether another suspect died as often, the last time at the same place: the one
+// that reached the target through a gate that had not heard of it yet. Then neither is proven, and
+// both run alone again.
+func (b *Book) hasRival(fingerprint string, p place) bool {
+	for fp, s := range b.suspects {
+		if fp != fingerprint && len(s.places) >= deathsToBar && slices.ContainsFunc(s.places, p.same) {
+			return true
+		}
+	}
+	return false
 }
 
 // Bar quarantines a request that another node has found, and returns the suspects that this clears.
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -66,3 +66,16 @@
 	is.True(a.Begin(start, "x", "t0", "g1"))
 	is.True(a.Begin(start.Add(TrialTTL+time.Second), "z", "t0", "g1"))
 }
+
+func TestTwoSuspectsOnOneDeadTargetProveNothing(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	for _, fp := range []string{"poison", "innocent"} {
+		b.Death(start, death(fp, "t0", "b0", false))
+		b.Death(start, death(fp, "t1", "b1", false))
+	}
+	is.Equal(b.Death(start, death("innocent", "t1", "b1", true)).Quarantined, false)
+	is.True(b.Suspect(start, "innocent")) // it runs alone again
+	is.True(b.Death(start, death("poison", "t2", "b2", true)).Quarantined)
+	is.Equal(b.Suspect(start, "innocent"), false)
+}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -56,15 +56,6 @@
 
 func (p *prefixSet) clear() { p.held, p.order = nil, nil }
 
-// depth returns how many of the leading prefixes are held without a gap.
-func (p *prefixSet) depth(prefixes []uint64) int {
-	n := 0
-	for n < len(prefixes) && p.held[prefixes[n]] {
-		n++
-	}
-	return n
-}
-
 // prefixIndex remembers which prefixes a target's cache probably holds: those that this gate sent
 // there, and as hints those of the target's cache events.
 type prefixIndex struct {
