rollout: planned stops hand tokens so far over, an owner that was left is released

Cause: a planned stop threw away what running attempts had generated; a gate that a trainer had left, frozen or cut off, went on making samples for up to five minutes. Change: hand-over carries partial samples and the peer goes on from their tokens; a step handed in again names its previous owner, which is released once it can be reached; a drain never picks its own gate; attempts in flight are counted at once, so that a second step gets no more than its share.

--- a/client/step.go
+++ b/client/step.go
@@ -57,7 +57,11 @@
 	s.spec.Held = slices.Clone(s.held)
 	s.spec.TrainerVersion = s.version()
 	var accepted api.StepAccepted
-	path := "/v1/steps?route=" + url.QueryEscape(s.spec.Route)
+	q := url.Values{"route": {s.spec.Route}}
+	if s.owner != "" {
+		q.Set("previous", s.owner)
+	}
+	path := "/v1/steps?" + q.Encode()
 	if err := s.c.do(ctx, http.MethodPost, path, 0, s.spec, &accepted); err != nil {
 		return err
 	}
--- a/rollout/answer.go
+++ b/rollout/answer.go
@@ -147,6 +147,12 @@
 		sl.sample, sl.oldest, sl.attempt, sl.state = &in, oldest, AttemptID(in.Attempt), slotReady
 		s.Counts.Imported++
 	}
+	for _, in := range m.Partials {
+		if in.Slot < 0 || in.Slot >= len(s.slots) || s.slots[in.Slot].state != slotPending {
+			continue
+		}
+		s.keepPartial(&s.slots[in.Slot], Answered{Text: in.Text, Tokens: in.Tokens, Spans: in.Spans})
+	}
 	return effects
 }
 
--- a/rollout/deliver.go
+++ b/rollout/deliver.go
@@ -58,6 +58,20 @@
 	return failed
 }
 
+// Running returns the attempt that is furthest on each slot that has one.
+func (s *Step) Running() map[int]AttemptID {
+	out := map[int]AttemptID{}
+	for i := range s.slots {
+		best := -1
+		for _, a := range s.slots[i].running {
+			if a.tokens > best {
+				best, out[i] = a.tokens, a.id
+			}
+		}
+	}
+	return out
+}
+
 // Export returns the scored samples that no cursor has named, and the cursor, for a peer.
 func (s *Step) Export() ([]api.Sample, api.Cursor) {
 	var samples []api.Sample
--- a/rollout/handover.go
+++ b/rollout/handover.go
@@ -20,9 +20,27 @@
 
 // export is what a peer needs to go on with a step.
 type export struct {
-	samples []api.Sample
-	held    api.Cursor
-	version int64
+	samples  []api.Sample
+	partials []api.Sample
+	held     api.Cursor
+	version  int64
+}
+
+// export gathers what a peer needs; the step goes on meanwhile.
+func (r *runner) export() export {
+	ex := export{version: r.step.Version()}
+	ex.samples, ex.held = r.step.Export()
+	for slot, id := range r.step.Running() {
+		k := r.tasks[id]
+		if k == nil || k.progress == nil {
+			continue
+		}
+		text, tokens, spans, engine := k.progress.copy()
+		if len(tokens) > 0 {
+			ex.partials = append(ex.partials, api.Sample{Slot: slot, Text: text, Tokens: tokens, Spans: spans, Engine: engine})
+		}
+	}
+	return ex
 }
 
 // Drain hands the live steps to peers for a planned stop. A step that no peer takes stays until
@@ -60,7 +78,7 @@
 			m.opts.Log.Warn("step_handover_failed", "step", r.key.id, "peer", peer.ID, "err", err)
 			continue
 		}
-		m.opts.Log.Info("step_handed_over", "step", r.key.id, "peer", peer.ID, "samples", len(ex.samples), "held", ex.held.Count())
+		m.opts.Log.Info("step_handed_over", "step", r.key.id, "peer", peer.ID, "samples", len(ex.samples), "partials", len(ex.partials), "held", ex.held.Count())
 		select {
 		case r.moves <- moved{owner: owner, address: peer.GateAddress}:
 			<-r.done
@@ -76,12 +94,12 @@
 	spec.Held, spec.TrainerVersion = ex.held, ex.version
 	var res wire.HandoverResult
 	for first := true; first || len(ex.samples) > 0; first = false {
-		n := partSize(ex.samples)
+		n, p := partSize(ex.samples), partSize(ex.partials)
 		params := wire.HandoverParams{
-			Trainer: r.key.trainer, Spec: spec, Samples: ex.samples[:n],
+			Trainer: r.key.trainer, Spec: spec, Samples: ex.samples[:n], Partials: ex.partials[:p],
 			RemainingMs: max(1, r.deadline.Sub(m.opts.Now()).Milliseconds()),
 		}
-		ex.samples = ex.samples[n:]
+		ex.samples, ex.partials = ex.samples[n:], ex.partials[p:]
 		cctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 		err := m.opts.Call(cctx, peer.GateAddress, wire.MethodHandover, params, &res)
 		cancel()
@@ -106,7 +124,7 @@
 // handoverPeers orders the peers: other zones first, since a planned stop often takes the rest of
 // its zone next, spread by the step's name.
 func (m *Manager) handoverPeers(key stepKey) []wire.Node {
-	peers := slices.Clone(m.opts.Directory.Peers())
+	peers := slices.DeleteFunc(slices.Clone(m.opts.Directory.Peers()), func(n wire.Node) bool { return n.ID == m.opts.GateID })
 	rank := func(n wire.Node) uint64 {
 		h := fnv.New64a()
 		h.Write([]byte(key.trainer + "/" + key.id + "/" + n.ID))
@@ -137,9 +155,9 @@
 		return nil, rpcError(err)
 	}
 	deadline := m.opts.Now().Add(time.Duration(p.RemainingMs) * time.Millisecond)
-	if _, err := m.open(p.Trainer, route, p.Spec, deadline, Imported{Samples: p.Samples}); err != nil {
+	if _, err := m.open(p.Trainer, route, p.Spec, deadline, Imported{Samples: p.Samples, Partials: p.Partials}); err != nil {
 		return nil, rpcError(err)
 	}
-	m.opts.Log.Info("step_taken_over", "step", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples))
+	m.opts.Log.Info("step_taken_over", "step", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples), "partials", len(p.Partials))
 	return &wire.HandoverResult{Owner: m.opts.GateID}, nil
 }
--- a/rollout/http.go
+++ b/rollout/http.go
@@ -46,6 +46,9 @@
 		return
 	}
 	accepted, err := h.m.Submit(r.Context(), caller, row, spec)
+	if err == nil {
+		h.m.Supersede(caller, spec.ID, r.URL.Query().Get("previous"))
+	}
 	h.answer(w, http.StatusAccepted, accepted, err)
 }
 
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -24,6 +24,7 @@
 	version  int64
 	calls    []dispatch.Call
 	hold     chan struct{} // completions wait for it if set
+	first    []int         // tokens that come before they wait
 	scores   map[string]int
 	scoreErr int // score calls that fail first
 	managers map[string]*Manager
@@ -38,6 +39,9 @@
 	w.calls = append(w.calls, c)
 	hold, version := w.hold, w.version
 	w.mu.Unlock()
+	if len(c.Tokens) == 0 && len(w.first) > 0 {
+		c.OnTokens(dispatch.Piece{Text: "f", Tokens: w.first, Version: version})
+	}
 	if hold != nil {
 		select {
 		case <-hold:
@@ -55,6 +59,13 @@
 	return len(w.calls)
 }
 
+// after returns the calls but the first n.
+func (w *fakeWorld) after(n int) []dispatch.Call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]dispatch.Call(nil), w.calls[n:]...)
+}
+
 func (w *fakeWorld) CallService(_ context.Context, c dispatch.ServiceCall) (*dispatch.ServiceAnswer, *api.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -58,8 +58,11 @@
 	Err   *api.Error
 }
 
-// Imported carries samples that a peer handed over.
-type Imported struct{ Samples []api.Sample }
+// Imported carries samples that a peer handed over, and others to go on with from their tokens.
+type Imported struct {
+	Samples  []api.Sample
+	Partials []api.Sample
+}
 
 func (Pulled) message()   {}
 func (Ticked) message()   {}
--- a/rollout/release.go
+++ b/rollout/release.go
@@ -8,8 +8,14 @@
 	"github.com/ibistrail/ibistrail/wire"
 )
 
-// releaseTimeout bounds the release of a step that another gate runs.
-const releaseTimeout = 5 * time.Second
+// Bounds of releases at other gates.
+const (
+	// releaseTimeout bounds the release of a step that another gate runs.
+	releaseTimeout = 5 * time.Second
+	// supersedeInterval and supersedeTries bound the attempts to reach an owner that was left.
+	supersedeInterval = 2 * time.Second
+	supersedeTries    = 30
+)
 
 // Release gives a step up; its attempts are cancelled at once.
 func (m *Manager) Release(ctx context.Context, trainer, stepID string) *api.Error {
@@ -49,6 +55,37 @@
 	return stepUnknown(stepID)
 }
 
+// Supersede releases a step at the gate that ran it before, once that can be reached, so that it
+// makes no samples which nobody pulls. The trainer's cursor keeps it harmless until then.
+func (m *Manager) Supersede(trainer, stepID, previous string) {
+	key := stepKey{trainer, stepID}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.steps[key]; r != nil && previous != "" && previous != m.opts.GateID && !m.draining {
+		m.wg.Go(func() { m.supersede(r, previous) })
+	}
+}
+
+func (m *Manager) supersede(r *runner, previous string) {
+	t := time.NewTicker(supersedeInterval)
+	defer t.Stop()
+	for range supersedeTries {
+		if to := m.gate(previous); to.address != "" {
+			ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
+			err := m.opts.Call(ctx, to.address, wire.MethodStepPull, wire.StepPullParams{Trainer: r.key.trainer, StepID: r.key.id, Release: true}, nil)
+			cancel()
+			if err == nil || remoteError(err) != nil {
+				return
+			}
+		}
+		select {
+		case <-t.C:
+		case <-r.done:
+			return
+		}
+	}
+}
+
 // gate returns the address of a live peer; it is empty when there is none of that name.
 func (m *Manager) gate(id string) moved {
 	if id == "" || id == m.opts.GateID {
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -130,8 +130,7 @@
 				return stepEnd{finished: true, reason: "finished"}
 			}
 		case reply := <-r.exports:
-			samples, held := r.step.Export()
-			reply <- export{samples: samples, held: held, version: r.step.Version()}
+			reply <- r.export()
 		case to := <-r.moves:
 			return stepEnd{to: to, reason: "moved"}
 		case <-tick.C:
@@ -159,7 +158,11 @@
 	}
 }
 
-func (r *runner) handle(msg Message) { r.perform(r.step.Handle(r.m.opts.Now(), msg)) }
+func (r *runner) handle(msg Message) {
+	effects := r.step.Handle(r.m.opts.Now(), msg)
+	r.inFlight.Store(int64(len(r.step.attempts))) // before the effects, which others can see
+	r.perform(effects)
+}
 
 // ticked gathers the state around the step.
 func (r *runner) ticked() Ticked {
@@ -189,7 +192,6 @@
 		}
 	}
 	r.m.opts.Metrics.Add("rollout_wasted_tokens", c.WastedTokens-was.WastedTokens)
-	r.inFlight.Store(int64(len(r.step.attempts)))
 	r.seen.Store(r.describe())
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -344,6 +344,8 @@
 	Trainer string       `json:"trainer"`
 	Spec    api.StepSpec `json:"spec"`
 	Samples []api.Sample `json:"samples"`
+	// Partials are samples that are not whole yet; the peer goes on from their tokens.
+	Partials []api.Sample `json:"partials,omitempty"`
 	// RemainingMs is the time left until the step's deadline, in milliseconds.
 	RemainingMs int64 `json:"remaining_ms,omitempty"`
 }
