--- a/ctl/client.go
+++ b/ctl/client.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/wire"
+	"github.com/spf13/cobra"
 )
 
 // triesPerCall is how often a call goes round the servers before it gives up.
@@ -16,9 +18,13 @@
 // retryPause is the pause between two rounds.
 const retryPause = 300 * time.Millisecond
 
+// readTimeout bounds one steward's answer to a question.
+const readTimeout = 5 * time.Second
+
 // client calls stewards, the next one when one does not answer.
 type client struct {
-	pool    *rpc.Pool
+	pool *rpc.Pool
+	// servers are in the order in which they are tried: the one that answered last comes first.
 	servers []string
 	token   string
 	timeout time.Duration
@@ -38,6 +44,18 @@
 	return ctx, c, func() { cancel(); c.pool.Close() }, nil
 }
 
+// remote returns the run function of a command that speaks to stewards.
+func (a *app) remote(do func(ctx context.Context, c *client, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		ctx, c, done, err := a.connect(cmd.Context())
+		if err != nil {
+			return err
+		}
+		defer done()
+		return do(ctx, c, args)
+	}
+}
+
 func (a *app) token() (string, error) {
 	if a.tokenFile == "" {
 		return "", usageErrorf("name the file with the operators' token with --token-file or $"+EnvTokenFile, "no token is given")
@@ -59,9 +77,10 @@
 		if round > 0 && !pause(ctx, retryPause) {
 			break
 		}
-		for _, s := range c.servers {
+		for i, s := range c.servers {
 			last = c.callOne(ctx, s, method, params, result)
 			if last == nil {
+				c.servers = append([]string{s}, slices.Delete(slices.Clone(c.servers), i, i+1)...)
 				return nil
 			}
 			if code := rpc.Code(last); code == wire.CodeUnavailable || code == wire.CodeNotReady {
@@ -82,7 +101,11 @@
 
 // callOne leaves time for the other servers.
 func (c *client) callOne(ctx context.Context, server, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.share())
+	timeout := c.share()
+	if method != wire.MethodApply {
+		timeout = min(timeout, readTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.pool.Call(ctx, server, method, params, result)
 }
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -23,12 +23,14 @@
 	ordersTick = 100 * time.Millisecond
 	// statusIdle and statusActive are how often an engine's status is read, the latter while the
 	// pool does not run what its row asks for.
-	statusIdle   = 3 * time.Second
+	statusIdle   = 5 * time.Second
 	statusActive = 500 * time.Millisecond
 	// statusTimeout bounds one question.
 	statusTimeout = time.Second
 	// orderTimeout bounds one order; the status tells afterwards what became of it.
 	orderTimeout = 60 * time.Second
+	// tellPause is the least time between two rumors of what a pool's engines run.
+	tellPause = 2 * time.Second
 	// allAtOnce is the policy that orders all engines together.
 	allAtOnce = "all-at-once"
 )
@@ -54,14 +56,16 @@
 	o   *orders
 	key poolZone
 
-	mu       sync.Mutex
-	core     *weights.Core
-	row      config.Pool
-	askedAt  time.Time
-	asking   bool
-	told     string // what was last spread of the engines
-	toldAt   time.Time
-	leavings map[string]bool // engines that this node has told to be leaving
+	mu      sync.Mutex
+	core    *weights.Core
+	row     config.Pool
+	askedAt time.Time
+	asking  bool
+	told    string // what was last spread of the engines
+	toldAt  time.Time
+	// remindedAt is when leaving engines were last told again.
+	remindedAt time.Time
+	leavings   map[string]bool // engines that this node has told to be leaving
 }
 
 func newOrders(s *Steward, e *platform.EngineClient) *orders {
@@ -94,7 +98,7 @@
 	}
 	held := map[poolZone]bool{}
 	for az, pools := range o.s.leases.candidate() {
-		for name := range pools {
+		for _, name := range pools {
 			p := st.Tables.Pool(name)
 			if p == nil {
 				continue
@@ -148,7 +152,7 @@
 			AvailabilityZone: key.az, AllAtOnce: o.s.opts.Settings.Policy.Waves == allAtOnce,
 		})}
 		o.pools[key] = p
-		o.s.opts.Log.Info("pool taken up", "pool", key.pool, "az", key.az)
+		o.s.opts.Log.Info("pool_taken_up", "pool", key.pool, "az", key.az)
 	}
 	return p
 }
@@ -251,11 +255,11 @@
 	s.opts.Metrics.Latency("order_seconds").Observe(took)
 	log := s.opts.Log.With("pool", p.key.pool, "az", p.key.az, "engine", o.Address, "kind", o.Order.Kind, "version", o.Order.Version, "mode", o.Order.Mode, "token", token, "took", took)
 	if err == nil {
-		log.Info("order done")
+		log.Info("order_done")
 		return weights.ResultDone
 	}
 	s.opts.Metrics.Add("orders_failed", 1)
-	log.Warn("order failed", "error", err)
+	log.Warn("order_failed", "err", err)
 	var limited *platform.ErrRateLimited
 	if errors.As(err, &limited) {
 		return weights.ResultStoreBusy
@@ -268,7 +272,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	refresh := now.Sub(p.toldAt) > enginesTTL/2
+	refresh, remind := now.Sub(p.toldAt) > enginesTTL/2, now.Sub(p.remindedAt) > leavingTTL/2
+	if remind {
+		p.remindedAt = now
+	}
 	seen := map[string]int64{}
 	var rumors []wire.Rumor
 	for _, e := range p.core.Engines() {
@@ -276,7 +283,7 @@
 			continue
 		}
 		seen[e.Address] = e.Status.Version
-		if e.Reached && (e.Status.Draining != p.leavings[e.Address] || (e.Status.Draining && refresh)) {
+		if e.Reached && (e.Status.Draining != p.leavings[e.Address] || (e.Status.Draining && remind)) {
 			p.leavings[e.Address] = e.Status.Draining
 			reason := ""
 			if e.Status.Draining {
@@ -285,7 +292,7 @@
 			rumors = append(rumors, newLeaving(now, e.Address, reason))
 		}
 	}
-	if text := string(encode(seen)); p.told != text || refresh {
+	if text := string(encode(seen)); refresh || (p.told != text && now.Sub(p.toldAt) >= tellPause) {
 		p.told, p.toldAt = text, now
 		rumors = append(rumors, wire.Rumor{
 			Kind: rumor.KindEngines, Key: p.key.pool + "/" + p.key.az, Seq: now.UnixMilli(),
