--- /dev/null
+++ b/load/chaos_test.go
@@ -0,0 +1,39 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fake/deployment"
+	"github.com/matryer/is"
+)
+
+// TestPromisesHoldWhileAZoneIsLostAndThePlatformIsOut runs the checker through faults at once: slow
+// engines, a platform outage, a scorer that fails and a zone whose VMs lose their power.
+func TestPromisesHoldWhileAZoneIsLostAndThePlatformIsOut(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	quiet := slog.New(slog.DiscardHandler)
+	w, err := StartWorld(ctx, deployment.Options{Preset: deployment.PresetMagnolia, VMsPerZone: 1, DrainTimeoutMs: 1000}, quiet)
+	is.NoErr(err)
+	defer w.Close()
+	faults := []FaultEvent{
+		{AtMs: 300, ForMs: 1500, Kind: "engine", Names: []string{"drafting-models-1"}, Set: json.RawMessage(`{"slow_factor":10}`)},
+		{AtMs: 500, ForMs: 1500, Kind: "platform"},
+		{AtMs: 800, ForMs: 700, Kind: "service", Names: []string{"scoring-1"}, Set: json.RawMessage(`{"fail":-1}`)},
+		{AtMs: 1200, Kind: "zone", Names: []string{"dixie-east-b"}},
+	}
+	broken := make(chan error, 1)
+	go func() { broken <- w.breakThings(ctx, faults, time.Now()) }()
+	tally, err := Demo(ctx, DemoOptions{Site: w.Site, Length: 3 * time.Second, Seed: 2, Version: 1, Log: quiet})
+	is.NoErr(err)
+	is.NoErr(<-broken)
+	for _, p := range tally.Problems {
+		t.Log(p)
+	}
+	t.Log(tally.Line())
+	is.True(tally.Good())
+}
--- a/load/demo.go
+++ b/load/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -124,16 +123,16 @@
 	return calls
 }
 
-// every returns a function that publishes, at most once in d.
+// every returns a function that publishes, at most once in d. While the store is out the trainer
+// goes on with its version and publishes after a later step.
 func (p *publisher) every(d time.Duration) func(context.Context) error {
 	var last time.Time
 	return func(ctx context.Context) error {
 		if time.Since(last) < d {
 			return nil
 		}
-		last = time.Now()
-		if err := p.publish(ctx); err != nil {
-			return fmt.Errorf("publish: %w", err)
+		if err := p.publish(ctx); err == nil {
+			last = time.Now()
 		}
 		return nil
 	}
--- a/rollout/deliver.go
+++ b/rollout/deliver.go
@@ -1,14 +1,12 @@
 package rollout
 
 import (
-	"time"
-
 	"github.com/ibistrail/ibistrail/api"
 )
 
 // Collect returns whole, fresh groups for a pull with the given cursor and trainer version, at most
 // maxSamples of them unless one group alone is larger; 0 means no bound. It repeats until the cursor moves.
-func (s *Step) Collect(now time.Time, cursor api.Cursor, version int64, maxSamples int) *api.PullResponse {
+func (s *Step) Collect(cursor api.Cursor, version int64, maxSamples int) *api.PullResponse {
 	need := s.need(max(version, s.version))
 	resp := &api.PullResponse{Samples: []api.Sample{}}
 	for _, g := range s.groups {
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -217,7 +217,7 @@
 // answer answers a pull if a group is whole, nothing is left to wait for, or its time is over.
 func (r *runner) answer(p *pullCall) bool {
 	now := r.m.opts.Now()
-	resp := r.step.Collect(now, p.req.Cursor, p.req.TrainerVersion, p.req.MaxSamples)
+	resp := r.step.Collect(p.req.Cursor, p.req.TrainerVersion, p.req.MaxSamples)
 	if len(resp.Samples) == 0 && !resp.Done {
 		if !now.Before(r.deadline) {
 			p.reply <- pullAnswer{err: errorf(api.CodeDeadline, http.StatusGatewayTimeout, 0,
--- a/rollout/step_test.go
+++ b/rollout/step_test.go
@@ -70,7 +70,7 @@
 			c.answer.ID = first[0].ID
 			s.Handle(start, c.answer)
 			s.Handle(start, c.answer) // answered twice
-			got := s.Collect(start, nil, 3, 0)
+			got := s.Collect(nil, 3, 0)
 			is.Equal(len(got.Samples) == 1, c.ready)
 			if !c.ready {
 				is.Equal(len(starts(s.Handle(start.Add(MaxBackoff), Ticked{Capacity: 8}))) == 1 || len(s.attempts) == 1, true) // runs again
@@ -84,7 +84,7 @@
 	s := newTestStep(testSpec(1, 1, ""))
 	a := starts(s.Handle(start, Ticked{Capacity: 8}))[0]
 	s.Handle(start, good(a.ID, 3))
-	is.Equal(len(s.Collect(start, nil, 5, 0).Samples), 0) // too old for this pull
+	is.Equal(len(s.Collect(nil, 5, 0).Samples), 0) // too old for this pull
 	again := starts(s.Handle(start, Pulled{TrainerVersion: 5}))
 	is.Equal(len(again), 1)
 	is.Equal(again[0].MinVersion, int64(4))
@@ -107,12 +107,12 @@
 	is.Equal(len(a), 4)
 	s.Handle(start, good(a[0].ID, 3))
 	s.Handle(start, good(a[2].ID, 3))
-	is.Equal(len(s.Collect(start, nil, 3, 0).Samples), 0)
+	is.Equal(len(s.Collect(nil, 3, 0).Samples), 0)
 	s.Handle(start, good(a[3].ID, 3))
-	got := s.Collect(start, nil, 3, 0)
+	got := s.Collect(nil, 3, 0)
 	is.Equal(len(got.Samples), 2)
 	is.Equal(got.Samples[0].Group, "b")
-	is.Equal(s.Collect(start, nil, 3, 0).Samples, got.Samples) // repeats until the cursor moves
+	is.Equal(s.Collect(nil, 3, 0).Samples, got.Samples) // repeats until the cursor moves
 	is.Equal(got.Remaining, 2)
 }
 
@@ -148,7 +148,7 @@
 	is.True(cancelled(effects, a[0].ID))
 	s.Handle(now, good(a[0].ID, 3)) // late
 	is.Equal(s.Counts.Late, int64(1))
-	is.Equal(len(s.Collect(now, nil, 3, 0).Samples), 8)
+	is.Equal(len(s.Collect(nil, 3, 0).Samples), 8)
 }
 
 func TestRefusedForGoodIsReported(t *testing.T) {
@@ -157,7 +157,7 @@
 	a := starts(s.Handle(start, Ticked{Capacity: 8}))
 	s.Handle(start, Answered{ID: a[0].ID, Err: &api.Error{Code: api.CodeBadRequest, Message: "no"}})
 	s.Handle(start, good(a[1].ID, 3))
-	got := s.Collect(start, nil, 3, 0)
+	got := s.Collect(nil, 3, 0)
 	is.Equal(len(got.Samples), 1)
 	is.Equal(got.Failed, []api.FailedSlot{{Slot: 0, Group: "a", Code: api.CodeBadRequest, Message: "no"}})
 }
@@ -257,7 +257,7 @@
 		}
 	}
 	m.handle(Pulled{Cursor: cursor, TrainerVersion: m.version})
-	resp := m.step.Collect(m.now, cursor, m.version, rapid.IntRange(0, 4).Draw(t, "max"))
+	resp := m.step.Collect(cursor, m.version, rapid.IntRange(0, 4).Draw(t, "max"))
 	m.check(t, resp, cursor)
 	if rapid.Bool().Draw(t, "answer arrives") {
 		m.take(resp)
@@ -289,7 +289,7 @@
 			m.handle(Scored{ID: s.ID, Score: float64(s.Sample.Slot) + 1})
 		}
 		m.handle(Pulled{Cursor: m.held, TrainerVersion: m.version})
-		resp := m.step.Collect(m.now, m.held, m.version, 0)
+		resp := m.step.Collect(m.held, m.version, 0)
 		m.check(t, resp, m.held)
 		m.take(resp)
 	}
--- a/rollout/validate_test.go
+++ b/rollout/validate_test.go
@@ -81,7 +81,7 @@
 			}
 			s.Handle(start, good(a.ID, 3))
 		}
-		for _, sm := range s.Collect(start, c, 3, 0).Samples {
+		for _, sm := range s.Collect(c, 3, 0).Samples {
 			if c.Has(sm.Slot) {
 				t.Fatalf("slot %d delivered although the cursor names it", sm.Slot)
 			}
