rollout: bound the bytes of a pull's answer

Cause: a step whose samples were all ready came in one answer; above 32 MiB a forwarded pull would have failed each time, and the trainer would have handed the step in again without end. Change: answers end at 8 MiB; a larger group comes alone, in parts if need be. Measured: TestLargeAnswersComeInParts.

--- a/rollout/deliver.go
+++ b/rollout/deliver.go
@@ -5,23 +5,23 @@
 )
 
 // Collect returns whole, fresh groups for a pull with the given cursor and trainer version, at most
-// maxSamples of them unless one group alone is larger; 0 means no bound. It repeats until the cursor moves.
+// maxSamples of them (0 means no bound) and MaxAnswerBytes; a group that is larger by itself comes
+// alone, in parts if need be. It repeats until the cursor moves.
 func (s *Step) Collect(cursor api.Cursor, version int64, maxSamples int) *api.PullResponse {
 	need := s.need(max(version, s.version))
 	resp := &api.PullResponse{Samples: []api.Sample{}}
+	size := 0
 	for _, g := range s.groups {
 		n := s.whole(g, cursor, need)
 		if n == 0 {
 			continue
 		}
-		if maxSamples > 0 && len(resp.Samples) > 0 && len(resp.Samples)+n > maxSamples {
+		own := s.groupSize(g, cursor)
+		if len(resp.Samples) > 0 && (size+own > MaxAnswerBytes || maxSamples > 0 && len(resp.Samples)+n > maxSamples) {
 			break
 		}
-		for i := g.first; i < g.first+g.n; i++ {
-			if !cursor.Has(i) {
-				resp.Samples = append(resp.Samples, *s.slots[i].sample)
-			}
-		}
+		size += own
+		resp.Samples = s.appendGroup(resp.Samples, g, cursor)
 	}
 	resp.Remaining = len(s.slots) - cursor.Count() - len(resp.Samples)
 	resp.Done = cursor.Count() >= len(s.slots)
@@ -29,6 +29,35 @@
 	return resp
 }
 
+// appendGroup appends what the cursor lacks of a group, up to MaxAnswerBytes.
+func (s *Step) appendGroup(samples []api.Sample, g group, cursor api.Cursor) []api.Sample {
+	size := 0
+	for i := g.first; i < g.first+g.n; i++ {
+		if cursor.Has(i) {
+			continue
+		}
+		size += sampleSize(s.slots[i].sample)
+		if size > MaxAnswerBytes && size > sampleSize(s.slots[i].sample) {
+			break
+		}
+		samples = append(samples, *s.slots[i].sample)
+	}
+	return samples
+}
+
+func (s *Step) groupSize(g group, cursor api.Cursor) int {
+	size := 0
+	for i := g.first; i < g.first+g.n; i++ {
+		if !cursor.Has(i) {
+			size += sampleSize(s.slots[i].sample)
+		}
+	}
+	return size
+}
+
+// sampleSize returns roughly the bytes of a sample in JSON.
+func sampleSize(s *api.Sample) int { return len(s.Text) + bytesPerToken*len(s.Tokens) + bytesPerSample }
+
 // whole returns the number of samples that complete a group for a trainer, or 0 if one of them is
 // not ready or too old.
 func (s *Step) whole(g group, cursor api.Cursor, need int64) int {
--- a/rollout/handover.go
+++ b/rollout/handover.go
@@ -12,9 +12,6 @@
 	"github.com/ibistrail/ibistrail/wire"
 )
 
-// handoverBytes bounds the samples of one handover message, roughly.
-const handoverBytes = 8 << 20
-
 // handoverTimeout bounds one handover message.
 const handoverTimeout = 5 * time.Second
 
@@ -112,9 +109,9 @@
 
 func partSize(samples []api.Sample) int {
 	size := 0
-	for i, s := range samples {
-		size += len(s.Text) + 12*len(s.Tokens) + 256
-		if size > handoverBytes {
+	for i := range samples {
+		size += sampleSize(&samples[i])
+		if size > MaxAnswerBytes {
 			return max(1, i)
 		}
 	}
--- a/rollout/limits.go
+++ b/rollout/limits.go
@@ -17,6 +17,11 @@
 	MaxSpecBytes = 32 << 20
 	// MaxPullBytes bounds the body of a pull.
 	MaxPullBytes = 64 << 10
+	// MaxAnswerBytes bounds the samples of a pull's answer and of a handover message, roughly.
+	MaxAnswerBytes = 8 << 20
+	// bytesPerToken and bytesPerSample are the sizes in JSON that such bounds assume.
+	bytesPerToken  = 12
+	bytesPerSample = 256
 	// MaxPullWait bounds how long a pull is held open.
 	MaxPullWait = 20 * time.Second
 )
@@ -41,7 +46,7 @@
 const (
 	// MinWindow and MaxWindow bound the attempts in flight.
 	MinWindow = 4
-	MaxWindow = 1024
+	MaxWindow = 4096
 	// MaxScoring bounds the score calls in flight.
 	MaxScoring = 64
 	// MinBackoff and MaxBackoff bound the wait after a failed attempt or score call.
--- a/rollout/step_test.go
+++ b/rollout/step_test.go
@@ -116,6 +116,31 @@
 	is.Equal(got.Remaining, 2)
 }
 
+func TestLargeAnswersComeInParts(t *testing.T) {
+	is := is.New(t)
+	s := newTestStep(testSpec(3, 2, ""))
+	half := make([]int, MaxAnswerBytes/bytesPerToken/2)
+	for _, a := range starts(s.Handle(start, Ticked{Capacity: 8})) {
+		tokens := half
+		if a.Slot >= 4 { // group c is larger than an answer by itself
+			tokens = append(half, half...)
+		}
+		s.Handle(start, Answered{ID: a.ID, Tokens: tokens, Spans: []api.Span{{Version: 3, Tokens: len(tokens)}}})
+	}
+	var held api.Cursor
+	var sizes []int
+	for held.Count() < s.Slots() {
+		got := s.Collect(held, 3, 0).Samples
+		is.True(len(got) > 0)
+		sizes = append(sizes, len(got))
+		for _, sm := range got {
+			is.True(!held.Has(sm.Slot))
+			held = held.With(sm.Slot)
+		}
+	}
+	is.Equal(sizes, []int{1, 1, 1, 1, 1, 1})
+}
+
 func TestRefusalShrinksWindowAndWaits(t *testing.T) {
 	is := is.New(t)
 	s := newTestStep(testSpec(1, 20, ""))
