logtail: a consumer may ask its tail under a lock of its own

Cause: a measurement at 25 nodes did not end: a tail asked its consumer for the next offset while it held its lock, and the duty of leases asked the tail under the consumer's. Change: the tail asks before it locks; a node serves three others, which costs its zone no depth. Conclusion: a real fault of the control process: leases and orders of a node would have stopped.

--- a/load/capacity/rows.go
+++ b/load/capacity/rows.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 
 	"github.com/ibistrail/ibistrail/claims"
+	"github.com/ibistrail/ibistrail/logtail"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -87,6 +88,18 @@
 	return fit(x, y)
 }
 
+// byFullNodes is byNodes for quantities of a zone's reader: only from the size on at which it
+// serves as many nodes as it ever does.
+func (r *results) byFullNodes(value func(s sample) float64) line {
+	var x, y []float64
+	for _, n := range r.Plan.Nodes {
+		if n/zones > logtail.RelayFanout || len(r.Plan.Nodes) < 3 {
+			x, y = append(x, nodesOf(n)), append(y, value(r.ByNodes[n]))
+		}
+	}
+	return fit(x, y)
+}
+
 func (r *results) byTargets(value func(s sample) float64) line {
 	var x, y []float64
 	for _, n := range r.Plan.Targets {
@@ -139,7 +152,7 @@
 	mean := func(s sample) float64 { return s.BytesMean }
 	relay := func(s sample) float64 { return s.RelayBytes }
 	nodes, targets, rate := r.byNodes(nodesOf, mean), r.byTargets(mean), r.byRate(mean)
-	relays, relayRate := r.byNodes(nodesOf, relay), r.byRate(relay)
+	relays, relayRate := r.byFullNodes(relay), r.byRate(relay)
 	// The targets of the size are in the line over the nodes, which have as many each.
 	sum := nodes.at(nodesAtSize) + rate.b*changesAtSize
 	relaySum := relays.at(nodesAtSize) + relayRate.b*changesAtSize
@@ -150,7 +163,7 @@
 		lineRow("steward", "control bytes for the targets that a node orders", "B/s a target of 20 nodes", targets, ordered, budgetBytes),
 		lineRow("steward", "control bytes by changes", "B/s a change/s", rate, rate.b*changesAtSize, budgetBytes),
 		plainRow("steward", "control bytes, all", "B/s", sum, budgetBytes, true),
-		lineRow("zone's reader of the log", "control bytes by nodes, 6 targets each", "B/s a node", relays, relays.at(nodesAtSize), budgetBytes),
+		lineRow("zone's reader of the log", "control bytes by nodes from 25 on, 6 targets each", "B/s a node", relays, relays.at(nodesAtSize), budgetBytes),
 		lineRow("zone's reader of the log", "control bytes by changes", "B/s a change/s", relayRate, relayRate.b*changesAtSize, budgetBytes),
 		plainRow("zone's reader of the log", "control bytes, all", "B/s", relaySum, budgetBytes, true),
 		plainRow("steward", fmt.Sprintf("control bytes, %d to %d nodes", slices.Min(r.Plan.Nodes), slices.Max(r.Plan.Nodes)), "times", flat, budgetFlat, false),
--- a/logtail/planner.go
+++ b/logtail/planner.go
@@ -43,7 +43,7 @@
 	// MaxAge is how far behind the end of the log a source may be before another one is tried.
 	MaxAge = 10 * time.Second
 	// RelayFanout is how many nodes read through one node of their zone.
-	RelayFanout = 4
+	RelayFanout = 3
 	// AvoidFor is how long a source that failed is avoided.
 	AvoidFor = 2 * time.Second
 )
--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -225,6 +225,7 @@
 	for _, r := range res.Records {
 		c.Apply(now, r)
 	}
+	next := c.Next() // before the lock: the consumer may ask the tail under a lock of its own
 	t.mu.Lock()
 	for _, r := range res.Records {
 		t.buf.add(r)
@@ -232,7 +233,7 @@
 	t.first = max(t.first, res.First)
 	t.next = max(t.next, res.Next)
 	t.retention = time.Duration(res.RetentionMs) * time.Millisecond
-	caughtUp := c.Next() >= t.next
+	caughtUp := next >= t.next
 	if caughtUp && at.After(t.freshAt) {
 		t.freshAt = at
 	}
--- a/logtail/tail_test.go
+++ b/logtail/tail_test.go
@@ -113,3 +113,41 @@
 	is.Equal(at.next, platform.Offset(4))
 	is.Equal(at.missed, []platform.Offset{3})
 }
+
+// asker is a consumer that asks its tail under its own lock, as the lease and claim duties do.
+type asker struct {
+	consumer
+	mu   sync.Mutex
+	tail *Tail
+}
+
+func (a *asker) Next() platform.Offset {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.consumer.Next()
+}
+
+func TestConsumerMayAskItsTailUnderItsOwnLock(t *testing.T) {
+	is := is.New(t)
+	a := &asker{consumer: consumer{next: 1}}
+	a.tail = New(Options{Stream: "s", Self: node("a1", "a"), Log: &stream{}, Consumer: a, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a.mu.Lock()
+			a.tail.Retention()
+			a.mu.Unlock()
+		}
+	}()
+	for range 2000 {
+		is.NoErr(read(t, a.tail, SourceLog))
+	}
+	close(stop)
+	<-done
+}
