logtail: a node that reaches the log leaves a relay that does not

Change: a peer tells whether its records come from another peer; a node below then tries the log itself and stays with it for 10 s. A log that fails is tried more rarely, every 8 s at most.

--- a/logtail/planner.go
+++ b/logtail/planner.go
@@ -44,8 +44,12 @@
 	MaxAge = 10 * time.Second
 	// RelayFanout is how many nodes read through one node of their zone.
 	RelayFanout = 3
-	// AvoidFor is how long a source that failed is avoided.
-	AvoidFor = 2 * time.Second
+	// AvoidFor is how long a source that failed is avoided, AvoidLogMax at most the log after
+	// failures in a row.
+	AvoidFor    = 2 * time.Second
+	AvoidLogMax = 8 * time.Second
+	// DetourFor is how long a node that reaches the log leaves a relay that does not.
+	DetourFor = 10 * time.Second
 )
 
 // PlannerOptions configure a Planner.
@@ -61,6 +65,10 @@
 	rng   *rand.Rand
 	avoid map[string]time.Time // by node ID, "" is the log
 	peer  string               // the peer that served last
+	// logFailures are failures of the log in a row.
+	logFailures int
+	// detour is the relay that is avoided because it does not reach the log.
+	detour string
 }
 
 // NewPlanner returns a planner that avoids nothing.
@@ -102,23 +110,50 @@
 	return Source{Kind: SourceLog}
 }
 
-// Report tells how a read went; age is how far behind the end of the log the source was.
-func (p *Planner) Report(now time.Time, s Source, err error, age time.Duration) {
-	key := s.Node.ID
+// Outcome is how a read went.
+type Outcome struct {
+	Err error
+	// Age is how far behind the end of the log the source was.
+	Age time.Duration
+	// Lateral tells that the source is cut from the log itself.
+	Lateral bool
+}
+
+// Report tells how a read from s went.
+func (p *Planner) Report(now time.Time, s Source, o Outcome) {
 	if s.Kind == SourceLog {
-		key = ""
+		p.reportLog(now, o.Err)
+		return
 	}
-	if err == nil && age <= MaxAge {
-		delete(p.avoid, key)
-		if s.Kind == SourcePeer {
-			p.peer = key
+	id := s.Node.ID
+	if o.Err != nil || o.Age > MaxAge {
+		p.avoid[id] = now.Add(AvoidFor)
+		if p.peer == id {
+			p.peer = ""
 		}
 		return
 	}
-	p.avoid[key] = now.Add(AvoidFor)
-	if p.peer == key {
-		p.peer = ""
+	delete(p.avoid, id)
+	switch {
+	case s.Kind == SourcePeer:
+		p.peer = id
+	case o.Lateral && !p.avoided(now, ""):
+		// This node may reach the log although its relay does not.
+		p.avoid[id], p.detour = now.Add(DetourFor), id
+	}
+}
+
+// reportLog backs off from a log that fails, and goes back to the relay that was left for it.
+func (p *Planner) reportLog(now time.Time, err error) {
+	if err == nil {
+		p.logFailures = 0
+		delete(p.avoid, "")
+		return
 	}
+	delete(p.avoid, p.detour)
+	p.detour = ""
+	p.avoid[""] = now.Add(min(AvoidFor<<min(p.logFailures, 8), AvoidLogMax))
+	p.logFailures++
 }
 
 func (p *Planner) avoided(now time.Time, key string) bool {
--- a/logtail/planner_test.go
+++ b/logtail/planner_test.go
@@ -58,7 +58,7 @@
 	live := []wire.Node{node("a1", "a"), node("a2", "a"), node("a3", "a")}
 	p := planner("a3", "a", "")
 	src := p.Plan(start, live)
-	p.Report(start, src, errDown, 0)
+	p.Report(start, src, Outcome{Err: errDown})
 	is.Equal(p.Plan(start, live).Kind, SourceLog)                          // reads itself at once
 	is.Equal(p.Plan(start.Add(AvoidFor), live).Node.ID, "a1")              // and tries again
 	is.Equal(p.Plan(start.Add(AvoidFor), live[1:]).Node.ID, "a2")          // the next one once it is known dead
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	live := []wire.Node{node("a1", "a"), node("a2", "a")}
 	p := planner("a2", "a", "")
-	p.Report(start, p.Plan(start, live), nil, MaxAge+time.Second)
+	p.Report(start, p.Plan(start, live), Outcome{Age: MaxAge + time.Second})
 	is.Equal(p.Plan(start, live).Kind, SourceLog)
 }
 
@@ -78,11 +78,11 @@
 	for strategy, other := range map[Strategy]bool{OtherZoneFirst: true, SameZoneFirst: false} {
 		is := is.New(t)
 		p := planner("a1", "a", strategy)
-		p.Report(start, p.Plan(start, live), errDown, 0)
+		p.Report(start, p.Plan(start, live), Outcome{Err: errDown})
 		src := p.Plan(start, live)
 		is.Equal(src.Kind, SourcePeer)
 		is.Equal(src.Node.AvailabilityZone != "a", other)
-		p.Report(start, src, nil, 0)
+		p.Report(start, src, Outcome{})
 		is.Equal(p.Plan(start, live).Node.ID, src.Node.ID)          // keeps to one that serves
 		is.Equal(p.Plan(start.Add(AvoidFor), live).Kind, SourceLog) // and tries the log again
 	}
@@ -92,15 +92,33 @@
 	is := is.New(t)
 	live := []wire.Node{node("a1", "a"), node("b1", "b"), node("c1", "c")}
 	p := planner("a1", "a", "")
-	p.Report(start, Source{Kind: SourceLog}, errDown, 0)
+	p.Report(start, Source{Kind: SourceLog}, Outcome{Err: errDown})
 	first := p.Plan(start, live)
-	p.Report(start, first, errDown, 0)
+	p.Report(start, first, Outcome{Err: errDown})
 	second := p.Plan(start, live)
 	is.True(second.Kind == SourcePeer && second.Node.ID != first.Node.ID)
-	p.Report(start, second, errDown, 0)
+	p.Report(start, second, Outcome{Err: errDown})
 	is.Equal(p.Plan(start, live).Kind, SourceLog) // nobody is left to ask
 }
 
+func TestRelayWithoutTheLogIsPassedByWhereTheLogCanBeReached(t *testing.T) {
+	is := is.New(t)
+	live := []wire.Node{node("a1", "a"), node("a2", "a"), node("b1", "b")}
+	p := planner("a2", "a", "")
+	relay := p.Plan(start, live)
+	p.Report(start, relay, Outcome{Lateral: true})
+	src := p.Plan(start, live)
+	is.Equal(src.Kind, SourceLog)
+	p.Report(start, src, Outcome{})
+	is.Equal(p.Plan(start.Add(DetourFor/2), live).Kind, SourceLog) // stays with it
+	is.Equal(p.Plan(start.Add(DetourFor), live).Kind, SourceRelay) // and looks at the relay again
+	p.Report(start.Add(DetourFor), relay, Outcome{Lateral: true})
+	p.Report(start.Add(DetourFor), Source{Kind: SourceLog}, Outcome{Err: errDown})
+	is.Equal(p.Plan(start.Add(DetourFor), live).Kind, SourceRelay) // cut like its relay
+	p.Report(start.Add(DetourFor), relay, Outcome{Lateral: true})
+	is.Equal(p.Plan(start.Add(DetourFor), live).Kind, SourceRelay) // the log failed just now
+}
+
 func TestBufferServesWithoutGaps(t *testing.T) {
 	is := is.New(t)
 	var b buffer
--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -86,6 +86,7 @@
 	freshAt   time.Time // when next was the end of the log
 	changed   chan struct{}
 	source    Source
+	lateral   bool
 	lastErr   string
 }
 
@@ -100,11 +101,12 @@
 	backoff := RetryMin
 	for ctx.Err() == nil {
 		src := t.planner.Plan(time.Now(), t.opts.Live())
-		age, err := t.read(ctx, src)
+		out, err := t.read(ctx, src)
 		if ctx.Err() != nil {
 			break
 		}
-		t.planner.Report(time.Now(), src, err, age)
+		out.Err = err
+		t.planner.Report(time.Now(), src, out)
 		t.noteSource(src, err)
 		if err == nil {
 			backoff = RetryMin
@@ -139,8 +141,8 @@
 	}
 }
 
-// read asks src once and applies what it answers; it returns how old the answer's end is.
-func (t *Tail) read(ctx context.Context, src Source) (time.Duration, error) {
+// read asks src once and applies what it answers.
+func (t *Tail) read(ctx context.Context, src Source) (Outcome, error) {
 	wait := t.wait(src.Kind)
 	ctx, cancel := context.WithTimeout(ctx, wait+PollSlack)
 	defer cancel()
@@ -150,7 +152,7 @@
 	case SourceRelay:
 		go t.watchRelay(ctx, cancel, src.Node.ID)
 	}
-	return t.readPeer(ctx, src.Node, wait)
+	return t.readPeer(ctx, src, wait)
 }
 
 // wait returns how long a source may wait for new records: not at all until the end was read once.
@@ -185,31 +187,40 @@
 	}
 }
 
-func (t *Tail) readLog(ctx context.Context, wait time.Duration) (time.Duration, error) {
+func (t *Tail) readLog(ctx context.Context, wait time.Duration) (Outcome, error) {
 	from := t.opts.Consumer.Next()
 	sent := time.Now()
 	res, err := t.opts.Log.Read(ctx, t.opts.Stream, from, ReadLimit, wait.Milliseconds())
 	if err != nil {
-		return 0, fmt.Errorf("read stream %s at %d: %w", t.opts.Stream, from, err)
+		return Outcome{}, fmt.Errorf("read stream %s at %d: %w", t.opts.Stream, from, err)
 	}
 	at := sent
 	if len(res.Records) == 0 {
 		at = sent.Add(min(time.Since(sent), wait)) // the log has waited so long
 	}
 	t.take(&wire.FetchResult{Records: res.Records, Next: res.Next, First: res.First, RetentionMs: res.RetentionMs}, at)
-	return 0, nil
+	t.setLateral(false)
+	return Outcome{}, nil
 }
 
-func (t *Tail) readPeer(ctx context.Context, n wire.Node, wait time.Duration) (time.Duration, error) {
+func (t *Tail) readPeer(ctx context.Context, src Source, wait time.Duration) (Outcome, error) {
 	from := t.opts.Consumer.Next()
 	var res wire.FetchResult
 	p := wire.FetchParams{Stream: t.opts.Stream, From: from, WaitMs: wait.Milliseconds()}
-	if err := t.opts.Call(ctx, n.StewardAddress, wire.MethodFetch, p, &res); err != nil {
-		return 0, err
+	if err := t.opts.Call(ctx, src.Node.StewardAddress, wire.MethodFetch, p, &res); err != nil {
+		return Outcome{}, err
 	}
 	age := time.Duration(res.AgeMs) * time.Millisecond
 	t.take(&res, time.Now().Add(-age))
-	return age, nil
+	t.setLateral(res.Lateral || src.Kind == SourcePeer)
+	return Outcome{Age: age, Lateral: res.Lateral}, nil
+}
+
+// setLateral notes whether this node reads the log along its zone's tree, or from a peer.
+func (t *Tail) setLateral(lateral bool) {
+	t.mu.Lock()
+	t.lateral = lateral
+	t.mu.Unlock()
 }
 
 // take applies an answer whose Next was the end of the log at a time.
@@ -332,7 +343,7 @@
 	if t.freshAt.IsZero() && len(t.buf.records) == 0 {
 		return res, nil, false, rpc.Errorf(wire.CodeNotReady, "stream %s is not read here yet; ask another node", p.Stream)
 	}
-	res = wire.FetchResult{Next: t.next, RetentionMs: t.retention.Milliseconds(), AgeMs: t.ageMs()}
+	res = wire.FetchResult{Next: t.next, RetentionMs: t.retention.Milliseconds(), AgeMs: t.ageMs(), Lateral: t.lateral}
 	if records, ok := t.buf.from(p.From, MaxFetchRecords); ok {
 		res.Records = records
 		return res, t.changed, true, nil
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -303,6 +303,9 @@
 	RetentionMs int64 `json:"retention_ms"`
 	// AgeMs is how long ago the peer last knew that Next was the end of the log, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
+	// Lateral is true where the peer's records do not come from the log along its zone's tree but
+	// from another peer: it is cut from the log, or the one above it is.
+	Lateral bool `json:"lateral,omitempty"`
 }
 
 // OperatorParams authenticates an operator.
