capacity: measure after the leases have found their holders

Cause: at 50 nodes the window fell on the hand-over of leases, 30 s after the start: gossip was 867 bytes a second each way against 156 at 100 nodes. Change: a cluster is left alone for 36 s before each window.

--- a/load/capacity/command.go
+++ b/load/capacity/command.go
@@ -24,7 +24,7 @@
 func defaultPlan() plan {
 	return plan{
 		Nodes: []int{10, 25, 50, 100}, Targets: []int{180, 1000, 2300}, Rates: []float64{0, 1, 4},
-		WindowS: 15, Cut: 20, Deaths: 5, Freezes: 5, Starts: 5, Seed: 1, SmallSize: 20,
+		WindowS: 10, Cut: 20, Deaths: 5, Freezes: 5, Starts: 5, Seed: 1, SmallSize: 20,
 	}
 }
 
--- a/load/capacity/phases.go
+++ b/load/capacity/phases.go
@@ -35,15 +35,16 @@
 	changeLimit = 20 * time.Second
 	freezeTime  = 2 * time.Second
 	// afterFreeze is how long nodes are watched after a freeze.
-	afterFreeze = 8 * time.Second
+	afterFreeze = 6 * time.Second
 	// targetsPerNode is that of the size to design for, kept while the number of nodes varies.
 	targetsPerNode = 6
 	// fixedTargets is the number of targets in the comparison of peers to fetch from.
 	fixedTargets = 180
 )
 
-// settle is how long the news of n nodes that join at a time are on their way.
-func settle(n int) time.Duration { return 15*time.Second + time.Duration(n)*200*time.Millisecond }
+// settleTime is how long a cluster is left alone before it is measured: nodes hand leases to their
+// first candidates half a minute after the last change of members or tables.
+const settleTime = 36 * time.Second
 
 // results is all that was measured.
 type results struct {
@@ -113,7 +114,7 @@
 	if err := r.addPools(c, e, 0); err != nil {
 		return err
 	}
-	time.Sleep(settle(n))
+	time.Sleep(settleTime)
 	s := c.measure(r.window(), r.base)
 	r.res.ByNodes[n] = s
 	r.say("nodes=%d control_bytes=%.0f busiest=%.0f relay=%.0f cpu=%.2f%% heap=%.2fMB appends=%.1f/s", n, s.BytesMean, s.BytesMax, s.RelayBytes, s.CPUPercent, s.HeapMB, s.Appends)
--- a/load/capacity/phases_small.go
+++ b/load/capacity/phases_small.go
@@ -48,7 +48,7 @@
 			return err
 		}
 		published = e.pools()
-		time.Sleep(settle(r.plan.SmallSize))
+		time.Sleep(settleTime)
 		s := c.measure(r.window(), r.base)
 		r.res.ByTargets[n] = s
 		r.say("targets=%d control_bytes=%.0f busiest=%.0f relay=%.0f cpu=%.2f%% heap=%.2fMB appends=%.1f/s", n, s.BytesMean, s.BytesMax, s.RelayBytes, s.CPUPercent, s.HeapMB, s.Appends)
