scenario: proofs that did not fail without their mechanism are made stricter

Cause: each scenario was run on a scratch copy with its mechanism taken out. These passed all the same: stop-rolling (its answers were over within the balancer's lag), leaving-cut-zone (the load ended with the grace), versions-swap-in-sample (no sample crossed a swap). Change: longer answers, load after the grace, swaps ordered in mid-stream past the stewards; expect that the answers name more than one version.

--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -87,12 +87,15 @@
 //	orders TARGET RANGE      orders that an engine took in, applied ones
 //	quiet TARGET MARK MS     no request arrived at a target later than MS milliseconds after MARK
 //	step NAME RANGE          samples that a trainer holds
-//	sent LOAD RANGE          requests that a load has sent
+//	sent LOAD RANGE          requests that a load has sent; await sent LOAD +N waits for N more
 //	claims                   stewards know all claims, and calls with keys run through each gate
 //	exec PROGRAM ARG…        the program succeeds
 func (c *cluster) cmdCheck(w words) error { return c.condition(w) }
 
 func (c *cluster) cmdAwait(w words) error {
+	if w[0] == "sent" {
+		w = c.more(w)
+	}
 	return c.await(strings.Join(w, " "), func() error { return c.condition(w) })
 }
 
@@ -225,17 +228,12 @@
 		if err != nil {
 			return err
 		}
-		for _, t := range c.plan.Endpoints.Engines {
-			if t.Name != target {
-				continue
-			}
-			st, err := platform.NewEngineClient(c.http).Status(c.ctx, t.Address)
-			if err != nil {
-				return err
-			}
-			if err := within(st.Version, spec, "version of "+name); err != nil {
-				return err
-			}
+		st, err := platform.NewEngineClient(c.http).Status(c.ctx, c.engineAddress(target))
+		if err != nil {
+			return err
+		}
+		if err := within(st.Version, spec, "version of "+name); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -412,6 +410,18 @@
 	return within(l.serial.Load(), args[1], "requests of "+args[0])
 }
 
+// more turns "sent LOAD +N" into a number to wait for.
+func (c *cluster) more(w words) words {
+	c.mu.Lock()
+	l := c.loads[w[1]]
+	c.mu.Unlock()
+	n, err := strconv.ParseInt(strings.TrimPrefix(w[2], "+"), 10, 64)
+	if l == nil || err != nil || w[2][0] != '+' {
+		return w
+	}
+	return words{w[0], w[1], fmt.Sprintf("%d..", l.serial.Load()+n)}
+}
+
 // exec runs a program of the system with the environment of the script.
 func (c *cluster) exec(args words) error {
 	cmd := exec.Command(filepath.Join(binDir, args[0]), args[1:]...)
--- a/scenario/standin_test.go
+++ b/scenario/standin_test.go
@@ -93,6 +93,34 @@
 	return err
 }
 
+// cmdOrder gives engines a weight order as a former holder of a lease would: order ENGINE… version=N
+// [mode=MODE] [token=N].
+func (c *cluster) cmdOrder(w words) error {
+	o := platform.Order{ID: "scenario", Kind: platform.OrderLoadVersion, Version: w.int("version", 1), FencingToken: w.int("token", 0), Mode: platform.SwapMode(w.get("mode", string(platform.SwapNow)))}
+	for _, n := range w.bares() {
+		for _, name := range c.targets(n) {
+			target, err := c.target(name)
+			if err != nil {
+				return err
+			}
+			if _, err := platform.NewEngineClient(c.http).Order(c.ctx, c.engineAddress(target), o); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// engineAddress returns the address of an engine by its full name.
+func (c *cluster) engineAddress(name string) string {
+	for _, t := range c.plan.Endpoints.Engines {
+		if t.Name == name {
+			return t.Address
+		}
+	}
+	return ""
+}
+
 // cmdAppend appends a record to a stream: append STREAM ID JSON.
 func (c *cluster) cmdAppend(w words) error {
 	_, err := platform.NewLogClient(c.plan.Endpoints.Log, c.http).Append(c.ctx, w[0], []platform.NewRecord{{ID: w[1], Data: json.RawMessage(w[2])}})
