proofs: make mutants removes each mechanism and sees its proof fail

Cause: a proof that cannot fail shows nothing. Tried for 26 mechanisms: the lease's compare-and-set was seen by no test (the state machine's contenders never raced on one record); a non-idempotent call stays sent once by two mechanisms, its own connection and a body that cannot be rewound, so that either may go alone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: help build test scenarios lint ci up demo prove bench capacity
+.PHONY: help build test scenarios lint ci up demo prove mutants bench capacity
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -33,6 +33,9 @@
 prove: ## run the proofs of each promise and print the table
 	scripts/prove.sh
 
+mutants: ## remove each mechanism in a copy and see its proof fail
+	scripts/mutants.sh
+
 bench: build ## run the experiments and print the table
 	$(BIN)/ibisload bench
 
