--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -79,6 +79,7 @@
 //	ran TEXT RANGE           how many requests whose prompt holds TEXT the engines have started
 //	crashes RANGE            how many engines' crashes there were
 //	ready|notready GATE…     what a gate tells its balancer
+//	up GATE…                 gates that answer at all
 //	running|stopped PROC…    processes
 //	version TARGET RANGE     the weight version that an engine runs
 //	versions MODEL RANGE     the same for each engine of the model
@@ -111,6 +112,8 @@
 		return c.crashes(args)
 	case "ready", "notready":
 		return c.readiness(args, w[0] == "ready")
+	case "up":
+		return c.up(args)
 	case "running", "stopped":
 		return c.alive(args, w[0] == "running")
 	case "version":
@@ -205,6 +208,19 @@
 	return nil
 }
 
+func (c *cluster) up(names words) error {
+	for _, name := range names {
+		i, ok := index(name, "gate", len(c.plan.Gates))
+		if !ok {
+			return fmt.Errorf("no gate %q", name)
+		}
+		if _, err := c.request(http.MethodGet, "http://"+c.plan.Gates[i].GateHTTP+"/healthz", nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *cluster) awaitReady(names ...string) error {
 	return c.await("ready gates", func() error { return c.readiness(names, true) })
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -89,7 +89,7 @@
 		"expire": (*cluster).cmdExpire, "leaving": (*cluster).cmdLeaving, "publish": (*cluster).cmdPublish,
 		"ticket": (*cluster).cmdTicket, "call": (*cluster).cmdCall, "complete": (*cluster).cmdComplete, "trainer": (*cluster).cmdTrainer,
 		"load": (*cluster).cmdLoad, "end": (*cluster).cmdEnd, "join": (*cluster).cmdJoin, "expect": (*cluster).cmdExpect,
-		"check": (*cluster).cmdCheck, "await": (*cluster).cmdAwait, "mark": (*cluster).cmdMark, "append": (*cluster).cmdAppend, "order": (*cluster).cmdOrder,
+		"check": (*cluster).cmdCheck, "await": (*cluster).cmdAwait, "mark": (*cluster).cmdMark, "append": (*cluster).cmdAppend, "order": (*cluster).cmdOrder, "race": (*cluster).cmdRace,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			c := clusterOf(ts)
