--- a/routing/table.go
+++ b/routing/table.go
@@ -32,11 +32,13 @@
 	affinityBound = 1.25
 	// affinitySlack is the number of requests by which a target may exceed that bound.
 	affinitySlack = 2
+	// affinityFree is the utilization up to which a target is preferred whatever the mean.
+	affinityFree = 0.75
 	// zoneTargets is the number of targets from which on the own zone's caches suffice for
 	// prefixes; with fewer, a prefix has its place in the whole pool.
 	zoneTargets = 16
-	// crossZoneBlocks is the number of shared blocks from which on a cached prefix in another zone
-	// saves more than the way there costs.
+	// crossZoneBlocks is the number of whole blocks of a prompt from which on a cached prefix in
+	// another zone can save more than the way there costs.
 	crossZoneBlocks = 2
 	// overcommit is how far above its limit a target is used by requests that the target's own queue
 	// puts before those that are there.
@@ -77,13 +79,14 @@
 	byAddr  map[string]*target
 	next    int
 	started bool
-	// seen are prefixes of recent prompts, by which shared beginnings are found.
-	seen prefixSet
+	heat    heat
+	// gates is the number of gates that share the targets.
+	gates int
 }
 
 // NewTable returns a table without targets.
 func NewTable(opts Options) *Table {
-	return &Table{opts: opts, byAddr: map[string]*target{}}
+	return &Table{opts: opts, byAddr: map[string]*target{}, gates: 1}
 }
 
 // Update puts the pool's targets in force. blocked names targets that get nothing new, by
@@ -123,6 +126,9 @@
 	x.blocked = reason
 }
 
+// SetGates tells how many gates share the targets.
+func (t *Table) SetGates(n int) { t.gates = n }
+
 // Block stops new work to a target; an empty reason lets it get work again, unless its row says draining.
 func (t *Table) Block(now time.Time, address, reason string) {
 	if x := t.byAddr[address]; x != nil {
@@ -178,9 +184,9 @@
 	if q.Alone {
 		x.exclusive, x.reserved = true, false
 	}
+	t.heat.note(q.Prefixes)
 	for _, h := range q.Prefixes {
 		x.prefixes.sent.add(h)
-		t.seen.add(h)
 	}
 }
 
