fake, proptest: one piece for fault switches and for seeds

Change: faults.Switches and faults.HandleJournal; internal/proptest.Main. Checks and seeds are the same.

--- a/fake/logservice/service.go
+++ b/fake/logservice/service.go
@@ -60,14 +60,16 @@
 	Stream string `json:"stream,omitempty"`
 }
 
+// Crashed implements faults.Crasher.
+func (f Faults) Crashed() bool { return f.Crash }
+
 // Service is the stand-in.
 type Service struct {
+	faults.Switches[Faults]
 	opts    Options
 	limiter *rate.Limiter
-	server  *faults.Server
 	mu      sync.Mutex
 	streams map[string]*stream
-	faults  Faults
 	appends int64
 	reads   int64
 }
@@ -84,9 +86,6 @@
 	return &Service{opts: opts, limiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), burst), streams: map[string]*stream{}}
 }
 
-// Attach lets the crash switch act on s.
-func (s *Service) Attach(server *faults.Server) { s.server = server }
-
 // Handler returns the service's HTTP handler.
 func (s *Service) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -98,30 +97,13 @@
 
 // Routes adds the switches, the counters and POST /expire/{stream}, which drops all records of a stream.
 func (s *Service) Routes(r *mux.Router) {
-	faults.Handle(r, s.Faults, s.SetFaults)
-	r.HandleFunc("/journal", func(w http.ResponseWriter, _ *http.Request) {
-		process.WriteJSON(w, http.StatusOK, s.Journal())
-	}).Methods(http.MethodGet)
+	s.RegisterFaults(r)
+	faults.HandleJournal(r, s.Journal)
 	r.HandleFunc("/expire/{stream}", func(w http.ResponseWriter, req *http.Request) {
 		s.Expire(mux.Vars(req)["stream"])
 	}).Methods(http.MethodPost)
 }
 
-// Faults returns the switches.
-func (s *Service) Faults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) error {
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	return faults.SetCrashed(s.server, f.Crash)
-}
-
 // Journal counts what the service has done.
 type Journal struct {
 	Appends int64 `json:"appends"`
@@ -225,18 +207,18 @@
 }
 
 // takeFault uses up one count of a fault of appends to a stream and tells whether it holds.
-func (s *Service) takeFault(name string, count func(*Faults) *int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.Stream != "" && s.faults.Stream != name {
-		return false
-	}
-	n := count(&s.faults)
-	if *n > 0 {
-		*n--
-		return true
-	}
-	return *n < 0
+func (s *Service) takeFault(name string, count func(*Faults) *int) (holds bool) {
+	s.Use(func(f *Faults) {
+		if f.Stream != "" && f.Stream != name {
+			return
+		}
+		n := count(f)
+		holds = *n != 0
+		if *n > 0 {
+			*n--
+		}
+	})
+	return holds
 }
 
 func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
--- a/fake/service/service.go
+++ b/fake/service/service.go
@@ -14,7 +14,6 @@
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
 	"github.com/ibistrail/ibistrail/platform"
-	"github.com/ibistrail/ibistrail/process"
 )
 
 // HeaderCheck names a call in the journal, for a checker.
@@ -75,6 +74,9 @@
 	CloseIdle bool `json:"close_idle,omitempty"`
 }
 
+// Crashed implements faults.Crasher.
+func (f Faults) Crashed() bool { return f.Crash }
+
 // Call is one executed call.
 type Call struct {
 	Check          string    `json:"check"`
@@ -98,10 +100,9 @@
 
 // Service is the stand-in.
 type Service struct {
+	faults.Switches[Faults]
 	opts    Options
-	server  *faults.Server
 	mu      sync.Mutex
-	faults  Faults
 	journal Journal
 	running int
 }
@@ -111,9 +112,6 @@
 	return &Service{opts: opts, journal: Journal{Name: opts.Name, Calls: []Call{}}}
 }
 
-// Attach lets the crash switch act on server.
-func (s *Service) Attach(server *faults.Server) { s.server = server }
-
 // Handler returns the service's HTTP handler: POST /…/score scores a sample, any other path is
 // executed and answered with what was received.
 func (s *Service) Handler() http.Handler {
@@ -125,25 +123,8 @@
 
 // Routes adds the switches and the journal.
 func (s *Service) Routes(r *mux.Router) {
-	faults.Handle(r, s.Faults, s.SetFaults)
-	r.HandleFunc("/journal", func(w http.ResponseWriter, _ *http.Request) {
-		process.WriteJSON(w, http.StatusOK, s.Journal())
-	}).Methods(http.MethodGet)
-}
-
-// Faults returns the switches.
-func (s *Service) Faults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) error {
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	return faults.SetCrashed(s.server, f.Crash)
+	s.RegisterFaults(r)
+	faults.HandleJournal(r, s.Journal)
 }
 
 // Journal returns a copy of the journal.
@@ -183,26 +164,27 @@
 }
 
 // dies uses up one count of the fault at point p and tells whether it holds.
-func (s *Service) dies(p Point) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.DieAt != p || s.faults.DieCalls == 0 {
-		return false
-	}
-	if s.faults.DieCalls > 0 {
-		s.faults.DieCalls--
-	}
-	return true
+func (s *Service) dies(p Point) (dies bool) {
+	s.Use(func(f *Faults) {
+		dies = f.DieAt == p && f.DieCalls != 0
+		if dies && f.DieCalls > 0 {
+			f.DieCalls--
+		}
+	})
+	return dies
 }
 
 // admit takes a place for a call, or answers why there is none.
 func (s *Service) admit(w http.ResponseWriter, r *http.Request) bool {
+	var f Faults
+	s.Use(func(all *Faults) {
+		f = *all
+		if f.Fail > 0 {
+			all.Fail--
+		}
+	})
 	s.mu.Lock()
 	s.journal.Received++
-	f := s.faults
-	if f.Fail > 0 {
-		s.faults.Fail--
-	}
 	full := s.opts.Concurrency > 0 && s.running >= s.opts.Concurrency
 	if f.Fail != 0 || f.Refuse || full {
 		s.journal.Refused++
@@ -246,7 +228,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.Draining = s.faults.Draining
+	c.Draining = s.Faults().Draining
 	s.journal.Executed++
 	if len(s.journal.Calls) < maxJournalCalls {
 		s.journal.Calls = append(s.journal.Calls, c)
--- a/fake/vmlist/list.go
+++ b/fake/vmlist/list.go
@@ -36,6 +36,9 @@
 	LagMs int64 `json:"lag_ms,omitempty"`
 }
 
+// Crashed implements faults.Crasher.
+func (f Faults) Crashed() bool { return f.Crash }
+
 // version is the list from a time on.
 type version struct {
 	since time.Time
@@ -44,11 +47,10 @@
 
 // List is the stand-in.
 type List struct {
+	faults.Switches[Faults]
 	opts     Options
-	server   *faults.Server
 	mu       sync.Mutex
 	versions []version
-	faults   Faults
 }
 
 // New returns a list with the VMs of opts, visible at once.
@@ -59,9 +61,6 @@
 	return &List{opts: opts, versions: []version{{vms: opts.VMs}}}
 }
 
-// Attach lets the crash switch act on server.
-func (l *List) Attach(server *faults.Server) { l.server = server }
-
 // Handler returns the list's HTTP handler.
 func (l *List) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -73,7 +72,7 @@
 // Routes adds the switches and the truth: POST /vms adds or replaces a VM, DELETE /vms/{name}
 // removes it, POST /vms/{name}/leaving marks it.
 func (l *List) Routes(r *mux.Router) {
-	faults.Handle(r, l.Faults, l.SetFaults)
+	l.RegisterFaults(r)
 	r.HandleFunc("/vms", l.handleAdd).Methods(http.MethodPost)
 	r.HandleFunc("/vms/{name}", func(w http.ResponseWriter, req *http.Request) {
 		l.Remove(mux.Vars(req)["name"])
@@ -85,21 +84,6 @@
 	}).Methods(http.MethodPost)
 }
 
-// Faults returns the switches.
-func (l *List) Faults() Faults {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.faults
-}
-
-// SetFaults replaces the switches.
-func (l *List) SetFaults(f Faults) error {
-	l.mu.Lock()
-	l.faults = f
-	l.mu.Unlock()
-	return faults.SetCrashed(l.server, f.Crash)
-}
-
 func (l *List) handleAdd(w http.ResponseWriter, r *http.Request) {
 	var vm platform.VM
 	if err := process.ReadJSON(w, r, &vm, maxVMBytes); err != nil {
@@ -127,8 +111,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lag := time.Duration(l.opts.LagMs) * time.Millisecond
-	if l.faults.LagMs > 0 {
-		lag = time.Duration(l.faults.LagMs) * time.Millisecond
+	if ms := l.Faults().LagMs; ms > 0 {
+		lag = time.Duration(ms) * time.Millisecond
 	}
 	at := l.opts.Now().Add(-lag)
 	i := len(l.versions) - 1
--- a/fake/weightstore/store.go
+++ b/fake/weightstore/store.go
@@ -46,15 +46,17 @@
 	LatestLag int64 `json:"latest_lag,omitempty"`
 }
 
+// Crashed implements faults.Crasher.
+func (f Faults) Crashed() bool { return f.Crash }
+
 // Store is the stand-in.
 type Store struct {
+	faults.Switches[Faults]
 	opts    Options
-	server  *faults.Server
 	mu      sync.Mutex
 	latest  map[string]int64
 	loading int
 	journal Journal
-	faults  Faults
 }
 
 // Journal counts fetches.
@@ -81,9 +83,6 @@
 	return s
 }
 
-// Attach lets the crash switch act on server.
-func (s *Store) Attach(server *faults.Server) { s.server = server }
-
 // Handler returns the store's HTTP handler.
 func (s *Store) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -96,25 +95,8 @@
 
 // Routes adds the switches and the journal.
 func (s *Store) Routes(r *mux.Router) {
-	faults.Handle(r, s.Faults, s.SetFaults)
-	r.HandleFunc("/journal", func(w http.ResponseWriter, _ *http.Request) {
-		process.WriteJSON(w, http.StatusOK, s.Journal())
-	}).Methods(http.MethodGet)
-}
-
-// Faults returns the switches.
-func (s *Store) Faults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
-// SetFaults replaces the switches.
-func (s *Store) SetFaults(f Faults) error {
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	return faults.SetCrashed(s.server, f.Crash)
+	s.RegisterFaults(r)
+	faults.HandleJournal(r, s.Journal)
 }
 
 // Journal returns the counters.
@@ -157,7 +139,7 @@
 	model := mux.Vars(r)["model"]
 	s.mu.Lock()
 	v := s.latest[model]
-	lag := s.faults.LatestLag
+	lag := s.Faults().LatestLag
 	s.mu.Unlock()
 	if v == 0 {
 		http.Error(w, "no version of this model; publish one with PUT /v1/models/MODEL/versions/N", http.StatusNotFound)
@@ -186,7 +168,7 @@
 	v, err := strconv.ParseInt(mux.Vars(r)["version"], 10, 64)
 	s.mu.Lock()
 	latest := s.latest[mux.Vars(r)["model"]]
-	f := s.faults
+	f := s.Faults()
 	s.mu.Unlock()
 	if err != nil || v <= 0 || v > latest {
 		http.Error(w, "no such version; ask for the latest first", http.StatusNotFound)
--- a/rollout/main_test.go
+++ b/rollout/main_test.go
@@ -1,16 +1,9 @@
 package rollout
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/ibistrail/ibistrail/internal/proptest"
 )
 
-// TestMain gives property tests a fixed seed, so that each run has the same verdict.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
