--- a/rumor/suspects.go
+++ b/rumor/suspects.go
@@ -39,11 +39,12 @@
 }
 
 // Judge returns the requests that are barred and those that must run alone. A request is barred
-// after two deaths if it was alone in one of them, or if no other request was in both.
+// after two deaths if a gate has proven one of them by a run alone; that nobody else was in both proves
+// nothing, as engines die together when a rack is lost.
 func (s *Store) Judge() (barred []wire.Quarantine, suspects []string) {
 	records := s.records()
 	for fp, r := range records {
-		if len(r.deaths) >= DeathsToQuarantine && (r.alone || !shared(records, fp)) {
+		if len(r.deaths) >= DeathsToQuarantine && r.alone {
 			barred = append(barred, wire.Quarantine{Fingerprint: fp, Until: time.UnixMilli(r.until).UTC(), Deaths: len(r.deaths)})
 			continue
 		}
@@ -76,21 +77,3 @@
 	}
 	return out
 }
-
-// shared tells whether another request ran on all engines that died under fp.
-func shared(records map[string]*record, fp string) bool {
-	mine := records[fp].deaths
-	for other, r := range records {
-		if other == fp {
-			continue
-		}
-		all := true
-		for d := range mine {
-			all = all && r.deaths[d]
-		}
-		if all {
-			return true
-		}
-	}
-	return false
-}
