--- a/load/bench.go
+++ b/load/bench.go
@@ -14,6 +14,9 @@
 	"github.com/spf13/cobra"
 )
 
+// tableFile holds the rows of the last table, beside the results.
+const tableFile = "table.json"
+
 func (r *Result) metricNames() []string {
 	seen := map[string]bool{}
 	var names []string
@@ -78,6 +81,37 @@
 	return c
 }
 
+func tableCommand() *cobra.Command {
+	f := &runFlags{}
+	c := &cobra.Command{
+		Use:     "table",
+		Short:   "Print the table of results that are there already",
+		Example: "  ibisload table --out run/bench",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			paths, err := filepath.Glob(filepath.Join(f.out, "*.json"))
+			if err != nil {
+				return err
+			}
+			var rows []Row
+			for _, path := range paths {
+				var res Result
+				if filepath.Base(path) == tableFile {
+					continue
+				}
+				if err := readJSON(path, &res); err != nil {
+					return err
+				}
+				rows = append(rows, res.Rows()...)
+			}
+			return f.print(cmd, rows)
+		},
+	}
+	c.Flags().StringVar(&f.out, "out", "run/bench", "directory of the results")
+	c.Flags().StringVar(&f.output, "output", "table", "table or json")
+	return c
+}
+
 func (f *runFlags) run(cmd *cobra.Command, paths []string) error {
 	log := slog.New(slog.DiscardHandler)
 	if f.verbose {
@@ -95,9 +129,12 @@
 		}
 		began := time.Now()
 		res, err := RunExperiment(cmd.Context(), x, log)
-		if err != nil {
+		if cmd.Context().Err() != nil {
 			return err
 		}
+		if err != nil {
+			broken = append(broken, err.Error())
+		}
 		fmt.Fprintf(cmd.ErrOrStderr(), "%s: %d runs in %.0f s\n", x.Name, len(res.Runs), time.Since(began).Seconds())
 		if err := res.Write(f.out); err != nil {
 			return err
@@ -112,7 +149,7 @@
 		return err
 	}
 	if len(broken) > 0 {
-		return fmt.Errorf("%d runs broke a promise; see the problems above", len(broken))
+		return fmt.Errorf("%d runs failed or broke a promise; see the problems above", len(broken))
 	}
 	return nil
 }
@@ -122,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(f.out, "table.json"), raw, 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(f.out, tableFile), raw, 0o644); err != nil {
 		return err
 	}
 	if f.output == "json" {
--- a/load/cli.go
+++ b/load/cli.go
@@ -23,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), benchCommand())
+	root.AddCommand(demoCommand(), runCommand(), benchCommand(), tableCommand())
 	root.AddCommand(capacity.NewCommand())
 	return root
 }
--- a/load/faults.go
+++ b/load/faults.go
@@ -106,15 +106,16 @@
 	return nil
 }
 
-// platformOut stops or starts the log service, the weight store and the list of VMs.
+// platformOut ends or begins the service of the log, the weight store and the list of VMs. They keep
+// their ports, which another connection could take in the meantime.
 func (w *World) platformOut(on bool) error {
-	if err := w.platform.Log.SetFaults(logservice.Faults{Crash: on}); err != nil {
+	if err := w.platform.Log.SetFaults(logservice.Faults{Outage: on}); err != nil {
 		return err
 	}
-	if err := w.platform.Store.SetFaults(weightstore.Faults{Crash: on}); err != nil {
+	if err := w.platform.Store.SetFaults(weightstore.Faults{Outage: on}); err != nil {
 		return err
 	}
-	return w.platform.VMs.SetFaults(vmlist.Faults{Crash: on})
+	return w.platform.VMs.SetFaults(vmlist.Faults{Outage: on})
 }
 
 // zoneOut takes zones away: their entry VMs for good, their targets until the fault is lifted.
