--- a/load/metrics.go
+++ b/load/metrics.go
@@ -16,7 +16,7 @@
 
 // Bounds of what counts as normal after a fault.
 const (
-	normalShare = 0.95 // of the first class on time, in each bin
+	normalShare = 0.95 // of all calls on time, in each bin
 	normalBins  = 3    // in a row
 )
 
@@ -237,8 +237,8 @@
 	return end, last > 0 && end < s.x.length()
 }
 
-// recovery returns how long after end the first class is on time again, in seconds; the rest of the
-// run if it never is.
+// recovery returns how long after end the calls of all classes are on time again, in seconds; the
+// rest of the run if they never are.
 func (s *session) recovery(end time.Duration) float64 {
 	bins := s.bins()
 	row := 0
@@ -247,7 +247,7 @@
 		if at < end {
 			continue
 		}
-		if b.First == 0 || float64(b.FirstOnTime) >= normalShare*float64(b.First) {
+		if float64(b.OnTime) >= normalShare*float64(b.Calls) {
 			row++
 		} else {
 			row = 0
