dispatch: a run alone starts only on an engine that is known to live

The gates' logs show it: two engines died together; the request moved to the second one, whose death another gate had seen 9 ms before; the write went to an idle connection of the dead incarnation, or met the next incarnation, and the old one's death was taken for the request's. Change: before a run alone the gate asks the engine for its incarnation; an engine that does not answer costs no suspicion. An engine that dies by itself in the few milliseconds after the question still counts against the request.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -35,6 +35,12 @@
 		l.release()
 		return ended{kind: endDraining, err: errors.New(reason)}
 	}
+	if l.query.Alone {
+		if err := r.d.refreshBoot(ctx, l.address); err != nil {
+			l.failed(func(now time.Time, t *routing.Table) { t.Dead(now, l.address) })
+			return ended{kind: endUnsent, err: err}
+		}
+	}
 	l.boot = r.d.boot(l.address)
 	s := &stream{run: r, lease: l, id: r.attemptID(), had: len(r.answer.tokens)}
 	r.engine = l.address
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// refreshBoot asks a live engine for its incarnation before a run alone: the death of an engine that
+// was dead before the run, or of an earlier incarnation, must not count against the request.
+func (d *Dispatcher) refreshBoot(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var s platform.EngineStatus
+	if _, err := d.get(ctx, address, platform.PathStatus, &s); err != nil {
+		return err
+	}
+	d.setBoot(address, s.Boot)
+	return nil
+}
+
 // isDead tells whether the engine's process has ended: it refuses connections, or another
 // incarnation answers. A target that is merely silent may be cut off and is not called dead.
 func (d *Dispatcher) isDead(ctx context.Context, address, boot string) bool {
