--- a/load/capacity/rows.go
+++ b/load/capacity/rows.go
@@ -76,8 +76,13 @@
 	return l
 }
 
-// at returns the line's value, never below 0.
-func (l line) at(x float64) float64 { return max(0, l.a+l.b*x) }
+// at returns the line's value, never below 0. A falling line is not carried on beyond its points.
+func (l line) at(x float64) float64 {
+	if l.b < 0 {
+		x = min(x, slices.Max(l.x))
+	}
+	return max(0, l.a+l.b*x)
+}
 
 // byNodes fits a quantity over the number of nodes, mapped by f.
 func (r *results) byNodes(f func(n int) float64, value func(s sample) float64) line {
@@ -192,13 +197,12 @@
 }
 
 func (r *results) platformRows() []Row {
-	appends := r.byTargets(func(s sample) float64 { return s.Appends })
-	perPool := appends
-	perPool.b *= enginesPerPool
+	appends := r.byNodes(nodesOf, func(s sample) float64 { return s.Appends })
 	reads := r.byNodes(nodesOf, func(s sample) float64 { return s.Reads })
-	readsAtSize := reads.at(float64(slices.Min(r.Plan.Nodes))) / zones * zonesAtSize
+	largest := slices.Max(r.Plan.Nodes) // its zones are as large as those of the size
+	readsAtSize := r.ByNodes[largest].Reads / zones * zonesAtSize
 	return []Row{
-		lineRow("log", "appends by pools", "appends/s a pool", perPool, perPool.b*poolsAtSize, budgetAppends),
+		lineRow("log", "appends by nodes, 6 targets each", "appends/s a node", appends, appends.at(nodesAtSize), budgetAppends),
 		plainRow("log", "appends, each lease by itself", "appends/s", worstAppends(), budgetAppends, true),
 		lineRow("log", "reads by nodes", "reads/s a node", reads, readsAtSize, 0),
 	}
@@ -210,7 +214,7 @@
 func (r *results) timeRows() []Row {
 	size := slices.Max(r.Plan.Nodes)
 	return []Row{
-		plainRow("steward", fmt.Sprintf("change on all of %d nodes, two zones cut, p99", size), "s", quantile(r.ChangeS, 0.99), budgetChangeS, false),
+		plainRow("steward", fmt.Sprintf("change on all of %d nodes, two zones cut, p99", size-r.Plan.Deaths), "s", quantile(r.ChangeS, 0.99), budgetChangeS, false),
 		plainRow("steward", fmt.Sprintf("dead node known on all of %d nodes, worst", size), "s", quantile(r.DetectS, 1), budgetDetectS, false),
 		{Role: "steward", Quantity: "live nodes declared dead under 2 s freezes", Unit: "nodes", AtSize: float64(r.FalseDead), Verdict: verdict(float64(r.FalseDead), 0.5)},
 		plainRow("steward", "start to ready, platform up, worst", "s", quantile(r.ReadyUpS, 1), 0, false),
--- a/load/capacity/rows_test.go
+++ b/load/capacity/rows_test.go
@@ -60,6 +60,13 @@
 	is.Equal(row.Verdict, VerdictNone)
 }
 
+func TestFallingLineIsNotCarriedOn(t *testing.T) {
+	is := is.New(t)
+	l := fit([]float64{10, 100}, []float64{200, 110})
+	is.True(math.Abs(l.at(380)-110) < 1e-6)
+	is.True(math.Abs(l.at(50)-160) < 1e-6)
+}
+
 func TestQuantile(t *testing.T) {
 	is := is.New(t)
 	is.Equal(quantile([]float64{3, 1, 2}, 0.5), 2.0)
