--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -30,7 +30,7 @@
 
 // attempt runs the request on the engine of l until its end marker or a failure, and gives the
 // place back.
-func (r *run) attempt(ctx context.Context, l *lease) ended {
+func (r *run) attempt(ctx context.Context, l *placement) ended {
 	if reason := r.pool.blockedNow(l.address); reason != "" {
 		l.release()
 		return ended{kind: endDraining, err: errors.New(reason)}
@@ -42,7 +42,7 @@
 		}
 	}
 	l.boot = r.d.boot(l.address)
-	s := &stream{run: r, lease: l, id: r.attemptID(), had: len(r.answer.tokens)}
+	s := &stream{run: r, placement: l, id: r.attemptID(), had: len(r.answer.tokens)}
 	r.engine = l.address
 	r.explain("attempt", "attempt=%d target=%s alone=%t from_token=%d", r.attempts, l.address, l.query.Alone, s.had)
 	end := s.read(ctx)
@@ -51,7 +51,7 @@
 }
 
 // giveBack tells routing how the attempt went.
-func (r *run) giveBack(ctx context.Context, l *lease, s *stream, end ended) {
+func (r *run) giveBack(ctx context.Context, l *placement, s *stream, end ended) {
 	switch end.kind {
 	case endDone:
 		l.finished(s.secondsPerToken(r.d.opts.Now()))
@@ -74,9 +74,9 @@
 
 // stream is one attempt's stream from an engine, over its resumes.
 type stream struct {
-	run   *run
-	lease *lease
-	id    string
+	run       *run
+	placement *placement
+	id        string
 	// had is the number of tokens that the answer had when the attempt started.
 	had     int
 	opened  bool
@@ -117,7 +117,7 @@
 		if s.resumes > maxResumes || errors.Is(err, errSilent) {
 			return ended{kind: endBroken, err: err}
 		}
-		s.run.explain("resume", "target=%s from_token=%d after=%q", s.lease.address, len(s.run.answer.tokens), err)
+		s.run.explain("resume", "target=%s from_token=%d after=%q", s.placement.address, len(s.run.answer.tokens), err)
 		resp, end = s.resume(ctx, err)
 	}
 }
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, ended{kind: endUnsent, err: err}
 	}
-	resp, sent, err := s.run.d.send(ctx, http.MethodPost, s.lease.address, platform.PathCompletions, body, s.run.call.Deadline)
+	resp, sent, err := s.run.d.send(ctx, http.MethodPost, s.placement.address, platform.PathCompletions, body, s.run.call.Deadline)
 	s.run.sent = s.run.sent || sent
 	s.opened = sent
 	if err != nil {
@@ -168,11 +168,11 @@
 	case ctx.Err() != nil:
 		return ended{kind: endGone, err: ctx.Err()}
 	case !sent && refusedConn(err):
-		s.lease.pool.with(func(now time.Time, t *routing.Table) { t.Dead(now, s.lease.address) })
+		s.placement.pool.with(func(now time.Time, t *routing.Table) { t.Dead(now, s.placement.address) })
 		return ended{kind: endUnsent, err: err}
 	case !sent:
 		return ended{kind: endUnsent, err: err}
-	case s.run.d.isDead(ctx, s.lease.address, s.lease.boot):
+	case s.run.d.isDead(ctx, s.placement.address, s.placement.boot):
 		return ended{kind: endDead, err: err}
 	}
 	return ended{kind: endBroken, err: err}
@@ -181,7 +181,7 @@
 // check reads the status of an answer; the response is nil unless a stream follows.
 func (s *stream) check(ctx context.Context, resp *http.Response) (*http.Response, ended) {
 	draining := resp.Header.Get(platform.HeaderDraining) == "true"
-	s.run.d.leaving(s.lease.pool, s.lease.address, draining)
+	s.run.d.leaving(s.placement.pool, s.placement.address, draining)
 	if resp.StatusCode == http.StatusOK {
 		return resp, ended{}
 	}
@@ -204,7 +204,7 @@
 // resume continues the stream on the same engine from the next token.
 func (s *stream) resume(ctx context.Context, cause error) (*http.Response, ended) {
 	d := s.run.d
-	resp, err := d.resume(ctx, s.lease.address, s.id, len(s.run.answer.tokens))
+	resp, err := d.resume(ctx, s.placement.address, s.id, len(s.run.answer.tokens))
 	if err == nil && resp.StatusCode == http.StatusOK {
 		return resp, ended{}
 	}
@@ -214,7 +214,7 @@
 	if ctx.Err() != nil {
 		return nil, ended{kind: endGone, err: ctx.Err()}
 	}
-	if refusedConn(err) || d.isDead(ctx, s.lease.address, s.lease.boot) {
+	if refusedConn(err) || d.isDead(ctx, s.placement.address, s.placement.boot) {
 		return nil, ended{kind: endDead, err: cause}
 	}
 	return nil, ended{kind: endBroken, err: cause}
@@ -263,13 +263,13 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return false, err
 	}
-	if err := s.run.answer.add(s.id, s.lease.address, s.lease.boot, &c); err != nil {
+	if err := s.run.answer.add(s.id, s.placement.address, s.placement.boot, &c); err != nil {
 		return false, err
 	}
-	if s.lease.boot == "" && c.Boot != "" {
-		s.lease.boot = c.Boot
+	if s.placement.boot == "" && c.Boot != "" {
+		s.placement.boot = c.Boot
 	}
-	s.run.d.setBoot(s.lease.address, c.Boot)
+	s.run.d.setBoot(s.placement.address, c.Boot)
 	if s.first.IsZero() {
 		s.first = s.run.d.opts.Now()
 	}
--- a/dispatch/complete.go
+++ b/dispatch/complete.go
@@ -79,7 +79,7 @@
 
 // place takes a place on a target. A suspect waits to run alone; when its turn comes it may have
 // been cleared or quarantined.
-func (r *run) place(ctx context.Context) (*lease, *api.Error) {
+func (r *run) place(ctx context.Context) (*placement, *api.Error) {
 	for {
 		alone, err := r.d.suspicion(r.call.Fingerprint)
 		if err != nil {
@@ -123,7 +123,7 @@
 }
 
 // dead records the death of the engine of l, if the attempt ended so; an error is the final answer.
-func (r *run) dead(ctx context.Context, l *lease, end ended) *api.Error {
+func (r *run) dead(ctx context.Context, l *placement, end ended) *api.Error {
 	if end.kind != endDead {
 		return nil
 	}
@@ -132,7 +132,7 @@
 }
 
 // next decides what follows an attempt that did not end the request: nil means another attempt.
-func (r *run) next(ctx context.Context, l *lease, end ended) *api.Error {
+func (r *run) next(ctx context.Context, l *placement, end ended) *api.Error {
 	r.last = end.detail()
 	switch end.kind {
 	case endGone:
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -46,8 +46,8 @@
 	gone     bool
 }
 
-// lease is a request's place on a target.
-type lease struct {
+// placement is a request's place on a target.
+type placement struct {
 	pool    *pool
 	address string
 	query   routing.Query
@@ -108,7 +108,7 @@
 
 // acquire waits for a place on a target. The request is decided exactly once: it either gets a
 // place, or an error that it keeps.
-func (p *pool) acquire(ctx context.Context, r admission.Request, q routing.Query) (*lease, *api.Error) {
+func (p *pool) acquire(ctx context.Context, r admission.Request, q routing.Query) (*placement, *api.Error) {
 	p.mu.Lock()
 	now := p.now()
 	q.AnyLoad = !p.admission
@@ -121,7 +121,7 @@
 			p.table.Start(now, address, q)
 			p.queue.Passed(now)
 			p.mu.Unlock()
-			return &lease{pool: p, address: address, query: q, class: r.Priority, started: now}, nil
+			return &placement{pool: p, address: address, query: q, class: r.Priority, started: now}, nil
 		}
 	}
 	w, displaced, refusal := p.queue.Offer(now, r, p.rand.Float64())
@@ -152,10 +152,10 @@
 	return nil
 }
 
-func (p *pool) await(ctx context.Context, w *admission.Waiter, e *pending) (*lease, *api.Error) {
+func (p *pool) await(ctx context.Context, w *admission.Waiter, e *pending) (*placement, *api.Error) {
 	select {
 	case v := <-e.verdict:
-		return p.leased(v, w, e)
+		return p.placed(v, w, e)
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -165,7 +165,7 @@
 	if removed {
 		return nil, errCallerGone()
 	}
-	l, err := p.leased(<-e.verdict, w, e)
+	l, err := p.placed(<-e.verdict, w, e)
 	if err != nil {
 		return nil, err
 	}
@@ -173,11 +173,11 @@
 	return nil, errCallerGone()
 }
 
-func (p *pool) leased(v verdict, w *admission.Waiter, e *pending) (*lease, *api.Error) {
+func (p *pool) placed(v verdict, w *admission.Waiter, e *pending) (*placement, *api.Error) {
 	if v.err != nil {
 		return nil, v.err
 	}
-	return &lease{pool: p, address: v.address, query: e.query, class: w.Priority, started: p.now()}, nil
+	return &placement{pool: p, address: v.address, query: e.query, class: w.Priority, started: p.now()}, nil
 }
 
 // pump gives places to those who wait, in the queue's order. The caller holds the lock.
@@ -270,12 +270,12 @@
 }
 
 // release gives the place back.
-func (l *lease) release() {
+func (l *placement) release() {
 	l.pool.with(func(now time.Time, t *routing.Table) { t.End(now, l.address, l.query) })
 }
 
 // finished gives the place back after a run that answered; latency is in seconds per unit of work.
-func (l *lease) finished(latency float64) {
+func (l *placement) finished(latency float64) {
 	l.pool.with(func(now time.Time, t *routing.Table) {
 		t.End(now, l.address, l.query)
 		t.Succeeded(now, l.address, latency)
@@ -284,7 +284,7 @@
 }
 
 // failed gives the place back after a run that did not answer.
-func (l *lease) failed(note func(now time.Time, t *routing.Table)) {
+func (l *placement) failed(note func(now time.Time, t *routing.Table)) {
 	l.pool.with(func(now time.Time, t *routing.Table) {
 		t.End(now, l.address, l.query)
 		note(now, t)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -113,7 +113,7 @@
 }
 
 // next decides whether another attempt may follow.
-func (r *serviceRun) next(ctx context.Context, l *lease, end ended) *api.Error {
+func (r *serviceRun) next(ctx context.Context, l *placement, end ended) *api.Error {
 	r.avoid = append(r.avoid, l.address)
 	if r.sent && !r.call.Idempotent {
 		return errTargetFailed(end.detail()+"; the call may not be repeated, find out whether it took effect", 0)
@@ -134,7 +134,7 @@
 }
 
 // attempt sends the call to the target of l and gives the place back.
-func (r *serviceRun) attempt(ctx context.Context, l *lease) (*ServiceAnswer, ended) {
+func (r *serviceRun) attempt(ctx context.Context, l *placement) (*ServiceAnswer, ended) {
 	if reason := r.pool.blockedNow(l.address); reason != "" {
 		l.release()
 		return nil, ended{kind: endDraining, err: errors.New(reason)}
@@ -160,7 +160,7 @@
 }
 
 // broken tells how an attempt without a whole answer ended.
-func (r *serviceRun) broken(ctx context.Context, l *lease, sent bool, err error) ended {
+func (r *serviceRun) broken(ctx context.Context, l *placement, sent bool, err error) ended {
 	if ctx.Err() != nil {
 		l.release()
 		return ended{kind: endGone, err: err}
@@ -179,7 +179,7 @@
 }
 
 // answered judges a whole answer.
-func (r *serviceRun) answered(l *lease, a *ServiceAnswer) (*ServiceAnswer, ended) {
+func (r *serviceRun) answered(l *placement, a *ServiceAnswer) (*ServiceAnswer, ended) {
 	draining := a.Header.Get(platform.HeaderDraining) == "true"
 	r.d.leaving(l.pool, l.address, draining)
 	a.Outcome = api.OutcomeDone
--- a/dispatch/sse_test.go
+++ b/dispatch/sse_test.go
@@ -47,7 +47,7 @@
 	f.Add([]byte("data: {\"id\":\"r\",\"choices\":[{\"token_ids\":[1,2],\"offset\":5}]}\n\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		e := newEventReader(strings.NewReader(string(raw)))
-		s := &stream{run: &run{d: New(Options{}), answer: newAnswer(&Call{})}, lease: &lease{}, id: "r"}
+		s := &stream{run: &run{d: New(Options{}), answer: newAnswer(&Call{})}, placement: &placement{}, id: "r"}
 		for {
 			data, err := e.next()
 			if err != nil {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -61,7 +61,7 @@
 
 // beginTrial asks for the run of a suspect alone on the target of l. Without an arbiter the run
 // goes on, but its death proves nothing.
-func (d *Dispatcher) beginTrial(ctx context.Context, fingerprint string, l *lease) bool {
+func (d *Dispatcher) beginTrial(ctx context.Context, fingerprint string, l *placement) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	granted, err := d.opts.Trial(ctx, wire.TrialParams{Pool: l.pool.name, Fingerprint: fingerprint, Target: l.address, GateID: d.opts.GateID})
@@ -74,7 +74,7 @@
 }
 
 // endTrial gives the trial of l back.
-func (d *Dispatcher) endTrial(fingerprint string, l *lease) {
+func (d *Dispatcher) endTrial(fingerprint string, l *placement) {
 	if !l.proven {
 		return
 	}
@@ -90,7 +90,7 @@
 
 // died records that the engine of l died while it ran the request, tells the peers, and returns the
 // final answer if the request is quarantined by it. The steward is told of proven deaths only.
-func (d *Dispatcher) died(ctx context.Context, fingerprint string, l *lease) *api.Error {
+func (d *Dispatcher) died(ctx context.Context, fingerprint string, l *placement) *api.Error {
 	l.pool.with(func(now time.Time, t *routing.Table) { t.Dead(now, l.address) })
 	if d.opts.Policy.Quarantine == policyOff {
 		return nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -86,7 +86,7 @@
 	})
 	g.rollouts = rollout.NewManager(rollout.Options{
 		GateID: opts.Settings.ID, AvailabilityZone: opts.Settings.AvailabilityZone, Completer: g.dispatcher,
-		Services: g.dispatcher, Directory: g.state, Call: g.pool.Call, Log: opts.Log, Metrics: opts.Metrics,
+		Services: g.dispatcher, Directory: g.state, Call: g.pool.Call, Log: opts.Log, Metrics: opts.Metrics, Explain: g.explain,
 		Hedging: opts.Settings.Policy.Hedging != policyOff,
 	})
 	g.keys = &keys{gate: g, minter: ticket.NewMinter(opts.Settings.ID, g.incarnation, secret), book: ticket.NewBook()}
--- a/gate/keys.go
+++ b/gate/keys.go
@@ -22,8 +22,8 @@
 	claimRetryAfter = time.Second
 	// peerTimeout bounds a question to the owner of a key.
 	peerTimeout = 2 * time.Second
-	// maxLoans bounds how often a key that was not run may be lent on while its holder is looked for.
-	maxLoans = 3
+	// maxTransfers bounds how often a key that was not run may be transferred on while its holder is looked for.
+	maxTransfers = 3
 	// runningRetryAfter is when a caller may ask again for a request in progress.
 	runningRetryAfter = 500 * time.Millisecond
 )
@@ -97,7 +97,7 @@
 		return nil, false, errTicket(perr)
 	}
 	if !k.minter.Own(t) {
-		res, err := k.ask(ctx, ticket.Holder{Gate: t.Gate, Incarnation: t.Incarnation}, q, wire.KeyOutcomeParams{Burn: true})
+		res, err := k.ask(ctx, ticket.Holder{Gate: t.Gate, Incarnation: t.Incarnation}, q, wire.KeyOutcomeParams{Revoke: true})
 		if err != nil {
 			return nil, false, err
 		}
@@ -119,9 +119,9 @@
 // byClaim runs a call if this gate's claim of the caller's key is the first in the log.
 func (k *keys) byClaim(ctx context.Context, q keyed) (*ticket.Answer, bool, *api.Error) {
 	status, claimID, kept := k.begin(time.Now(), q, uuid.NewString())
-	if status == ticket.StatusLent {
-		lessee, _ := k.lessee(q)
-		return k.borrow(ctx, lessee, q)
+	if status == ticket.StatusTransferred {
+		holder, _ := k.transferredTo(q)
+		return k.takeOver(ctx, holder, q)
 	}
 	if status != ticket.StatusNew {
 		return settled(status, kept)
@@ -143,30 +143,30 @@
 		k.release(q)
 		return nil, false, errAnswerGone(api.OutcomeUnknown)
 	}
-	return k.borrow(ctx, ticket.Holder{Gate: res.GateID, Incarnation: res.GateIncarnation}, q)
+	return k.takeOver(ctx, ticket.Holder{Gate: res.GateID, Incarnation: res.GateIncarnation}, q)
 }
 
-// borrow asks the holder of a claimed key for its answer. Where the holder has not run the request,
-// it lends its claim to this gate, which then runs it.
-func (k *keys) borrow(ctx context.Context, holder ticket.Holder, q keyed) (*ticket.Answer, bool, *api.Error) {
+// takeOver asks the holder of a claimed key for its answer. Where the holder has not run the request,
+// it transfers its claim to this gate, which then runs it.
+func (k *keys) takeOver(ctx context.Context, holder ticket.Holder, q keyed) (*ticket.Answer, bool, *api.Error) {
 	own := ticket.Holder{Gate: k.gate.opts.Settings.ID, Incarnation: k.gate.incarnation}
-	for range maxLoans {
+	for range maxTransfers {
 		if holder == own {
-			break // lent to this gate before, which knows nothing of it any more
+			break // transferred to this gate before, which knows nothing of it any more
 		}
-		res, err := k.ask(ctx, holder, q, wire.KeyOutcomeParams{BorrowerID: own.Gate, BorrowerIncarnation: own.Incarnation})
+		res, err := k.ask(ctx, holder, q, wire.KeyOutcomeParams{NewHolderID: own.Gate, NewHolderIncarnation: own.Incarnation})
 		switch {
 		case err != nil:
 			k.release(q)
 			return nil, false, err
-		case res.LentTo != "":
-			holder = ticket.Holder{Gate: res.LentTo, Incarnation: res.LentIncarnation}
+		case res.TransferredTo != "":
+			holder = ticket.Holder{Gate: res.TransferredTo, Incarnation: res.TransferredToIncarnation}
 			continue
 		case res.ClaimID == "":
 			k.release(q)
 			return answered(res)
 		}
-		if !k.borrowed(q, res.ClaimID) {
+		if !k.accept(q, res.ClaimID) {
 			return nil, false, errRunning()
 		}
 		return k.run(ctx, q)
@@ -175,16 +175,16 @@
 	return nil, false, errOwnerGone(holder.Gate)
 }
 
-func (k *keys) lessee(q keyed) (ticket.Holder, bool) {
+func (k *keys) transferredTo(q keyed) (ticket.Holder, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.book.Lessee(q.key)
+	return k.book.TransferredTo(q.key)
 }
 
-func (k *keys) borrowed(q keyed, claimID string) bool {
+func (k *keys) accept(q keyed, claimID string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.book.Borrow(time.Now(), q.key, claimID)
+	return k.book.Accept(time.Now(), q.key, claimID)
 }
 
 func (k *keys) claim(ctx context.Context, q keyed, claimID string) (*wire.ClaimResult, error) {
@@ -224,7 +224,7 @@
 	p.GateIncarnation, p.Key, p.Fingerprint, p.WaitMs = holder.Incarnation, q.key, q.fingerprint, peerTimeout.Milliseconds()/2
 	res := new(wire.KeyOutcomeResult)
 	err := k.gate.pool.Call(ctx, peer.GateAddress, wire.MethodKeyOutcome, p, res)
-	k.gate.explain.Add(q.call.RequestID, "asked_owner", "owner=%s known=%t done=%t lent=%t outcome=%s err=%v", holder.Gate, res.Known, res.Done, res.ClaimID != "", res.Outcome, err)
+	k.gate.explain.Add(q.call.RequestID, "asked_owner", "owner=%s known=%t done=%t transferred=%t outcome=%s err=%v", holder.Gate, res.Known, res.Done, res.ClaimID != "", res.Outcome, err)
 	if err != nil || !res.Known {
 		return nil, errOwnerGone(holder.Gate)
 	}
@@ -258,21 +258,21 @@
 	return k.outcome(time.Now(), p), nil
 }
 
-// outcome burns or lends a key that has not run, as the asker wishes, or tells what became of it.
+// outcome revokes or transfers a key that has not run, as the asker wishes, or tells what became of it.
 func (k *keys) outcome(now time.Time, p wire.KeyOutcomeParams) *wire.KeyOutcomeResult {
-	if p.Burn && k.book.Burn(now, p.Key, p.Fingerprint) {
+	if p.Revoke && k.book.Revoke(now, p.Key, p.Fingerprint) {
 		return &wire.KeyOutcomeResult{Known: true, Done: true, Outcome: api.OutcomeNotRun}
 	}
-	if p.BorrowerID != "" {
-		borrower := ticket.Holder{Gate: p.BorrowerID, Incarnation: p.BorrowerIncarnation}
-		if id, ok := k.book.Lend(now, p.Key, p.Fingerprint, borrower); ok {
+	if p.NewHolderID != "" {
+		newHolder := ticket.Holder{Gate: p.NewHolderID, Incarnation: p.NewHolderIncarnation}
+		if id, ok := k.book.Transfer(now, p.Key, p.Fingerprint, newHolder); ok {
 			return &wire.KeyOutcomeResult{Known: true, ClaimID: id}
 		}
 	}
 	status, known, a, _ := k.book.Lookup(now, p.Key, p.Fingerprint)
-	if status == ticket.StatusLent {
-		lessee, _ := k.book.Lessee(p.Key)
-		return &wire.KeyOutcomeResult{Known: true, LentTo: lessee.Gate, LentIncarnation: lessee.Incarnation}
+	if status == ticket.StatusTransferred {
+		holder, _ := k.book.TransferredTo(p.Key)
+		return &wire.KeyOutcomeResult{Known: true, TransferredTo: holder.Gate, TransferredToIncarnation: holder.Incarnation}
 	}
 	return outcomeResult(status, known, a)
 }
--- a/gate/keys_test.go
+++ b/gate/keys_test.go
@@ -129,14 +129,14 @@
 	}
 	is.Equal(f.executed(), int64(1))
 
-	burnt := f.mint(0)
-	elsewhere := f.send(1, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, burnt)
+	revoked := f.mint(0)
+	elsewhere := f.send(1, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, revoked)
 	is.Equal(outcome(elsewhere), api.OutcomeNotRun)
-	late := f.send(0, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, burnt)
+	late := f.send(0, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, revoked)
 	is.Equal(outcome(late), api.OutcomeNotRun) // the promise of "not run" holds for copies that come late
 	is.Equal(f.executed(), int64(1))
 
-	forged := f.send(0, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, burnt[:len(burnt)-3]+"abc")
+	forged := f.send(0, http.MethodPost, "/corrections/2", "body", api.HeaderTicket, revoked[:len(revoked)-3]+"abc")
 	is.Equal(forged.StatusCode, http.StatusBadRequest)
 	is.Equal(f.executed(), int64(1))
 }
--- a/gate/server.go
+++ b/gate/server.go
@@ -55,12 +55,12 @@
 	r.HandleFunc("/v1/tickets", g.serveTickets).Methods(http.MethodPost)
 	rollout.RegisterHTTP(r, g.rollouts, g.authorizeSteps, g.writeError)
 	r.PathPrefix("/").HandlerFunc(g.serveService)
-	return g.dress(r)
+	return g.withRequestID(r)
 }
 
-// dress gives each request its ID and each answer the revision, and ends connections during a
+// withRequestID gives each request its ID and each answer the revision, and ends connections during a
 // planned stop, so that the balancer opens them elsewhere.
-func (g *Gate) dress(next http.Handler) http.Handler {
+func (g *Gate) withRequestID(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := uuid.NewString()
 		_, revision := g.state.Tables()
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -9,10 +9,10 @@
 
 // stopper holds the state of a planned stop.
 type stopper struct {
-	began  context.Context
-	begin  context.CancelFunc
-	hurry  chan struct{}
-	hurryO sync.Once
+	began     context.Context
+	begin     context.CancelFunc
+	hurry     chan struct{}
+	hurryOnce sync.Once
 }
 
 func newStopper() *stopper {
@@ -23,7 +23,7 @@
 func (s *stopper) stopping() bool { return s.began.Err() != nil }
 
 // Hurry shortens a planned stop: the balancer's lag is not waited out. What is in flight still ends.
-func (g *Gate) Hurry() { g.stop.hurryO.Do(func() { close(g.stop.hurry) }) }
+func (g *Gate) Hurry() { g.stop.hurryOnce.Do(func() { close(g.stop.hurry) }) }
 
 // planned performs the planned stop: readiness fails first, requests are served while the balancer
 // notices, steps go to peers, and what is in flight ends by itself within the drain timeout.
--- a/membership/core.go
+++ b/membership/core.go
@@ -41,8 +41,8 @@
 	MaxMembers = 4096
 	// MaxNews bounds the members that one message carries as news.
 	MaxNews = 8
-	// EagerFanout is how many peers hear of a change at once.
-	EagerFanout = 3
+	// AnnounceFanout is how many peers hear of a change at once.
+	AnnounceFanout = 3
 	// minSends is the least number of messages that carry a piece of news.
 	minSends = 3
 	// joinSends is the number of messages that carry a node that was not known.
@@ -205,8 +205,8 @@
 	c.spread(c.self)
 }
 
-// Poke makes the next Tick send to some peers at once.
-func (c *Core) Poke() { c.urgent = true }
+// AnnounceSoon makes the next Tick send to some peers at once.
+func (c *Core) AnnounceSoon() { c.urgent = true }
 
 // Members returns the table sorted by ID, tombstones included.
 func (c *Core) Members() []wire.Member {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -43,7 +43,7 @@
 	}
 	if c.urgent {
 		c.urgent = false
-		out = append(out, c.eager()...)
+		out = append(out, c.announce()...)
 	}
 	return out
 }
@@ -176,7 +176,7 @@
 	}
 	n := 1
 	if alone {
-		n = EagerFanout
+		n = AnnounceFanout
 	}
 	var out []Send
 	for range min(n, len(missing)) {
@@ -189,13 +189,13 @@
 	return out
 }
 
-// eager tells some peers of a change at once; the first is of another zone.
-func (c *Core) eager() []Send {
+// announce tells some peers of a change at once; the first is of another zone.
+func (c *Core) announce() []Send {
 	near := c.shuffled(func(m *member) bool { return m.Status == wire.StatusAlive && c.sameZone(m) })
 	far := c.shuffled(func(m *member) bool { return m.Status == wire.StatusAlive && !c.sameZone(m) })
 	var out []Send
 	for _, m := range append(far[:min(1, len(far))], append(near, far[min(1, len(far)):]...)...) {
-		if len(out) == EagerFanout {
+		if len(out) == AnnounceFanout {
 			break
 		}
 		out = append(out, c.message(m, sendGossip))
--- a/process/docs_test.go
+++ b/process/docs_test.go
@@ -89,12 +89,12 @@
 	event := regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
 	sources(t, func(file string, call *ast.CallExpr, name, receiver string) {
 		switch name {
-		case "Debug", "Info", "Warn", "Error":
+		case "Debug", "Info", "Warn", "Error", "note":
 		default:
 			return
 		}
 		msg, ok := literal(call, 0)
-		if !ok || !strings.HasPrefix(strings.ToLower(receiver), "log") {
+		if !ok || name != "note" && !strings.HasPrefix(strings.ToLower(receiver), "log") {
 			return
 		}
 		if !event.MatchString(msg) {
--- /dev/null
+++ b/rollout/explain_test.go
@@ -0,0 +1,31 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/explain"
+	"github.com/matryer/is"
+)
+
+func TestStepIsExplainedUnderItsID(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	m := w.gate(t, "a")
+	m.opts.Explain = explain.New(0, time.Now)
+	ctx := context.Background()
+	_, err := m.Submit(ctx, "tr", testRoute(), worldSpec())
+	is.True(err == nil)
+	drive(t, func(r api.PullRequest) (*api.PullResponse, *api.Error) { return m.Pull(ctx, "tr", "s", r) }, nil, 12)
+	is.True(m.Release(ctx, "tr", "s") == nil)
+	var names []string
+	for _, e := range m.opts.Explain.Events("s") {
+		names = append(names, e.Name)
+	}
+	is.True(slices.Contains(names, "step_accepted"))
+	is.True(slices.Contains(names, "delivered"))
+	is.Equal(m.opts.Explain.Events("other"), nil)
+}
--- a/rollout/handover.go
+++ b/rollout/handover.go
@@ -75,7 +75,7 @@
 			m.opts.Log.Warn("step_handover_failed", "step", r.key.id, "peer", peer.ID, "err", err)
 			continue
 		}
-		m.opts.Log.Info("step_handed_over", "step", r.key.id, "peer", peer.ID, "samples", len(ex.samples), "partials", len(ex.partials), "held", ex.held.Count())
+		m.note("step_handed_over", r.key.id, "peer", peer.ID, "samples", len(ex.samples), "partials", len(ex.partials), "held", ex.held.Count())
 		select {
 		case r.moves <- moved{owner: owner, address: peer.GateAddress}:
 			<-r.done
@@ -155,6 +155,6 @@
 	if _, err := m.open(p.Trainer, route, p.Spec, deadline, Imported{Samples: p.Samples, Partials: p.Partials}); err != nil {
 		return nil, rpcError(err)
 	}
-	m.opts.Log.Info("step_taken_over", "step", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples), "partials", len(p.Partials))
+	m.note("step_taken_over", p.Spec.ID, "trainer", p.Trainer, "samples", len(p.Samples), "partials", len(p.Partials))
 	return &wire.HandoverResult{Owner: m.opts.GateID}, nil
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/dispatch"
+	"github.com/ibistrail/ibistrail/explain"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/wire"
@@ -42,6 +45,8 @@
 	Call    func(ctx context.Context, address, method string, params, result any) error
 	Log     *slog.Logger
 	Metrics *process.Metrics
+	// Explain keeps the events of a step under its ID; nil keeps none.
+	Explain *explain.Recorder
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Hedging lets stragglers run a second time.
@@ -182,10 +187,25 @@
 	m.steps[key] = r
 	m.wg.Go(r.run)
 	m.opts.Metrics.Add("rollout_steps_accepted", 1)
-	m.opts.Log.Info("step_accepted", "step", spec.ID, "trainer", trainer, "route", route.Name, "groups", len(spec.Groups), "slots", spec.Slots(), "held", spec.Held.Count())
+	m.note("step_accepted", spec.ID, "trainer", trainer, "route", route.Name, "groups", len(spec.Groups), "slots", spec.Slots(), "held", spec.Held.Count())
 	return r, true, nil
 }
 
+// note logs an event of a step and keeps it for explain; args are keys and values.
+func (m *Manager) note(event, step string, args ...any) {
+	m.opts.Log.Info(event, append([]any{"step", step}, args...)...)
+	m.explain(event, step, args...)
+}
+
+// explain keeps an event that is too frequent for the log.
+func (m *Manager) explain(event, step string, args ...any) {
+	var b strings.Builder
+	for i := 0; i+1 < len(args); i += 2 {
+		fmt.Fprintf(&b, "%v=%v ", args[i], args[i+1])
+	}
+	m.opts.Explain.Add(step, event, "%s", strings.TrimSpace(b.String()))
+}
+
 func (m *Manager) checkRoom(trainer string) *api.Error {
 	own := 0
 	for k := range m.steps {
--- a/rollout/perform.go
+++ b/rollout/perform.go
@@ -98,6 +98,7 @@
 			call.Text, call.Tokens, call.Spans = text, tokens, spans
 		}
 		call.Avoid = []string{engine}
+		r.m.explain("hedged", r.key.id, "attempt", e.ID, "from", e.From, "tokens", len(call.Tokens), "engine", engine)
 	}
 	p.text.WriteString(call.Text)
 	p.tokens = append(p.tokens, call.Tokens...)
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -108,7 +108,7 @@
 	close(r.done)
 	r.wg.Wait()
 	r.m.opts.Metrics.Add("rollout_steps_"+end.reason, 1)
-	r.m.opts.Log.Info("step_ended", "step", r.key.id, "trainer", r.key.trainer, "reason", end.reason, "owner", end.to.owner)
+	r.m.note("step_ended", r.key.id, "trainer", r.key.trainer, "reason", end.reason, "owner", end.to.owner)
 }
 
 func (r *runner) loop() stepEnd {
@@ -228,6 +228,9 @@
 			return false
 		}
 	}
+	if len(resp.Samples) > 0 {
+		r.m.explain("delivered", r.key.id, "samples", len(resp.Samples), "held", p.req.Cursor.Count(), "trainer_version", p.req.TrainerVersion, "remaining", resp.Remaining)
+	}
 	p.reply <- pullAnswer{resp: resp}
 	return true
 }
--- a/steward/claims.go
+++ b/steward/claims.go
@@ -157,13 +157,13 @@
 		}
 		c.step(ctx)
 		if c.queued() {
-			time.AfterFunc(claims.AppendPause, c.kick) // the pause between two appends is over then
+			time.AfterFunc(claims.AppendPause, c.wakeUp) // the pause between two appends is over then
 		}
 	}
 }
 
-// kick wakes the duty without waiting.
-func (c *claimsDuty) kick() {
+// wakeUp wakes the duty without waiting.
+func (c *claimsDuty) wakeUp() {
 	select {
 	case c.wake <- struct{}{}:
 	default: // it is awake
@@ -312,7 +312,7 @@
 	}
 	c.waiting[p.ClaimID] = append(c.waiting[p.ClaimID], w)
 	c.mu.Unlock()
-	c.kick()
+	c.wakeUp()
 	select {
 	case e := <-w.done:
 		return e.result, e.err
--- /dev/null
+++ b/steward/every.go
@@ -0,0 +1,20 @@
+package steward
+
+import (
+	"context"
+	"time"
+)
+
+// every calls step once a period until ctx ends.
+func every(ctx context.Context, period time.Duration, step func(ctx context.Context)) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			step(ctx)
+		}
+	}
+}
--- a/steward/gossip.go
+++ b/steward/gossip.go
@@ -75,7 +75,7 @@
 	g.mu.Lock()
 	g.rumors.Expire(now)
 	if g.rumors.Fresh() {
-		g.core.Poke()
+		g.core.AnnounceSoon()
 	}
 	sends := g.decorate(g.core.Tick(now))
 	g.note()
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -99,18 +99,7 @@
 	z.manager.CaughtUp(at)
 }
 
-func (l *leases) run(ctx context.Context) error {
-	tick := time.NewTicker(leaseTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			l.step(ctx)
-		}
-	}
-}
+func (l *leases) run(ctx context.Context) error { return every(ctx, leaseTick, l.step) }
 
 // step says what is wanted in each shard and appends what the managers ask for.
 func (l *leases) step(ctx context.Context) {
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -74,16 +74,7 @@
 
 func (o *orders) run(ctx context.Context) error {
 	defer o.wg.Wait()
-	tick := time.NewTicker(ordersTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			o.step(ctx)
-		}
-	}
+	return every(ctx, ordersTick, o.step)
 }
 
 // step takes up the pools whose lease is held, drops the others, and advances each.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -137,7 +137,7 @@
 	}
 	s.opts.Log.Info("steward_started", "address", l.RPC.Addr().String(), "debug", l.Debug.Addr().String(), "az", s.self.AvailabilityZone, "incarnation", s.incarnation)
 	err := g.Wait()
-	s.farewell()
+	s.leave()
 	return err
 }
 
@@ -160,7 +160,7 @@
 	return nil
 }
 
-func (s *Steward) farewell() {
+func (s *Steward) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), LeaveTimeout)
 	defer cancel()
 	s.leases.release(ctx)
--- a/steward/tails.go
+++ b/steward/tails.go
@@ -92,18 +92,7 @@
 const carryEvery = 500 * time.Millisecond
 
 // carry appends a snapshot of the tables before the log drops the newest one.
-func (s *Steward) carry(ctx context.Context) error {
-	tick := time.NewTicker(carryEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			s.carryTables(ctx)
-		}
-	}
-}
+func (s *Steward) carry(ctx context.Context) error { return every(ctx, carryEvery, s.carryTables) }
 
 func (s *Steward) carryTables(ctx context.Context) {
 	tail := s.tails.get(config.Stream)
--- a/steward/versions.go
+++ b/steward/versions.go
@@ -53,18 +53,11 @@
 }
 
 func (v *versions) run(ctx context.Context) error {
-	tick := time.NewTicker(versionPoll / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			for _, model := range v.due(time.Now()) {
-				v.ask(ctx, model)
-			}
+	return every(ctx, versionPoll/4, func(ctx context.Context) {
+		for _, model := range v.due(time.Now()) {
+			v.ask(ctx, model)
 		}
-	}
+	})
 }
 
 // hint tells that a trainer stated a version. Only the store's word counts, so it is asked soon.
--- a/ticket/book.go
+++ b/ticket/book.go
@@ -35,8 +35,8 @@
 	StatusReused
 	// StatusFull means that no further key can be kept now.
 	StatusFull
-	// StatusLent means that the right to run the request went to another Holder.
-	StatusLent
+	// StatusTransferred means that the right to run the request went to another Holder.
+	StatusTransferred
 )
 
 // Holder is the incarnation of a gate that may run a key.
@@ -66,14 +66,14 @@
 
 // entry is the state of one key.
 type entry struct {
-	fingerprint string
-	claimID     string
-	running     bool
-	answer      *Answer
-	gone        bool
-	lent        *Holder
-	until       time.Time
-	done        chan struct{}
+	fingerprint   string
+	claimID       string
+	running       bool
+	answer        *Answer
+	gone          bool
+	transferredTo *Holder
+	until         time.Time
+	done          chan struct{}
 }
 
 // Book keeps what became of keys.
@@ -108,8 +108,8 @@
 		return StatusDone, "", e.answer
 	case e.gone:
 		return StatusGone, "", nil
-	case e.lent != nil:
-		return StatusLent, "", nil
+	case e.transferredTo != nil:
+		return StatusTransferred, "", nil
 	}
 	e.running = true
 	e.done = make(chan struct{})
@@ -146,10 +146,10 @@
 	close(e.done)
 }
 
-// Burn makes sure that a key that has not run never will, and returns true if it has not.
-func (b *Book) Burn(now time.Time, key, fingerprint string) bool {
+// Revoke makes sure that a key that has not run never will, and returns true if it has not.
+func (b *Book) Revoke(now time.Time, key, fingerprint string) bool {
 	b.expire(now)
-	if e := b.entries[key]; e != nil && (e.running || e.answer != nil || e.gone || e.lent != nil) {
+	if e := b.entries[key]; e != nil && (e.running || e.answer != nil || e.gone || e.transferredTo != nil) {
 		return false
 	}
 	status, _, _ := b.Begin(now, key, fingerprint, "")
@@ -160,40 +160,40 @@
 	return true
 }
 
-// Lend gives the right to run a claimed key that has not run to another holder. It does so once: a
+// Transfer gives the right to run a claimed key that has not run to another holder. It does so once: a
 // second holder, or the same one again, gets nothing, as the first may have run the request.
-func (b *Book) Lend(now time.Time, key, fingerprint string, to Holder) (claimID string, ok bool) {
+func (b *Book) Transfer(now time.Time, key, fingerprint string, to Holder) (claimID string, ok bool) {
 	b.expire(now)
 	e := b.entries[key]
-	if e == nil || e.fingerprint != fingerprint || e.claimID == "" || e.running || e.answer != nil || e.gone || e.lent != nil {
+	if e == nil || e.fingerprint != fingerprint || e.claimID == "" || e.running || e.answer != nil || e.gone || e.transferredTo != nil {
 		return "", false
 	}
-	e.lent = &to
+	e.transferredTo = &to
 	e.until = now.Add(KeepFor)
 	return e.claimID, true
 }
 
-// Borrow makes a key hold the claim that its former holder has lent, and its request run here: one
-// that is in progress, or that was lent from here before. It returns false for any other key.
-func (b *Book) Borrow(now time.Time, key, claimID string) bool {
+// Accept makes a key hold the claim that its former holder has transferred, and its request run here: one
+// that is in progress, or that was transferred from here before. It returns false for any other key.
+func (b *Book) Accept(now time.Time, key, claimID string) bool {
 	e := b.entries[key]
 	switch {
-	case e == nil || (!e.running && e.lent == nil):
+	case e == nil || (!e.running && e.transferredTo == nil):
 		return false
-	case e.lent != nil:
-		e.lent, e.running, e.done = nil, true, make(chan struct{})
+	case e.transferredTo != nil:
+		e.transferredTo, e.running, e.done = nil, true, make(chan struct{})
 	}
 	e.claimID, e.until = claimID, now.Add(KeepFor)
 	return true
 }
 
-// Lessee returns the holder to whom a key was lent.
-func (b *Book) Lessee(key string) (Holder, bool) {
+// TransferredTo returns the holder to whom a key was transferred.
+func (b *Book) TransferredTo(key string) (Holder, bool) {
 	e := b.entries[key]
-	if e == nil || e.lent == nil {
+	if e == nil || e.transferredTo == nil {
 		return Holder{}, false
 	}
-	return *e.lent, true
+	return *e.transferredTo, true
 }
 
 // Lookup tells what is known of a key, with a channel that is closed when a running one ends.
@@ -211,8 +211,8 @@
 		return StatusDone, true, e.answer, nil
 	case e.gone:
 		return StatusGone, true, nil, nil
-	case e.lent != nil:
-		return StatusLent, true, nil, nil
+	case e.transferredTo != nil:
+		return StatusTransferred, true, nil, nil
 	}
 	return StatusNew, true, nil, nil
 }
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -45,8 +45,8 @@
 	b.Finish(start, "k", &Answer{Outcome: api.OutcomeDone, Status: 200, Body: make([]byte, maxOneAnswerBytes+1)})
 	status, _, _ = b.Begin(start.Add(TTL), "k", "fp", "c4")
 	is.Equal(status, StatusGone) // too large to keep, yet known to have run
-	is.Equal(b.Burn(start, "k", "fp"), false)
-	is.True(b.Burn(start, "k2", "fp"))
+	is.Equal(b.Revoke(start, "k", "fp"), false)
+	is.True(b.Revoke(start, "k2", "fp"))
 	status, _, a := b.Begin(start, "k2", "fp", "")
 	is.Equal(status, StatusDone)
 	is.Equal(a.Outcome, api.OutcomeNotRun)
@@ -54,39 +54,39 @@
 	is.Equal(b.Len(), 1)
 }
 
-// A claim that was not run may be lent, once by each holder; who has lent it may not run it.
-func TestClaimIsLentOnceByEachHolder(t *testing.T) {
+// A claim that was not run may be transferred, once by each holder; who has transferred it may not run it.
+func TestClaimIsTransferredOnceByEachHolder(t *testing.T) {
 	is := is.New(t)
 	a, b := NewBook(), NewBook()
 	holderA, holderB := Holder{"a", "1"}, Holder{"b", "1"}
-	_, ok := a.Lend(start, "k", "fp", holderB)
+	_, ok := a.Transfer(start, "k", "fp", holderB)
 	is.Equal(ok, false) // nothing is known of the key
 	a.Begin(start, "k", "fp", "c1")
-	_, ok = a.Lend(start, "k", "fp", holderB)
+	_, ok = a.Transfer(start, "k", "fp", holderB)
 	is.Equal(ok, false) // in progress
 	a.Release(start, "k")
 	b.Begin(start, "k", "fp", "c2")
-	id, ok := a.Lend(start, "k", "fp", holderB)
+	id, ok := a.Transfer(start, "k", "fp", holderB)
 	is.True(ok)
 	is.Equal(id, "c1")
-	_, ok = a.Lend(start, "k", "fp", holderB)
-	is.Equal(ok, false) // the borrower may have run it
+	_, ok = a.Transfer(start, "k", "fp", holderB)
+	is.Equal(ok, false) // the newHolder may have run it
 	status, _, _ := a.Begin(start, "k", "fp", "c3")
-	is.Equal(status, StatusLent)
-	is.Equal(a.Burn(start, "k", "fp"), false)
-	lessee, _ := a.Lessee("k")
-	is.Equal(lessee, holderB)
+	is.Equal(status, StatusTransferred)
+	is.Equal(a.Revoke(start, "k", "fp"), false)
+	holder, _ := a.TransferredTo("k")
+	is.Equal(holder, holderB)
 
-	is.True(b.Borrow(start, "k", id))
+	is.True(b.Accept(start, "k", id))
 	b.Release(start, "k")
-	id, ok = b.Lend(start, "k", "fp", holderA)
+	id, ok = b.Transfer(start, "k", "fp", holderA)
 	is.True(ok)
 	is.Equal(id, "c1")
-	is.True(a.Borrow(start, "k", id))
+	is.True(a.Accept(start, "k", id))
 	status, _, _ = a.Begin(start, "k", "fp", "c4")
 	is.Equal(status, StatusRunning)
 	a.Finish(start, "k", &Answer{Outcome: api.OutcomeDone})
-	is.Equal(a.Borrow(start, "k", "c5"), false)
+	is.Equal(a.Accept(start, "k", "c5"), false)
 }
 
 // Within a key's lifetime at most one Begin may run to its Finish.
