--- /dev/null
+++ b/claims/table_test.go
@@ -0,0 +1,25 @@
+package claims
+
+import (
+	"testing"
+
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/matryer/is"
+)
+
+// A reader that has missed records decides no claim of a later record: the key may be held already.
+func TestReaderThatMissedRecordsDecidesNoLaterClaim(t *testing.T) {
+	is := is.New(t)
+	p := claimOf(1, "c2")
+	data := encode(Record{Type: TypeClaims, ClockMs: 1, Claims: []Claim{{
+		Key: p.Key, Fingerprint: p.Fingerprint, ClaimID: p.ClaimID, GateID: p.GateID, GateIncarnation: p.GateIncarnation,
+	}}})
+	late := NewTable()
+	late.Missed(2) // offset 1, which may claim the same key, has expired
+	is.Equal(len(late.Apply(platform.Record{Offset: 2, ID: "r2", Data: data})), 0)
+	is.Equal(late.Len(), 0)
+
+	whole := NewTable()
+	is.Equal(len(whole.Apply(platform.Record{Offset: 1, ID: "r1", Data: data})), 1)
+	is.Equal(whole.Len(), 1)
+}
