gate: only the call that began a key releases it

Cause: found on rereading the change. A call that finds its key transferred has not begun it in the book, yet takeOver released the key on each of its failures; where another call had taken the key back and was running it, the release made it look free, and a third call could have run the request a second time. Change: askHolder finds the answer or the claim; takeOver releases only what its own call began.

--- a/gate/keys.go
+++ b/gate/keys.go
@@ -121,7 +121,7 @@
 	status, claimID, kept := k.begin(time.Now(), q, uuid.NewString())
 	if status == ticket.StatusTransferred {
 		holder, _ := k.transferredTo(q)
-		return k.takeOver(ctx, holder, q)
+		return k.takeOver(ctx, holder, q, false)
 	}
 	if status != ticket.StatusNew {
 		return settled(status, kept)
@@ -143,36 +143,43 @@
 		k.release(q)
 		return nil, false, errAnswerGone(api.OutcomeUnknown)
 	}
-	return k.takeOver(ctx, ticket.Holder{Gate: res.GateID, Incarnation: res.GateIncarnation}, q)
+	return k.takeOver(ctx, ticket.Holder{Gate: res.GateID, Incarnation: res.GateIncarnation}, q, true)
 }
 
 // takeOver asks the holder of a claimed key for its answer. Where the holder has not run the request,
-// it transfers its claim to this gate, which then runs it.
-func (k *keys) takeOver(ctx context.Context, holder ticket.Holder, q keyed) (*ticket.Answer, bool, *api.Error) {
+// it transfers its claim to this gate, which then runs it. begun tells that this call began the key
+// in the book: only then may it release it, as another call may be running it.
+func (k *keys) takeOver(ctx context.Context, holder ticket.Holder, q keyed, begun bool) (*ticket.Answer, bool, *api.Error) {
+	res, err := k.askHolder(ctx, holder, q)
+	if err == nil && res.ClaimID != "" {
+		if !k.accept(q, res.ClaimID) {
+			return nil, false, errRunning()
+		}
+		return k.run(ctx, q)
+	}
+	if begun {
+		k.release(q)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	return answered(res)
+}
+
+// askHolder asks for a claimed key, or for its transfer to this gate, along earlier transfers.
+func (k *keys) askHolder(ctx context.Context, holder ticket.Holder, q keyed) (*wire.KeyOutcomeResult, *api.Error) {
 	own := ticket.Holder{Gate: k.gate.opts.Settings.ID, Incarnation: k.gate.incarnation}
 	for range maxTransfers {
 		if holder == own {
 			break // transferred to this gate before, which knows nothing of it any more
 		}
 		res, err := k.ask(ctx, holder, q, wire.KeyOutcomeParams{NewHolderID: own.Gate, NewHolderIncarnation: own.Incarnation})
-		switch {
-		case err != nil:
-			k.release(q)
-			return nil, false, err
-		case res.TransferredTo != "":
-			holder = ticket.Holder{Gate: res.TransferredTo, Incarnation: res.TransferredToIncarnation}
-			continue
-		case res.ClaimID == "":
-			k.release(q)
-			return answered(res)
+		if err != nil || res.TransferredTo == "" {
+			return res, err
 		}
-		if !k.accept(q, res.ClaimID) {
-			return nil, false, errRunning()
-		}
-		return k.run(ctx, q)
+		holder = ticket.Holder{Gate: res.TransferredTo, Incarnation: res.TransferredToIncarnation}
 	}
-	k.release(q)
-	return nil, false, errOwnerGone(holder.Gate)
+	return nil, errOwnerGone(holder.Gate)
 }
 
 func (k *keys) transferredTo(q keyed) (ticket.Holder, bool) {
