--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -23,10 +23,10 @@
 // world is a log with relays and readers on it.
 type world struct {
 	now      time.Time
-	log      []platform.Record
-	first    platform.Offset
+	log      []trial.Record
+	first    trial.Offset
 	relays   []*Relay
-	inFlight []platform.NewRecord
+	inFlight []trial.NewRecord
 	won      map[string]map[string]bool // claim IDs that any reader called the holder, by key
 	keyOf    map[string]string          // by claim ID
 }
@@ -48,8 +48,8 @@
 	return r
 }
 
-func (w *world) append(r platform.NewRecord) {
-	w.log = append(w.log, platform.Record{Offset: platform.Offset(len(w.log) + 1), ID: r.ID, Data: r.Data})
+func (w *world) append(r trial.NewRecord) {
+	w.log = append(w.log, trial.Record{Offset: trial.Offset(len(w.log) + 1), ID: r.ID, Data: r.Data})
 }
 
 // read lets a relay read up to n records and notes whom it calls a holder.
@@ -82,7 +82,7 @@
 	w.won[key][holder.ClaimID] = true
 }
 
-func (w *world) step(r *Relay) []platform.NewRecord {
+func (w *world) step(r *Relay) []trial.NewRecord {
 	return r.Step(w.now, w.now.UnixMilli(), testRetention)
 }
 
@@ -124,7 +124,7 @@
 				}
 			},
 			"retention passes": func(t *rapid.T) {
-				w.first = platform.Offset(rapid.IntRange(int(w.first), max(int(w.first), len(w.log))).Draw(t, "first"))
+				w.first = trial.Offset(rapid.IntRange(int(w.first), max(int(w.first), len(w.log))).Draw(t, "first"))
 			},
 			"new reader": func(t *rapid.T) {
 				w.relays[rapid.IntRange(1, len(w.relays)-1).Draw(t, "relay")] = w.add()
@@ -151,7 +151,7 @@
 // agree fails the test where two readers at one offset know different claims; it tells whether
 // there were two.
 func (w *world) agree(t interface{ Fatalf(string, ...any) }) bool {
-	states := map[platform.Offset]map[digest]entry{}
+	states := map[trial.Offset]map[digest]entry{}
 	two := false
 	for _, r := range w.relays {
 		if !r.table.Ready() {
@@ -186,14 +186,14 @@
 		w.read(r, len(w.log))
 		w.now = w.now.Add(time.Second)
 	}
-	is.True(len(w.log) > 2)               // the claim and snapshots
-	w.first = platform.Offset(len(w.log)) // the claim's record is gone
+	is.True(len(w.log) > 2)            // the claim and snapshots
+	w.first = trial.Offset(len(w.log)) // the claim's record is gone
 	late := w.add()
 	w.read(late, 2*len(w.log))
 	res, ok := late.Table().Lookup(hash(1))
 	is.True(ok)
 	is.Equal(res.ClaimID, "c1")
-	is.Equal(res.Offset, platform.Offset(1))
+	is.Equal(res.Offset, trial.Offset(1))
 }
 
 func TestReaderWithoutTheWindowDecidesNothing(t *testing.T) {
@@ -226,7 +226,7 @@
 		w.append(rec)
 	}
 	w.read(r, 1)
-	r.Appended(w.now, &platform.ErrUnavailable{Service: "log"})
+	r.Appended(w.now, &trial.ErrUnavailable{Service: "log"})
 	_, err = r.Add(w.now, claimOf(2, "c2"))
 	is.True(errors.Is(err, ErrLogOut))
 	w.now = w.now.Add(FreshFor + time.Second)
@@ -240,16 +240,16 @@
 func TestFullTableRefusesAndForgetsAfterTheWindow(t *testing.T) {
 	is := is.New(t)
 	table := newTable(time.Hour, 1)
-	rec := func(at platform.Offset, clock time.Duration, key int, id string) platform.Record {
+	rec := func(at trial.Offset, clock time.Duration, key int, id string) trial.Record {
 		p := claimOf(key, id)
 		c := Claim{Key: p.Key, Fingerprint: p.Fingerprint, ClaimID: id, GateID: "g", GateIncarnation: "i"}
-		return platform.Record{Offset: at, ID: fmt.Sprint(at), Data: encode(Record{Type: TypeClaims, ClockMs: clock.Milliseconds() + 1, Claims: []Claim{c}})}
+		return trial.Record{Offset: at, ID: fmt.Sprint(at), Data: encode(Record{Type: TypeClaims, ClockMs: clock.Milliseconds() + 1, Claims: []Claim{c}})}
 	}
 	d := table.Apply(rec(1, 0, 1, "c1"))
 	is.Equal(d[0].Holder.ClaimID, "c1")
 	d = table.Apply(rec(2, time.Second, 2, "c2"))
 	is.True(d[0].Holder == nil) // void for each reader
-	at, clock := platform.Offset(3), time.Duration(0)
+	at, clock := trial.Offset(3), time.Duration(0)
 	for clock = 0; clock <= time.Hour+2*time.Minute; clock += MaxClockStep {
 		table.Apply(rec(at, clock, 1, "again"))
 		at++
@@ -261,10 +261,10 @@
 func TestWriterWithAFastClockEndsNoClaimEarly(t *testing.T) {
 	is := is.New(t)
 	table := newTable(time.Hour, 8)
-	add := func(at platform.Offset, clock time.Duration, id string) Decision {
+	add := func(at trial.Offset, clock time.Duration, id string) Decision {
 		p := claimOf(1, id)
 		c := Claim{Key: p.Key, Fingerprint: p.Fingerprint, ClaimID: id, GateID: "g", GateIncarnation: "i"}
-		return table.Apply(platform.Record{Offset: at, ID: id, Data: encode(Record{Type: TypeClaims, ClockMs: clock.Milliseconds() + 1, Claims: []Claim{c}})})[0]
+		return table.Apply(trial.Record{Offset: at, ID: id, Data: encode(Record{Type: TypeClaims, ClockMs: clock.Milliseconds() + 1, Claims: []Claim{c}})})[0]
 	}
 	is.Equal(add(1, 0, "c1").Holder.ClaimID, "c1")
 	is.Equal(add(2, 1000*time.Hour, "c2").Holder.ClaimID, "c1")
@@ -294,7 +294,7 @@
 	for i := range n {
 		p := claimOf(i, fmt.Sprintf("c%d", i))
 		r := Record{Type: TypeClaims, ClockMs: int64(i + 1), Claims: []Claim{{Key: p.Key, Fingerprint: p.Fingerprint, ClaimID: p.ClaimID, GateID: "g", GateIncarnation: "i"}}}
-		table.Apply(platform.Record{Offset: platform.Offset(i + 1), ID: p.ClaimID, Data: encode(r)})
+		table.Apply(trial.Record{Offset: trial.Offset(i + 1), ID: p.ClaimID, Data: encode(r)})
 	}
 	if table.Len() != n {
 		t.Fatalf("table holds %d claims, not %d", table.Len(), n)
@@ -307,11 +307,11 @@
 	const n = MaxPerRecord + 10
 	parts := fill(t, n).Snapshot("s")
 	is.Equal(len(parts), 2)
-	read := func(first platform.Offset, records ...Record) *Table {
+	read := func(first trial.Offset, records ...Record) *Table {
 		late := newTable(time.Hour, n)
 		late.Missed(first)
 		for i, r := range records {
-			late.Apply(platform.Record{Offset: first + platform.Offset(i), ID: fmt.Sprint(i), Data: encode(r)})
+			late.Apply(trial.Record{Offset: first + trial.Offset(i), ID: fmt.Sprint(i), Data: encode(r)})
 		}
 		return late
 	}
@@ -320,9 +320,9 @@
 	is.True(!read(n+2, parts[0], parts[1]).Ready()) // record n+1 is lost
 	late := read(n+1, parts[1], parts[0])           // in any order
 	is.True(late.Ready() && late.Len() == n)        //
-	is.Equal(late.Next(), platform.Offset(n+1))     // the records behind it are read again
+	is.Equal(late.Next(), trial.Offset(n+1))        // the records behind it are read again
 	is.Equal(late.clockMs, int64(n))                // so that claims end for each reader alike
 	res, ok := late.Lookup(hash(5))
 	is.True(ok)
-	is.Equal(res.Offset, platform.Offset(6))
+	is.Equal(res.Offset, trial.Offset(6))
 }
--- a/claims/fuzz_test.go
+++ b/claims/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // FuzzRecord shows that no record of the stream makes a reader fail or fill beyond its bound.
@@ -17,8 +17,8 @@
 	f.Add([]byte(`[]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		table := newTable(KeyWindow, 4)
-		for at := range platform.Offset(3) {
-			table.Apply(platform.Record{Offset: at + 1, ID: "r", Data: data})
+		for at := range trial.Offset(3) {
+			table.Apply(trial.Record{Offset: at + 1, ID: "r", Data: data})
 		}
 		if table.Next() != 4 || table.Len() > 4 {
 			t.Fatalf("next=%d held=%d", table.Next(), table.Len())
@@ -26,7 +26,7 @@
 		late := newTable(KeyWindow, 4)
 		late.Missed(2)
 		for next, n := late.Next(), 0; next < 4 && n < 20; next, n = late.Next(), n+1 {
-			late.Apply(platform.Record{Offset: next, ID: "r", Data: data})
+			late.Apply(trial.Record{Offset: next, ID: "r", Data: data})
 		}
 	})
 }
--- a/claims/record.go
+++ b/claims/record.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -55,21 +55,21 @@
 	ClockMs int64   `json:"clock_ms,omitempty"`
 	Claims  []Claim `json:"claims,omitempty"`
 	// Snapshot names a snapshot, whose Parts records hold all claims up to Through.
-	Snapshot string          `json:"snapshot,omitempty"`
-	Part     int             `json:"part,omitempty"`
-	Parts    int             `json:"parts,omitempty"`
-	Through  platform.Offset `json:"through,omitempty"`
+	Snapshot string       `json:"snapshot,omitempty"`
+	Part     int          `json:"part,omitempty"`
+	Parts    int          `json:"parts,omitempty"`
+	Through  trial.Offset `json:"through,omitempty"`
 }
 
 // Claim is one claim; Offset and AtMs are set in snapshots.
 type Claim struct {
-	Key             string          `json:"k"`
-	Fingerprint     string          `json:"f"`
-	ClaimID         string          `json:"c"`
-	GateID          string          `json:"g"`
-	GateIncarnation string          `json:"i"`
-	Offset          platform.Offset `json:"o,omitempty"`
-	AtMs            int64           `json:"t,omitempty"`
+	Key             string       `json:"k"`
+	Fingerprint     string       `json:"f"`
+	ClaimID         string       `json:"c"`
+	GateID          string       `json:"g"`
+	GateIncarnation string       `json:"i"`
+	Offset          trial.Offset `json:"o,omitempty"`
+	AtMs            int64        `json:"t,omitempty"`
 }
 
 // digest is a SHA-256.
@@ -122,6 +122,6 @@
 }
 
 // NewRecord returns the log record of claims that a writer makes at a time, in Unix milliseconds.
-func NewRecord(id string, clockMs int64, list []Claim) platform.NewRecord {
-	return platform.NewRecord{ID: id, Data: encode(Record{Type: TypeClaims, ClockMs: clockMs, Claims: list})}
+func NewRecord(id string, clockMs int64, list []Claim) trial.NewRecord {
+	return trial.NewRecord{ID: id, Data: encode(Record{Type: TypeClaims, ClockMs: clockMs, Claims: list})}
 }
--- a/claims/relay.go
+++ b/claims/relay.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -39,7 +39,7 @@
 
 // batch is a record that was not read back yet.
 type batch struct {
-	record platform.NewRecord
+	record trial.NewRecord
 	first  time.Time
 	sent   time.Time
 	claims int
@@ -58,7 +58,7 @@
 	emptyAt time.Time
 	logOut  bool
 	outAt   time.Time
-	carried []platform.NewRecord // parts of a snapshot that are still to be appended
+	carried []trial.NewRecord // parts of a snapshot that are still to be appended
 	holder  string
 	serial  int
 }
@@ -72,10 +72,10 @@
 func (r *Relay) Table() *Table { return r.table }
 
 // Next implements logtail.Consumer.
-func (r *Relay) Next() platform.Offset { return r.table.Next() }
+func (r *Relay) Next() trial.Offset { return r.table.Next() }
 
 // Missed implements logtail.Consumer.
-func (r *Relay) Missed(first platform.Offset) { r.table.Missed(first) }
+func (r *Relay) Missed(first trial.Offset) { r.table.Missed(first) }
 
 // CaughtUp tells that all records that existed at a time were applied.
 func (r *Relay) CaughtUp(at time.Time) {
@@ -90,7 +90,7 @@
 }
 
 // Apply takes a record and returns how its claims were decided.
-func (r *Relay) Apply(now time.Time, rec platform.Record, retention time.Duration) []Decision {
+func (r *Relay) Apply(now time.Time, rec trial.Record, retention time.Duration) []Decision {
 	next := r.table.Next()
 	out := r.table.Apply(rec)
 	if rec.Offset < next {
@@ -133,7 +133,7 @@
 
 // Appended tells how an append ended; what it changed is seen at read-back only.
 func (r *Relay) Appended(now time.Time, err error) {
-	var limited *platform.ErrRateLimited
+	var limited *trial.ErrRateLimited
 	switch {
 	case errors.As(err, &limited):
 		r.nextAt = now.Add(limited.RetryAfter)
@@ -151,7 +151,7 @@
 func (r *Relay) Queued() int { return len(r.queue) }
 
 // Step returns the records to append together now.
-func (r *Relay) Step(now time.Time, clockMs int64, retention time.Duration) []platform.NewRecord {
+func (r *Relay) Step(now time.Time, clockMs int64, retention time.Duration) []trial.NewRecord {
 	if now.Before(r.nextAt) {
 		return nil
 	}
@@ -168,7 +168,7 @@
 	return out
 }
 
-func (r *Relay) batch(now time.Time, clockMs int64) platform.NewRecord {
+func (r *Relay) batch(now time.Time, clockMs int64) trial.NewRecord {
 	n := min(len(r.queue), MaxPerRecord)
 	rec := NewRecord(r.id(), clockMs, r.queue[:n])
 	r.queue = append([]Claim(nil), r.queue[n:]...)
@@ -178,8 +178,8 @@
 }
 
 // resend repeats records that were not read back, and gives up those that wait too long.
-func (r *Relay) resend(now time.Time) []platform.NewRecord {
-	var out []platform.NewRecord
+func (r *Relay) resend(now time.Time) []trial.NewRecord {
+	var out []trial.NewRecord
 	kept := r.open[:0]
 	for _, b := range r.open {
 		if now.Sub(b.first) > GiveUpAfter {
@@ -197,18 +197,18 @@
 }
 
 // stream carries claims forward, one part at a time, or ends the wait of readers that lack the state.
-func (r *Relay) stream(now time.Time, retention time.Duration) *platform.NewRecord {
+func (r *Relay) stream(now time.Time, retention time.Duration) *trial.NewRecord {
 	if !r.table.Ready() {
 		if r.emptyAt.IsZero() || now.Sub(r.freshAt) > FreshFor || now.Sub(r.emptyAt) < KeyWindow {
 			return nil
 		}
 		r.emptyAt = now
-		return &platform.NewRecord{ID: r.id(), Data: encode(Record{Type: TypeReset})}
+		return &trial.NewRecord{ID: r.id(), Data: encode(Record{Type: TypeReset})}
 	}
 	if len(r.carried) == 0 && r.table.next > 1 && now.Sub(r.freshAt) <= FreshFor && r.carry.Due(now, retention) {
 		name := r.id()
 		for _, part := range r.table.Snapshot(name) {
-			r.carried = append(r.carried, platform.NewRecord{ID: r.id(), Data: encode(part)})
+			r.carried = append(r.carried, trial.NewRecord{ID: r.id(), Data: encode(part)})
 		}
 	}
 	if len(r.carried) == 0 {
--- a/claims/table.go
+++ b/claims/table.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -17,7 +17,7 @@
 	claimID          string
 	gateID           string
 	gateIncarnation  string
-	offset           platform.Offset
+	offset           trial.Offset
 	atMs             int64
 }
 
@@ -37,8 +37,8 @@
 	order    []*entry // by offset, for expiry
 	names    map[string]string
 	clockMs  int64
-	next     platform.Offset
-	first    platform.Offset
+	next     trial.Offset
+	first    trial.Offset
 	ready    bool
 	parts    map[string]*assembly
 	assembly []string // names of parts, the oldest first
@@ -66,7 +66,7 @@
 }
 
 // Next returns the offset to read next; after a snapshot it may be lower than before.
-func (t *Table) Next() platform.Offset { return t.next }
+func (t *Table) Next() trial.Offset { return t.next }
 
 // Ready tells whether all claims that hold before Next are known, so that new ones can be decided.
 func (t *Table) Ready() bool { return t.ready }
@@ -78,7 +78,7 @@
 func (t *Table) Stats() Stats { return t.stats }
 
 // Missed tells the oldest retained offset.
-func (t *Table) Missed(first platform.Offset) {
+func (t *Table) Missed(first trial.Offset) {
 	t.first = max(t.first, first)
 	if first <= t.next {
 		t.ready = t.ready || t.next == 1
@@ -104,7 +104,7 @@
 func (t *Table) expired(e *entry) bool { return t.clockMs-e.atMs > t.window.Milliseconds() }
 
 // Apply takes the record at Next and returns how its claims were decided.
-func (t *Table) Apply(rec platform.Record) []Decision {
+func (t *Table) Apply(rec trial.Record) []Decision {
 	if rec.Offset < t.next {
 		return nil
 	}
@@ -137,7 +137,7 @@
 }
 
 // decide applies the claims of one record in order.
-func (t *Table) decide(at platform.Offset, r *Record) []Decision {
+func (t *Table) decide(at trial.Offset, r *Record) []Decision {
 	t.advance(r.ClockMs)
 	out := make([]Decision, 0, len(r.Claims))
 	for i := range r.Claims {
@@ -218,7 +218,7 @@
 }
 
 // collect keeps the parts of snapshots while the state is not known, and adopts a whole one.
-func (t *Table) collect(at platform.Offset, r *Record) {
+func (t *Table) collect(at trial.Offset, r *Record) {
 	if t.ready || r.Through >= at || r.Through+1 < t.first || r.Parts < 1 || r.Part < 0 || r.Part >= r.Parts {
 		return
 	}
--- a/claims/table_test.go
+++ b/claims/table_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -16,10 +16,10 @@
 	}}})
 	late := NewTable()
 	late.Missed(2) // offset 1, which may claim the same key, has expired
-	is.Equal(len(late.Apply(platform.Record{Offset: 2, ID: "r2", Data: data})), 0)
+	is.Equal(len(late.Apply(trial.Record{Offset: 2, ID: "r2", Data: data})), 0)
 	is.Equal(late.Len(), 0)
 
 	whole := NewTable()
-	is.Equal(len(whole.Apply(platform.Record{Offset: 1, ID: "r1", Data: data})), 1)
+	is.Equal(len(whole.Apply(trial.Record{Offset: 1, ID: "r1", Data: data})), 1)
 	is.Equal(whole.Len(), 1)
 }
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // atSize returns tables of the size to design for: 2,300 targets in 20 pools and 60 routes.
@@ -40,7 +40,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if d := m.Apply(platform.Record{Offset: 1, ID: rec.ID, Data: rec.Data}); d == nil || !d.Accepted {
+	if d := m.Apply(trial.Record{Offset: 1, ID: rec.ID, Data: rec.Data}); d == nil || !d.Accepted {
 		b.Fatal(d)
 	}
 	b.ReportAllocs()
@@ -55,7 +55,7 @@
 			b.Fatal(err)
 		}
 		size = len(rec.Data)
-		if d := m.Apply(platform.Record{Offset: m.Next(), ID: rec.ID, Data: rec.Data}); d == nil || !d.Accepted {
+		if d := m.Apply(trial.Record{Offset: m.Next(), ID: rec.ID, Data: rec.Data}); d == nil || !d.Accepted {
 			b.Fatal(d)
 		}
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -24,17 +24,17 @@
 
 // stream is a log in memory whose records from first on are retained.
 type stream struct {
-	records []platform.Record
-	first   platform.Offset
+	records []trial.Record
+	first   trial.Offset
 }
 
-func (s *stream) append(r platform.NewRecord) platform.Offset {
-	at := platform.Offset(len(s.records) + 1)
-	s.records = append(s.records, platform.Record{Offset: at, ID: r.ID, Data: r.Data})
+func (s *stream) append(r trial.NewRecord) trial.Offset {
+	at := trial.Offset(len(s.records) + 1)
+	s.records = append(s.records, trial.Record{Offset: at, ID: r.ID, Data: r.Data})
 	return at
 }
 
-func (s *stream) change(t testing.TB, c Change) platform.Offset {
+func (s *stream) change(t testing.TB, c Change) trial.Offset {
 	t.Helper()
 	r, err := EncodeChange(c)
 	if err != nil {
@@ -43,7 +43,7 @@
 	return s.append(r)
 }
 
-func (s *stream) snapshot(t testing.TB, snap Snapshot) platform.Offset {
+func (s *stream) snapshot(t testing.TB, snap Snapshot) trial.Offset {
 	t.Helper()
 	r, err := EncodeSnapshot(snap, fmt.Sprintf("snapshot-%d", len(s.records)))
 	if err != nil {
@@ -66,7 +66,7 @@
 	}
 }
 
-func add(id, author string, base platform.Offset, rows ...any) Change {
+func add(id, author string, base trial.Offset, rows ...any) Change {
 	c := Change{ID: id, Author: author, Base: base}
 	for _, row := range rows {
 		switch r := row.(type) {
@@ -95,13 +95,13 @@
 	is.True(!m.Ready())
 	m.Missed(1) // an empty stream
 	is.True(m.Ready())
-	is.Equal(m.Revision(), platform.Offset(0))
+	is.Equal(m.Revision(), trial.Offset(0))
 	late := NewMachine()
 	late.Missed(7)
 	is.True(!late.Ready())
-	is.Equal(late.Next(), platform.Offset(7))
-	is.Equal(late.Apply(platform.Record{Offset: 9}), nil) // a gap is not passed over
-	is.Equal(late.Next(), platform.Offset(7))
+	is.Equal(late.Next(), trial.Offset(7))
+	is.Equal(late.Apply(trial.Record{Offset: 9}), nil) // a gap is not passed over
+	is.Equal(late.Next(), trial.Offset(7))
 }
 
 func TestRaceOnOneRowHasOneWinner(t *testing.T) {
@@ -195,7 +195,7 @@
 	is.True(ok)
 	is.True(!got.Accepted)
 	for i := range DecidedWindow { // past the window, the Base is what keeps it out
-		s.append(platform.NewRecord{ID: fmt.Sprint("filler", i), Data: []byte(`{}`)})
+		s.append(trial.NewRecord{ID: fmt.Sprint("filler", i), Data: []byte(`{}`)})
 	}
 	s.change(t, dangling)
 	d = s.read(m)
@@ -211,7 +211,7 @@
 		`{"format":2,"type":"change","novel":true}`, `{"format":1,"type":"change","change":{"id":"x"}}`, `{"format":1,"type":"change"}`,
 		`not json`, `null`, `{"format":1,"type":"change","change":{"id":"x","author":"a","base":0,"edits":[],"novel":1}}`, `{"format":0}`,
 	} {
-		s.append(platform.NewRecord{ID: fmt.Sprint("odd", i), Data: []byte(data)})
+		s.append(trial.NewRecord{ID: fmt.Sprint("odd", i), Data: []byte(data)})
 	}
 	is.Equal(len(s.read(m)), 0)
 	is.Equal(m.Stats().Newer, int64(1))
@@ -234,7 +234,7 @@
 	is.True(!m.Restore(m.Snapshot()))
 	node := NewMachine()
 	is.True(node.Restore(old)) // from a peer that is behind
-	is.Equal(node.Next(), platform.Offset(2))
+	is.Equal(node.Next(), trial.Offset(2))
 	is.Equal(len(s.read(node)), 1)
 	is.Equal(node.Snapshot(), m.Snapshot())
 	broken := m.Snapshot()
@@ -254,7 +254,7 @@
 	s.read(behind)
 	is.True(behind.Ready())
 	is.True(behind.Scanning())
-	is.Equal(behind.Revision(), platform.Offset(1))
+	is.Equal(behind.Revision(), trial.Offset(1))
 	is.True(behind.Tables().Pool("desk") != nil)
 	is.Equal(behind.Stats().Undecided, int64(1))
 	s.snapshot(t, m.Snapshot())
@@ -274,7 +274,7 @@
 	s.snapshot(t, old) // by a node that was paused
 	s.read(m)
 	is.Equal(m.LastSnapshot(), at)
-	newer := s.append(platform.NewRecord{ID: "n", Data: []byte(`{"format":2,"type":"snapshot"}`)})
+	newer := s.append(trial.NewRecord{ID: "n", Data: []byte(`{"format":2,"type":"snapshot"}`)})
 	s.read(m)
 	is.Equal(m.LastSnapshot(), newer) // newer nodes carry it forward
 	is.True(!m.Snapshot().Incomplete)
@@ -293,7 +293,7 @@
 	is.Equal(len(c), 1)
 	is.Equal(c[0].By, "ben")
 	for i := range DecidedWindow + 1 { // the deletion is forgotten
-		s.append(platform.NewRecord{ID: fmt.Sprint("filler", i), Data: []byte(`{}`)})
+		s.append(trial.NewRecord{ID: fmt.Sprint("filler", i), Data: []byte(`{}`)})
 	}
 	s.read(m)
 	is.Equal(len(m.Snapshot().Deleted), 0)
--- a/config/decide.go
+++ b/config/decide.go
@@ -6,12 +6,12 @@
 	"slices"
 	"strings"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // decide judges a change read back at offset at: it holds if each edited row still has the
 // revision that the edit names and the joined tables are valid.
-func (m *Machine) decide(at platform.Offset, c *Change) (Tables, []Conflict, []Problem) {
+func (m *Machine) decide(at trial.Offset, c *Change) (Tables, []Conflict, []Problem) {
 	if p := m.checkBase(at, c); p != nil {
 		return Tables{}, nil, p
 	}
@@ -36,7 +36,7 @@
 
 // checkBase refuses a change whose author saw tables from outside the window of remembered
 // decisions: a late copy of a change that was decided long ago must not hold.
-func (m *Machine) checkBase(at platform.Offset, c *Change) []Problem {
+func (m *Machine) checkBase(at trial.Offset, c *Change) []Problem {
 	if c.Base >= 0 && c.Base < at && at-c.Base <= m.window {
 		return nil
 	}
@@ -48,7 +48,7 @@
 }
 
 // conflict returns why e cannot replace its row, or nil.
-func (m *Machine) conflict(at platform.Offset, e *Edit) *Conflict {
+func (m *Machine) conflict(at trial.Offset, e *Edit) *Conflict {
 	row, exists := m.state.Rows[e.Key]
 	known := exists
 	if !exists {
--- a/config/diff.go
+++ b/config/diff.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"strings"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 const (
@@ -70,7 +70,7 @@
 }
 
 // replaces returns the revision that an edit of the row must name.
-func (s *Snapshot) replaces(k RowKey) platform.Offset {
+func (s *Snapshot) replaces(k RowKey) trial.Offset {
 	if r, ok := s.Rows[k]; ok {
 		return r.Revision
 	}
@@ -106,7 +106,7 @@
 
 // MovedSince returns the rows that change edits and that were moved after revision, or may have
 // been: a row that is not there may have been deleted before what now remembers.
-func MovedSince(now Snapshot, revision platform.Offset, change Change) []Conflict {
+func MovedSince(now Snapshot, revision trial.Offset, change Change) []Conflict {
 	var out []Conflict
 	for i := range change.Edits {
 		key := change.Edits[i].Key
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // FuzzTables: any document is either refused with places, messages and remedies, or its tables are
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := m.Apply(platform.Record{Offset: 1, ID: rec.ID, Data: rec.Data})
+	d := m.Apply(trial.Record{Offset: 1, ID: rec.ID, Data: rec.Data})
 	if d == nil || !d.Accepted {
 		t.Fatalf("valid tables were not accepted: %+v", d)
 	}
@@ -66,9 +66,9 @@
 	f.Add("c1", []byte(first.Data))
 	f.Fuzz(func(t *testing.T, id string, data []byte) {
 		m := NewMachine()
-		m.Apply(platform.Record{Offset: 1, ID: first.ID, Data: first.Data})
+		m.Apply(trial.Record{Offset: 1, ID: first.ID, Data: first.Data})
 		before := m.Snapshot()
-		d := m.Apply(platform.Record{Offset: 2, ID: id, Data: data})
+		d := m.Apply(trial.Record{Offset: 2, ID: id, Data: data})
 		if m.Revision() != 2 || m.Next() != 3 {
 			t.Fatalf("revision %d, next %d after record 2", m.Revision(), m.Next())
 		}
@@ -85,7 +85,7 @@
 		}
 		scanning := NewMachine()
 		scanning.Missed(2)
-		scanning.Apply(platform.Record{Offset: 2, ID: id, Data: data})
+		scanning.Apply(trial.Record{Offset: 2, ID: id, Data: data})
 		if scanning.Ready() && scanning.Next() > 2 {
 			t.Fatalf("ready without the records after the snapshot: next %d", scanning.Next())
 		}
--- a/config/machine.go
+++ b/config/machine.go
@@ -5,14 +5,14 @@
 	"maps"
 	"slices"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of a Machine's state.
 const (
 	// DecidedWindow is how many offsets a decided change and a deleted row are remembered, and how
 	// far behind its record's offset a change's Base may lie.
-	DecidedWindow platform.Offset = 1024
+	DecidedWindow trial.Offset = 1024
 	// MaxHistory bounds the decisions that History returns.
 	MaxHistory = 256
 )
@@ -28,13 +28,13 @@
 	// scanning is true while records before next are missing: changes cannot be decided until a
 	// snapshot is found. What was in force before stays in force.
 	scanning bool
-	first    platform.Offset // oldest retained offset, as far as known
-	next     platform.Offset
+	first    trial.Offset // oldest retained offset, as far as known
+	next     trial.Offset
 	state    Snapshot
 	decided  map[string]Decided
 	history  []Decision
 	stats    Stats
-	window   platform.Offset
+	window   trial.Offset
 }
 
 // Stats count records that a Machine did not act on.
@@ -51,13 +51,13 @@
 
 // Status tells where a Machine stands, for dumps.
 type Status struct {
-	Ready        bool            `json:"ready"`
-	Scanning     bool            `json:"scanning"`
-	Next         platform.Offset `json:"next"`
-	Revision     platform.Offset `json:"revision"`
-	LastSnapshot platform.Offset `json:"last_snapshot"`
-	Incomplete   bool            `json:"incomplete"`
-	Stats        Stats           `json:"stats"`
+	Ready        bool         `json:"ready"`
+	Scanning     bool         `json:"scanning"`
+	Next         trial.Offset `json:"next"`
+	Revision     trial.Offset `json:"revision"`
+	LastSnapshot trial.Offset `json:"last_snapshot"`
+	Incomplete   bool         `json:"incomplete"`
+	Stats        Stats        `json:"stats"`
 }
 
 // NewMachine returns a machine that knows nothing and wants to read from offset 1.
@@ -77,10 +77,10 @@
 func (m *Machine) Scanning() bool { return m.scanning }
 
 // Next returns the offset to read next. After a snapshot it may be lower than before.
-func (m *Machine) Next() platform.Offset { return m.next }
+func (m *Machine) Next() trial.Offset { return m.next }
 
 // Revision returns the offset of the last record that the state covers; 0 means none.
-func (m *Machine) Revision() platform.Offset { return m.state.Revision }
+func (m *Machine) Revision() trial.Offset { return m.state.Revision }
 
 // Stats returns counts of records that were not acted on.
 func (m *Machine) Stats() Stats { return m.stats }
@@ -94,7 +94,7 @@
 // LastSnapshot returns the offset of the newest snapshot record that carries the state forward; 0
 // means none. One whose state is older than the snapshot before it does not count, since records
 // that it needs expire first.
-func (m *Machine) LastSnapshot() platform.Offset { return m.state.LastSnapshot }
+func (m *Machine) LastSnapshot() trial.Offset { return m.state.LastSnapshot }
 
 // Tables returns the tables in force, which the caller must not modify.
 func (m *Machine) Tables() *Tables {
@@ -131,7 +131,7 @@
 
 // Missed tells the oldest retained offset of the stream, also when nothing is missing: a stream
 // that still has its beginning makes a new machine Ready with empty tables at revision 0.
-func (m *Machine) Missed(first platform.Offset) {
+func (m *Machine) Missed(first trial.Offset) {
 	m.first = max(m.first, first)
 	if first <= m.next {
 		m.ready = m.ready || m.next == 1
@@ -169,7 +169,7 @@
 // Apply takes the record at Next; any other is ignored, since it was applied before or those
 // between are yet to be read. It returns the decision of a change, or nil for a duplicate, a
 // snapshot and a record that cannot be decided here.
-func (m *Machine) Apply(rec platform.Record) *Decision {
+func (m *Machine) Apply(rec trial.Record) *Decision {
 	if rec.Offset != m.next {
 		return nil
 	}
@@ -196,7 +196,7 @@
 
 // refuse counts a record that cannot be read. A change of a newer format may be in force on newer
 // nodes; a snapshot of a newer format tells that such nodes carry the state forward.
-func (m *Machine) refuse(at platform.Offset, err error) {
+func (m *Machine) refuse(at trial.Offset, err error) {
 	var newer *NewerFormatError
 	if !errors.As(err, &newer) {
 		m.stats.Malformed++
@@ -210,7 +210,7 @@
 	m.state.Incomplete = true
 }
 
-func (m *Machine) applySnapshot(at platform.Offset, s Snapshot) {
+func (m *Machine) applySnapshot(at trial.Offset, s Snapshot) {
 	useful := s.Revision < at && s.Revision >= m.state.LastSnapshot
 	if !m.scanning {
 		m.advance(at)
@@ -226,7 +226,7 @@
 }
 
 // advance moves the state's revision to offset at and forgets what has left the window.
-func (m *Machine) advance(at platform.Offset) {
+func (m *Machine) advance(at trial.Offset) {
 	m.state.Revision = at
 	old := 0
 	for old < len(m.state.Decided) && m.state.Decided[old].Offset <= at-m.window {
@@ -243,7 +243,7 @@
 	}
 }
 
-func (m *Machine) applyChange(rec platform.Record, c Change) *Decision {
+func (m *Machine) applyChange(rec trial.Record, c Change) *Decision {
 	if _, ok := m.decided[rec.ID]; ok {
 		m.stats.Duplicates++
 		return nil
@@ -267,7 +267,7 @@
 }
 
 // mark gives the edited rows the revision at.
-func (m *Machine) mark(at platform.Offset, c *Change) {
+func (m *Machine) mark(at trial.Offset, c *Change) {
 	for i := range c.Edits {
 		k, info := c.Edits[i].Key, RowInfo{Revision: at, By: c.Author}
 		if c.Edits[i].Delete {
--- a/config/machine_prop_test.go
+++ b/config/machine_prop_test.go
@@ -6,7 +6,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"pgregory.net/rapid"
 )
 
@@ -16,7 +16,7 @@
 	log   *stream
 	truth *Machine
 	// decisions are truth's, by offset.
-	decisions map[platform.Offset]Decision
+	decisions map[trial.Offset]Decision
 	// seen tells which change IDs were decided.
 	seen  map[string]bool
 	nodes []*Machine
@@ -131,10 +131,10 @@
 		"copy": func(t *rapid.T) {
 			if len(c.log.records) > 0 {
 				r := c.log.records[rapid.IntRange(0, len(c.log.records)-1).Draw(t, "record")]
-				c.log.append(platform.NewRecord{ID: r.ID, Data: r.Data})
+				c.log.append(trial.NewRecord{ID: r.ID, Data: r.Data})
 			}
 		},
-		"junk": func(t *rapid.T) { c.log.append(platform.NewRecord{ID: "junk", Data: []byte(`{"format":1}`)}) },
+		"junk": func(t *rapid.T) { c.log.append(trial.NewRecord{ID: "junk", Data: []byte(`{"format":1}`)}) },
 		"snapshot": func(t *rapid.T) {
 			c.snapshot(t, ready(t))
 		},
@@ -148,14 +148,14 @@
 			}
 		},
 		"expire": func(t *rapid.T) {
-			c.log.first = max(c.log.first, platform.Offset(rapid.IntRange(1, len(c.log.records)+1).Draw(t, "first")))
+			c.log.first = max(c.log.first, trial.Offset(rapid.IntRange(1, len(c.log.records)+1).Draw(t, "first")))
 		},
 		"": func(t *rapid.T) { c.readTruth(t) },
 	}
 }
 
 func newCluster(t *rapid.T) *cluster {
-	c := &cluster{log: &stream{}, truth: smallMachine(), decisions: map[platform.Offset]Decision{}, seen: map[string]bool{}, nodes: []*Machine{smallMachine(), smallMachine(), smallMachine()}}
+	c := &cluster{log: &stream{}, truth: smallMachine(), decisions: map[trial.Offset]Decision{}, seen: map[string]bool{}, nodes: []*Machine{smallMachine(), smallMachine(), smallMachine()}}
 	c.truth.Missed(1)
 	c.step(t, c.nodes[0], 1)
 	return c
@@ -193,7 +193,7 @@
 		actions := c.actions()
 		actions["expire"] = func(t *rapid.T) {
 			if last := c.truth.LastSnapshot(); last > 0 {
-				c.log.first = max(c.log.first, platform.Offset(rapid.IntRange(1, int(c.stateOf(t, last))+1).Draw(t, "first")))
+				c.log.first = max(c.log.first, trial.Offset(rapid.IntRange(1, int(c.stateOf(t, last))+1).Draw(t, "first")))
 			}
 		}
 		actions["converge"] = func(t *rapid.T) { c.checkConverged(t) }
@@ -203,7 +203,7 @@
 }
 
 // stateOf returns the revision of the snapshot record at offset at.
-func (c *cluster) stateOf(t *rapid.T, at platform.Offset) platform.Offset {
+func (c *cluster) stateOf(t *rapid.T, at trial.Offset) trial.Offset {
 	r, err := DecodeRecord(c.log.records[at-1].Data)
 	if err != nil {
 		t.Fatal(err)
--- a/config/record.go
+++ b/config/record.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Stream is the log stream that holds the configuration.
@@ -49,25 +49,25 @@
 }
 
 // EncodeChange returns the log record of c; its ID is that of the change.
-func EncodeChange(c Change) (platform.NewRecord, error) {
+func EncodeChange(c Change) (trial.NewRecord, error) {
 	if c.ID == "" {
-		return platform.NewRecord{}, errors.New("config: change has no id; give it a unique one")
+		return trial.NewRecord{}, errors.New("config: change has no id; give it a unique one")
 	}
 	return encode(c.ID, LogRecord{Format: Format, Type: RecordChange, Change: &c})
 }
 
 // EncodeSnapshot returns the log record of s under the unique record ID id. An incomplete snapshot
 // is a last resort: it is for a log that no node of the newer release carries forward any more.
-func EncodeSnapshot(s Snapshot, id string) (platform.NewRecord, error) {
+func EncodeSnapshot(s Snapshot, id string) (trial.NewRecord, error) {
 	return encode(id, LogRecord{Format: Format, Type: RecordSnapshot, Snapshot: &s})
 }
 
-func encode(id string, r LogRecord) (platform.NewRecord, error) {
+func encode(id string, r LogRecord) (trial.NewRecord, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
-		return platform.NewRecord{}, fmt.Errorf("config: encode record %s: %w", id, err)
+		return trial.NewRecord{}, fmt.Errorf("config: encode record %s: %w", id, err)
 	}
-	return platform.NewRecord{ID: id, Data: data}, nil
+	return trial.NewRecord{ID: id, Data: data}, nil
 }
 
 // DecodeRecord decodes the data of a log record. It returns a *NewerFormatError for a record of a
--- a/config/tables.go
+++ b/config/tables.go
@@ -3,8 +3,8 @@
 package config
 
 import (
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/schema"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Priority is the class of a route; a lower number is served first.
@@ -146,10 +146,10 @@
 type Edit struct {
 	Key RowKey `json:"key"`
 	// Replaces is the revision of the row that the operator saw; 0 means that there was none.
-	Replaces platform.Offset `json:"replaces"`
-	Route    *Route          `json:"route,omitempty"`
-	Pool     *Pool           `json:"pool,omitempty"`
-	Delete   bool            `json:"delete,omitempty"`
+	Replaces trial.Offset `json:"replaces"`
+	Route    *Route       `json:"route,omitempty"`
+	Pool     *Pool        `json:"pool,omitempty"`
+	Delete   bool         `json:"delete,omitempty"`
 }
 
 // Change is a set of edits that hold together or not at all.
@@ -160,15 +160,15 @@
 	// Base is the revision of the tables that the author saw. A change read back more than
 	// DecidedWindow offsets after its Base is rejected, so that a late copy of one that was
 	// already decided can never hold.
-	Base  platform.Offset `json:"base"`
-	Edits []Edit          `json:"edits"`
+	Base  trial.Offset `json:"base"`
+	Edits []Edit       `json:"edits"`
 }
 
 // Decision is how a change was decided when it was read back.
 type Decision struct {
-	Offset   platform.Offset `json:"offset"`
-	Change   Change          `json:"change"`
-	Accepted bool            `json:"accepted"`
+	Offset   trial.Offset `json:"offset"`
+	Change   Change       `json:"change"`
+	Accepted bool         `json:"accepted"`
 	// Conflicts name the rows that moved, by whom, and the remedy.
 	Conflicts []Conflict `json:"conflicts,omitempty"`
 	// Problems are what the joined tables would have violated.
@@ -177,10 +177,10 @@
 
 // Conflict is a row that another change has moved.
 type Conflict struct {
-	Key    RowKey          `json:"key"`
-	Now    platform.Offset `json:"now"`
-	By     string          `json:"by"`
-	Remedy string          `json:"remedy"`
+	Key    RowKey       `json:"key"`
+	Now    trial.Offset `json:"now"`
+	By     string       `json:"by"`
+	Remedy string       `json:"remedy"`
 }
 
 // Problem is a violated rule of the tables, with its place and remedy.
@@ -188,21 +188,21 @@
 
 // RowInfo is the revision of a row and who set it.
 type RowInfo struct {
-	Revision platform.Offset `json:"revision"`
-	By       string          `json:"by"`
+	Revision trial.Offset `json:"revision"`
+	By       string       `json:"by"`
 }
 
 // Decided tells how the change of one record was decided.
 type Decided struct {
-	ID       string          `json:"id"`
-	Offset   platform.Offset `json:"offset"`
-	Accepted bool            `json:"accepted"`
+	ID       string       `json:"id"`
+	Offset   trial.Offset `json:"offset"`
+	Accepted bool         `json:"accepted"`
 }
 
 // Snapshot is the state of the tables after the record at Revision. Two readers of the same log
 // hold equal snapshots at equal revisions.
 type Snapshot struct {
-	Revision platform.Offset    `json:"revision"`
+	Revision trial.Offset       `json:"revision"`
 	Tables   Tables             `json:"tables"`
 	Rows     map[RowKey]RowInfo `json:"rows"`
 	// Deleted keeps revisions of rows deleted within the last DecidedWindow offsets, so that an old
@@ -211,7 +211,7 @@
 	// Decided are the changes decided within the last DecidedWindow offsets, the oldest first.
 	Decided []Decided `json:"decided,omitempty"`
 	// LastSnapshot is the offset of the newest snapshot record that carries the state forward.
-	LastSnapshot platform.Offset `json:"last_snapshot,omitempty"`
+	LastSnapshot trial.Offset `json:"last_snapshot,omitempty"`
 	// Incomplete is true when the writer passed a record of a newer format, so that its tables may
 	// lack a change.
 	Incomplete bool `json:"incomplete,omitempty"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strconv"
 
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/schema"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Schema is the JSON Schema of Tables.
@@ -41,7 +41,7 @@
 type Document struct {
 	Tables
 	// Revision is the revision of the tables that the file was made from; 0 means not known.
-	Revision platform.Offset `json:"revision,omitempty"`
+	Revision trial.Offset `json:"revision,omitempty"`
 }
 
 // ParseRows decodes a document and checks each row alone: what rows say of rows that the document
--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/spf13/cobra"
 )
@@ -188,7 +188,7 @@
 	return nil
 }
 
-func (a *app) unchanged(ctx context.Context, c *client, e *editFlags, revision platform.Offset) error {
+func (a *app) unchanged(ctx context.Context, c *client, e *editFlags, revision trial.Offset) error {
 	if a.output == outputText {
 		fmt.Fprintf(a.out, "no change: the tables in force at revision %d have these rows already\n", revision)
 	} else if err := a.printJSON(config.Decision{Offset: revision, Accepted: true}); err != nil {
--- a/ctl/steward_test.go
+++ b/ctl/steward_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -128,7 +128,7 @@
 	if err != nil {
 		s.t.Error(err)
 	}
-	s.machine.Apply(platform.Record{Offset: s.machine.Next(), ID: rec.ID, Data: rec.Data})
+	s.machine.Apply(trial.Record{Offset: s.machine.Next(), ID: rec.ID, Data: rec.Data})
 }
 
 func (s *steward) tables() *config.Tables {
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/spf13/cobra"
 )
@@ -25,7 +25,7 @@
   ibisctl watch --revision 812`,
 		Args: cobra.NoArgs,
 		RunE: a.remote(func(ctx context.Context, c *client, _ []string) error {
-			return a.watchUntil(ctx, c, platform.Offset(revision))
+			return a.watchUntil(ctx, c, trial.Offset(revision))
 		}),
 	}
 	cmd.Flags().Int64Var(&revision, "revision", 0, "revision to wait for (default: the newest decided one)")
@@ -34,15 +34,15 @@
 
 // watchResult is the end of a watch.
 type watchResult struct {
-	Revision platform.Offset `json:"revision"`
-	Nodes    int             `json:"nodes"`
-	Pending  []string        `json:"pending"`
+	Revision trial.Offset `json:"revision"`
+	Nodes    int          `json:"nodes"`
+	Pending  []string     `json:"pending"`
 	// Unknown are nodes that are dead to the others: if a gate lives there, nobody can tell what it has.
 	Unknown []string `json:"unknown"`
 }
 
 // watchUntil waits until all live gates have revision want, or the newest if want is 0.
-func (a *app) watchUntil(ctx context.Context, c *client, want platform.Offset) error {
+func (a *app) watchUntil(ctx context.Context, c *client, want trial.Offset) error {
 	shown := map[string]bool{}
 	last := watchResult{Revision: want}
 	for {
@@ -93,7 +93,7 @@
 	return m.GateIncarnation != "" && (m.Status == wire.StatusAlive || m.Status == wire.StatusSuspect)
 }
 
-func progress(members []wire.Member, want platform.Offset) watchResult {
+func progress(members []wire.Member, want trial.Offset) watchResult {
 	r := watchResult{Revision: want, Pending: []string{}, Unknown: []string{}}
 	for i := range members {
 		m := &members[i]
@@ -111,7 +111,7 @@
 	return r
 }
 
-func (a *app) showProgress(members []wire.Member, want platform.Offset, shown map[string]bool) {
+func (a *app) showProgress(members []wire.Member, want trial.Offset, shown map[string]bool) {
 	for i := range members {
 		m := &members[i]
 		if serving(m) && m.Revision >= want && !shown[m.Node.ID] {
--- a/dispatch/assemble.go
+++ b/dispatch/assemble.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/ibistrail/ibistrail/api"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Errors of an answer that cannot be trusted.
@@ -37,7 +37,7 @@
 }
 
 // add takes a chunk of attempt id by the engine at address, whose incarnation is boot if known.
-func (a *answer) add(id, address, boot string, c *platform.CompletionChunk) error {
+func (a *answer) add(id, address, boot string, c *trial.CompletionChunk) error {
 	if c.ID != id && c.ID != "cmpl-"+id {
 		return fmt.Errorf("%w: got %q", errCrossed, c.ID)
 	}
@@ -55,7 +55,7 @@
 	return nil
 }
 
-func (a *answer) choice(address string, version int64, c *platform.CompletionChoice) error {
+func (a *answer) choice(address string, version int64, c *trial.CompletionChoice) error {
 	if len(c.TokenIDs) > 0 || c.Text != "" {
 		if c.Offset != len(a.tokens) {
 			return fmt.Errorf("%w: offset %d after %d tokens", errGap, c.Offset, len(a.tokens))
@@ -65,14 +65,14 @@
 	if c.FinishReason == nil {
 		return nil
 	}
-	if *c.FinishReason == platform.FinishAbort {
+	if *c.FinishReason == trial.FinishAbort {
 		return errAborted
 	}
 	a.finish = *c.FinishReason
 	return nil
 }
 
-func (a *answer) append(address string, version int64, c *platform.CompletionChoice) {
+func (a *answer) append(address string, version int64, c *trial.CompletionChoice) {
 	a.text.WriteString(c.Text)
 	a.tokens = append(a.tokens, c.TokenIDs...)
 	a.spans = appendSpan(a.spans, version, len(c.TokenIDs))
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of an attempt.
@@ -138,14 +138,14 @@
 // open sends the request.
 func (s *stream) open(ctx context.Context) (*http.Response, ended) {
 	c := &s.run.call
-	body, err := json.Marshal(platform.CompletionRequest{
+	body, err := json.Marshal(trial.CompletionRequest{
 		Model: c.Model, Prompt: c.Prompt, MaxTokens: c.MaxTokens, Seed: c.Seed, Stream: true, RequestID: s.id,
 		Priority: enginePriority(c), Adapter: c.Adapter, PrefixTokens: s.run.answer.tokens,
 	})
 	if err != nil {
 		return nil, ended{kind: endUnsent, err: err}
 	}
-	resp, sent, err := s.run.d.send(ctx, http.MethodPost, s.placement.address, platform.PathCompletions, body, s.run.call.Deadline)
+	resp, sent, err := s.run.d.send(ctx, http.MethodPost, s.placement.address, trial.PathCompletions, body, s.run.call.Deadline)
 	s.run.sent = s.run.sent || sent
 	s.opened = sent
 	if err != nil {
@@ -180,7 +180,7 @@
 
 // check reads the status of an answer; the response is nil unless a stream follows.
 func (s *stream) check(ctx context.Context, resp *http.Response) (*http.Response, ended) {
-	draining := resp.Header.Get(platform.HeaderDraining) == "true"
+	draining := resp.Header.Get(trial.HeaderDraining) == "true"
 	s.run.d.leaving(s.placement.pool, s.placement.address, draining)
 	if resp.StatusCode == http.StatusOK {
 		return resp, ended{}
@@ -259,7 +259,7 @@
 		}
 		return true, nil
 	}
-	var c platform.CompletionChunk
+	var c trial.CompletionChunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return false, err
 	}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/api"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of single requests to a target.
@@ -81,7 +81,7 @@
 func (d *Dispatcher) resume(ctx context.Context, address, id string, from int) (*http.Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := time.AfterFunc(resumeTimeout, cancel)
-	req, err := d.request(ctx, http.MethodGet, address, platform.PathStreams+id+"?from="+strconv.Itoa(from), nil)
+	req, err := d.request(ctx, http.MethodGet, address, trial.PathStreams+id+"?from="+strconv.Itoa(from), nil)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -114,7 +114,7 @@
 func (d *Dispatcher) cancelRun(ctx context.Context, address, id string) {
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
-	req, err := d.request(ctx, http.MethodDelete, address, platform.PathStreams+id, nil)
+	req, err := d.request(ctx, http.MethodDelete, address, trial.PathStreams+id, nil)
 	if err != nil {
 		return
 	}
@@ -129,8 +129,8 @@
 func (d *Dispatcher) refreshBoot(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var s platform.EngineStatus
-	if _, err := d.get(ctx, address, platform.PathStatus, &s); err != nil {
+	var s trial.EngineStatus
+	if _, err := d.get(ctx, address, trial.PathStatus, &s); err != nil {
 		return err
 	}
 	d.setBoot(address, s.Boot)
@@ -143,8 +143,8 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		var s platform.EngineStatus
-		_, err := d.get(ctx, address, platform.PathStatus, &s)
+		var s trial.EngineStatus
+		_, err := d.get(ctx, address, trial.PathStatus, &s)
 		if err == nil {
 			d.setBoot(address, s.Boot)
 			return boot != "" && s.Boot != "" && s.Boot != boot
@@ -184,7 +184,7 @@
 	if err != nil {
 		return false, err
 	}
-	draining = resp.Header.Get(platform.HeaderDraining) == "true"
+	draining = resp.Header.Get(trial.HeaderDraining) == "true"
 	if resp.StatusCode != http.StatusOK {
 		return draining, &statusError{status: resp.StatusCode, body: string(raw[:min(len(raw), maxErrorBytes)])}
 	}
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of polls: their number a second does not depend on the number of targets.
@@ -118,8 +118,8 @@
 func (d *Dispatcher) poll(ctx context.Context, t pollTarget) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	var load platform.Load
-	draining, err := d.get(ctx, t.address, platform.PathLoad, &load)
+	var load trial.Load
+	draining, err := d.get(ctx, t.address, trial.PathLoad, &load)
 	if err != nil {
 		return
 	}
@@ -134,8 +134,8 @@
 	t.pool.mu.Lock()
 	since := t.pool.table.CacheSince(t.address)
 	t.pool.mu.Unlock()
-	var ev platform.CacheEvents
-	if _, err := d.get(ctx, t.address, platform.PathCacheEvents+"?since="+formatInt(since), &ev); err != nil {
+	var ev trial.CacheEvents
+	if _, err := d.get(ctx, t.address, trial.PathCacheEvents+"?since="+formatInt(since), &ev); err != nil {
 		return
 	}
 	d.setBoot(t.address, ev.Boot)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -9,8 +9,8 @@
 	"github.com/ibistrail/ibistrail/admission"
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -240,7 +240,7 @@
 }
 
 // report takes a load report; draining is the target's own signal.
-func (p *pool) report(address string, load platform.Load) {
+func (p *pool) report(address string, load trial.Load) {
 	p.with(func(now time.Time, t *routing.Table) { t.Report(now, address, load) })
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -16,8 +16,8 @@
 	"github.com/ibistrail/ibistrail/admission"
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // maxServiceAnswerBytes bounds the answer of a plain service.
@@ -180,7 +180,7 @@
 
 // answered judges a whole answer.
 func (r *serviceRun) answered(l *placement, a *ServiceAnswer) (*ServiceAnswer, ended) {
-	draining := a.Header.Get(platform.HeaderDraining) == "true"
+	draining := a.Header.Get(trial.HeaderDraining) == "true"
 	r.d.leaving(l.pool, l.address, draining)
 	a.Outcome = api.OutcomeDone
 	switch a.Status {
--- a/dispatch/sse_test.go
+++ b/dispatch/sse_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -70,8 +70,8 @@
 	})
 }
 
-func chunk(id string, offset int, tokens ...int) *platform.CompletionChunk {
-	return &platform.CompletionChunk{ID: id, Boot: "b", WeightVersion: 2, Choices: []platform.CompletionChoice{{TokenIDs: tokens, Offset: offset}}}
+func chunk(id string, offset int, tokens ...int) *trial.CompletionChunk {
+	return &trial.CompletionChunk{ID: id, Boot: "b", WeightVersion: 2, Choices: []trial.CompletionChoice{{TokenIDs: tokens, Offset: offset}}}
 }
 
 func TestChunksOfOthersAndGapsAreRefused(t *testing.T) {
--- a/fake/cli/admin.go
+++ b/fake/cli/admin.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/deployment"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/spf13/cobra"
 )
 
@@ -114,7 +114,7 @@
 			if err != nil {
 				return err
 			}
-			return platform.NewStoreClient(e.Store, nil).Publish(cmd.Context(), args[0], version)
+			return trial.NewStoreClient(e.Store, nil).Publish(cmd.Context(), args[0], version)
 		},
 	}
 	cmd.Flags().StringVar(&dir, "dir", "run", "directory of the plan")
--- a/fake/deployment/deployment_test.go
+++ b/fake/deployment/deployment_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -72,11 +72,11 @@
 	is.NoErr(err)
 	defer s.Close()
 	ctx := context.Background()
-	ec := platform.NewEngineClient(nil)
+	ec := trial.NewEngineClient(nil)
 	target := d.Endpoints.Engines[0]
 	_, err = ec.Status(ctx, target.Address)
 	is.NoErr(err)
-	vms, err := platform.NewVMListClient(d.Endpoints.VMs, nil).VMs(ctx)
+	vms, err := trial.NewVMListClient(d.Endpoints.VMs, nil).VMs(ctx)
 	is.NoErr(err)
 	is.Equal(len(vms.VMs), len(d.Gates)+len(d.Endpoints.Engines)+len(d.Endpoints.Services))
 	f := e.Engines[target.Name].Faults()
--- a/fake/deployment/plan.go
+++ b/fake/deployment/plan.go
@@ -12,8 +12,8 @@
 	"github.com/ibistrail/ibistrail/fake/service"
 	"github.com/ibistrail/ibistrail/fake/vmlist"
 	"github.com/ibistrail/ibistrail/fake/weightstore"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // OperatorToken is the operators' token of each plan.
@@ -127,7 +127,7 @@
 			az := b.p.zones[i%len(b.p.zones)]
 			t := config.Target{Name: fmt.Sprintf("%s-%d", row.Name, i+1), Address: b.address(), AvailabilityZone: az}
 			row.Targets = append(row.Targets, t)
-			b.d.Platform.VMs.VMs = append(b.d.Platform.VMs.VMs, platform.VM{Name: t.Name, Address: t.Address, AvailabilityZone: az, Role: platform.VMRoleTarget})
+			b.d.Platform.VMs.VMs = append(b.d.Platform.VMs.VMs, trial.VM{Name: t.Name, Address: t.Address, AvailabilityZone: az, Role: trial.VMRoleTarget})
 			b.planTarget(pool, t)
 		}
 		if row.Kind == config.PoolEngines {
@@ -182,8 +182,8 @@
 		Node: node, DebugAddress: b.address(), LogURL: "http://" + pl.LogAddress, StoreURL: "http://" + pl.StoreAddress,
 		VMListURL: "http://" + pl.VMListAddress, OperatorTokenSHA256: sha256Hex(OperatorToken), LeaseTTLMs: b.o.LeaseTTLMs, Policy: b.o.Policy,
 	})
-	b.d.Platform.VMs.VMs = append(b.d.Platform.VMs.VMs, platform.VM{
-		Name: node.ID, Address: node.StewardAddress, AvailabilityZone: node.AvailabilityZone, Role: platform.VMRoleEntry})
+	b.d.Platform.VMs.VMs = append(b.d.Platform.VMs.VMs, trial.VM{
+		Name: node.ID, Address: node.StewardAddress, AvailabilityZone: node.AvailabilityZone, Role: trial.VMRoleEntry})
 }
 
 func (b *planner) planRoutes() {
--- a/fake/engine/cache.go
+++ b/fake/engine/cache.go
@@ -6,13 +6,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/ibistrail/ibistrail/fake/answer"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // maxCacheEvents bounds the events that are kept for readers.
 const maxCacheEvents = 4096
 
-// prefixCache keeps prompt prefixes in blocks of platform.PrefixBytes, the least recently used
+// prefixCache keeps prompt prefixes in blocks of trial.PrefixBytes, the least recently used
 // evicted first. The last block of a prompt may be shorter.
 type prefixCache struct {
 	capacity int // tokens
@@ -30,7 +30,7 @@
 }
 
 type cacheEvent struct {
-	platform.CacheEvent
+	trial.CacheEvent
 	time time.Time
 }
 
@@ -41,8 +41,8 @@
 // use returns how many tokens of prompt are cached, and caches the rest.
 func (c *prefixCache) use(now time.Time, prompt string) int {
 	cached, hit := 0, true
-	for start := 0; start < len(prompt); start += platform.PrefixBytes {
-		end := min(start+platform.PrefixBytes, len(prompt))
+	for start := 0; start < len(prompt); start += trial.PrefixBytes {
+		end := min(start+trial.PrefixBytes, len(prompt))
 		h := xxhash.Sum64String(prompt[:end])
 		tokens := answer.PromptTokens(prompt[start:end])
 		e, ok := c.blocks[h]
@@ -90,15 +90,15 @@
 		return
 	}
 	c.seq++
-	c.events = append(c.events, cacheEvent{platform.CacheEvent{Seq: c.seq, PrefixHash: b.hash, Evicted: evicted}, now})
+	c.events = append(c.events, cacheEvent{trial.CacheEvent{Seq: c.seq, PrefixHash: b.hash, Evicted: evicted}, now})
 	if len(c.events) > maxCacheEvents {
 		c.events = append([]cacheEvent(nil), c.events[len(c.events)-maxCacheEvents/2:]...)
 	}
 }
 
 // since returns the events after seq that are at least lag old; every gapEvery-th is lost.
-func (c *prefixCache) since(now time.Time, seq int64, lag time.Duration, gapEvery int64) ([]platform.CacheEvent, int64) {
-	events, next := []platform.CacheEvent{}, seq
+func (c *prefixCache) since(now time.Time, seq int64, lag time.Duration, gapEvery int64) ([]trial.CacheEvent, int64) {
+	events, next := []trial.CacheEvent{}, seq
 	for _, e := range c.events {
 		if e.Seq <= seq {
 			continue
--- a/fake/engine/chat.go
+++ b/fake/engine/chat.go
@@ -5,7 +5,7 @@
 
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // ChatRequest is the body of PathChat: OpenAI's fields and the engine's extensions.
@@ -23,15 +23,15 @@
 
 // ChatChunk is an answer of PathChat, whole or one event of a stream.
 type ChatChunk struct {
-	ID            string                `json:"id"`
-	Object        string                `json:"object"`
-	Created       int64                 `json:"created"`
-	Model         string                `json:"model"`
-	Choices       []ChatChoice          `json:"choices"`
-	Usage         *platform.Usage       `json:"usage,omitempty"`
-	WeightVersion int64                 `json:"weight_version,omitempty"`
-	WeightSpans   []platform.WeightSpan `json:"weight_spans,omitempty"`
-	Boot          string                `json:"boot,omitempty"`
+	ID            string             `json:"id"`
+	Object        string             `json:"object"`
+	Created       int64              `json:"created"`
+	Model         string             `json:"model"`
+	Choices       []ChatChoice       `json:"choices"`
+	Usage         *trial.Usage       `json:"usage,omitempty"`
+	WeightVersion int64              `json:"weight_version,omitempty"`
+	WeightSpans   []trial.WeightSpan `json:"weight_spans,omitempty"`
+	Boot          string             `json:"boot,omitempty"`
 }
 
 // ChatChoice is the one choice of a ChatChunk; Delta is set in a stream, Message in a whole answer.
@@ -52,7 +52,7 @@
 // chatFormat answers PathChat.
 type chatFormat struct{ model string }
 
-func (f chatFormat) shape(c platform.CompletionChunk, first, stream bool) any {
+func (f chatFormat) shape(c trial.CompletionChunk, first, stream bool) any {
 	in := c.Choices[0]
 	choice := ChatChoice{TokenIDs: in.TokenIDs, FinishReason: in.FinishReason}
 	object := "chat.completion"
@@ -84,7 +84,7 @@
 	if req.MaxCompletionTokens > 0 {
 		maxTokens = req.MaxCompletionTokens
 	}
-	e.serve(w, r, &platform.CompletionRequest{
+	e.serve(w, r, &trial.CompletionRequest{
 		Model: req.Model, Prompt: answer.ChatPrompt(req.Messages), MaxTokens: maxTokens, Seed: req.Seed, Stream: req.Stream,
 		RequestID: req.RequestID, Priority: req.Priority, Adapter: req.Adapter,
 	}, chatFormat{model: req.Model})
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -11,13 +11,13 @@
 
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Engine is the stand-in. Run must run while it serves.
 type Engine struct {
 	opts   Options
-	store  *platform.StoreClient
+	store  *trial.StoreClient
 	wake   chan struct{}
 	orders chan struct{} // holds one token: one order at a time
 
@@ -25,7 +25,7 @@
 	server    *faults.Server
 	model     *model
 	sequences map[string]*sequence
-	kv        map[string]*platform.KV
+	kv        map[string]*trial.KV
 	kvOrder   []string
 	boot      string
 	modelName string
@@ -35,7 +35,7 @@
 	fencing   int64
 	faults    Faults
 	journal   Journal
-	load      platform.Load
+	load      trial.Load
 	loadTime  time.Time
 }
 
@@ -43,7 +43,7 @@
 func New(opts Options) *Engine {
 	opts = opts.withDefaults()
 	e := &Engine{
-		opts: opts, store: platform.NewStoreClient(opts.StoreURL, opts.HTTP), wake: make(chan struct{}, 1),
+		opts: opts, store: trial.NewStoreClient(opts.StoreURL, opts.HTTP), wake: make(chan struct{}, 1),
 		orders: make(chan struct{}, 1), modelName: opts.Model, adapters: opts.Adapters, role: opts.Role,
 		journal: Journal{Name: opts.Name, Runs: []*Run{}, Orders: []OrderEntry{}},
 	}
@@ -59,7 +59,7 @@
 	}
 	e.model = newModel(e.opts.Rates, version)
 	e.sequences = map[string]*sequence{}
-	e.kv = map[string]*platform.KV{}
+	e.kv = map[string]*trial.KV{}
 	e.kvOrder = nil
 	e.loading = false
 	e.loadTime = time.Time{}
@@ -221,26 +221,26 @@
 }
 
 // Status returns what the engine runs.
-func (e *Engine) Status() platform.EngineStatus {
+func (e *Engine) Status() trial.EngineStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.status()
 }
 
-func (e *Engine) status() platform.EngineStatus {
-	return platform.EngineStatus{
+func (e *Engine) status() trial.EngineStatus {
+	return trial.EngineStatus{
 		Boot: e.boot, Model: e.modelName, Version: e.model.version, Adapters: append([]string{}, e.adapters...),
 		Role: e.role, Draining: e.faults.Draining, Loading: e.loading, FencingToken: e.fencing,
 	}
 }
 
 // Load returns the lagging report of the load.
-func (e *Engine) Load() platform.Load {
+func (e *Engine) Load() trial.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	if now.Sub(e.loadTime) >= time.Duration(e.opts.LoadLagMs)*time.Millisecond {
-		e.load = platform.Load{
+		e.load = trial.Load{
 			Running: len(e.model.running), Waiting: len(e.model.waiting), BatchLimit: e.opts.Rates.BatchLimit,
 			TokensPerSecond: e.model.decoded,
 		}
@@ -260,7 +260,7 @@
 )
 
 // submit queues a request.
-func (e *Engine) submit(now time.Time, req *platform.CompletionRequest) (*sequence, error) {
+func (e *Engine) submit(now time.Time, req *trial.CompletionRequest) (*sequence, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.admit(req); err != nil {
@@ -282,7 +282,7 @@
 	return s, nil
 }
 
-func (e *Engine) admit(req *platform.CompletionRequest) error {
+func (e *Engine) admit(req *trial.CompletionRequest) error {
 	switch {
 	case req.Model != e.modelName || req.Adapter != "" && !slices.Contains(e.adapters, req.Adapter):
 		return errNoModel
--- a/fake/engine/engine_test.go
+++ b/fake/engine/engine_test.go
@@ -16,7 +16,7 @@
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
 	"github.com/ibistrail/ibistrail/fake/weightstore"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -25,7 +25,7 @@
 	t      *testing.T
 	engine *Engine
 	server *faults.Server
-	client *platform.EngineClient
+	client *trial.EngineClient
 	http   *http.Client
 	store  *weightstore.Store
 }
@@ -49,20 +49,20 @@
 	go func() { done <- e.Run(ctx) }()
 	hc := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(func() { cancel(); <-done; server.Close(); hs.Close() })
-	return &bench{t: t, engine: e, server: server, client: platform.NewEngineClient(hc), http: hc, store: store}
+	return &bench{t: t, engine: e, server: server, client: trial.NewEngineClient(hc), http: hc, store: store}
 }
 
-func (b *bench) post(req platform.CompletionRequest) (*http.Response, error) {
+func (b *bench) post(req trial.CompletionRequest) (*http.Response, error) {
 	raw, err := json.Marshal(req)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	return b.http.Post("http://"+b.server.Addr()+platform.PathCompletions, "application/json", bytes.NewReader(raw))
+	return b.http.Post("http://"+b.server.Addr()+trial.PathCompletions, "application/json", bytes.NewReader(raw))
 }
 
 // events are the decoded events of a stream, and whether the end marker came.
 type events struct {
-	chunks []platform.CompletionChunk
+	chunks []trial.CompletionChunk
 	done   bool
 	err    error
 }
@@ -76,7 +76,7 @@
 }
 
 // readEvents reads a stream to its end; each is called after each event.
-func readEvents(r io.Reader, each func(platform.CompletionChunk)) events {
+func readEvents(r io.Reader, each func(trial.CompletionChunk)) events {
 	var ev events
 	sc := bufio.NewScanner(r)
 	for sc.Scan() {
@@ -88,7 +88,7 @@
 			ev.done = true
 			continue
 		}
-		var c platform.CompletionChunk
+		var c trial.CompletionChunk
 		if ev.err = json.Unmarshal([]byte(data), &c); ev.err != nil {
 			return ev
 		}
@@ -101,7 +101,7 @@
 	return ev
 }
 
-func (b *bench) stream(req platform.CompletionRequest, each func(platform.CompletionChunk)) events {
+func (b *bench) stream(req trial.CompletionRequest, each func(trial.CompletionChunk)) events {
 	req.Stream = true
 	resp, err := b.post(req)
 	if err != nil {
@@ -120,8 +120,8 @@
 	return out
 }
 
-func request(id string, tokens int) platform.CompletionRequest {
-	return platform.CompletionRequest{Model: "m", Prompt: "a correction", MaxTokens: tokens, Seed: 7, RequestID: id}
+func request(id string, tokens int) trial.CompletionRequest {
+	return trial.CompletionRequest{Model: "m", Prompt: "a correction", MaxTokens: tokens, Seed: 7, RequestID: id}
 }
 
 func TestStreamAndWholeAgree(t *testing.T) {
@@ -135,10 +135,10 @@
 	resp, err := b.post(request("b", 40))
 	is.NoErr(err)
 	defer resp.Body.Close()
-	var c platform.CompletionChunk
+	var c trial.CompletionChunk
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&c))
 	is.Equal(c.Choices[0].TokenIDs, ev.tokens())
-	is.Equal(c.WeightSpans, []platform.WeightSpan{{Version: 1, Tokens: len(ev.tokens())}})
+	is.Equal(c.WeightSpans, []trial.WeightSpan{{Version: 1, Tokens: len(ev.tokens())}})
 	is.Equal(c.Choices[0].Text, answer.Text(ev.tokens()))
 }
 
@@ -146,10 +146,10 @@
 	is := is.New(t)
 	b := newBench(t, Options{Rates: Rates{DecodeTokensPerSecond: 2000}})
 	ordered := false
-	ev := b.stream(request("a", 4000), func(platform.CompletionChunk) {
+	ev := b.stream(request("a", 4000), func(trial.CompletionChunk) {
 		if !ordered {
 			ordered = true
-			st, err := b.client.Order(context.Background(), b.server.Addr(), platform.Order{ID: "o", Kind: platform.OrderLoadVersion, Version: 2, Mode: platform.SwapNow})
+			st, err := b.client.Order(context.Background(), b.server.Addr(), trial.Order{ID: "o", Kind: trial.OrderLoadVersion, Version: 2, Mode: trial.SwapNow})
 			is.NoErr(err)
 			is.Equal(st.Version, int64(2))
 		}
@@ -172,15 +172,15 @@
 	b := newBench(t, Options{FencingChecked: true})
 	ctx := context.Background()
 	order := func(token, version int64) error {
-		_, err := b.client.Order(ctx, b.server.Addr(), platform.Order{ID: "o", Kind: platform.OrderLoadVersion, FencingToken: token, Version: version})
+		_, err := b.client.Order(ctx, b.server.Addr(), trial.Order{ID: "o", Kind: trial.OrderLoadVersion, FencingToken: token, Version: version})
 		return err
 	}
 	is.NoErr(order(5, 2))
-	var fenced *platform.ErrFenced
+	var fenced *trial.ErrFenced
 	is.True(errors.As(order(4, 3), &fenced))
 	is.Equal(fenced.Seen, int64(5))
 	is.NoErr(b.engine.SetFaults(Faults{SwapFails: 1, LoseOrderAnswers: 1}))
-	var unavailable *platform.ErrUnavailable
+	var unavailable *trial.ErrUnavailable
 	is.True(errors.As(order(5, 3), &unavailable)) // failed, answer lost
 	is.Equal(b.engine.Status().Version, int64(2))
 	is.NoErr(b.engine.SetFaults(Faults{LoseOrderAnswers: 1}))
@@ -197,7 +197,7 @@
 		is.True(!ev.done)
 		is.Equal(ev.err == nil, clean)
 		got := ev.tokens()
-		resp, err := b.http.Get("http://" + b.server.Addr() + platform.PathStreams + "a?from=3")
+		resp, err := b.http.Get("http://" + b.server.Addr() + trial.PathStreams + "a?from=3")
 		is.NoErr(err)
 		rest := readEvents(resp.Body, nil)
 		resp.Body.Close()
@@ -210,7 +210,7 @@
 	is := is.New(t)
 	b := newBench(t, Options{})
 	all := want("a correction", 7, 60, 1)
-	is.NoErr(b.client.ImportKV(context.Background(), b.server.Addr(), &platform.KV{RequestID: "kv", Model: "m", Version: 1, Prompt: "a correction", Tokens: all[:4]}))
+	is.NoErr(b.client.ImportKV(context.Background(), b.server.Addr(), &trial.KV{RequestID: "kv", Model: "m", Version: 1, Prompt: "a correction", Tokens: all[:4]}))
 	for id, kv := range map[string]string{"a": "", "b": "kv"} {
 		req := request(id, 60)
 		req.PrefixTokens, req.KV = all[:4], kv
@@ -228,11 +228,11 @@
 	is := is.New(t)
 	b := newBench(t, Options{Rates: Rates{DecodeTokensPerSecond: 50}})
 	ctx := context.Background()
-	ev := b.stream(request("a", 100_000), func(platform.CompletionChunk) {
+	ev := b.stream(request("a", 100_000), func(trial.CompletionChunk) {
 		_ = b.client.Cancel(ctx, b.server.Addr(), "a")
 	})
 	is.True(!ev.done)
-	is.Equal(*ev.chunks[len(ev.chunks)-1].Choices[0].FinishReason, platform.FinishAbort)
+	is.Equal(*ev.chunks[len(ev.chunks)-1].Choices[0].FinishReason, trial.FinishAbort)
 	boot := b.engine.Status().Boot
 	is.NoErr(b.engine.SetFaults(Faults{PoisonSubstring: "correction", RestartVersion: 4}))
 	ev = b.stream(request("b", 10), nil)
@@ -266,8 +266,8 @@
 	resp, err := b.post(request("a", 5))
 	is.NoErr(err)
 	defer resp.Body.Close()
-	is.Equal(resp.Header.Get(platform.HeaderDraining), "true")
-	var c platform.CompletionChunk
+	is.Equal(resp.Header.Get(trial.HeaderDraining), "true")
+	var c trial.CompletionChunk
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&c))
 	is.Equal(c.WeightVersion, int64(0))
 	is.True(b.engine.Status().Draining)
--- a/fake/engine/http.go
+++ b/fake/engine/http.go
@@ -10,8 +10,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // PathChat is OpenAI's path of chat completions.
@@ -21,16 +21,16 @@
 func (e *Engine) Handler() http.Handler {
 	r := mux.NewRouter()
 	e.Routes(r)
-	r.HandleFunc(platform.PathCompletions, e.handleCompletion).Methods(http.MethodPost)
+	r.HandleFunc(trial.PathCompletions, e.handleCompletion).Methods(http.MethodPost)
 	r.HandleFunc(PathChat, e.handleChat).Methods(http.MethodPost)
-	r.HandleFunc(platform.PathStreams+"{id}", e.handleResume).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathStreams+"{id}", e.handleCancel).Methods(http.MethodDelete)
-	r.HandleFunc(platform.PathKV+"/{id}", e.handleExportKV).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathKV, e.handleImportKV).Methods(http.MethodPost)
-	r.HandleFunc(platform.PathLoad, e.handleLoad).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathCacheEvents, e.handleCacheEvents).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathStatus, e.handleStatus).Methods(http.MethodGet)
-	r.HandleFunc(platform.PathOrders, e.handleOrder).Methods(http.MethodPost)
+	r.HandleFunc(trial.PathStreams+"{id}", e.handleResume).Methods(http.MethodGet)
+	r.HandleFunc(trial.PathStreams+"{id}", e.handleCancel).Methods(http.MethodDelete)
+	r.HandleFunc(trial.PathKV+"/{id}", e.handleExportKV).Methods(http.MethodGet)
+	r.HandleFunc(trial.PathKV, e.handleImportKV).Methods(http.MethodPost)
+	r.HandleFunc(trial.PathLoad, e.handleLoad).Methods(http.MethodGet)
+	r.HandleFunc(trial.PathCacheEvents, e.handleCacheEvents).Methods(http.MethodGet)
+	r.HandleFunc(trial.PathStatus, e.handleStatus).Methods(http.MethodGet)
+	r.HandleFunc(trial.PathOrders, e.handleOrder).Methods(http.MethodPost)
 	return e.signal(r)
 }
 
@@ -46,7 +46,7 @@
 func (e *Engine) signal(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.Faults().Draining {
-			w.Header().Set(platform.HeaderDraining, "true")
+			w.Header().Set(trial.HeaderDraining, "true")
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -69,7 +69,7 @@
 	e.mu.Lock()
 	lag := time.Duration(e.opts.CacheEventLagMs) * time.Millisecond
 	events, next := e.model.cache.since(time.Now(), since, lag, e.opts.CacheEventGapEvery)
-	res := platform.CacheEvents{Boot: e.boot, Events: events, Next: next}
+	res := trial.CacheEvents{Boot: e.boot, Events: events, Next: next}
 	e.mu.Unlock()
 	process.WriteJSON(w, http.StatusOK, res)
 }
@@ -90,7 +90,7 @@
 	if e.dies(PointAccept) {
 		faults.Abort()
 	}
-	req := new(platform.CompletionRequest)
+	req := new(trial.CompletionRequest)
 	if err := readBody(w, r, req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -107,7 +107,7 @@
 }
 
 // serve runs one request and answers in a format.
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request, req *platform.CompletionRequest, f format) {
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, req *trial.CompletionRequest, f format) {
 	if e.dies(PointReceived) {
 		faults.Abort()
 	}
--- a/fake/engine/journal.go
+++ b/fake/engine/journal.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Run is one request that an engine took in.
@@ -27,9 +27,9 @@
 
 // OrderEntry is one order that an engine took in.
 type OrderEntry struct {
-	Time   time.Time      `json:"time"`
-	Order  platform.Order `json:"order"`
-	Result string         `json:"result"`
+	Time   time.Time   `json:"time"`
+	Order  trial.Order `json:"order"`
+	Result string      `json:"result"`
 }
 
 // VersionEntry tells which weights the engine ran from a time on.
@@ -90,7 +90,7 @@
 }
 
 // noteOrder records an order and how it ended.
-func (e *Engine) noteOrder(o platform.Order, result string) {
+func (e *Engine) noteOrder(o trial.Order, result string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.journal.Orders) < maxJournalOrders {
--- a/fake/engine/kv.go
+++ b/fake/engine/kv.go
@@ -8,13 +8,13 @@
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // hasKV tells whether the KV cache that req names was imported and covers it with the current
 // weights; e.mu is held.
-func (e *Engine) hasKV(req *platform.CompletionRequest) bool {
+func (e *Engine) hasKV(req *trial.CompletionRequest) bool {
 	kv := e.kv[req.KV]
 	return kv != nil && kv.Version == e.model.version && kv.Model == req.Model &&
 		kv.Prompt == req.Prompt && slices.Equal(kv.Tokens, req.PrefixTokens)
@@ -23,9 +23,9 @@
 func (e *Engine) handleExportKV(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	s := e.sequences[mux.Vars(r)["id"]]
-	var kv *platform.KV
+	var kv *trial.KV
 	if s != nil {
-		kv = &platform.KV{
+		kv = &trial.KV{
 			RequestID: s.id, Model: e.modelName, Version: e.model.version, Prompt: s.prompt, Tokens: slices.Clone(s.tokens),
 			Bytes: int64(s.promptTokens+len(s.tokens)) * kvBytesPerToken,
 		}
@@ -39,7 +39,7 @@
 }
 
 func (e *Engine) handleImportKV(w http.ResponseWriter, r *http.Request) {
-	kv := new(platform.KV)
+	kv := new(trial.KV)
 	if err := process.ReadJSON(w, r, kv, maxBodyBytes); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/fake/engine/model.go
+++ b/fake/engine/model.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/answer"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // maxStep bounds the time that one step of the model covers, so that a frozen process makes no
@@ -200,7 +200,7 @@
 		return
 	}
 	m.totals.AbortedTokens += int64(len(s.tokens) - s.prefix)
-	s.end(now, platform.FinishAbort)
+	s.end(now, trial.FinishAbort)
 	m.waiting = slices.DeleteFunc(m.waiting, (*sequence).done)
 	m.retire()
 }
--- a/fake/engine/model_test.go
+++ b/fake/engine/model_test.go
@@ -4,12 +4,12 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
 func testSequence(id string, priority int) *sequence {
-	s := newSequence(&platform.CompletionRequest{Model: "m", Prompt: "p" + id, MaxTokens: 1000, RequestID: id, Priority: priority})
+	s := newSequence(&trial.CompletionRequest{Model: "m", Prompt: "p" + id, MaxTokens: 1000, RequestID: id, Priority: priority})
 	s.run = &Run{}
 	s.length = 100
 	return s
@@ -62,7 +62,7 @@
 	events, next := c.since(now.Add(time.Second), 0, time.Second, 0)
 	is.Equal(next, int64(4))
 	is.Equal(events[2].Evicted, true)
-	is.Equal(events[2].PrefixHash, platform.PrefixHash("0123456789012345"))
+	is.Equal(events[2].PrefixHash, trial.PrefixHash("0123456789012345"))
 	events, _ = c.since(now.Add(time.Second), 0, time.Second, 2)
 	is.Equal(len(events), 2) // gaps
 	events, next = c.since(now, 0, time.Second, 0)
--- a/fake/engine/orders.go
+++ b/fake/engine/orders.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // drainPoll is how often a draining swap looks whether the batch is empty.
@@ -26,7 +26,7 @@
 )
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o trial.Order
 	if err := process.ReadJSON(w, r, &o, maxBodyBytes); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -51,7 +51,7 @@
 
 // answerOrder tells how an order ended.
 func (e *Engine) answerOrder(w http.ResponseWriter, err error) {
-	var limited *platform.ErrRateLimited
+	var limited *trial.ErrRateLimited
 	status, message := http.StatusOK, ""
 	switch {
 	case err == nil:
@@ -68,11 +68,11 @@
 	if err != nil {
 		message = err.Error()
 	}
-	process.WriteJSON(w, status, platform.OrderResponse{Status: e.Status(), Error: message})
+	process.WriteJSON(w, status, trial.OrderResponse{Status: e.Status(), Error: message})
 }
 
 // Order carries out an order, one at a time, and returns once it has taken effect.
-func (e *Engine) Order(ctx context.Context, o platform.Order) error {
+func (e *Engine) Order(ctx context.Context, o trial.Order) error {
 	err := e.order(ctx, o)
 	result := "ok"
 	if err != nil {
@@ -82,7 +82,7 @@
 	return err
 }
 
-func (e *Engine) order(ctx context.Context, o platform.Order) error {
+func (e *Engine) order(ctx context.Context, o trial.Order) error {
 	if err := e.fence(o); err != nil {
 		return err
 	}
@@ -93,24 +93,24 @@
 	}
 	defer func() { <-e.orders }()
 	switch o.Kind {
-	case platform.OrderLoadVersion, platform.OrderLoadModel:
+	case trial.OrderLoadVersion, trial.OrderLoadModel:
 		return e.loadWeights(ctx, o)
-	case platform.OrderSetAdapters:
+	case trial.OrderSetAdapters:
 		return e.change(o, func() { e.adapters = append([]string{}, o.Adapters...) })
-	case platform.OrderSetRole:
+	case trial.OrderSetRole:
 		return e.change(o, func() { e.role = o.Role })
 	}
 	return errKind
 }
 
 // fence refuses an order that is older than the newest seen, if the engine checks.
-func (e *Engine) fence(o platform.Order) error {
+func (e *Engine) fence(o trial.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.fenceLocked(o)
 }
 
-func (e *Engine) fenceLocked(o platform.Order) error {
+func (e *Engine) fenceLocked(o trial.Order) error {
 	if e.opts.FencingChecked && o.FencingToken < e.fencing {
 		return errFenced
 	}
@@ -119,7 +119,7 @@
 }
 
 // change applies f unless a newer order has come since.
-func (e *Engine) change(o platform.Order, f func()) error {
+func (e *Engine) change(o trial.Order, f func()) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.fenceLocked(o); err != nil {
@@ -130,7 +130,7 @@
 }
 
 // loadWeights fetches weights and swaps to them.
-func (e *Engine) loadWeights(ctx context.Context, o platform.Order) error {
+func (e *Engine) loadWeights(ctx context.Context, o trial.Order) error {
 	if o.Version <= 0 {
 		return errVersion
 	}
@@ -151,7 +151,7 @@
 }
 
 // beginLoad returns the model to load, and whether it runs already.
-func (e *Engine) beginLoad(o platform.Order) (name, boot string, same bool) {
+func (e *Engine) beginLoad(o trial.Order) (name, boot string, same bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	name = e.modelName
@@ -174,7 +174,7 @@
 }
 
 // swap puts fetched weights in place, in the order's mode.
-func (e *Engine) swap(o platform.Order, name, boot string) error {
+func (e *Engine) swap(o trial.Order, name, boot string) error {
 	if err := e.clearBatch(o, boot); err != nil {
 		return err
 	}
@@ -196,7 +196,7 @@
 }
 
 // clearBatch does to running requests what the mode says, then stops the batch.
-func (e *Engine) clearBatch(o platform.Order, boot string) error {
+func (e *Engine) clearBatch(o trial.Order, boot string) error {
 	for {
 		e.mu.Lock()
 		if e.boot != boot {
@@ -204,12 +204,12 @@
 			return errCrashed
 		}
 		e.model.held = true
-		if o.Mode == platform.SwapCut {
+		if o.Mode == trial.SwapCut {
 			for _, s := range append([]*sequence{}, e.model.running...) {
 				e.model.abort(time.Now(), s)
 			}
 		}
-		if o.Mode != platform.SwapDrain || len(e.model.running) == 0 {
+		if o.Mode != trial.SwapDrain || len(e.model.running) == 0 {
 			e.model.paused = true
 			e.mu.Unlock()
 			return nil
--- a/fake/engine/sequence.go
+++ b/fake/engine/sequence.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/fake/answer"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // ModelName returns the name under which package answer makes tokens of a model with an adapter.
@@ -18,7 +18,7 @@
 	return model + "+" + adapter
 }
 
-func newSequence(req *platform.CompletionRequest) *sequence {
+func newSequence(req *trial.CompletionRequest) *sequence {
 	name := ModelName(req.Model, req.Adapter)
 	if req.RequestID == "" {
 		req.RequestID = uuid.NewString()
@@ -108,11 +108,11 @@
 }
 
 // usage counts the tokens of a sequence.
-func (r *reader) usage() *platform.Usage {
+func (r *reader) usage() *trial.Usage {
 	r.e.mu.Lock()
 	defer r.e.mu.Unlock()
 	s := r.s
-	return &platform.Usage{
+	return &trial.Usage{
 		PromptTokens: s.promptTokens, CompletionTokens: len(s.tokens), TotalTokens: s.promptTokens + len(s.tokens),
 		CachedTokens: s.cached,
 	}
--- a/fake/engine/write.go
+++ b/fake/engine/write.go
@@ -7,7 +7,7 @@
 
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // splitBytes is the size of the pieces of a stream under the SplitWrites fault.
@@ -16,13 +16,13 @@
 // format shapes a piece of an answer as one of OpenAI's objects.
 type format interface {
 	// shape returns the object of a piece; stream tells whether others may follow.
-	shape(c platform.CompletionChunk, first, stream bool) any
+	shape(c trial.CompletionChunk, first, stream bool) any
 }
 
 // completionFormat answers /v1/completions.
 type completionFormat struct{ model string }
 
-func (f completionFormat) shape(c platform.CompletionChunk, _, _ bool) any {
+func (f completionFormat) shape(c trial.CompletionChunk, _, _ bool) any {
 	c.Object, c.Model = "text_completion", f.model
 	return c
 }
@@ -43,13 +43,13 @@
 }
 
 // chunk returns the piece of an answer.
-func (a *answerWriter) chunk(p part, finish string) platform.CompletionChunk {
+func (a *answerWriter) chunk(p part, finish string) trial.CompletionChunk {
 	id, tokens := a.id, p.tokens
 	if a.crossed {
 		id, tokens = "other-"+a.id, otherTokens(tokens)
 	}
-	c := platform.CompletionChunk{ID: id, Created: a.created, Boot: a.boot, WeightVersion: p.version,
-		Choices: []platform.CompletionChoice{{Text: answer.Text(tokens), TokenIDs: append([]int{}, tokens...), Offset: p.offset}}}
+	c := trial.CompletionChunk{ID: id, Created: a.created, Boot: a.boot, WeightVersion: p.version,
+		Choices: []trial.CompletionChoice{{Text: answer.Text(tokens), TokenIDs: append([]int{}, tokens...), Offset: p.offset}}}
 	if finish != "" {
 		c.Choices[0].FinishReason = &finish
 		c.Usage = a.rd.usage()
@@ -118,7 +118,7 @@
 // finish writes the end marker; an aborted answer gets none.
 func (a *answerWriter) finish(reason string) {
 	a.dieAt(PointLastToken)
-	if reason != platform.FinishAbort {
+	if reason != trial.FinishAbort {
 		a.write([]byte("data: [DONE]\n\n"))
 	}
 }
@@ -164,7 +164,7 @@
 // whole waits for the end and sends one object.
 func (a *answerWriter) whole() {
 	var all part
-	var spans []platform.WeightSpan
+	var spans []trial.WeightSpan
 	finish := ""
 	for finish == "" {
 		p, ok := a.rd.wait(a.r.Context())
@@ -192,12 +192,12 @@
 	a.body(a.format.shape(c, true, false))
 }
 
-func addSpan(spans []platform.WeightSpan, p part) []platform.WeightSpan {
+func addSpan(spans []trial.WeightSpan, p part) []trial.WeightSpan {
 	if n := len(spans); n > 0 && spans[n-1].Version == p.version {
 		spans[n-1].Tokens += len(p.tokens)
 		return spans
 	}
-	return append(spans, platform.WeightSpan{Version: p.version, Tokens: len(p.tokens)})
+	return append(spans, trial.WeightSpan{Version: p.version, Tokens: len(p.tokens)})
 }
 
 // body sends the object of an answer without stream, or all but its last byte.
--- a/fake/faults/server.go
+++ b/fake/faults/server.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of a server.
@@ -135,7 +135,7 @@
 func Refuse(w http.ResponseWriter, after time.Duration, message string) {
 	seconds := int64((after + time.Second - 1) / time.Second)
 	w.Header().Set("Retry-After", strconv.FormatInt(max(1, seconds), 10))
-	w.Header().Set(platform.HeaderRetryAfterMs, strconv.FormatInt(max(1, after.Milliseconds()), 10))
+	w.Header().Set(trial.HeaderRetryAfterMs, strconv.FormatInt(max(1, after.Milliseconds()), 10))
 	http.Error(w, message, http.StatusTooManyRequests)
 }
 
--- a/fake/logservice/service.go
+++ b/fake/logservice/service.go
@@ -13,8 +13,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 	"golang.org/x/time/rate"
 )
 
@@ -109,14 +109,14 @@
 	Appends int64 `json:"appends"`
 	Reads   int64 `json:"reads"`
 	// Next is the next offset by stream.
-	Next map[string]platform.Offset `json:"next"`
+	Next map[string]trial.Offset `json:"next"`
 }
 
 // Journal returns the counters.
 func (s *Service) Journal() Journal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := Journal{Appends: s.appends, Reads: s.reads, Next: map[string]platform.Offset{}}
+	j := Journal{Appends: s.appends, Reads: s.reads, Next: map[string]trial.Offset{}}
 	for name, st := range s.streams {
 		j.Next[name] = st.next
 	}
@@ -160,7 +160,7 @@
 }
 
 func (s *Service) handleAppend(w http.ResponseWriter, r *http.Request) {
-	var req platform.AppendRequest
+	var req trial.AppendRequest
 	if err := process.ReadJSON(w, r, &req, MaxAppendBytes); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -184,7 +184,7 @@
 	if s.takeFault(name, func(f *Faults) *int { return &f.LoseAppendAnswers }) {
 		faults.Abort()
 	}
-	process.WriteJSON(w, http.StatusOK, platform.AppendResponse{First: first})
+	process.WriteJSON(w, http.StatusOK, trial.AppendResponse{First: first})
 }
 
 // reserve takes one append from the rate; it returns how long to wait if there is none.
@@ -199,7 +199,7 @@
 }
 
 // Append adds records without limit and faults, for tests.
-func (s *Service) Append(name string, records []platform.NewRecord) platform.Offset {
+func (s *Service) Append(name string, records []trial.NewRecord) trial.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
@@ -237,7 +237,7 @@
 	wait := min(time.Duration(waitMs)*time.Millisecond, MaxWait)
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	res := s.read(ctx, mux.Vars(r)["stream"], platform.Offset(from), int(min(limit, MaxReadRecords)))
+	res := s.read(ctx, mux.Vars(r)["stream"], trial.Offset(from), int(min(limit, MaxReadRecords)))
 	if !s.admit(w, r) {
 		return // the outage began while the reader waited
 	}
@@ -245,12 +245,12 @@
 }
 
 // read answers at once if there are records at or after from, else when the first comes or ctx ends.
-func (s *Service) read(ctx context.Context, name string, from platform.Offset, limit int) platform.ReadResponse {
+func (s *Service) read(ctx context.Context, name string, from trial.Offset, limit int) trial.ReadResponse {
 	for {
 		s.mu.Lock()
 		s.reads++
 		st := s.stream(name)
-		res := platform.ReadResponse{Records: st.read(from, limit), First: st.first(), Next: st.next, RetentionMs: s.opts.RetentionMs}
+		res := trial.ReadResponse{Records: st.read(from, limit), First: st.first(), Next: st.next, RetentionMs: s.opts.RetentionMs}
 		grown := st.grown
 		s.mu.Unlock()
 		if len(res.Records) > 0 || from < res.First {
--- a/fake/logservice/service_test.go
+++ b/fake/logservice/service_test.go
@@ -9,20 +9,20 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
-func record(id string) []platform.NewRecord {
-	return []platform.NewRecord{{ID: id, Data: json.RawMessage(`{"a":1}`)}}
+func record(id string) []trial.NewRecord {
+	return []trial.NewRecord{{ID: id, Data: json.RawMessage(`{"a":1}`)}}
 }
 
 // start serves s until the test ends and returns a client.
-func start(t *testing.T, s *Service) *platform.LogClient {
+func start(t *testing.T, s *Service) *trial.LogClient {
 	t.Helper()
 	hs := httptest.NewServer(s.Handler())
 	t.Cleanup(hs.Close)
-	return platform.NewLogClient(hs.URL, &http.Client{Transport: &http.Transport{}})
+	return trial.NewLogClient(hs.URL, &http.Client{Transport: &http.Transport{}})
 }
 
 func TestOffsetsAndLongPoll(t *testing.T) {
@@ -31,14 +31,14 @@
 	ctx := context.Background()
 	first, err := c.Append(ctx, "config", append(record("a"), record("b")...))
 	is.NoErr(err)
-	is.Equal(first, platform.Offset(1))
+	is.Equal(first, trial.Offset(1))
 	res, err := c.Read(ctx, "config", 2, 10, 0)
 	is.NoErr(err)
 	is.Equal(len(res.Records), 1)
 	is.Equal(res.Records[0].ID, "b")
-	is.Equal(res.Next, platform.Offset(3))
+	is.Equal(res.Next, trial.Offset(3))
 
-	got := make(chan *platform.ReadResponse, 1)
+	got := make(chan *trial.ReadResponse, 1)
 	go func() {
 		r, _ := c.Read(ctx, "config", 3, 10, 10_000)
 		got <- r
@@ -57,7 +57,7 @@
 	_, err := c.Append(ctx, "config", record("x")) // another stream is untouched
 	is.NoErr(err)
 	_, err = c.Append(ctx, "claims", record("a"))
-	var unavailable *platform.ErrUnavailable
+	var unavailable *trial.ErrUnavailable
 	is.True(errors.As(err, &unavailable))
 	res, err := c.Read(ctx, "claims", 1, 10, 0)
 	is.NoErr(err)
@@ -81,12 +81,12 @@
 		is.NoErr(err)
 	}
 	_, err := c.Append(ctx, "s", record("a"))
-	var limited *platform.ErrRateLimited
+	var limited *trial.ErrRateLimited
 	is.True(errors.As(err, &limited))
 	is.Equal(limited.RetryAfter, 500*time.Millisecond)
 	is.NoErr(s.SetFaults(Faults{Outage: true}))
 	_, err = c.Read(ctx, "s", 1, 1, 0)
-	var unavailable *platform.ErrUnavailable
+	var unavailable *trial.ErrUnavailable
 	is.True(errors.As(err, &unavailable))
 	is.Equal(unavailable.Status, http.StatusServiceUnavailable)
 }
@@ -103,11 +103,11 @@
 	now = now.Add(200 * time.Millisecond)
 	res, err := c.Read(ctx, "s", 1, 10, 0)
 	is.NoErr(err)
-	is.Equal(res.First, platform.Offset(2))
+	is.Equal(res.First, trial.Offset(2))
 	is.Equal(res.Records[0].ID, "new")
 	s.Expire("s")
 	res, err = c.Read(ctx, "s", 1, 10, 10_000) // a reader that missed records is told at once
 	is.NoErr(err)
-	is.Equal(res.First, platform.Offset(3))
+	is.Equal(res.First, trial.Offset(3))
 	is.Equal(len(res.Records), 0)
 }
--- a/fake/service/service.go
+++ b/fake/service/service.go
@@ -13,7 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/answer"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // HeaderCheck names a call in the journal, for a checker.
@@ -193,7 +193,7 @@
 	}
 	s.mu.Unlock()
 	if f.Draining {
-		w.Header().Set(platform.HeaderDraining, "true")
+		w.Header().Set(trial.HeaderDraining, "true")
 	}
 	switch {
 	case f.Fail != 0:
--- a/fake/vmlist/list.go
+++ b/fake/vmlist/list.go
@@ -9,8 +9,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 const maxVMBytes = 1 << 16
@@ -18,8 +18,8 @@
 // Options configure the stand-in.
 type Options struct {
 	// LagMs is how far the list lags behind, in milliseconds.
-	LagMs int64         `json:"lag_ms,omitempty"`
-	VMs   []platform.VM `json:"vms,omitempty"`
+	LagMs int64      `json:"lag_ms,omitempty"`
+	VMs   []trial.VM `json:"vms,omitempty"`
 	// Now is the clock; nil means the time of day.
 	Now func() time.Time `json:"-"`
 }
@@ -42,7 +42,7 @@
 // version is the list from a time on.
 type version struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []trial.VM
 }
 
 // List is the stand-in.
@@ -85,7 +85,7 @@
 }
 
 func (l *List) handleAdd(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm trial.VM
 	if err := process.ReadJSON(w, r, &vm, maxVMBytes); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -103,11 +103,11 @@
 		http.Error(w, faults.ErrDown.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	process.WriteJSON(w, http.StatusOK, platform.VMList{VMs: l.visible()})
+	process.WriteJSON(w, http.StatusOK, trial.VMList{VMs: l.visible()})
 }
 
 // visible returns the list as it was a lag ago, and forgets older versions.
-func (l *List) visible() []platform.VM {
+func (l *List) visible() []trial.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lag := time.Duration(l.opts.LagMs) * time.Millisecond
@@ -124,16 +124,16 @@
 }
 
 // edit makes a new version of the list.
-func (l *List) edit(f func([]platform.VM) []platform.VM) {
+func (l *List) edit(f func([]trial.VM) []trial.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.versions[len(l.versions)-1].vms
-	l.versions = append(l.versions, version{since: l.opts.Now(), vms: f(append([]platform.VM(nil), now...))})
+	l.versions = append(l.versions, version{since: l.opts.Now(), vms: f(append([]trial.VM(nil), now...))})
 }
 
 // Put adds vm, or replaces the one of its name.
-func (l *List) Put(vm platform.VM) {
-	l.edit(func(vms []platform.VM) []platform.VM {
+func (l *List) Put(vm trial.VM) {
+	l.edit(func(vms []trial.VM) []trial.VM {
 		for i := range vms {
 			if vms[i].Name == vm.Name {
 				vms[i] = vm
@@ -146,7 +146,7 @@
 
 // Remove takes the named VM off the list.
 func (l *List) Remove(name string) {
-	l.edit(func(vms []platform.VM) []platform.VM {
+	l.edit(func(vms []trial.VM) []trial.VM {
 		kept := vms[:0]
 		for _, vm := range vms {
 			if vm.Name != name {
@@ -160,7 +160,7 @@
 // SetLeaving marks the named VM and tells whether it is listed.
 func (l *List) SetLeaving(name string, leaving bool) bool {
 	found := false
-	l.edit(func(vms []platform.VM) []platform.VM {
+	l.edit(func(vms []trial.VM) []trial.VM {
 		for i := range vms {
 			if vms[i].Name == name {
 				vms[i].Leaving = leaving
--- a/fake/vmlist/list_test.go
+++ b/fake/vmlist/list_test.go
@@ -6,23 +6,23 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
 func TestListLags(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	l := New(Options{LagMs: 1000, VMs: []platform.VM{{Name: "a"}}, Now: func() time.Time { return now }})
+	l := New(Options{LagMs: 1000, VMs: []trial.VM{{Name: "a"}}, Now: func() time.Time { return now }})
 	hs := httptest.NewServer(l.Handler())
 	defer hs.Close()
-	c := platform.NewVMListClient(hs.URL, nil)
-	get := func() []platform.VM {
+	c := trial.NewVMListClient(hs.URL, nil)
+	get := func() []trial.VM {
 		list, err := c.VMs(context.Background())
 		is.NoErr(err)
 		return list.VMs
 	}
-	l.Put(platform.VM{Name: "b"})
+	l.Put(trial.VM{Name: "b"})
 	is.True(l.SetLeaving("a", true))
 	is.True(!l.SetLeaving("c", true))
 	is.Equal(len(get()), 1)
--- a/fake/weightstore/store.go
+++ b/fake/weightstore/store.go
@@ -10,8 +10,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds where the options name none.
@@ -145,7 +145,7 @@
 		http.Error(w, "no version of this model; publish one with PUT /v1/models/MODEL/versions/N", http.StatusNotFound)
 		return
 	}
-	process.WriteJSON(w, http.StatusOK, platform.WeightVersion{Model: model, Version: max(1, v-lag), LoadRate: s.opts.LoadRate})
+	process.WriteJSON(w, http.StatusOK, trial.WeightVersion{Model: model, Version: max(1, v-lag), LoadRate: s.opts.LoadRate})
 }
 
 func (s *Store) handlePublish(w http.ResponseWriter, r *http.Request) {
--- a/fake/weightstore/store_test.go
+++ b/fake/weightstore/store_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -17,7 +17,7 @@
 	s := New(Options{LoadRate: 1, FetchMs: 60_000, Versions: map[string]int64{"m": 1}})
 	hs := httptest.NewServer(s.Handler())
 	defer hs.Close()
-	c := platform.NewStoreClient(hs.URL, &http.Client{Transport: &http.Transport{}})
+	c := trial.NewStoreClient(hs.URL, &http.Client{Transport: &http.Transport{}})
 	ctx, cancel := context.WithCancel(context.Background())
 	first := make(chan error, 1)
 	go func() { first <- c.Fetch(ctx, "m", 1) }()
@@ -25,7 +25,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	err := c.Fetch(context.Background(), "m", 1)
-	var limited *platform.ErrRateLimited
+	var limited *trial.ErrRateLimited
 	is.True(errors.As(err, &limited))
 	is.Equal(limited.RetryAfter, time.Minute)
 	cancel()
@@ -37,10 +37,10 @@
 	s := New(Options{})
 	hs := httptest.NewServer(s.Handler())
 	defer hs.Close()
-	c := platform.NewStoreClient(hs.URL, nil)
+	c := trial.NewStoreClient(hs.URL, nil)
 	ctx := context.Background()
 	_, err := c.Latest(ctx, "m")
-	var refused *platform.ErrRefused
+	var refused *trial.ErrRefused
 	is.True(errors.As(err, &refused)) // nothing published yet
 	is.NoErr(c.Publish(ctx, "m", 3))
 	is.NoErr(c.Publish(ctx, "m", 2))
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -13,8 +13,8 @@
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fake/engine"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -297,5 +297,5 @@
 	got, _ := f.complete(0, "p", 5)
 	is.Equal(got, expected("p", 1, 5))
 	_, revision := f.nodes[0].gate.state.Tables()
-	is.Equal(revision, platform.Offset(1))
+	is.Equal(revision, trial.Offset(1))
 }
--- a/gate/form.go
+++ b/gate/form.go
@@ -7,22 +7,22 @@
 
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/dispatch"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // form shapes answers as one of OpenAI's objects.
 type form interface {
 	whole(id string, a ask, res *dispatch.Result) any
-	chunk(id string, a ask, p dispatch.Piece, first bool, finish *string, usage *platform.Usage) any
+	chunk(id string, a ask, p dispatch.Piece, first bool, finish *string, usage *trial.Usage) any
 }
 
 // head is what all of OpenAI's answer objects begin with.
 type head struct {
-	ID      string          `json:"id"`
-	Object  string          `json:"object"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Usage   *platform.Usage `json:"usage,omitempty"`
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Usage   *trial.Usage `json:"usage,omitempty"`
 	// WeightVersion made the tokens of a chunk; 0 means unreported.
 	WeightVersion int64 `json:"weight_version,omitempty"`
 	// Spans are the versions of a whole answer.
@@ -33,8 +33,8 @@
 	return head{ID: id, Object: object, Created: time.Now().Unix(), Model: a.model}
 }
 
-func usageOf(res *dispatch.Result) *platform.Usage {
-	return &platform.Usage{
+func usageOf(res *dispatch.Result) *trial.Usage {
+	return &trial.Usage{
 		PromptTokens: res.PromptTokens, CompletionTokens: len(res.Tokens), TotalTokens: res.PromptTokens + len(res.Tokens),
 		CachedTokens: res.CachedTokens,
 	}
@@ -62,7 +62,7 @@
 	return textAnswer{head: h, Choices: []textChoice{{Text: res.Text, TokenIDs: res.Tokens, FinishReason: &res.FinishReason}}}
 }
 
-func (textForm) chunk(id string, a ask, p dispatch.Piece, _ bool, finish *string, usage *platform.Usage) any {
+func (textForm) chunk(id string, a ask, p dispatch.Piece, _ bool, finish *string, usage *trial.Usage) any {
 	h := newHead(id, "text_completion", a)
 	h.WeightVersion, h.Usage = p.Version, usage
 	if usage != nil {
@@ -99,7 +99,7 @@
 	return chatAnswer{head: h, Choices: []chatChoice{{Message: &chatReply{Role: "assistant", Content: res.Text}, TokenIDs: res.Tokens, FinishReason: &res.FinishReason}}}
 }
 
-func (chatForm) chunk(id string, a ask, p dispatch.Piece, first bool, finish *string, usage *platform.Usage) any {
+func (chatForm) chunk(id string, a ask, p dispatch.Piece, first bool, finish *string, usage *trial.Usage) any {
 	h := newHead(id, "chat.completion.chunk", a)
 	h.WeightVersion, h.Usage = p.Version, usage
 	if usage != nil {
--- a/gate/gzip_test.go
+++ b/gate/gzip_test.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -52,7 +52,7 @@
 		}
 		w.Header().Set("Content-Encoding", "gzip")
 		z := &gzipWriter{ResponseWriter: w, gz: gzip.NewWriter(w), left: -1, cut: cut}
-		if r.URL.Path == platform.PathCompletions && served.Add(1) <= cuts {
+		if r.URL.Path == trial.PathCompletions && served.Add(1) <= cuts {
 			z.left = 2
 		}
 		h.ServeHTTP(z, r)
--- a/gate/harness_test.go
+++ b/gate/harness_test.go
@@ -17,9 +17,9 @@
 	"github.com/ibistrail/ibistrail/fake/engine"
 	"github.com/ibistrail/ibistrail/fake/faults"
 	"github.com/ibistrail/ibistrail/fake/service"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -100,7 +100,7 @@
 	}
 	r, ok := s.claims[p.Key]
 	if !ok {
-		r = wire.ClaimResult{ClaimID: p.ClaimID, Fingerprint: p.Fingerprint, GateID: p.GateID, GateIncarnation: p.GateIncarnation, Offset: platform.Offset(len(s.claims) + 1)}
+		r = wire.ClaimResult{ClaimID: p.ClaimID, Fingerprint: p.Fingerprint, GateID: p.GateID, GateIncarnation: p.GateIncarnation, Offset: trial.Offset(len(s.claims) + 1)}
 		s.claims[p.Key] = r
 	}
 	if s.loseClaim {
--- a/gate/state.go
+++ b/gate/state.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -22,12 +22,12 @@
 type stateHolder struct {
 	mu       sync.RWMutex
 	tables   *config.Tables
-	revision platform.Offset
+	revision trial.Offset
 	state    wire.State
 }
 
 // Tables returns the tables in force and their revision; nil before the first.
-func (h *stateHolder) Tables() (*config.Tables, platform.Offset) {
+func (h *stateHolder) Tables() (*config.Tables, trial.Offset) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	return h.tables, h.revision
--- a/gate/watch.go
+++ b/gate/watch.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -19,7 +19,7 @@
 	// watchBackoff is the pause after a failed watch.
 	watchBackoff = 250 * time.Millisecond
 	// noRevision asks for any tables.
-	noRevision = platform.Offset(-1)
+	noRevision = trial.Offset(-1)
 )
 
 // watcher follows the state of the VM's steward. While that one is away, what is in force stays,
--- a/gate/watch_test.go
+++ b/gate/watch_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -39,13 +39,13 @@
 		stopOwn := serveSteward(t, own, ownL)
 		serveSteward(t, peer, peerL)
 		peers := []wire.Node{{ID: "dead", StewardAddress: deadL.Addr().String()}, {ID: "p", StewardAddress: peerL.Addr().String()}}
-		at := func(r platform.Offset) func(*wire.State) {
+		at := func(r trial.Offset) func(*wire.State) {
 			return func(st *wire.State) { st.Ready, st.Revision, st.Tables, st.Peers = true, r, tables, peers }
 		}
 		peer.set(at(3)) // behind
 		own.set(at(5))
 		n := f.startGate(0, ownL.Addr().String(), fleetOptions{})
-		revision := func() platform.Offset {
+		revision := func() trial.Offset {
 			_, r := n.gate.state.Tables()
 			return r
 		}
--- a/lease/fuzz_test.go
+++ b/lease/fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // FuzzRecord shows that no record of the stream makes a reader fail or disagree with another.
@@ -17,8 +17,8 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		now := time.Unix(1, 0)
 		a, b := NewTable(), NewTable()
-		for at := range platform.Offset(3) {
-			rec := platform.Record{Offset: at + 1, ID: "r", Data: data}
+		for at := range trial.Offset(3) {
+			rec := trial.Record{Offset: at + 1, ID: "r", Data: data}
 			a.Apply(now, rec)
 			b.Apply(now, rec)
 		}
@@ -28,7 +28,7 @@
 		late := NewTable()
 		late.Missed(2)
 		for next := late.Next(); next < 4; next = late.Next() {
-			late.Apply(now, platform.Record{Offset: next, ID: "r", Data: data})
+			late.Apply(now, trial.Record{Offset: next, ID: "r", Data: data})
 		}
 	})
 }
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Shares and bounds of the tenure.
@@ -49,8 +49,8 @@
 
 // pending is an append that was not read back yet.
 type pending struct {
-	record    platform.NewRecord
-	prev      platform.Offset
+	record    trial.NewRecord
+	prev      trial.Offset
 	firstSent time.Time
 	sent      time.Time
 }
@@ -66,10 +66,10 @@
 func margin(ttl time.Duration) time.Duration { return max(ttl/MarginShare, MinMargin) }
 
 // Next implements logtail.Consumer.
-func (m *Manager) Next() platform.Offset { return m.table.Next() }
+func (m *Manager) Next() trial.Offset { return m.table.Next() }
 
 // Missed implements logtail.Consumer.
-func (m *Manager) Missed(_ time.Time, first platform.Offset) { m.table.Missed(first) }
+func (m *Manager) Missed(_ time.Time, first trial.Offset) { m.table.Missed(first) }
 
 // CaughtUp implements logtail.Consumer.
 func (m *Manager) CaughtUp(at time.Time) {
@@ -85,7 +85,7 @@
 
 // Apply implements logtail.Consumer: a record of this process's own that takes effect lets it act
 // until the TTL has passed since before the record was sent.
-func (m *Manager) Apply(now time.Time, rec platform.Record) {
+func (m *Manager) Apply(now time.Time, rec trial.Record) {
 	key, changed := m.table.Apply(now, rec)
 	if r, err := decode(rec.Data); err == nil && r.Type == TypeSnapshot && now.Sub(m.freshAt) < FreshFor {
 		m.carry.Seen(now, m.retention)
@@ -136,9 +136,9 @@
 func (m *Manager) Leases() []Lease { return m.table.Leases() }
 
 // Step returns the records to append now.
-func (m *Manager) Step(now time.Time, retention time.Duration) []platform.NewRecord {
+func (m *Manager) Step(now time.Time, retention time.Duration) []trial.NewRecord {
 	m.retention = retention
-	var out []platform.NewRecord
+	var out []trial.NewRecord
 	for _, key := range m.keys() {
 		if r := m.stepKey(now, key); r != nil {
 			out = append(out, *r)
@@ -166,7 +166,7 @@
 }
 
 // stepKey acquires, renews or releases one lease.
-func (m *Manager) stepKey(now time.Time, key string) *platform.NewRecord {
+func (m *Manager) stepKey(now time.Time, key string) *trial.NewRecord {
 	l, observed, found := m.table.Get(key)
 	if p := m.pending[key]; p != nil {
 		return m.resend(now, key, p, l.Offset)
@@ -208,8 +208,8 @@
 	return !now.Before(observed.Add(ttl + margin(ttl) + delay))
 }
 
-func (m *Manager) send(now time.Time, key string, prev platform.Offset, release bool) *platform.NewRecord {
-	r := platform.NewRecord{
+func (m *Manager) send(now time.Time, key string, prev trial.Offset, release bool) *trial.NewRecord {
+	r := trial.NewRecord{
 		ID:   m.id(),
 		Data: encode(Record{Type: TypeLease, Key: key, Holder: m.opts.Holder, TTLMs: m.opts.TTL.Milliseconds(), Prev: prev, Release: release}),
 	}
@@ -218,7 +218,7 @@
 }
 
 // resend repeats an append whose record was not read back, unless it has become void.
-func (m *Manager) resend(now time.Time, key string, p *pending, newest platform.Offset) *platform.NewRecord {
+func (m *Manager) resend(now time.Time, key string, p *pending, newest trial.Offset) *trial.NewRecord {
 	if p.prev != newest {
 		delete(m.pending, key)
 		return nil
@@ -232,18 +232,18 @@
 
 // stepStream carries the state forward, or resets a stream whose state was lost: nobody can have
 // renewed a lease for as long as records are kept, and a new one is free after MaxTTL.
-func (m *Manager) stepStream(now time.Time, retention time.Duration) *platform.NewRecord {
+func (m *Manager) stepStream(now time.Time, retention time.Duration) *trial.NewRecord {
 	if m.table.Ready() {
 		if len(m.table.entries) == 0 || !m.carry.Due(now, retention) {
 			return nil
 		}
-		return &platform.NewRecord{ID: m.id(), Data: encode(m.table.snapshot())}
+		return &trial.NewRecord{ID: m.id(), Data: encode(m.table.snapshot())}
 	}
 	if m.emptyAt.IsZero() || now.Sub(m.freshAt) > FreshFor || now.Sub(m.emptyAt) < m.opts.TTL {
 		return nil
 	}
 	m.emptyAt = now
-	return &platform.NewRecord{ID: m.id(), Data: encode(Record{Type: TypeReset})}
+	return &trial.NewRecord{ID: m.id(), Data: encode(Record{Type: TypeReset})}
 }
 
 func (m *Manager) id() string {
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -19,9 +19,9 @@
 // world is a log and the processes that contend for one lease on it.
 type world struct {
 	now       time.Time
-	log       []platform.Record // all that was ever appended
-	first     platform.Offset   // the oldest retained
-	inFlight  []platform.NewRecord
+	log       []trial.Record // all that was ever appended
+	first     trial.Offset   // the oldest retained
+	inFlight  []trial.NewRecord
 	procs     []*proc
 	retention time.Duration
 	tokens    map[string]int64 // by holder, the newest fencing token it was allowed
@@ -50,8 +50,8 @@
 	return p
 }
 
-func (w *world) append(r platform.NewRecord) {
-	w.log = append(w.log, platform.Record{Offset: platform.Offset(len(w.log) + 1), ID: r.ID, Data: r.Data})
+func (w *world) append(r trial.NewRecord) {
+	w.log = append(w.log, trial.Record{Offset: trial.Offset(len(w.log) + 1), ID: r.ID, Data: r.Data})
 	w.read(w.reader, len(w.log))
 }
 
@@ -76,7 +76,7 @@
 	return false
 }
 
-func (p *proc) step(w *world) []platform.NewRecord {
+func (p *proc) step(w *world) []trial.NewRecord {
 	if p.paused {
 		return nil
 	}
@@ -192,7 +192,7 @@
 				w.procs[i], w.procs = p, w.procs[:len(w.procs)-1]
 			},
 			"retention passes": func(t *rapid.T) {
-				w.first = platform.Offset(rapid.IntRange(int(w.first), max(int(w.first), len(w.log))).Draw(t, "first"))
+				w.first = trial.Offset(rapid.IntRange(int(w.first), max(int(w.first), len(w.log))).Draw(t, "first"))
 			},
 			"": func(t *rapid.T) {
 				w.check(t)
@@ -290,7 +290,7 @@
 	token, ok := p.May(w.now, testKey, false)
 	is.True(ok)
 	is.Equal(token, int64(1))
-	is.Equal(p.Leases()[0].Offset, platform.Offset(1)) // the second copy was void
+	is.Equal(p.Leases()[0].Offset, trial.Offset(1)) // the second copy was void
 	w.now = time.Unix(1000, 0).Add(testTTL - margin(testTTL))
 	_, ok = p.May(w.now, testKey, false)
 	is.True(!ok) // others count from the first copy
@@ -350,7 +350,7 @@
 	is := is.New(t)
 	w := newWorld(1)
 	w.turn()
-	w.first = platform.Offset(len(w.log) + 1) // all is gone, and no snapshot
+	w.first = trial.Offset(len(w.log) + 1) // all is gone, and no snapshot
 	w.procs[0].paused = true
 	late := w.add("late/1")
 	for w.now.Before(time.Unix(1000, 0).Add(MaxTTL)) {
--- a/lease/record.go
+++ b/lease/record.go
@@ -9,7 +9,7 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Shards is the number of streams that hold the leases of an availability zone: a node reads only
@@ -52,12 +52,12 @@
 	Holder string `json:"holder,omitempty"`
 	TTLMs  int64  `json:"ttl_ms,omitempty"`
 	// Prev is the offset of the record that this one replaces; 0 means that there was none.
-	Prev platform.Offset `json:"prev,omitempty"`
+	Prev trial.Offset `json:"prev,omitempty"`
 	// Release gives the lease up.
 	Release bool `json:"release,omitempty"`
 	// Through is the offset up to which Leases holds (TypeSnapshot).
-	Through platform.Offset `json:"through,omitempty"`
-	Leases  []Lease         `json:"leases,omitempty"`
+	Through trial.Offset `json:"through,omitempty"`
+	Leases  []Lease      `json:"leases,omitempty"`
 }
 
 // Lease is the decided state of one key.
@@ -66,10 +66,10 @@
 	Holder string `json:"holder"`
 	TTLMs  int64  `json:"ttl_ms"`
 	// Offset is that of the newest record that took effect.
-	Offset platform.Offset `json:"offset"`
+	Offset trial.Offset `json:"offset"`
 	// Token is the offset of the record with which the holder's tenure began: its FencingToken.
-	Token    platform.Offset `json:"token"`
-	Released bool            `json:"released,omitempty"`
+	Token    trial.Offset `json:"token"`
+	Released bool         `json:"released,omitempty"`
 }
 
 // TTL returns how long the holder may act after it sent the newest record.
--- a/lease/table.go
+++ b/lease/table.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of a Table.
@@ -26,8 +26,8 @@
 // not safe for concurrent use.
 type Table struct {
 	entries map[string]*entry
-	next    platform.Offset
-	first   platform.Offset
+	next    trial.Offset
+	first   trial.Offset
 	ready   bool // the state before next is known
 	resetAt time.Time
 	invalid int64
@@ -37,13 +37,13 @@
 func NewTable() *Table { return &Table{entries: map[string]*entry{}, next: 1, first: 1} }
 
 // Next returns the offset to read next; after a snapshot it may be lower than before.
-func (t *Table) Next() platform.Offset { return t.next }
+func (t *Table) Next() trial.Offset { return t.next }
 
 // Ready tells whether the state is known: the stream was read from its start or from a snapshot.
 func (t *Table) Ready() bool { return t.ready }
 
 // Missed tells the oldest retained offset.
-func (t *Table) Missed(first platform.Offset) {
+func (t *Table) Missed(first trial.Offset) {
 	t.first = max(t.first, first)
 	if first <= t.next {
 		t.ready = t.ready || t.next == 1
@@ -53,7 +53,7 @@
 }
 
 // Apply takes the record at Next and tells which key it changed, if any.
-func (t *Table) Apply(now time.Time, rec platform.Record) (key string, changed bool) {
+func (t *Table) Apply(now time.Time, rec trial.Record) (key string, changed bool) {
 	if rec.Offset < t.next {
 		return "", false
 	}
@@ -81,7 +81,7 @@
 }
 
 // decide applies a lease record if it replaces the newest one.
-func (t *Table) decide(now time.Time, at platform.Offset, r *Record) bool {
+func (t *Table) decide(now time.Time, at trial.Offset, r *Record) bool {
 	ttl := time.Duration(r.TTLMs) * time.Millisecond
 	if r.Key == "" || r.Holder == "" || ttl <= 0 || ttl > MaxTTL {
 		t.invalid++
@@ -107,7 +107,7 @@
 }
 
 // adopt takes a snapshot where the records before were missed, and reads on behind it.
-func (t *Table) adopt(now time.Time, at platform.Offset, r *Record) {
+func (t *Table) adopt(now time.Time, at trial.Offset, r *Record) {
 	if t.ready || r.Through >= at || r.Through+1 < t.first {
 		return
 	}
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -32,5 +32,5 @@
 	l, held := w.reader.Holder(testKey)
 	is.True(held)
 	is.Equal(l.Holder, a.name)
-	is.Equal(l.Offset, platform.Offset(1))
+	is.Equal(l.Offset, trial.Offset(1))
 }
--- a/load/capacity/cluster.go
+++ b/load/capacity/cluster.go
@@ -20,11 +20,11 @@
 	"github.com/ibistrail/ibistrail/fake/vmlist"
 	"github.com/ibistrail/ibistrail/fake/weightstore"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
 	"github.com/ibistrail/ibistrail/steward"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -64,7 +64,7 @@
 	stop    func()
 
 	mu       sync.Mutex
-	revision platform.Offset
+	revision trial.Offset
 	versions map[string]int64
 	readyAt  time.Time
 	started  time.Time
@@ -138,7 +138,7 @@
 		set.Seeds = []string{known[0].set.StewardAddress, known[c.seq%len(known)].set.StewardAddress}
 	}
 	c.seq++
-	c.vms.Put(platform.VM{Name: set.ID, Address: set.StewardAddress, AvailabilityZone: az, Role: platform.VMRoleEntry})
+	c.vms.Put(trial.VM{Name: set.ID, Address: set.StewardAddress, AvailabilityZone: az, Role: trial.VMRoleEntry})
 	return c.run(set, l)
 }
 
@@ -214,7 +214,7 @@
 	}
 }
 
-func (n *node) inForce() platform.Offset {
+func (n *node) inForce() trial.Offset {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.revision
@@ -227,7 +227,7 @@
 }
 
 // apply publishes a change through n and returns its offset.
-func (c *cluster) apply(n *node, change config.Change) (platform.Offset, error) {
+func (c *cluster) apply(n *node, change config.Change) (trial.Offset, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var res wire.ApplyResult
--- a/load/capacity/engines.go
+++ b/load/capacity/engines.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 const (
@@ -23,15 +23,15 @@
 type engines struct {
 	server    *http.Server
 	mu        sync.Mutex
-	status    map[string]*platform.EngineStatus // by address
+	status    map[string]*trial.EngineStatus // by address
 	addresses []string
 }
 
 func newEngines() *engines {
-	e := &engines{status: map[string]*platform.EngineStatus{}}
+	e := &engines{status: map[string]*trial.EngineStatus{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathStatus, e.handleStatus)
-	mux.HandleFunc("POST "+platform.PathOrders, e.handleOrder)
+	mux.HandleFunc("GET "+trial.PathStatus, e.handleStatus)
+	mux.HandleFunc("POST "+trial.PathOrders, e.handleOrder)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout}
 	return e
 }
@@ -47,7 +47,7 @@
 		}
 		a := l.Addr().String()
 		e.mu.Lock()
-		e.status[a] = &platform.EngineStatus{Boot: "1", Model: modelOf(len(e.addresses) / enginesPerPool), Version: 1}
+		e.status[a] = &trial.EngineStatus{Boot: "1", Model: modelOf(len(e.addresses) / enginesPerPool), Version: 1}
 		e.mu.Unlock()
 		e.addresses = append(e.addresses, a)
 		go func() { _ = e.server.Serve(l) }() // ends with close
@@ -63,7 +63,7 @@
 }
 
 func (e *engines) handleOrder(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o trial.Order
 	if err := process.ReadJSON(w, r, &o, 1<<20); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -72,7 +72,7 @@
 	e.mu.Lock()
 	s := e.status[r.Host]
 	s.Version, s.FencingToken = o.Version, o.FencingToken
-	res := platform.OrderResponse{Status: *s}
+	res := trial.OrderResponse{Status: *s}
 	e.mu.Unlock()
 	process.WriteJSON(w, http.StatusOK, res)
 }
--- a/load/capacity/phases_small.go
+++ b/load/capacity/phases_small.go
@@ -10,7 +10,7 @@
 	"github.com/ibistrail/ibistrail/fake/logservice"
 	"github.com/ibistrail/ibistrail/fake/vmlist"
 	"github.com/ibistrail/ibistrail/fake/weightstore"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // ordersLimit bounds the wait for new weights on all engines of a model.
@@ -111,7 +111,7 @@
 	const count = claims.MaxKeys / 4
 	before := heap()
 	table := claims.NewTable()
-	offset := platform.Offset(1)
+	offset := trial.Offset(1)
 	for i := 0; i < count; i += claims.MaxPerRecord {
 		table.Apply(claimRecord(offset, i))
 		offset++
@@ -121,7 +121,7 @@
 }
 
 // claimRecord is a full record of claims with keys from first on.
-func claimRecord(offset platform.Offset, first int) platform.Record {
+func claimRecord(offset trial.Offset, first int) trial.Record {
 	list := make([]claims.Claim, claims.MaxPerRecord)
 	for k := range list {
 		list[k] = claims.Claim{
@@ -130,5 +130,5 @@
 		}
 	}
 	rec := claims.NewRecord(uuid.NewString(), 1, list)
-	return platform.Record{Offset: offset, ID: rec.ID, Data: rec.Data}
+	return trial.Record{Offset: offset, ID: rec.ID, Data: rec.Data}
 }
--- a/logtail/buffer.go
+++ b/logtail/buffer.go
@@ -1,6 +1,6 @@
 package logtail
 
-import "github.com/ibistrail/ibistrail/platform"
+import "github.com/ibistrail/ibistrail/trial"
 
 // Bounds of the records kept for peers.
 const (
@@ -14,12 +14,12 @@
 
 // buffer keeps the newest records of a stream without a gap, for peers to read.
 type buffer struct {
-	records []platform.Record
+	records []trial.Record
 	bytes   int
 }
 
 // add appends a record; a gap before it discards what was kept, an old record is ignored.
-func (b *buffer) add(r platform.Record) {
+func (b *buffer) add(r trial.Record) {
 	if n := len(b.records); n > 0 {
 		last := b.records[n-1].Offset
 		if r.Offset <= last {
@@ -38,7 +38,7 @@
 }
 
 // from returns records at and after offset; ok is false if the buffer does not reach back so far.
-func (b *buffer) from(offset platform.Offset, limit int) (records []platform.Record, ok bool) {
+func (b *buffer) from(offset trial.Offset, limit int) (records []trial.Record, ok bool) {
 	if len(b.records) == 0 || offset < b.records[0].Offset {
 		return nil, false
 	}
--- a/logtail/planner_test.go
+++ b/logtail/planner_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -122,17 +122,17 @@
 func TestBufferServesWithoutGaps(t *testing.T) {
 	is := is.New(t)
 	var b buffer
-	for i := range platform.Offset(5) {
-		b.add(platform.Record{Offset: 10 + i})
+	for i := range trial.Offset(5) {
+		b.add(trial.Record{Offset: 10 + i})
 	}
-	b.add(platform.Record{Offset: 12}) // read again after a snapshot
+	b.add(trial.Record{Offset: 12}) // read again after a snapshot
 	got, ok := b.from(12, 2)
 	is.True(ok && len(got) == 2 && got[0].Offset == 12)
 	_, ok = b.from(9, 2)
 	is.True(!ok)
 	got, ok = b.from(15, 2)
 	is.True(ok && len(got) == 0)
-	b.add(platform.Record{Offset: 20})
+	b.add(trial.Record{Offset: 20})
 	_, ok = b.from(14, 2)
 	is.True(!ok) // what came before the gap is gone
 }
@@ -140,8 +140,8 @@
 func TestBufferIsBounded(t *testing.T) {
 	is := is.New(t)
 	var b buffer
-	for i := range platform.Offset(MaxBufferedRecords + 100) {
-		b.add(platform.Record{Offset: i + 1, Data: make([]byte, 4096)})
+	for i := range trial.Offset(MaxBufferedRecords + 100) {
+		b.add(trial.Record{Offset: i + 1, Data: make([]byte, 4096)})
 	}
 	is.True(len(b.records) <= MaxBufferedRecords && b.bytes <= MaxBufferedBytes)
 }
--- a/logtail/tail.go
+++ b/logtail/tail.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -39,11 +39,11 @@
 // Consumer applies the records of a stream. It is called by one goroutine at a time.
 type Consumer interface {
 	// Next returns the offset to read next.
-	Next() platform.Offset
+	Next() trial.Offset
 	// Apply takes one record.
-	Apply(now time.Time, r platform.Record)
+	Apply(now time.Time, r trial.Record)
 	// Missed tells that the records before first are gone.
-	Missed(now time.Time, first platform.Offset)
+	Missed(now time.Time, first trial.Offset)
 	// CaughtUp tells that the consumer had applied all records that existed at a time.
 	CaughtUp(at time.Time)
 }
@@ -62,7 +62,7 @@
 	Self     wire.Node
 	Strategy Strategy
 	Seed     uint64
-	Log      platform.Log
+	Log      trial.Log
 	Consumer Consumer
 	// Live returns the live stewards.
 	Live func() []wire.Node
@@ -80,8 +80,8 @@
 
 	mu        sync.Mutex
 	buf       buffer
-	next      platform.Offset // end of the log as last heard
-	first     platform.Offset
+	next      trial.Offset // end of the log as last heard
+	first     trial.Offset
 	retention time.Duration
 	freshAt   time.Time // when next was the end of the log
 	changed   chan struct{}
@@ -274,13 +274,13 @@
 
 // Status is a tail's part of the state dump.
 type Status struct {
-	Stream    string          `json:"stream"`
-	Source    Source          `json:"source"`
-	Next      platform.Offset `json:"next"`
-	First     platform.Offset `json:"first"`
-	AgeMs     int64           `json:"age_ms"`
-	LastError string          `json:"last_error,omitempty"`
-	Buffered  int             `json:"buffered"`
+	Stream    string       `json:"stream"`
+	Source    Source       `json:"source"`
+	Next      trial.Offset `json:"next"`
+	First     trial.Offset `json:"first"`
+	AgeMs     int64        `json:"age_ms"`
+	LastError string       `json:"last_error,omitempty"`
+	Buffered  int          `json:"buffered"`
 }
 
 // Status returns what the tail reads and from whom; AgeMs is -1 if it never caught up.
--- a/logtail/tail_test.go
+++ b/logtail/tail_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -17,23 +17,23 @@
 // stream is a log with one stream.
 type stream struct {
 	mu      sync.Mutex
-	records []platform.Record
-	first   platform.Offset
+	records []trial.Record
+	first   trial.Offset
 }
 
-func (s *stream) Append(_ context.Context, _ string, rs []platform.NewRecord) (platform.Offset, error) {
+func (s *stream) Append(_ context.Context, _ string, rs []trial.NewRecord) (trial.Offset, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rs {
-		s.records = append(s.records, platform.Record{Offset: platform.Offset(len(s.records) + 1), ID: r.ID, Data: r.Data})
+		s.records = append(s.records, trial.Record{Offset: trial.Offset(len(s.records) + 1), ID: r.ID, Data: r.Data})
 	}
-	return platform.Offset(len(s.records)), nil
+	return trial.Offset(len(s.records)), nil
 }
 
-func (s *stream) Read(_ context.Context, _ string, from platform.Offset, limit int, _ int64) (*platform.ReadResponse, error) {
+func (s *stream) Read(_ context.Context, _ string, from trial.Offset, limit int, _ int64) (*trial.ReadResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	res := &platform.ReadResponse{First: max(s.first, 1), Next: platform.Offset(len(s.records) + 1)}
+	res := &trial.ReadResponse{First: max(s.first, 1), Next: trial.Offset(len(s.records) + 1)}
 	for i := max(from, res.First); i < res.Next && len(res.Records) < limit; i++ {
 		res.Records = append(res.Records, s.records[i-1])
 	}
@@ -42,17 +42,17 @@
 
 // consumer notes what it is told.
 type consumer struct {
-	next   platform.Offset
-	missed []platform.Offset
+	next   trial.Offset
+	missed []trial.Offset
 }
 
-func (c *consumer) Next() platform.Offset { return c.next }
-func (c *consumer) Apply(_ time.Time, r platform.Record) {
+func (c *consumer) Next() trial.Offset { return c.next }
+func (c *consumer) Apply(_ time.Time, r trial.Record) {
 	if r.Offset == c.next {
 		c.next++
 	}
 }
-func (c *consumer) Missed(_ time.Time, first platform.Offset) {
+func (c *consumer) Missed(_ time.Time, first trial.Offset) {
 	c.missed = append(c.missed, first)
 	c.next = max(c.next, first)
 }
@@ -84,7 +84,7 @@
 	is.True(read(t, leaf, SourceRelay) != nil) // the relay knows nothing itself
 	is.NoErr(read(t, root, SourceLog))
 	is.NoErr(read(t, leaf, SourceRelay))
-	is.Equal(at.missed, []platform.Offset{1})
+	is.Equal(at.missed, []trial.Offset{1})
 }
 
 func TestRecordsPassThroughTheRelay(t *testing.T) {
@@ -92,11 +92,11 @@
 	s := &stream{}
 	root, leaf, at := tails(s)
 	is.NoErr(read(t, root, SourceLog))
-	_, err := s.Append(t.Context(), "s", []platform.NewRecord{{ID: "1", Data: json.RawMessage("1")}, {ID: "2", Data: json.RawMessage("2")}})
+	_, err := s.Append(t.Context(), "s", []trial.NewRecord{{ID: "1", Data: json.RawMessage("1")}, {ID: "2", Data: json.RawMessage("2")}})
 	is.NoErr(err)
 	is.NoErr(read(t, root, SourceLog))
 	is.NoErr(read(t, leaf, SourceRelay))
-	is.Equal(at.next, platform.Offset(3))
+	is.Equal(at.next, trial.Offset(3))
 	age, ok := leaf.Age(time.Now())
 	is.True(ok && age < MaxAge)
 }
@@ -104,14 +104,14 @@
 func TestRelayThatDoesNotReachBackSaysSo(t *testing.T) {
 	is := is.New(t)
 	s := &stream{first: 3}
-	_, err := s.Append(t.Context(), "s", []platform.NewRecord{{ID: "1"}, {ID: "2"}, {ID: "3"}})
+	_, err := s.Append(t.Context(), "s", []trial.NewRecord{{ID: "1"}, {ID: "2"}, {ID: "3"}})
 	is.NoErr(err)
 	root, leaf, at := tails(s)
 	is.NoErr(read(t, root, SourceLog))
 	is.True(read(t, leaf, SourceRelay) != nil)
 	is.NoErr(read(t, leaf, SourceLog)) // the log itself tells what is gone
-	is.Equal(at.next, platform.Offset(4))
-	is.Equal(at.missed, []platform.Offset{3})
+	is.Equal(at.next, trial.Offset(4))
+	is.Equal(at.missed, []trial.Offset{3})
 }
 
 // asking is a consumer that asks its tail for the retention, as those of the steward do under their locks.
@@ -120,7 +120,7 @@
 	tail *Tail
 }
 
-func (a *asking) Next() platform.Offset {
+func (a *asking) Next() trial.Offset {
 	a.tail.Retention()
 	return a.next
 }
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -14,15 +14,15 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/dispatch"
 	"github.com/ibistrail/ibistrail/explain"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
 // Directory tells what the gate knows of the rest of the system.
 type Directory interface {
 	// Tables returns the tables in force and their revision; nil before the first.
-	Tables() (*config.Tables, platform.Offset)
+	Tables() (*config.Tables, trial.Offset)
 	// Version returns the newest known weight version of model; 0 if unknown.
 	Version(model string) int64
 	// Peers returns the live gates of other VMs.
--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -12,7 +12,7 @@
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/dispatch"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/jsonrpc2"
@@ -81,7 +81,7 @@
 	return &dispatch.ServiceAnswer{Status: http.StatusOK, Body: fmt.Appendf(nil, `{"score":%d}`, req.Slot)}, nil
 }
 
-func (w *fakeWorld) Tables() (*config.Tables, platform.Offset) {
+func (w *fakeWorld) Tables() (*config.Tables, trial.Offset) {
 	return &config.Tables{
 		Routes: []config.Route{*testRoute(), {Name: "judge", Kind: config.RouteHTTP, PathPrefix: "/judge/"}},
 		Pools:  []config.Pool{{Name: "engines", Model: "m", Targets: []config.Target{{Name: "e1"}}}},
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -2,13 +2,13 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of prefix memory.
 const (
 	// PrefixBlockBytes is the granularity of prefixes, in bytes of the prompt: that of cache events.
-	PrefixBlockBytes = platform.PrefixBytes
+	PrefixBlockBytes = trial.PrefixBytes
 	// maxPrefixBlocks bounds the prefixes of one prompt.
 	maxPrefixBlocks = 16
 	// maxPrefixes bounds the prefixes that are remembered for one target.
@@ -19,7 +19,7 @@
 // prompt below one block has one prefix, itself.
 func Prefixes(prompt string) []uint64 {
 	if len(prompt) < PrefixBlockBytes {
-		return []uint64{platform.PrefixHash(prompt)}
+		return []uint64{trial.PrefixHash(prompt)}
 	}
 	n := min(len(prompt)/PrefixBlockBytes, maxPrefixBlocks)
 	out := make([]uint64, 0, n)
@@ -81,7 +81,7 @@
 }
 
 // take reads cache events. A gap discards the hints, a new incarnation all that is remembered.
-func (p *prefixIndex) take(ev *platform.CacheEvents) {
+func (p *prefixIndex) take(ev *trial.CacheEvents) {
 	if p.boot != ev.Boot {
 		if p.boot != "" {
 			p.clear()
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 )
 
@@ -37,8 +37,8 @@
 func TestOwnCountsCorrectTheLaggingReport(t *testing.T) {
 	is := is.New(t)
 	tb := newTable(PolicyDefault, 2)
-	tb.Report(start, "t0", platform.Load{Running: 4, BatchLimit: 16})
-	tb.Report(start, "t1", platform.Load{Running: 2, BatchLimit: 16})
+	tb.Report(start, "t0", trial.Load{Running: 4, BatchLimit: 16})
+	tb.Report(start, "t1", trial.Load{Running: 2, BatchLimit: 16})
 	q := Query{}
 	got := map[string]int{}
 	for range 8 { // without own counts all would go to t1
@@ -49,7 +49,7 @@
 	}
 	is.Equal(got, map[string]int{"t0": 3, "t1": 5})
 	later := start.Add(100 * time.Millisecond)
-	tb.Report(later, "t1", platform.Load{Running: 7, BatchLimit: 16, AgeMs: 50})
+	tb.Report(later, "t1", trial.Load{Running: 7, BatchLimit: 16, AgeMs: 50})
 	is.Equal(tb.byAddr["t1"].load(later), 7) // 5 of the 7 are the own ones
 }
 
@@ -58,7 +58,7 @@
 	tb := newTable(PolicyDefault, 4, "a", "b")
 	q := Query{}
 	for i := range 4 {
-		tb.Report(start, address(i), platform.Load{BatchLimit: 2})
+		tb.Report(start, address(i), trial.Load{BatchLimit: 2})
 	}
 	zone := func(a string) string { return tb.byAddr[a].AvailabilityZone }
 	for i := range 12 {
@@ -76,7 +76,7 @@
 func TestHigherClassPassesLowerOnesAtTheTarget(t *testing.T) {
 	is := is.New(t)
 	tb := newTable(PolicyDefault, 1)
-	tb.Report(start, "t0", platform.Load{BatchLimit: 2})
+	tb.Report(start, "t0", trial.Load{BatchLimit: 2})
 	low, high := Query{Class: 3}, Query{Class: 0}
 	pick := func(q Query) bool {
 		a, ok := tb.Pick(start, q)
@@ -123,7 +123,7 @@
 	is := is.New(t)
 	tb := newTable(PolicyDefault, 4)
 	for i := range 4 {
-		tb.Report(start, address(i), platform.Load{BatchLimit: 16})
+		tb.Report(start, address(i), trial.Load{BatchLimit: 16})
 	}
 	q := Query{Prefixes: Prefixes(strings.Repeat("x", 1024))}
 	at, _ := tb.Pick(start, q)
@@ -142,20 +142,20 @@
 func TestCacheEventsAreHints(t *testing.T) {
 	is := is.New(t)
 	tb := newTable(PolicyDefault, 2)
-	prompt := strings.Repeat("y", platform.PrefixBytes)
-	h := platform.PrefixHash(prompt)
+	prompt := strings.Repeat("y", trial.PrefixBytes)
+	h := trial.PrefixHash(prompt)
 	q := Prefixes(prompt)
 	x := tb.byAddr["t0"]
-	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 1, Events: []platform.CacheEvent{{Seq: 1, PrefixHash: h}}})
+	tb.CacheEvents("t0", &trial.CacheEvents{Boot: "b", Next: 1, Events: []trial.CacheEvent{{Seq: 1, PrefixHash: h}}})
 	is.Equal(x.prefixes.depth(q), 1)
-	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 3, Events: []platform.CacheEvent{{Seq: 3, PrefixHash: 5}}})
+	tb.CacheEvents("t0", &trial.CacheEvents{Boot: "b", Next: 3, Events: []trial.CacheEvent{{Seq: 3, PrefixHash: 5}}})
 	is.Equal(x.prefixes.depth(q), 0) // the gap may have been its eviction
 	tb.Start(start, "t0", Query{Prefixes: q})
 	is.Equal(x.prefixes.depth(q), 1)
-	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "b", Next: 4, Events: []platform.CacheEvent{{Seq: 4, PrefixHash: h, Evicted: true}}})
+	tb.CacheEvents("t0", &trial.CacheEvents{Boot: "b", Next: 4, Events: []trial.CacheEvent{{Seq: 4, PrefixHash: h, Evicted: true}}})
 	is.Equal(x.prefixes.depth(q), 0)
 	tb.Start(start, "t0", Query{Prefixes: q})
-	tb.CacheEvents("t0", &platform.CacheEvents{Boot: "c", Next: 0})
+	tb.CacheEvents("t0", &trial.CacheEvents{Boot: "c", Next: 0})
 	is.Equal(x.prefixes.depth(q), 0) // a restart empties the cache
 }
 
@@ -192,7 +192,7 @@
 	now := start.Add(time.Minute)
 	tb.Update(now, testPool(4), nil)
 	for i := range 4 {
-		tb.Report(now, address(i), platform.Load{BatchLimit: 16})
+		tb.Report(now, address(i), trial.Load{BatchLimit: 16})
 	}
 	is.True(tb.byAddr["t3"].capacity(now) < tb.byAddr["t0"].capacity(now)/2)
 	is.Equal(tb.byAddr["t3"].capacity(now.Add(RampUp)), tb.byAddr["t0"].capacity(now))
--- a/routing/table.go
+++ b/routing/table.go
@@ -11,7 +11,7 @@
 
 	"github.com/ibistrail/ibistrail/admission"
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Policies of a Table.
@@ -206,7 +206,7 @@
 }
 
 // Report takes a load report that is age old.
-func (t *Table) Report(now time.Time, address string, load platform.Load) {
+func (t *Table) Report(now time.Time, address string, load trial.Load) {
 	x := t.byAddr[address]
 	if x == nil {
 		return
@@ -225,7 +225,7 @@
 }
 
 // CacheEvents takes a target's cache events as hints.
-func (t *Table) CacheEvents(address string, ev *platform.CacheEvents) {
+func (t *Table) CacheEvents(address string, ev *trial.CacheEvents) {
 	x := t.byAddr[address]
 	if x == nil {
 		return
--- a/scenario/condition_test.go
+++ b/scenario/condition_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/engine"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // cmdExpect compares fields of a result, a trainer or a load: expect NAME FIELD=VALUE…; a value is a
@@ -244,7 +244,7 @@
 		if err != nil {
 			return err
 		}
-		st, err := platform.NewEngineClient(c.http).Status(c.ctx, c.engineAddress(target))
+		st, err := trial.NewEngineClient(c.http).Status(c.ctx, c.engineAddress(target))
 		if err != nil {
 			return err
 		}
--- a/scenario/standin_test.go
+++ b/scenario/standin_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/ibistrail/ibistrail/fake/engine"
 	"github.com/ibistrail/ibistrail/fake/service"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // admin returns the base URL of a stand-in's switches: log, store, vms, engine1, service1 or a target's name.
@@ -96,14 +96,14 @@
 // cmdOrder gives engines a weight order as a former holder of a lease would: order ENGINE… version=N
 // [mode=MODE] [token=N].
 func (c *cluster) cmdOrder(w words) error {
-	o := platform.Order{ID: "scenario", Kind: platform.OrderLoadVersion, Version: w.int("version", 1), FencingToken: w.int("token", 0), Mode: platform.SwapMode(w.get("mode", string(platform.SwapNow)))}
+	o := trial.Order{ID: "scenario", Kind: trial.OrderLoadVersion, Version: w.int("version", 1), FencingToken: w.int("token", 0), Mode: trial.SwapMode(w.get("mode", string(trial.SwapNow)))}
 	for _, n := range w.bares() {
 		for _, name := range c.targets(n) {
 			target, err := c.target(name)
 			if err != nil {
 				return err
 			}
-			if _, err := platform.NewEngineClient(c.http).Order(c.ctx, c.engineAddress(target), o); err != nil {
+			if _, err := trial.NewEngineClient(c.http).Order(c.ctx, c.engineAddress(target), o); err != nil {
 				return err
 			}
 		}
@@ -123,7 +123,7 @@
 
 // cmdAppend appends a record to a stream: append STREAM ID JSON.
 func (c *cluster) cmdAppend(w words) error {
-	_, err := platform.NewLogClient(c.plan.Endpoints.Log, c.http).Append(c.ctx, w[0], []platform.NewRecord{{ID: w[1], Data: json.RawMessage(w[2])}})
+	_, err := trial.NewLogClient(c.plan.Endpoints.Log, c.http).Append(c.ctx, w[0], []trial.NewRecord{{ID: w[1], Data: json.RawMessage(w[2])}})
 	return err
 }
 
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	if err := platform.NewStoreClient(c.plan.Endpoints.Store, c.http).Publish(c.ctx, w.bare(0), v); err != nil {
+	if err := trial.NewStoreClient(c.plan.Endpoints.Store, c.http).Publish(c.ctx, w.bare(0), v); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/steward/claims.go
+++ b/steward/claims.go
@@ -10,8 +10,8 @@
 
 	"github.com/ibistrail/ibistrail/claims"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -75,14 +75,14 @@
 }
 
 // Next implements logtail.Consumer.
-func (c *claimsDuty) Next() platform.Offset {
+func (c *claimsDuty) Next() trial.Offset {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.relay.Next()
 }
 
 // Missed implements logtail.Consumer.
-func (c *claimsDuty) Missed(_ time.Time, first platform.Offset) {
+func (c *claimsDuty) Missed(_ time.Time, first trial.Offset) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.relay.Missed(first)
@@ -96,7 +96,7 @@
 }
 
 // Apply implements logtail.Consumer: decisions reach the calls that wait for them.
-func (c *claimsDuty) Apply(now time.Time, r platform.Record) {
+func (c *claimsDuty) Apply(now time.Time, r trial.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, d := range c.relay.Apply(now, r, c.tail.Retention()) {
@@ -214,7 +214,7 @@
 	c.tail = c.s.tails.add(claims.Stream, c, c.followers, claimRelayWait)
 }
 
-func (c *claimsDuty) append(ctx context.Context, records []platform.NewRecord) {
+func (c *claimsDuty) append(ctx context.Context, records []trial.NewRecord) {
 	actx, cancel := context.WithTimeout(ctx, claimAppendTimeout)
 	defer cancel()
 	_, err := c.s.log.Append(actx, claims.Stream, records)
--- a/steward/cluster_test.go
+++ b/steward/cluster_test.go
@@ -17,10 +17,10 @@
 	"github.com/ibistrail/ibistrail/fake/logservice"
 	"github.com/ibistrail/ibistrail/fake/vmlist"
 	"github.com/ibistrail/ibistrail/fake/weightstore"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -80,7 +80,7 @@
 		DebugAddress: l.Debug.Addr().String(), LogURL: c.urls.log, StoreURL: c.urls.store, VMListURL: c.urls.vms,
 		Seeds: seeds, OperatorTokenSHA256: hex.EncodeToString(sum[:]), LeaseTTLMs: 2000,
 	}
-	c.vms.Put(platform.VM{Name: id, Address: set.StewardAddress, AvailabilityZone: az, Role: platform.VMRoleEntry})
+	c.vms.Put(trial.VM{Name: id, Address: set.StewardAddress, AvailabilityZone: az, Role: trial.VMRoleEntry})
 	n := c.run(set, l)
 	c.nodes[id] = n
 	return n
--- a/steward/failure_test.go
+++ b/steward/failure_test.go
@@ -9,8 +9,8 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fake/engine"
 	"github.com/ibistrail/ibistrail/fake/logservice"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"github.com/matryer/is"
 )
@@ -253,7 +253,7 @@
 	if _, err := a.report(t.Context(), wire.ReportParams{Leaving: []string{"127.0.0.1:77"}}); err != nil {
 		t.Fatal(err)
 	}
-	c.vms.Put(platform.VM{Name: "t", Address: "127.0.0.1:9", AvailabilityZone: "a", Role: platform.VMRoleTarget, Leaving: true})
+	c.vms.Put(trial.VM{Name: "t", Address: "127.0.0.1:9", AvailabilityZone: "a", Role: trial.VMRoleTarget, Leaving: true})
 	c.eventually("both reasons at b", func() bool {
 		d := c.state(b).Draining
 		return d["127.0.0.1:77"] != "" && d["127.0.0.1:9"] != ""
--- a/steward/leases.go
+++ b/steward/leases.go
@@ -13,7 +13,7 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/lease"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -72,21 +72,21 @@
 }
 
 // Next implements logtail.Consumer.
-func (z *shardLeases) Next() platform.Offset {
+func (z *shardLeases) Next() trial.Offset {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	return z.manager.Next()
 }
 
 // Apply implements logtail.Consumer.
-func (z *shardLeases) Apply(now time.Time, r platform.Record) {
+func (z *shardLeases) Apply(now time.Time, r trial.Record) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.Apply(now, r)
 }
 
 // Missed implements logtail.Consumer.
-func (z *shardLeases) Missed(now time.Time, first platform.Offset) {
+func (z *shardLeases) Missed(now time.Time, first trial.Offset) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.manager.Missed(now, first)
--- a/steward/operator.go
+++ b/steward/operator.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -66,15 +66,15 @@
 	var last error
 	for {
 		actx, cancel := context.WithTimeout(ctx, AppendTimeout)
-		_, err := s.log.Append(actx, config.Stream, []platform.NewRecord{rec})
+		_, err := s.log.Append(actx, config.Stream, []trial.NewRecord{rec})
 		cancel()
-		var refused *platform.ErrRefused
+		var refused *trial.ErrRefused
 		if errors.As(err, &refused) {
 			return config.Decision{}, rpc.Errorf(wire.CodeInvalid, "the log refused the change: %v", err)
 		}
 		last = err
 		wait := ReadBackWait
-		var limited *platform.ErrRateLimited
+		var limited *trial.ErrRateLimited
 		if errors.As(err, &limited) {
 			wait = limited.RetryAfter
 		}
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/weights"
 	"github.com/ibistrail/ibistrail/wire"
 )
@@ -38,7 +38,7 @@
 // orders runs a core for each pool and zone whose lease this node holds.
 type orders struct {
 	s       *Steward
-	engines *platform.EngineClient
+	engines *trial.EngineClient
 	// share is each zone's part of the store's rate, at tables and rate.
 	share  map[poolZone]int
 	tables *config.Tables
@@ -68,7 +68,7 @@
 	leavings   map[string]bool // engines that this node has told to be leaving
 }
 
-func newOrders(s *Steward, e *platform.EngineClient) *orders {
+func newOrders(s *Steward, e *trial.EngineClient) *orders {
 	return &orders{s: s, engines: e, pools: map[poolZone]*poolOrders{}}
 }
 
@@ -251,7 +251,7 @@
 	}
 	s.opts.Metrics.Add("orders_failed", 1)
 	log.Warn("order_failed", "err", err)
-	var limited *platform.ErrRateLimited
+	var limited *trial.ErrRateLimited
 	if errors.As(err, &limited) {
 		return weights.ResultStoreBusy
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -16,10 +16,10 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/lease"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/settings"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -60,7 +60,7 @@
 
 	calls *rpc.Pool // short calls
 	polls *rpc.Pool // calls that wait for news
-	log   platform.Log
+	log   trial.Log
 
 	members *gossip
 	tables  *tables
@@ -93,7 +93,7 @@
 	control := o.Metrics.SubMap("control_bytes")
 	ro := rpc.Options{Token: o.PeerToken, Bytes: control, Log: o.Log, Dial: countedDial(o.Dialer, control, "total.rpc")}
 	s.calls, s.polls = rpc.NewPool(ro), rpc.NewPool(ro)
-	s.log = platform.NewLogClient(set.LogURL, httpClient(o.Dialer, control, "log"))
+	s.log = trial.NewLogClient(set.LogURL, httpClient(o.Dialer, control, "log"))
 	s.hub = newHub(s.incarnation)
 	s.gate = &gateWatch{}
 	s.members = newGossip(s.self, s.incarnation, s.seed, s.calls.Call, o.Log, s.markDirty)
@@ -102,9 +102,9 @@
 	s.tails.add(config.Stream, s.tables, s.members.Alive, 0)
 	s.leases = newLeases(s)
 	s.claims = newClaims(s)
-	s.store = newVersions(s, platform.NewStoreClient(set.StoreURL, httpClient(o.Dialer, control, "store")))
-	s.vms = newVMList(s, platform.NewVMListClient(set.VMListURL, httpClient(o.Dialer, control, "vms")))
-	s.orders = newOrders(s, platform.NewEngineClient(httpClient(o.Dialer, control, "engine")))
+	s.store = newVersions(s, trial.NewStoreClient(set.StoreURL, httpClient(o.Dialer, control, "store")))
+	s.vms = newVMList(s, trial.NewVMListClient(set.VMListURL, httpClient(o.Dialer, control, "vms")))
+	s.orders = newOrders(s, trial.NewEngineClient(httpClient(o.Dialer, control, "engine")))
 	return s, nil
 }
 
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -7,7 +7,7 @@
 
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // tables is the consumer of the config stream. It is safe for concurrent use.
@@ -28,7 +28,7 @@
 }
 
 // Next implements logtail.Consumer.
-func (t *tables) Next() platform.Offset {
+func (t *tables) Next() trial.Offset {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.machine.Next()
@@ -42,7 +42,7 @@
 }
 
 // Apply implements logtail.Consumer.
-func (t *tables) Apply(now time.Time, r platform.Record) {
+func (t *tables) Apply(now time.Time, r trial.Record) {
 	t.mu.Lock()
 	last := t.machine.LastSnapshot()
 	d := t.machine.Apply(r)
@@ -63,7 +63,7 @@
 }
 
 // Missed implements logtail.Consumer.
-func (t *tables) Missed(_ time.Time, first platform.Offset) {
+func (t *tables) Missed(_ time.Time, first trial.Offset) {
 	t.mu.Lock()
 	ready := t.machine.Ready()
 	t.machine.Missed(first)
@@ -141,7 +141,7 @@
 
 // inForce returns the tables, the same pointer while they stay, and their revision; ready is false
 // if none is known.
-func (t *tables) inForce() (tb *config.Tables, revision platform.Offset, ready bool) {
+func (t *tables) inForce() (tb *config.Tables, revision trial.Offset, ready bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current == nil {
@@ -151,7 +151,7 @@
 }
 
 // lastSnapshot returns the offset of the newest snapshot record, 0 if none was seen.
-func (t *tables) lastSnapshot() platform.Offset {
+func (t *tables) lastSnapshot() trial.Offset {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.machine.LastSnapshot()
--- a/steward/tails.go
+++ b/steward/tails.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/logtail"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rpc"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -108,7 +108,7 @@
 	}
 	actx, cancel := context.WithTimeout(ctx, AppendTimeout)
 	defer cancel()
-	_, err = s.log.Append(actx, config.Stream, []platform.NewRecord{rec})
+	_, err = s.log.Append(actx, config.Stream, []trial.NewRecord{rec})
 	if err != nil {
 		s.opts.Log.Warn("snapshot_append_unanswered", "revision", snap.Revision, "err", err)
 		return
--- a/steward/versions.go
+++ b/steward/versions.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -35,7 +35,7 @@
 // versions asks the weight store for the newest versions and spreads them as rumors.
 type versions struct {
 	s     *Steward
-	store platform.WeightStore
+	store trial.WeightStore
 	// charge is what this node asks for on behalf of all, at the tables and members of basis.
 	charge map[string]time.Duration
 	basis  basis
@@ -48,7 +48,7 @@
 	hinted map[string]bool
 }
 
-func newVersions(s *Steward, store platform.WeightStore) *versions {
+func newVersions(s *Steward, store trial.WeightStore) *versions {
 	return &versions{s: s, store: store, asked: map[string]time.Time{}, latest: map[string]int64{}, hinted: map[string]bool{}}
 }
 
--- a/steward/vmlist.go
+++ b/steward/vmlist.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/rumor"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -28,14 +28,14 @@
 // vmList asks for the platform's list of VMs and spreads which of them are leaving.
 type vmList struct {
 	s      *Steward
-	lister platform.VMLister
+	lister trial.VMLister
 
 	mu      sync.Mutex
 	entries int // VMs of the newest answer
 	askedAt time.Time
 }
 
-func newVMList(s *Steward, l platform.VMLister) *vmList {
+func newVMList(s *Steward, l trial.VMLister) *vmList {
 	s.members.setContacts(s.opts.Settings.Seeds)
 	return &vmList{s: s, lister: l}
 }
@@ -77,7 +77,7 @@
 		case !vm.Leaving && known:
 			rumors = append(rumors, newLeaving(now, vm.Address, ""))
 		}
-		if vm.Role == platform.VMRoleEntry && !vm.Leaving {
+		if vm.Role == trial.VMRoleEntry && !vm.Leaving {
 			contacts = append(contacts, vm.Address)
 		}
 	}
--- a/platform/engine.go
+++ b/trial/engine.go
@@ -1,4 +1,4 @@
-package platform
+package trial
 
 // CompletionRequest is the body of POST /v1/completions on an engine: OpenAI's fields and the
 // engine's extensions.
--- a/platform/log.go
+++ b/trial/log.go
@@ -1,4 +1,4 @@
-package platform
+package trial
 
 import (
 	"context"
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // Bounds of orders.
@@ -34,7 +34,7 @@
 type engine struct {
 	target   config.Target
 	leaving  bool
-	status   platform.EngineStatus
+	status   trial.EngineStatus
 	seenAt   time.Time // of status; zero if never
 	reached  bool      // whether the newest question was answered
 	ordered  bool      // an order is under way
@@ -45,7 +45,7 @@
 // OrderTo is an order to one engine; the shell fills in the fencing token.
 type OrderTo struct {
 	Address string
-	Order   platform.Order
+	Order   trial.Order
 }
 
 // Core is the state of the engines of a pool in one zone. It has no clock and does no I/O, and is
@@ -108,7 +108,7 @@
 }
 
 // Observed takes an engine's status, or that it did not answer (nil).
-func (c *Core) Observed(now time.Time, address string, s *platform.EngineStatus) {
+func (c *Core) Observed(now time.Time, address string, s *trial.EngineStatus) {
 	e := c.engines[address]
 	if e == nil {
 		return
@@ -183,8 +183,8 @@
 	return out
 }
 
-func loads(k platform.OrderKind) bool {
-	return k == platform.OrderLoadVersion || k == platform.OrderLoadModel
+func loads(k trial.OrderKind) bool {
+	return k == trial.OrderLoadVersion || k == trial.OrderLoadModel
 }
 
 // ready returns the engines that can take an order, the ones with the oldest weights first.
@@ -204,29 +204,29 @@
 
 // need returns the most important difference between the pool's row and what the engine runs. A
 // pool that follows the store never orders a version below what the engine runs.
-func (c *Core) need(e *engine) (platform.Order, bool) {
+func (c *Core) need(e *engine) (trial.Order, bool) {
 	s, p, target := &e.status, &c.pool, c.Target()
 	switch {
 	case p.Model != "" && s.Model != p.Model:
 		version := cmp.Or(target, c.newest)
-		return platform.Order{Kind: platform.OrderLoadModel, Model: p.Model, Version: version, Mode: c.mode()}, version > 0
+		return trial.Order{Kind: trial.OrderLoadModel, Model: p.Model, Version: version, Mode: c.mode()}, version > 0
 	case target > 0 && s.Version != target && (s.Version < target || !p.Weights.Follow):
-		return platform.Order{Kind: platform.OrderLoadVersion, Model: p.Model, Version: target, Mode: c.mode()}, true
+		return trial.Order{Kind: trial.OrderLoadVersion, Model: p.Model, Version: target, Mode: c.mode()}, true
 	case !sameSet(s.Adapters, p.Adapters):
-		return platform.Order{Kind: platform.OrderSetAdapters, Adapters: p.Adapters}, true
+		return trial.Order{Kind: trial.OrderSetAdapters, Adapters: p.Adapters}, true
 	case p.Role != "" && s.Role != p.Role:
-		return platform.Order{Kind: platform.OrderSetRole, Role: p.Role}, true
+		return trial.Order{Kind: trial.OrderSetRole, Role: p.Role}, true
 	}
-	return platform.Order{}, false
+	return trial.Order{}, false
 }
 
 // mode follows the pool's objective: fresh samples soon, or no engine time lost.
-func (c *Core) mode() platform.SwapMode {
+func (c *Core) mode() trial.SwapMode {
 	w := c.pool.Weights
 	if w != nil && w.StalenessWeight >= SwapNowAbove {
-		return platform.SwapNow
+		return trial.SwapNow
 	}
-	return platform.SwapDrain
+	return trial.SwapDrain
 }
 
 func sameSet(a, b []string) bool {
@@ -276,13 +276,13 @@
 
 // Engine is what is known of an engine, for the state dump and for gates.
 type Engine struct {
-	Address  string                `json:"address"`
-	Status   platform.EngineStatus `json:"status"`
-	SeenAt   time.Time             `json:"seen_at"`
-	Reached  bool                  `json:"reached"`
-	Ordered  bool                  `json:"ordered"`
-	Leaving  bool                  `json:"leaving"`
-	Failures int                   `json:"failures"`
+	Address  string             `json:"address"`
+	Status   trial.EngineStatus `json:"status"`
+	SeenAt   time.Time          `json:"seen_at"`
+	Reached  bool               `json:"reached"`
+	Ordered  bool               `json:"ordered"`
+	Leaving  bool               `json:"leaving"`
+	Failures int                `json:"failures"`
 }
 
 // Engines returns the engines sorted by address.
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -16,17 +16,17 @@
 	now     time.Time
 	core    *Core
 	pool    config.Pool
-	engines map[string]*platform.EngineStatus
+	engines map[string]*trial.EngineStatus
 	leaving map[string]bool
 }
 
 func newBench(n int, w config.Weights) *bench {
-	b := &bench{now: time.Unix(1000, 0), core: New(Options{AvailabilityZone: "a"}), engines: map[string]*platform.EngineStatus{}, leaving: map[string]bool{}}
+	b := &bench{now: time.Unix(1000, 0), core: New(Options{AvailabilityZone: "a"}), engines: map[string]*trial.EngineStatus{}, leaving: map[string]bool{}}
 	b.pool = config.Pool{Name: "p", Kind: config.PoolEngines, Model: "m", Weights: &w}
 	for i := range n {
 		a := fmt.Sprintf("e%d", i)
 		b.pool.Targets = append(b.pool.Targets, config.Target{Name: a, Address: a, AvailabilityZone: "a"})
-		b.engines[a] = &platform.EngineStatus{Boot: "1", Model: "m", Version: 1}
+		b.engines[a] = &trial.EngineStatus{Boot: "1", Model: "m", Version: 1}
 	}
 	b.core.SetPool(b.pool, func(a string) bool { return b.leaving[a] })
 	b.observe()
@@ -43,13 +43,13 @@
 func (b *bench) done(o OrderTo) {
 	s := b.engines[o.Address]
 	switch o.Order.Kind {
-	case platform.OrderLoadVersion:
+	case trial.OrderLoadVersion:
 		s.Version = o.Order.Version
-	case platform.OrderLoadModel:
+	case trial.OrderLoadModel:
 		s.Model, s.Version = o.Order.Model, o.Order.Version
-	case platform.OrderSetAdapters:
+	case trial.OrderSetAdapters:
 		s.Adapters = o.Order.Adapters
-	case platform.OrderSetRole:
+	case trial.OrderSetRole:
 		s.Role = o.Order.Role
 	}
 	b.core.Observed(b.now, o.Address, s)
@@ -140,7 +140,7 @@
 	b.core.SetNewest(2, 1)
 	b.done(b.core.Step(b.now)[0])
 	b.core.Observed(b.now, "e0", nil)
-	b.engines["e0"] = &platform.EngineStatus{Boot: "2", Model: "m", Version: 1}
+	b.engines["e0"] = &trial.EngineStatus{Boot: "2", Model: "m", Version: 1}
 	b.observe()
 	is.Equal(len(b.core.Step(b.now)), 1)
 }
@@ -166,15 +166,15 @@
 	b.core.SetPool(b.pool, func(string) bool { return false })
 	is.Equal(len(b.core.Step(b.now)), 0) // no version of the model is known
 	b.core.SetNewest(7, 1)
-	var kinds []platform.OrderKind
+	var kinds []trial.OrderKind
 	for range 4 {
 		for _, o := range b.core.Step(b.now) {
 			kinds = append(kinds, o.Order.Kind)
 			b.done(o)
 		}
 	}
-	is.Equal(kinds, []platform.OrderKind{platform.OrderLoadModel, platform.OrderSetAdapters, platform.OrderSetRole})
-	is.Equal(*b.engines["e0"], platform.EngineStatus{Boot: "1", Model: "n", Version: 7, Adapters: []string{"x"}, Role: "draft"})
+	is.Equal(kinds, []trial.OrderKind{trial.OrderLoadModel, trial.OrderSetAdapters, trial.OrderSetRole})
+	is.Equal(*b.engines["e0"], trial.EngineStatus{Boot: "1", Model: "n", Version: 7, Adapters: []string{"x"}, Role: "draft"})
 }
 
 func TestBusyStoreHalvesTheWave(t *testing.T) {
@@ -191,7 +191,7 @@
 
 func TestObjectiveChoosesTheMode(t *testing.T) {
 	is := is.New(t)
-	for weight, mode := range map[float64]platform.SwapMode{0: platform.SwapDrain, 0.2: platform.SwapDrain, 0.8: platform.SwapNow, 1: platform.SwapNow} {
+	for weight, mode := range map[float64]trial.SwapMode{0: trial.SwapDrain, 0.2: trial.SwapDrain, 0.8: trial.SwapNow, 1: trial.SwapNow} {
 		b := newBench(1, config.Weights{Follow: true, StalenessWeight: weight})
 		b.core.SetNewest(2, 1)
 		is.Equal(b.core.Step(b.now)[0].Order.Mode, mode)
--- a/wire/claim.go
+++ b/wire/claim.go
@@ -1,7 +1,7 @@
 package wire
 
 import (
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // ClaimParams claims a caller's own idempotency key for a gate's incarnation.
@@ -21,11 +21,11 @@
 // ClaimResult tells who holds a key. The caller of MethodClaim may run the request only if
 // ClaimID equals its own.
 type ClaimResult struct {
-	ClaimID         string          `json:"claim_id"`
-	Fingerprint     string          `json:"fingerprint"`
-	GateID          string          `json:"gate_id"`
-	GateIncarnation string          `json:"gate_incarnation"`
-	Offset          platform.Offset `json:"offset"`
+	ClaimID         string       `json:"claim_id"`
+	Fingerprint     string       `json:"fingerprint"`
+	GateID          string       `json:"gate_id"`
+	GateIncarnation string       `json:"gate_incarnation"`
+	Offset          trial.Offset `json:"offset"`
 }
 
 // RelayClaimsParams carries claims of several gates to the zone's relay, which appends them together.
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // MemberStatus is the state of a node in membership.
@@ -23,7 +23,7 @@
 	Incarnation int64        `json:"inc"`
 	Status      MemberStatus `json:"status"`
 	// Revision is the configuration offset that the node's gate has in force.
-	Revision platform.Offset `json:"rev"`
+	Revision trial.Offset `json:"rev"`
 	// GateIncarnation is the incarnation of the VM's gate process, if it runs.
 	GateIncarnation string `json:"gate_inc,omitempty"`
 	GateDraining    bool   `json:"gate_draining,omitempty"`
@@ -50,7 +50,7 @@
 	MembersHash uint64 `json:"mh"`
 	RumorsHash  uint64 `json:"rh"`
 	// Revision is the newest decided configuration offset that the sender knows.
-	Revision platform.Offset `json:"rev"`
+	Revision trial.Offset `json:"rev"`
 	// Probe, if set, asks the receiver to probe that node ID on the sender's behalf.
 	Probe string `json:"probe,omitempty"`
 	// Sync names the buckets whose content both sides exchange because their digests differ.
@@ -63,9 +63,9 @@
 
 // GossipResult answers GossipParams with news for the sender.
 type GossipResult struct {
-	Members  []Member        `json:"members"`
-	Rumors   []Rumor         `json:"rumors"`
-	Revision platform.Offset `json:"rev"`
+	Members  []Member     `json:"members"`
+	Rumors   []Rumor      `json:"rumors"`
+	Revision trial.Offset `json:"rev"`
 	// ProbeOK answers Probe.
 	ProbeOK bool `json:"probe_ok,omitempty"`
 	// Buckets are digests of the answering node's table in parts, sent when the hashes differ.
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // OperatorParams authenticates an operator.
@@ -43,8 +43,8 @@
 // NodesResult lists the known nodes.
 type NodesResult struct {
 	// Latest is the newest decided revision that the answering steward knows.
-	Latest  platform.Offset `json:"latest"`
-	Members []Member        `json:"members"`
+	Latest  trial.Offset `json:"latest"`
+	Members []Member     `json:"members"`
 }
 
 // ExplainParams names a request by its HeaderRequestID or its step ID.
--- a/wire/state.go
+++ b/wire/state.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
-	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/trial"
 )
 
 // WatchParams asks for a State with a Seq above Since, waiting up to WaitMs.
@@ -15,7 +15,7 @@
 	Since           uint64 `json:"since"`
 	WaitMs          int64  `json:"wait_ms"`
 	// Revision is the configuration that the gate has in force.
-	Revision platform.Offset `json:"revision"`
+	Revision trial.Offset `json:"revision"`
 	// Draining is true while the gate performs a planned stop.
 	Draining bool `json:"draining"`
 }
@@ -27,8 +27,8 @@
 	// Ready is false until the steward knows the configuration in force.
 	Ready bool `json:"ready"`
 	// Revision is the log offset of the configuration; Tables is nil when it equals the watcher's.
-	Revision platform.Offset `json:"revision"`
-	Tables   *config.Tables  `json:"tables,omitempty"`
+	Revision trial.Offset   `json:"revision"`
+	Tables   *config.Tables `json:"tables,omitempty"`
 	// Draining are targets that get no new work, by address, with the reason.
 	Draining map[string]string `json:"draining"`
 	// Quarantined are request fingerprints that get a final answer at once.
