--- /dev/null
+++ b/batch/engines.go
@@ -0,0 +1,154 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/target"
+)
+
+// Bounds of what is believed of engines.
+const (
+	// loadTTL is how long an engine's word on its load is used.
+	loadTTL = 1500 * time.Millisecond
+	// paceGain is the weight of a new pace in the moving average.
+	paceGain = 0.2
+	// initialPace is the pace of an engine of which none was measured.
+	initialPace = 40 * time.Millisecond
+	// coolMin and coolMax bound the pause after failures, which doubles each time.
+	coolMin = 500 * time.Millisecond
+	coolMax = 8 * time.Second
+	// fullPause is the pause after an engine said that it has no room, or loads a version.
+	fullPause = 120 * time.Millisecond
+)
+
+// engine is what a VM believes of one engine.
+type engine struct {
+	instance *fleet.Instance
+	versions map[string]int64
+	inflight int
+	// others is the load that other VMs put on the engine when it last spoke.
+	others   int
+	othersAt time.Time
+	// pace is the time of one event.
+	pace     time.Duration
+	failures int
+	until    time.Time // not used before
+}
+
+// slots is the room that is left for this VM.
+func (e *engine) room(now time.Time) int {
+	n := e.instance.Slots - e.inflight
+	if now.Sub(e.othersAt) < loadTTL {
+		n -= e.others
+	}
+	return n
+}
+
+// engines is what a VM believes of all engines. It does no I/O.
+type engines struct {
+	by map[fleet.Key]*engine
+}
+
+func newEngines() *engines { return &engines{by: map[fleet.Key]*engine{}} }
+
+// update takes the registered instances.
+func (s *engines) update(instances []*fleet.Instance) {
+	seen := make(map[fleet.Key]bool, len(instances))
+	for _, in := range instances {
+		seen[in.Key()] = true
+		e := s.by[in.Key()]
+		if e == nil {
+			e = &engine{versions: map[string]int64{}, pace: s.typicalPace(in.Pool)}
+			s.by[in.Key()] = e
+		}
+		e.instance = in
+		for m, v := range in.Versions {
+			e.versions[m] = max(e.versions[m], v)
+		}
+	}
+	for k := range s.by {
+		if !seen[k] {
+			delete(s.by, k)
+		}
+	}
+}
+
+// typicalPace is the mean pace of a pool.
+func (s *engines) typicalPace(pool string) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, e := range s.by {
+		if e.instance.Pool == pool && e.pace > 0 {
+			sum += e.pace
+			n++
+		}
+	}
+	if n == 0 {
+		return initialPace
+	}
+	return sum / time.Duration(n)
+}
+
+func (s *engines) get(in *fleet.Instance) *engine { return s.by[in.Key()] }
+
+// started counts a request that is sent.
+func (s *engines) started(in *fleet.Instance) {
+	if e := s.get(in); e != nil {
+		e.inflight++
+	}
+}
+
+// ended counts a request that has left.
+func (s *engines) ended(in *fleet.Instance) {
+	if e := s.get(in); e != nil {
+		e.inflight = max(0, e.inflight-1)
+	}
+}
+
+// loaded takes an engine's word on its load and version.
+func (s *engines) loaded(now time.Time, in *fleet.Instance, l *target.Load) {
+	if e := s.get(in); e != nil && l != nil {
+		e.others, e.othersAt = max(0, l.Running+l.Waiting-e.inflight), now
+	}
+}
+
+// versioned takes the version that an engine was seen to run.
+func (s *engines) versioned(in *fleet.Instance, model string, v int64) {
+	if e := s.get(in); e != nil && v > 0 {
+		e.versions[model] = max(e.versions[model], v)
+	}
+}
+
+// paced takes the time between two events.
+func (s *engines) paced(in *fleet.Instance, d time.Duration) {
+	if e := s.get(in); e != nil {
+		e.failures = 0
+		e.pace += time.Duration(paceGain * float64(d-e.pace))
+	}
+}
+
+// full keeps new requests off an engine for a moment.
+func (s *engines) full(now time.Time, in *fleet.Instance) {
+	if e := s.get(in); e != nil {
+		e.until = now.Add(fullPause)
+	}
+}
+
+// failed keeps new requests off an engine that broke a request off.
+func (s *engines) failed(now time.Time, in *fleet.Instance) {
+	if e := s.get(in); e != nil {
+		e.until = now.Add(min(coolMax, coolMin<<min(e.failures, 8)))
+		e.failures++
+	}
+}
+
+// bestPace is the shortest pace among a pool's engines.
+func (s *engines) bestPace(pool string) time.Duration {
+	best := time.Duration(0)
+	for _, e := range s.by {
+		if e.instance.Pool == pool && (best == 0 || e.pace < best) {
+			best = e.pace
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,73 @@
+package batch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+)
+
+// jobState is where an item of an open submission stands on the VM that runs it.
+type jobState int
+
+const (
+	waiting jobState = iota
+	running
+	scoring
+	// settled items have a result that waits to be read back.
+	settled
+)
+
+// job is an item of an open submission. The runner's lock guards it, but for the text, which its
+// run alone touches while it is running.
+type job struct {
+	entry *entry
+	sub   *Submission
+	item  *Item
+	part  *partition
+	state jobState
+	// text and versions are the events that were received, and what made each.
+	text     []string
+	versions []int64
+	// errors counts the engines' answers of 500, scorerErrors those of the scorer's targets.
+	errors, scorerErrors int
+	on                   *fleet.Instance
+	avoid                string
+	notBefore            time.Time
+	cancel               func()
+	carried              bool
+	startedAt            time.Time
+	lastEvent            time.Time
+}
+
+// distinct returns the versions that made the text, ascending.
+func (j *job) distinct() []int64 {
+	out := slices.Clone(j.versions)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// resumable drops a text that may not be continued under the submission's rules.
+func (j *job) resumable(single bool) {
+	if !fits(j.distinct(), j.sub.MinVersion, single) {
+		j.text, j.versions = nil, nil
+	}
+}
+
+func (j *job) result() *Result {
+	return &Result{Submission: j.sub.ID, ItemID: j.item.ID, Text: strings.Join(j.text, "\n"), Versions: j.distinct()}
+}
+
+// need estimates how long the rest of the item takes, at a pace for each event.
+func (j *job) need(tokensPerEvent int, pace time.Duration) time.Duration {
+	events := typicalEvents
+	if j.item.ExpectedTokens > 0 && tokensPerEvent > 0 {
+		events = (j.item.ExpectedTokens + tokensPerEvent - 1) / tokensPerEvent
+	}
+	left := max(1, events-len(j.text))
+	return time.Duration(left) * pace
+}
+
+// typicalEvents is the length of an item whose caller gave no estimate.
+const typicalEvents = 25
--- /dev/null
+++ b/batch/partition.go
@@ -0,0 +1,161 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/store"
+)
+
+// Times of following a partition.
+const (
+	// followWait is how long one read waits for a record. A cut connection is found only at its end.
+	followWait = 2 * time.Second
+	// hotFor is how long a partition is followed after it was asked for last.
+	hotFor = 10 * time.Second
+	// readRetry is the pause after a failed read.
+	readRetry = 200 * time.Millisecond
+	// fresh is how old the last answer of the store may be for a partition that is followed to count
+	// as read to its end: one wait, and the time of an answer.
+	fresh = followWait + 300*time.Millisecond
+)
+
+// partition follows one partition of the log while it is owned or asked for.
+type partition struct {
+	log  store.Log
+	id   store.Partition
+	out  *slog.Logger
+	keep time.Duration
+
+	mu      sync.Mutex
+	book    *book
+	changed chan struct{}
+	owned   bool
+	askedAt time.Time
+	readAt  time.Time // when the last read to the end was sent
+	running bool
+
+	wake func() // tells the runner of a change in an owned partition
+}
+
+// follow starts the reading loop if it is needed and not running. The caller holds mu.
+func (p *partition) follow(ctx context.Context) {
+	if p.running || ctx.Err() != nil {
+		return
+	}
+	p.running = true
+	go p.loop(ctx)
+}
+
+func (p *partition) wanted(now time.Time) bool { return p.owned || now.Sub(p.askedAt) < hotFor }
+
+func (p *partition) loop(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		if ctx.Err() != nil || !p.wanted(time.Now()) {
+			p.running = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		if err := p.read(ctx, followWait); err != nil && ctx.Err() == nil {
+			p.out.Warn("partition_read", "partition", p.id.Index, "outcome", "failed", "err", err)
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// read reads once and applies what it gets.
+func (p *partition) read(ctx context.Context, wait time.Duration) error {
+	p.mu.Lock()
+	from := p.book.next
+	p.mu.Unlock()
+	sent := time.Now()
+	b, err := p.log.Read(ctx, p.id, from, wait)
+	var truncated *store.TruncatedError
+	if errors.As(err, &truncated) {
+		p.mu.Lock()
+		p.book.next = max(p.book.next, truncated.First)
+		p.mu.Unlock()
+		p.out.Warn("partition_truncated", "partition", p.id.Index, "from", from, "first", truncated.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	any := false
+	for i, r := range b.Records {
+		changed, err := p.book.apply(b.From+int64(i), r)
+		if err != nil {
+			p.out.Error("record_ignored", "partition", p.id.Index, "err", err)
+		}
+		any = any || changed
+	}
+	if p.book.next >= b.End {
+		// A read that waited found the partition's end when it was answered.
+		if len(b.Records) == 0 {
+			sent = time.Now()
+		}
+		p.readAt = sent
+	}
+	if any {
+		close(p.changed)
+		p.changed = make(chan struct{})
+		if p.owned {
+			p.wake()
+		}
+		if n := p.book.expire(time.Now().Add(-p.keep)); n > 0 {
+			p.out.Info("batches_expired", "partition", p.id.Index, "count", n)
+		}
+	}
+	return nil
+}
+
+// sync reads to the end that the partition has now.
+func (p *partition) sync(ctx context.Context) error {
+	start := time.Now()
+	for {
+		p.mu.Lock()
+		done := !p.readAt.Before(start)
+		p.mu.Unlock()
+		if done {
+			return nil
+		}
+		if err := p.read(ctx, 0); err != nil {
+			return err
+		}
+	}
+}
+
+// ask keeps the partition followed for a while, and reads it to its end unless that is known.
+func (p *partition) ask(ctx, life context.Context) error {
+	p.mu.Lock()
+	now := time.Now()
+	p.askedAt = now
+	known := p.running && now.Sub(p.readAt) < fresh
+	p.mu.Unlock()
+	if known {
+		return nil
+	}
+	if err := p.sync(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.follow(life)
+	p.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,548 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/store"
+	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/versions"
+)
+
+// Times of running items.
+const (
+	// firstEventWait is how long an engine may take to the first event: a full prefill behind a load of
+	// weights.
+	firstEventWait = 2500 * time.Millisecond
+	// eventWait is how long an engine may pause between events: a load of weights.
+	eventWait = 2 * time.Second
+	// scoreBudget is the time that a scoring call gets.
+	scoreBudget = 3 * time.Second
+	// itemRetry is the pause before an item whose run failed is tried again.
+	itemRetry = 50 * time.Millisecond
+	// idleTick is how often a runner with open items looks for work that nothing announced.
+	idleTick = 250 * time.Millisecond
+	// maxScorings bounds the scoring calls of one VM at a time.
+	maxScorings = 64
+)
+
+// Forwarder serves the scoring calls, as it serves callers.
+type Forwarder interface {
+	Serve(ctx context.Context, req *forward.Request) *forward.Reply
+}
+
+// runner runs the items of open submissions in the partitions that this VM owns.
+type runner struct {
+	view   *fleet.View
+	client target.Client
+	fwd    Forwarder
+	log    *slog.Logger
+	az     string
+	append func(p *partition, r *Result)
+
+	mu      sync.Mutex
+	jobs    map[string]map[string]*job // by submission and item
+	parts   map[*partition]bool        // owned
+	engines *engines
+	seen    *fleet.Snapshot
+	// texts are unfinished texts of ended submissions, which may come again.
+	texts map[string]leftover
+	kick  chan struct{}
+}
+
+// leftover is what was received of an item when its submission ended.
+type leftover struct {
+	text     []string
+	versions []int64
+	at       time.Time
+}
+
+// leftoverTTL is how long an unfinished text is kept: groups come again within a step or two.
+const leftoverTTL = time.Minute
+
+// wake asks for a look at the work, without waiting.
+func (r *runner) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default: // a look is due anyway
+	}
+}
+
+// run looks for work until ctx ends.
+func (r *runner) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := r.view.Changed()
+		busy := r.look(ctx)
+		pause := time.Hour
+		if busy {
+			pause = idleTick
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-r.kick:
+		case <-t.C:
+		case <-changed:
+		}
+		t.Stop()
+	}
+}
+
+// own sets the partitions whose submissions this VM runs.
+func (r *runner) own(parts map[*partition]bool) {
+	r.mu.Lock()
+	r.parts = parts
+	r.mu.Unlock()
+	r.wake()
+}
+
+// look takes in what changed and starts what can start. It returns whether items are open.
+func (r *runner) look(ctx context.Context) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snap := r.view.Get()
+	if snap.Tables == nil {
+		return false
+	}
+	if snap != r.seen {
+		r.seen = snap
+		r.engines.update(snap.Instances)
+	}
+	r.reconcile(ctx, snap)
+	if len(r.jobs) == 0 {
+		return false
+	}
+	r.start(ctx, snap)
+	return true
+}
+
+// reconcile brings the jobs in line with the owned partitions' submissions.
+func (r *runner) reconcile(ctx context.Context, snap *fleet.Snapshot) {
+	now := time.Now()
+	for p := range r.parts {
+		p.mu.Lock()
+		for _, id := range p.book.order {
+			e := p.book.entries[id]
+			jobs := r.jobs[id]
+			if e.done() || expired(snap, e.sub, now) {
+				if jobs == nil && !e.done() {
+					r.abandonAll(p, e)
+				}
+				continue
+			}
+			if jobs == nil {
+				r.open(snap, p, e)
+				continue
+			}
+			for item, j := range jobs {
+				if e.listed[item] {
+					r.drop(j)
+					delete(jobs, item)
+				}
+			}
+		}
+		p.mu.Unlock()
+	}
+	for id, jobs := range r.jobs {
+		for item, j := range jobs {
+			j.part.mu.Lock()
+			gone := !r.parts[j.part] || j.entry.done()
+			j.part.mu.Unlock()
+			if gone {
+				r.leave(j, now)
+				delete(jobs, item)
+			} else if expired(snap, j.sub, now) && j.state != settled {
+				r.drop(j)
+				j.state = settled
+				r.append(j.part, &Result{Submission: j.sub.ID, ItemID: item, Abandoned: true})
+			}
+		}
+		if len(jobs) == 0 {
+			delete(r.jobs, id)
+		}
+	}
+	for item, l := range r.texts {
+		if now.Sub(l.at) > leftoverTTL {
+			delete(r.texts, item)
+		}
+	}
+}
+
+// expired tells whether the items of a submission may be given up. Without a route nothing can run.
+func expired(snap *fleet.Snapshot, s *Submission, now time.Time) bool {
+	route := snap.Tables.Match(s.Host, s.Path)
+	if route == nil || route.Retention <= 0 {
+		return false
+	}
+	return now.UnixMilli() > s.AcceptedMs+route.Retention.Milliseconds()
+}
+
+// abandonAll gives up what is open of a submission that this VM never ran.
+func (r *runner) abandonAll(p *partition, e *entry) {
+	jobs := map[string]*job{}
+	for id, it := range e.items {
+		if !e.listed[id] {
+			jobs[id] = &job{entry: e, sub: e.sub, item: it, part: p, state: settled}
+			r.append(p, &Result{Submission: e.sub.ID, ItemID: id, Abandoned: true})
+		}
+	}
+	r.jobs[e.sub.ID] = jobs
+}
+
+// open makes the jobs of a submission. The partition's lock is held.
+func (r *runner) open(snap *fleet.Snapshot, p *partition, e *entry) {
+	single := false
+	if route := snap.Tables.Match(e.sub.Host, e.sub.Path); route != nil {
+		single = route.SingleVersion
+	}
+	jobs := make(map[string]*job, len(e.items))
+	carriedGroups := map[string]bool{}
+	reused := 0
+	for i := range e.sub.Items {
+		it := &e.sub.Items[i]
+		if _, ok := p.book.finished[it.ID]; ok {
+			carriedGroups[it.Group] = true
+		}
+		if _, ok := r.texts[it.ID]; ok {
+			carriedGroups[it.Group] = true
+		}
+	}
+	for i := range e.sub.Items {
+		it := &e.sub.Items[i]
+		if e.listed[it.ID] {
+			continue
+		}
+		j := &job{entry: e, sub: e.sub, item: it, part: p, carried: carriedGroups[it.Group]}
+		jobs[it.ID] = j
+		if res, ok := p.book.reusable(e.sub, it, single); ok {
+			j.state = settled
+			reused++
+			r.append(p, &res)
+			continue
+		}
+		if l, ok := r.texts[it.ID]; ok {
+			j.text, j.versions = l.text, l.versions
+			j.resumable(single)
+			delete(r.texts, it.ID)
+		}
+	}
+	r.jobs[e.sub.ID] = jobs
+	r.log.Info("batch_open", "batch", e.sub.ID, "partition", p.id.Index, "step", e.sub.Step, "model", e.sub.Model, "least_version", e.sub.MinVersion,
+		"items", len(e.sub.Items), "listed", len(e.results), "reused", reused)
+}
+
+// drop ends a job's run.
+func (r *runner) drop(j *job) {
+	if j.cancel != nil {
+		j.cancel()
+		j.cancel = nil
+	}
+}
+
+// leave ends a job whose submission has ended, and keeps its text in case the item comes again.
+func (r *runner) leave(j *job, now time.Time) {
+	r.drop(j)
+	if j.state != settled && len(j.text) > 0 {
+		r.texts[j.item.ID] = leftover{text: j.text, versions: j.versions, at: now}
+	}
+}
+
+// start sends waiting items to engines while there is room.
+func (r *runner) start(ctx context.Context, snap *fleet.Snapshot) {
+	now := time.Now()
+	var tasks []*task
+	routes := map[string]*fleet.Route{}
+	hosts := map[string]map[string]int{} // engines by group
+	for id, jobs := range r.jobs {
+		for _, j := range jobs {
+			if routes[id] == nil {
+				routes[id] = snap.Tables.Match(j.sub.Host, j.sub.Path)
+			}
+			if j.on != nil {
+				group := j.sub.ID + "/" + j.item.Group
+				if hosts[group] == nil {
+					hosts[group] = map[string]int{}
+				}
+				hosts[group][j.on.Name]++
+			}
+			route := routes[id]
+			if j.state != waiting || now.Before(j.notBefore) || route == nil {
+				continue
+			}
+			pool := snap.Tables.Pool(route.Pool)
+			if pool == nil {
+				continue
+			}
+			per := 1
+			if pool.Engine != nil {
+				per = pool.Engine.TokensPerEvent
+			}
+			tasks = append(tasks, &task{
+				job: j, due: time.UnixMilli(j.sub.AcceptedMs).Add(route.RunDeadline), need: j.need(per, r.engines.typicalPace(pool.Name)), carried: j.carried,
+			})
+		}
+	}
+	if len(tasks) == 0 {
+		return
+	}
+	sortTasks(now, tasks)
+	assigned := map[string]map[string]string{}
+	for _, t := range tasks {
+		j := t.job
+		route := routes[j.sub.ID]
+		pool := snap.Tables.Pool(route.Pool)
+		if assigned[pool.Name] == nil && pool.Engine != nil {
+			assigned[pool.Name] = versions.Assign(pool.Engine.Models, snap.Named, snap.Pool(pool.Name))
+		}
+		group := j.sub.ID + "/" + j.item.Group
+		q := request{
+			pool: pool.Name, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, assigned: assigned[pool.Name], hosts: hosts[group], avoid: j.avoid,
+		}
+		e := r.engines.choose(now, q)
+		if e == nil && q.avoid != "" {
+			q.avoid = ""
+			e = r.engines.choose(now, q)
+		}
+		if e == nil {
+			continue
+		}
+		if hosts[group] == nil {
+			hosts[group] = map[string]int{}
+		}
+		hosts[group][e.instance.Name]++
+		r.send(ctx, j, route, e)
+	}
+}
+
+// send starts a run of a job on an engine. The runner's lock is held.
+func (r *runner) send(ctx context.Context, j *job, route *fleet.Route, e *engine) {
+	j.resumable(route.SingleVersion)
+	rctx, cancel := context.WithCancel(ctx)
+	j.state, j.on, j.cancel, j.startedAt = running, e.instance, cancel, time.Now()
+	r.engines.started(e.instance)
+	header := make(http.Header, len(j.item.Header))
+	for name, value := range j.item.Header {
+		header.Set(name, value)
+	}
+	call := &target.Call{
+		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
+		RequestID: j.item.ID, Priority: min(9, max(0, int(route.Priority))), ResumeAfter: int64(len(j.text)),
+	}
+	go r.attempt(rctx, cancel, j, route, call)
+}
+
+// ending tells how a run of an item ended.
+type ending string
+
+const (
+	whole       ending = "whole"
+	brokenOff   ending = "broken off"
+	stalled     ending = "stalled"
+	notRun      ending = "not run"
+	oldVersion  ending = "old version"
+	engineError ending = "engine error"
+	impossible  ending = "impossible"
+	ended       ending = "ended by the submission"
+)
+
+// attempt runs an item once and settles what follows.
+func (r *runner) attempt(ctx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *target.Call) {
+	defer cancel()
+	how, err := r.stream(ctx, cancel, j, call)
+	if ctx.Err() != nil && how == brokenOff {
+		how = ended
+	}
+	r.mu.Lock()
+	now := time.Now()
+	r.engines.ended(call.Instance)
+	j.on, j.cancel = nil, nil
+	r.log.Info("item_run", "id", j.item.ID, "batch", j.sub.ID, "target", call.Instance.Name, "from_event", call.ResumeAfter, "events", len(j.text),
+		"versions", j.distinct(), "ms", now.Sub(j.startedAt).Milliseconds(), "outcome", string(how), "err", err)
+	if j.state != running {
+		r.mu.Unlock()
+		return // dropped meanwhile
+	}
+	switch how {
+	case whole:
+		j.state = scoring
+		r.mu.Unlock()
+		r.finish(j, route)
+		r.wake()
+		return
+	case notRun, oldVersion:
+		r.engines.full(now, call.Instance)
+		j.notBefore = now.Add(itemRetry / 2)
+	case brokenOff, stalled:
+		r.engines.failed(now, call.Instance)
+		j.avoid = call.Instance.Name
+		j.notBefore = now.Add(itemRetry)
+	case engineError:
+		j.errors++
+		j.avoid = call.Instance.Name
+		j.notBefore = now.Add(itemRetry)
+	}
+	j.state = waiting
+	if how == impossible || j.errors >= max(1, route.MaxAttempts) {
+		j.state = settled
+		r.append(j.part, &Result{Submission: j.sub.ID, ItemID: j.item.ID, Abandoned: true})
+	}
+	r.mu.Unlock()
+	r.wake()
+}
+
+// stream sends the call and takes its events into the job's text.
+func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *target.Call) (ending, error) {
+	silent := false
+	watchdog := time.AfterFunc(firstEventWait, func() {
+		silent = true
+		cancel()
+	})
+	defer watchdog.Stop()
+	broken := func(err error) (ending, error) {
+		if !watchdog.Stop() && silent {
+			return stalled, err
+		}
+		return brokenOff, err
+	}
+	a, err := r.client.Do(ctx, call)
+	if err != nil {
+		return broken(err)
+	}
+	defer a.Body.Close()
+	r.mu.Lock()
+	r.engines.loaded(time.Now(), call.Instance, a.Load)
+	r.engines.versioned(call.Instance, j.sub.Model, a.Version)
+	r.mu.Unlock()
+	switch {
+	case a.NotRun:
+		return notRun, nil
+	case a.Status == http.StatusUnprocessableEntity:
+		return impossible, nil
+	case a.Status == http.StatusInternalServerError:
+		return engineError, nil
+	case a.Status != http.StatusOK:
+		return brokenOff, errors.New(http.StatusText(a.Status))
+	case a.Version > 0 && a.Version < j.sub.MinVersion:
+		return oldVersion, nil
+	}
+	events := r.client.Events(a.Body)
+	version, last := a.Version, time.Now()
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return whole, nil
+		}
+		if err != nil {
+			return broken(err)
+		}
+		now := time.Now()
+		watchdog.Reset(eventWait)
+		if ev.Version > 0 {
+			version = ev.Version
+		}
+		r.mu.Lock()
+		if j.state != running {
+			r.mu.Unlock()
+			return ended, nil
+		}
+		if ev.ID != int64(len(j.text))+1 {
+			r.mu.Unlock()
+			return brokenOff, errors.New("the events are out of order")
+		}
+		j.text = append(j.text, ev.Data)
+		j.versions = append(j.versions, version)
+		j.lastEvent = now
+		if ev.ID > call.ResumeAfter+1 {
+			r.engines.paced(call.Instance, now.Sub(last))
+		}
+		if ev.Version > 0 {
+			r.engines.versioned(call.Instance, j.sub.Model, ev.Version)
+		}
+		r.mu.Unlock()
+		last = now
+	}
+}
+
+// finish scores a whole text and appends its result.
+func (r *runner) finish(j *job, route *fleet.Route) {
+	res := j.result()
+	if s := j.item.Scorer; s != nil {
+		score, ok := r.score(j, s)
+		if !ok {
+			return
+		}
+		if score == "" {
+			res = &Result{Submission: j.sub.ID, ItemID: j.item.ID, Abandoned: true}
+		}
+		res.Score = score
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.state != scoring {
+		return
+	}
+	j.state = settled
+	r.append(j.part, res)
+}
+
+// score calls the scorer until it succeeds. An empty score means that it failed as often as the
+// route allows; ok is false if the submission has ended meanwhile.
+func (r *runner) score(j *job, s *Scorer) (score string, ok bool) {
+	for {
+		r.mu.Lock()
+		open := j.state == scoring && r.jobs[j.sub.ID][j.item.ID] == j
+		r.mu.Unlock()
+		if !open {
+			return "", false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), scoreBudget)
+		reply := r.fwd.Serve(ctx, &forward.Request{
+			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreBudget,
+		})
+		if reply.Body != nil {
+			reply.Body.Close()
+		}
+		cancel()
+		if reply.Status/100 == 2 && reply.Proof != "" {
+			return reply.Proof, true
+		}
+		j.scorerErrors += reply.ServerErrors
+		attempts := 1
+		if snap := r.view.Get(); snap.Tables != nil {
+			if route := snap.Tables.Match(s.Host, s.Path); route != nil {
+				attempts = route.MaxAttempts
+			}
+		}
+		if j.scorerErrors >= attempts {
+			return "", true
+		}
+		time.Sleep(max(itemRetry, reply.RetryAfter))
+	}
+}
+
+// newRunner returns a runner without work.
+func newRunner(o Options) *runner {
+	return &runner{
+		view: o.View, client: o.Client, fwd: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
+		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{},
+		kick: make(chan struct{}, 1),
+	}
+}
+
+// ownedBy maps the store's assignment to partitions.
+func ownedBy(all []*partition, topic string, assigned []store.Partition) map[*partition]bool {
+	out := map[*partition]bool{}
+	for _, a := range assigned {
+		if a.Topic == topic && a.Index >= 0 && a.Index < len(all) {
+			out[all[a.Index]] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/ibisentry/main.go
@@ -0,0 +1,86 @@
+// Command ibisentry is the process of an entry VM on the Magnolia Errata platform.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/ibistrail/ibistrail/entry"
+	"github.com/ibistrail/ibistrail/platform"
+	"github.com/ibistrail/ibistrail/process"
+)
+
+// memoryShare is the part of the VM's memory that the heap may fill before the garbage collector
+// works harder.
+const memoryShare = 0.7
+
+func main() {
+	root := &cobra.Command{Use: "ibisentry", Short: "Entry VM process of the rollout service", SilenceUsage: true}
+	var path string
+	run := &cobra.Command{
+		Use: "run", Short: "Serve until SIGTERM",
+		RunE: func(*cobra.Command, []string) error { return serve(path) },
+	}
+	check := &cobra.Command{
+		Use: "check", Short: "Check the settings file",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := platform.LoadSettings(path); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		},
+	}
+	root.PersistentFlags().StringVar(&path, "settings", os.Getenv(platform.SettingsEnv), "settings file")
+	root.AddCommand(run, check)
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func serve(path string) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, settings.Cores))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	log := process.NewLogger(os.Stdout, slog.LevelInfo, "entry", settings.VM)
+	targets := platform.NewTargets()
+	p := entry.New(entry.Parts{
+		Settings: settings, Log: log, Store: platform.NewStore(settings.StoreAddress), Client: targets, Engines: targets,
+		Sources: platform.Sources(), BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
+		Handler: func(p *entry.Process) http.Handler {
+			return (&platform.Ingress{View: p.View, Plain: p.Forward, Batches: p.Batches, Closing: p.Closing, Log: log}).Handler()
+		},
+	})
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
+	go func() {
+		for s := range signals {
+			switch s {
+			case syscall.SIGTERM, syscall.SIGINT:
+				close(stop)
+				return
+			case syscall.SIGHUP:
+				if _, err := platform.LoadSettings(path); err != nil {
+					log.Error("settings_rejected", "err", err)
+					continue
+				}
+				log.Info("settings_read", "outcome", "addresses and limits hold until the next start")
+			}
+		}
+	}()
+	return p.Run(stop)
+}
--- /dev/null
+++ b/entry/process.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ibistrail/ibistrail/batch"
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/store"
+	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/versions"
+)
+
+// Names at the store, and times of the group that shares the work.
+const (
+	groupName  = "entry"
+	topicOrder = "orders"
+	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone.
+	joinEvery = 600 * time.Millisecond
+	groupTTL  = 2 * time.Second
+	// leaveTimeout bounds the farewell of a planned stop.
+	leaveTimeout = time.Second
+	// balancerLag is how long after SIGTERM new connections still come: the balancer asks each second,
+	// and twice.
+	balancerLag = 2500 * time.Millisecond
+	// stopMargin is what is left of the grace when the last answers must be out.
+	stopMargin = 1500 * time.Millisecond
+)
+
+// Parts are what the process is joined from.
+type Parts struct {
+	Settings Settings
+	Log      *slog.Logger
+	Store    store.Log
+	Client   target.Client
+	Engines  versions.Engines
+	Sources  []Source
+	// BootTime is a clock that goes on while the VM is suspended.
+	BootTime func() time.Duration
+	// Handler serves callers.
+	Handler func(p *Process) http.Handler
+	// ReadyHandler answers the balancer.
+	ReadyHandler func(ready func() bool) http.Handler
+}
+
+// Process is an entry VM's process.
+type Process struct {
+	parts   Parts
+	View    *fleet.View
+	Forward *forward.Forwarder
+	Batches *batch.Service
+
+	dir      *directory
+	stopping atomic.Bool
+	life     context.Context
+	end      context.CancelFunc
+
+	mu     sync.Mutex
+	group  store.Group
+	duties map[string]context.CancelFunc // by pool
+	owned  []store.Partition
+}
+
+// New joins a process.
+func New(parts Parts) *Process {
+	p := &Process{parts: parts, View: fleet.NewView(), duties: map[string]context.CancelFunc{}}
+	p.life, p.end = context.WithCancel(context.Background())
+	s := parts.Settings
+	p.dir = newDirectory(parts.Store, parts.Log, p.View)
+	p.Forward = forward.New(p.View, parts.Client, s.AvailabilityZone, parts.Log)
+	p.Batches = batch.New(p.life, batch.Options{
+		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
+		Keep: s.BatchRetention, Log: parts.Log, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
+	})
+	p.group = store.Group{
+		Name: groupName, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic, topicOrder},
+		TTL: max(groupTTL, s.MinGroupTTL),
+	}
+	return p
+}
+
+// Closing tells whether the process is about to stop.
+func (p *Process) Closing() bool { return p.stopping.Load() }
+
+// Ready tells whether the process can serve what callers may send.
+func (p *Process) Ready() bool { return !p.Closing() && p.dir.isReady() }
+
+// Run serves until stop is closed, and then ends gracefully.
+func (p *Process) Run(stop <-chan struct{}) error {
+	s := p.parts.Settings
+	front, err := net.Listen("tcp", s.ListenAddress)
+	if err != nil {
+		return fmt.Errorf("listening for callers: %w", err)
+	}
+	readyListener, err := net.Listen("tcp", s.ReadyAddress)
+	if err != nil {
+		return fmt.Errorf("listening for the balancer: %w", err)
+	}
+	for _, src := range p.parts.Sources {
+		go p.dir.follow(p.life, src)
+	}
+	go p.Batches.Run()
+	go p.membership()
+	go p.watchPools()
+	server := p.server()
+	failed := make(chan error, 2)
+	go func() { failed <- server.Serve(front) }()
+	ready := &http.Server{Handler: p.parts.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second}
+	go func() { failed <- ready.Serve(readyListener) }()
+	p.parts.Log.Info("started", "vm", s.VM, "az", s.AvailabilityZone, "callers", s.ListenAddress, "ready", s.ReadyAddress)
+	select {
+	case err := <-failed:
+		p.end()
+		return err
+	case <-stop:
+	}
+	p.shutdown(server)
+	return nil
+}
+
+// server returns the server of callers.
+func (p *Process) server() *http.Server {
+	idle := newIdleConns(func() time.Duration {
+		if t := p.View.Get().Tables; t != nil {
+			return t.Limits.IdleTimeout
+		}
+		return 0
+	})
+	return &http.Server{
+		Handler:   p.parts.Handler(p),
+		ConnState: idle.state,
+		ErrorLog:  slog.NewLogLogger(p.parts.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// shutdown gives the work back, waits until the balancer sends nobody and the last answers are out.
+func (p *Process) shutdown(server *http.Server) {
+	began := time.Now()
+	p.stopping.Store(true)
+	p.parts.Log.Info("stopping", "grace_ms", p.parts.Settings.StopGrace.Milliseconds())
+	p.giveBack()
+	time.Sleep(min(balancerLag, p.parts.Settings.StopGrace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.parts.Settings.StopGrace-stopMargin))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		p.parts.Log.Warn("stopped_early", "err", err)
+	}
+	p.end()
+	p.parts.Log.Info("stopped", "ms", time.Since(began).Milliseconds())
+}
+
+// membership keeps this VM in the group until it stops.
+func (p *Process) membership() {
+	for p.life.Err() == nil && !p.Closing() {
+		p.mu.Lock()
+		g := p.group
+		p.mu.Unlock()
+		generation, parts, err := p.parts.Store.Join(p.life, g)
+		switch {
+		case p.Closing():
+			p.giveBack()
+			return
+		case err != nil:
+			p.parts.Log.Warn("group_join", "outcome", "failed", "err", err)
+		default:
+			p.assign(generation, parts)
+		}
+		sleep(p.life, joinEvery)
+	}
+}
+
+// assign takes over the partitions that the store gave this VM, and drops the others.
+func (p *Process) assign(generation int64, parts []store.Partition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.group.Generation != generation {
+		p.parts.Log.Info("group_assigned", "generation", generation, "partitions", len(parts))
+	}
+	p.group.Generation = generation
+	p.owned = parts
+	p.Batches.Own(parts)
+	p.updateDuties()
+}
+
+// giveBack leaves the group, so that others take the work over at once.
+func (p *Process) giveBack() {
+	p.mu.Lock()
+	g := p.group
+	p.owned = nil
+	p.updateDuties()
+	p.mu.Unlock()
+	p.Batches.Own(nil)
+	ctx, cancel := context.WithTimeout(p.life, leaveTimeout)
+	defer cancel()
+	if err := p.parts.Store.Leave(ctx, g); err != nil {
+		p.parts.Log.Warn("group_leave", "outcome", "failed", "err", err)
+	}
+}
+
+// watchPools starts and ends duties as pools come and go.
+func (p *Process) watchPools() {
+	for p.life.Err() == nil {
+		changed := p.View.Changed()
+		p.mu.Lock()
+		p.updateDuties()
+		p.mu.Unlock()
+		select {
+		case <-p.life.Done():
+		case <-changed:
+		}
+	}
+}
+
+// updateDuties runs the duty of each pool of engines whose orders are this VM's task. The caller
+// holds the lock.
+func (p *Process) updateDuties() {
+	wanted := map[string]bool{}
+	if t := p.View.Get().Tables; t != nil {
+		for i := range t.Pools {
+			pool := &t.Pools[i]
+			part := store.Partition{Topic: topicOrder, Index: store.Spread(pool.Name, p.parts.Settings.Partitions)}
+			for _, own := range p.owned {
+				if pool.Engine != nil && own == part {
+					wanted[pool.Name] = true
+				}
+			}
+		}
+	}
+	for name, cancel := range p.duties {
+		if !wanted[name] {
+			cancel()
+			delete(p.duties, name)
+		}
+	}
+	s := p.parts.Settings
+	for name := range wanted {
+		if p.duties[name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(p.life)
+		p.duties[name] = cancel
+		d := &versions.Duty{
+			Pool: name, View: p.View, Engines: p.parts.Engines, Log: p.parts.Log, Holder: s.IP,
+			Tenure: versions.NewTenureOf(p.parts.Store, topicOrder, s.Partitions, name, s.IP, s.OrderHandover, p.parts.BootTime),
+		}
+		go d.Run(ctx)
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,34 @@
+// Package entry joins the duties of an entry VM on the platform into one process: what it knows of
+// the deployment, requests, batches, orders of weight versions, readiness and stopping.
+package entry
+
+import "time"
+
+// Settings are what a process is told at its start.
+type Settings struct {
+	VM               string
+	AvailabilityZone string
+	IP               string
+	ListenAddress    string
+	ReadyAddress     string
+	StoreAddress     string
+	// Partitions is the number of partitions of each topic.
+	Partitions int
+	// RecordBytes and CallBytes bound one record and all records of one append.
+	RecordBytes, CallBytes int
+	// MinGroupTTL is the shortest silence after which the store takes a group's member for gone.
+	MinGroupTTL time.Duration
+	Cores       int
+	MemoryBytes int64
+	Descriptors int
+	// StopGrace is the time between SIGTERM and SIGKILL.
+	StopGrace time.Duration
+	// OrderHandover is how far apart the orders of two holders to one engine must be.
+	OrderHandover time.Duration
+	// BatchRetention is how long a batch stays readable after its submission.
+	BatchRetention time.Duration
+	// TargetBeat is how often targets renew their registration.
+	TargetBeat time.Duration
+	// FencingChecked tells whether engines refuse orders with an old fencing token.
+	FencingChecked bool
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,49 @@
+package fleet
+
+import "sync/atomic"
+
+// Snapshot is one consistent state of a Directory, not to be changed.
+type Snapshot struct {
+	Tables    *Tables
+	Instances []*Instance
+	Named     map[string]int64
+}
+
+// Pool returns the instances of a pool.
+func (s *Snapshot) Pool(name string) []*Instance {
+	var out []*Instance
+	for _, i := range s.Instances {
+		if i.Pool == name {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// View shares the newest snapshot between the duties of a VM.
+type View struct {
+	now     atomic.Pointer[Snapshot]
+	changed atomic.Pointer[chan struct{}]
+}
+
+// NewView returns a view of nothing.
+func NewView() *View {
+	v := &View{}
+	v.now.Store(&Snapshot{})
+	ch := make(chan struct{})
+	v.changed.Store(&ch)
+	return v
+}
+
+// Get returns the newest snapshot.
+func (v *View) Get() *Snapshot { return v.now.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} { return *v.changed.Load() }
+
+// Set publishes a snapshot.
+func (v *View) Set(s *Snapshot) {
+	v.now.Store(s)
+	next := make(chan struct{})
+	close(*v.changed.Swap(&next))
+}
--- /dev/null
+++ b/versions/duty.go
@@ -0,0 +1,185 @@
+package versions
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/store"
+)
+
+// Times of the duty.
+const (
+	// reportEvery is the pause between reports of an engine that loads: reports lag by a few hundred
+	// milliseconds, and each one is a call to the engine.
+	reportEvery = 300 * time.Millisecond
+	// idleEvery is how often the duty looks again where nothing is pending.
+	idleEvery = 2 * time.Second
+)
+
+// Duty orders the engines of one pool while this VM has that task.
+type Duty struct {
+	Pool    string
+	View    *fleet.View
+	Engines Engines
+	Tenure  *Tenure
+	Log     *slog.Logger
+	// Holder names this VM to the engines.
+	Holder string
+	plan   *Planner
+}
+
+// NewTenureOf returns the tenure of the pool's orders.
+func NewTenureOf(log store.Log, topic string, partitions int, pool, self string, handover time.Duration, clock func() time.Duration) *Tenure {
+	return NewTenure(log, store.Partition{Topic: topic, Index: store.Spread(pool, partitions)}, self, handover, clock)
+}
+
+// Run gives orders until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	d.plan = NewPlanner()
+	defer d.Tenure.Drop()
+	for ctx.Err() == nil {
+		changed := d.View.Changed()
+		pause := d.step(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-changed:
+			// Registrations change all the time; a short pause lets several be taken at once.
+			sleep(ctx, min(pause, 50*time.Millisecond))
+		}
+		timer.Stop()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step orders what is due and returns when to look again.
+func (d *Duty) step(ctx context.Context) time.Duration {
+	snap := d.View.Get()
+	if snap.Tables == nil {
+		return idleEvery
+	}
+	pool := snap.Tables.Pool(d.Pool)
+	if pool == nil || pool.Engine == nil {
+		return idleEvery
+	}
+	d.plan.Update(pool, snap.Pool(d.Pool))
+	if !d.plan.Pending(snap.Named) {
+		return idleEvery
+	}
+	wait, err := d.Tenure.Acquire(ctx)
+	if err != nil {
+		d.Log.Warn("order_tenure", "pool", d.Pool, "outcome", "not acquired", "err", err)
+		return retryAfter
+	}
+	if wait > 0 {
+		return min(wait, idleEvery)
+	}
+	d.observe(ctx, d.plan.Loading())
+	intents := d.plan.Plan(time.Now(), snap.Named)
+	if len(intents) > 0 {
+		d.wave(ctx, snap, intents)
+	}
+	return reportEvery
+}
+
+// observe reads the reports of engines, at the same time.
+func (d *Duty) observe(ctx context.Context, instances []*fleet.Instance) map[fleet.Key]Report {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[fleet.Key]Report{}
+	for _, in := range instances {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, err := d.Engines.Report(ctx, in.Address, in.Name)
+			if err != nil {
+				d.Log.Warn("engine_report", "engine", in.Name, "outcome", "failed", "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[in.Key()] = r
+		}()
+	}
+	wg.Wait()
+	for k, r := range out {
+		d.plan.Observed(time.Now(), k, r)
+	}
+	return out
+}
+
+// wave orders the intents whose engines report that they still need them.
+func (d *Duty) wave(ctx context.Context, snap *fleet.Snapshot, intents []Intent) {
+	instances := make([]*fleet.Instance, 0, len(intents))
+	for _, i := range intents {
+		instances = append(instances, i.Instance)
+	}
+	reports := d.observe(ctx, instances)
+	var due []Intent
+	for _, i := range intents {
+		r, ok := reports[i.Instance.Key()]
+		switch {
+		case !ok || r.Loading:
+			d.plan.Failed(time.Now(), i.Instance.Key())
+		case r.Versions[i.Model] < i.Version:
+			due = append(due, i)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	if err := d.Tenure.Begin(ctx); err != nil {
+		d.Log.Warn("order_tenure", "pool", d.Pool, "outcome", "lost", "err", err)
+		for _, i := range due {
+			d.plan.Failed(time.Now(), i.Instance.Key())
+		}
+		return
+	}
+	var wg sync.WaitGroup
+	verdicts := make([]Verdict, len(due))
+	for n, i := range due {
+		o := Order{
+			InstanceID: i.Instance.Name, Address: i.Instance.Address, Model: i.Model, Version: i.Version, Mode: mode(snap.Tables, d.Pool),
+			Holder: d.Holder, FencingToken: d.Tenure.Token(), ExpectOrders: reports[i.Instance.Key()].Orders,
+		}
+		if !d.Tenure.MaySend() {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			v, err := d.Engines.Order(ctx, o)
+			verdicts[n] = v
+			d.Log.Info("version_order", "engine", o.InstanceID, "model", o.Model, "version", o.Version, "token", o.FencingToken,
+				"after_orders", o.ExpectOrders, "outcome", string(v), "err", err)
+		}()
+	}
+	wg.Wait()
+	for n, i := range due {
+		if v := verdicts[n]; v != Accepted && v != Holds {
+			d.plan.Failed(time.Now(), i.Instance.Key())
+		}
+	}
+}
+
+// mode is await where some route of the pool wants samples of one version each.
+func mode(t *fleet.Tables, pool string) Mode {
+	for i := range t.Routes {
+		if r := &t.Routes[i]; r.SingleVersion && r.Uses(pool) {
+			return Await
+		}
+	}
+	return CarryOver
+}
