batch: one VM places the items of all steps of a pool, moves them off slow engines and saves long texts

Cause: two owners of two trainers' steps sent to the same engines, which queued or preempted (99 preempted, items stalled); each engine loaded each version; texts were lost with their owner. Change: the partition of a submission follows its pool; its owner also orders versions, and engines take turns in loading them; items leave slow engines; unfinished texts are saved each second and at a planned stop.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -24,6 +24,8 @@
 	Model string `json:"model,omitempty"`
 	// MinVersion is the oldest weight version that may make a token of the step.
 	MinVersion int64 `json:"min_version,omitempty"`
+	// NewestVersion is the newest version that was named, or run by an engine, at the acceptance.
+	NewestVersion int64 `json:"newest_version,omitempty"`
 	// WantGroups is the number of whole groups that the trainer waits for.
 	WantGroups int    `json:"want_groups,omitempty"`
 	Items      []Item `json:"items"`
@@ -66,6 +68,20 @@
 	Score    string  `json:"score,omitempty"`
 }
 
+// Progress is a part of an unfinished text, kept so that another VM can continue it.
+type Progress struct {
+	Submission string `json:"submission"`
+	ItemID     string `json:"item"`
+	// Writer names the process that received the text; parts of two writers are never joined.
+	Writer string `json:"writer"`
+	// From is the number of events before this part.
+	From     int      `json:"from"`
+	Events   []string `json:"events"`
+	Versions []int64  `json:"versions"`
+	// Whole tells that the text ends with this part.
+	Whole bool `json:"whole,omitempty"`
+}
+
 // Page is a part of a submission's results.
 type Page struct {
 	Total   int
--- a/batch/book.go
+++ b/batch/book.go
@@ -13,6 +13,16 @@
 	results []Result
 	listed  map[string]bool
 	ended   bool
+	// texts are the unfinished texts that were saved, by item.
+	texts map[string]*savedText
+}
+
+// savedText is what is known of an unfinished text.
+type savedText struct {
+	events   []string
+	versions []int64
+	whole    bool
+	writer   string
 }
 
 func (e *entry) done() bool { return e.ended || len(e.results) == len(e.sub.Items) }
@@ -62,6 +72,12 @@
 			return false, fmt.Errorf("record at offset %d has no result", offset)
 		}
 		return b.list(r.Result), nil
+	case recordProgress:
+		if r.Progress == nil || len(r.Progress.Events) != len(r.Progress.Versions) {
+			return false, fmt.Errorf("record at offset %d has no progress", offset)
+		}
+		b.save(r.Progress)
+		return false, nil
 	case recordEnd:
 		e := b.entries[r.ID]
 		if e == nil || e.ended {
@@ -108,7 +124,7 @@
 	if s.ID != r.ID {
 		return false, fmt.Errorf("submission at offset %d has two IDs", offset)
 	}
-	e := &entry{sub: &s, items: make(map[string]*Item, len(s.Items)), listed: map[string]bool{}}
+	e := &entry{sub: &s, items: make(map[string]*Item, len(s.Items)), listed: map[string]bool{}, texts: map[string]*savedText{}}
 	for i := range s.Items {
 		e.items[s.Items[i].ID] = &s.Items[i]
 	}
@@ -117,6 +133,26 @@
 	return true, nil
 }
 
+// save takes a part of an unfinished text. Parts of two runs are never joined: one that does not
+// follow what is known is dropped, unless it starts the text anew.
+func (b *book) save(p *Progress) {
+	e := b.entries[p.Submission]
+	if e == nil || e.items[p.ItemID] == nil || e.listed[p.ItemID] {
+		return
+	}
+	t := e.texts[p.ItemID]
+	switch {
+	case p.From == 0 && (t == nil || len(p.Events) >= len(t.events)):
+		t = &savedText{writer: p.Writer}
+		e.texts[p.ItemID] = t
+	case t == nil || p.From != len(t.events) || p.Writer != t.writer:
+		return
+	}
+	t.events = append(t.events, p.Events...)
+	t.versions = append(t.versions, p.Versions...)
+	t.whole = p.Whole
+}
+
 // list takes a result if it is the first of its item.
 func (b *book) list(r *Result) bool {
 	e := b.entries[r.Submission]
@@ -124,6 +160,7 @@
 		return false
 	}
 	e.listed[r.ItemID] = true
+	delete(e.texts, r.ItemID)
 	e.results = append(e.results, *r)
 	if !r.Abandoned {
 		f := finished{result: *r}
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -18,8 +18,11 @@
 	// coolMin and coolMax bound the pause after failures, which doubles each time.
 	coolMin = 500 * time.Millisecond
 	coolMax = 8 * time.Second
-	// fullPause is the pause after an engine said that it has no room, or loads a version.
-	fullPause = 120 * time.Millisecond
+	// fullPause is the pause after an engine said that it has no room for a model, or loads a version.
+	fullPause = 100 * time.Millisecond
+	// paceMemory is the time in which a slow engine that gets nothing to do is forgiven, so that it is
+	// tried again.
+	paceMemory = 5 * time.Second
 )
 
 // engine is what a VM believes of one engine.
@@ -30,8 +33,11 @@
 	// others is the load that other VMs put on the engine when it last spoke.
 	others   int
 	othersAt time.Time
-	// pace is the time of one event.
-	pace     time.Duration
+	// pace is the time of one event, measured last at pacedAt.
+	pace    time.Duration
+	pacedAt time.Time
+	// blocked is until when requests of a model are not sent.
+	blocked  map[string]time.Time
 	failures int
 	until    time.Time // not used before
 }
@@ -59,7 +65,7 @@
 		seen[in.Key()] = true
 		e := s.by[in.Key()]
 		if e == nil {
-			e = &engine{versions: map[string]int64{}, pace: s.typicalPace(in.Pool)}
+			e = &engine{versions: map[string]int64{}, blocked: map[string]time.Time{}, pace: s.typicalPace(in.Pool)}
 			s.by[in.Key()] = e
 		}
 		e.instance = in
@@ -120,17 +126,34 @@
 }
 
 // paced takes the time between two events.
-func (s *engines) paced(in *fleet.Instance, d time.Duration) {
+func (s *engines) paced(now time.Time, in *fleet.Instance, d time.Duration) {
 	if e := s.get(in); e != nil {
-		e.failures = 0
+		e.failures, e.pacedAt = 0, now
 		e.pace += time.Duration(paceGain * float64(d-e.pace))
 	}
 }
 
-// full keeps new requests off an engine for a moment.
-func (s *engines) full(now time.Time, in *fleet.Instance) {
+// currentPace is the engine's pace, which nears the best one while nothing is measured.
+func (e *engine) currentPace(now time.Time, best time.Duration) time.Duration {
+	age := now.Sub(e.pacedAt)
+	if e.pacedAt.IsZero() || e.pace <= best || age <= 0 {
+		return e.pace
+	}
+	left := max(0, 1-float64(age)/float64(paceMemory))
+	return best + time.Duration(left*float64(e.pace-best))
+}
+
+// block keeps new requests of a model off an engine until a time.
+func (s *engines) block(in *fleet.Instance, model string, until time.Time) {
+	if e := s.get(in); e != nil {
+		e.blocked[model] = until
+	}
+}
+
+// unversioned takes back the version that an engine was believed to run.
+func (s *engines) unversioned(in *fleet.Instance, model string, v int64) {
 	if e := s.get(in); e != nil {
-		e.until = now.Add(fullPause)
+		e.versions[model] = v
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -38,7 +38,13 @@
 	cancel               func()
 	carried              bool
 	startedAt            time.Time
-	lastEvent            time.Time
+	// moving is set when the run is ended in favour of a faster engine.
+	moving bool
+	// whole is set where the text was saved as a whole one.
+	whole bool
+	// saved is the number of events that were written to the log, savedAt when.
+	saved   int
+	savedAt time.Time
 }
 
 // distinct returns the versions that made the text, ascending.
@@ -51,7 +57,7 @@
 // resumable drops a text that may not be continued under the submission's rules.
 func (j *job) resumable(single bool) {
 	if !fits(j.distinct(), j.sub.MinVersion, single) {
-		j.text, j.versions = nil, nil
+		j.text, j.versions, j.saved = nil, nil, 0
 	}
 }
 
@@ -59,14 +65,26 @@
 	return &Result{Submission: j.sub.ID, ItemID: j.item.ID, Text: strings.Join(j.text, "\n"), Versions: j.distinct()}
 }
 
-// need estimates how long the rest of the item takes, at a pace for each event.
-func (j *job) need(tokensPerEvent int, pace time.Duration) time.Duration {
+// left estimates the number of events that the item still needs. An item that is longer than its
+// estimate is believed to need a good part of what it had so far.
+func (j *job) left(tokensPerEvent int) int {
 	events := typicalEvents
 	if j.item.ExpectedTokens > 0 && tokensPerEvent > 0 {
 		events = (j.item.ExpectedTokens + tokensPerEvent - 1) / tokensPerEvent
 	}
-	left := max(1, events-len(j.text))
-	return time.Duration(left) * pace
+	return max(1, events-len(j.text), len(j.text)/overrunShare)
+}
+
+// overrunShare is the part of an overlong text that is expected to follow, as a divisor.
+const overrunShare = 3
+
+// progress returns the part of the text that was not saved yet.
+func (j *job) progress(writer string) *Progress {
+	p := &Progress{
+		Submission: j.sub.ID, ItemID: j.item.ID, Writer: writer, From: j.saved,
+		Events: slices.Clone(j.text[j.saved:]), Versions: slices.Clone(j.versions[j.saved:]), Whole: j.state == scoring,
+	}
+	return p
 }
 
 // typicalEvents is the length of an item whose caller gave no estimate.
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -34,6 +34,7 @@
 	book    *book
 	changed chan struct{}
 	owned   bool
+	ownedAt time.Time
 	askedAt time.Time
 	readAt  time.Time // when the last read to the end was sent
 	running bool
@@ -50,6 +51,10 @@
 	go p.loop(ctx)
 }
 
+// current tells whether the partition was read to its end since this VM took it over. Before that, a
+// submission may look open whose end has not been read yet. The caller holds mu.
+func (p *partition) current() bool { return p.owned && !p.readAt.Before(p.ownedAt) }
+
 func (p *partition) wanted(now time.Time) bool { return p.owned || now.Sub(p.askedAt) < hotFor }
 
 func (p *partition) loop(ctx context.Context) {
@@ -110,7 +115,11 @@
 		if len(b.Records) == 0 {
 			sent = time.Now()
 		}
+		first := p.readAt.Before(p.ownedAt)
 		p.readAt = sent
+		if first && p.current() {
+			p.wake()
+		}
 	}
 	if any {
 		close(p.changed)
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -8,9 +8,6 @@
 
 // Weights of the choice of an engine, in parts of an engine's slots.
 const (
-	// foreignCost is what an engine costs that mostly follows another model: its place is more use to
-	// that one's steps.
-	foreignCost = 0.4
 	// groupBonus is what an engine is worth that has read the group's shared prompt.
 	groupBonus = 0.3
 	// zoneCost is what an engine in another zone costs, where each byte is paid for.
@@ -67,8 +64,6 @@
 	pool, model string
 	least       int64
 	az          string
-	// assigned are the models that engines mostly follow, by instance ID.
-	assigned map[string]string
 	// hosts are the engines that run items of the group, by instance ID.
 	hosts map[string]int
 	avoid string
@@ -83,7 +78,7 @@
 		if in.Pool != q.pool || in.Draining || now.Before(e.until) || e.room(now) <= 0 || in.Name == q.avoid {
 			continue
 		}
-		if q.model != "" && e.versions[q.model] < q.least {
+		if now.Before(e.blocked[q.model]) || q.model != "" && e.versions[q.model] < q.least {
 			continue
 		}
 		cost := e.cost(now, q, s.bestPace(q.pool))
@@ -98,10 +93,7 @@
 func (e *engine) cost(now time.Time, q request, bestPace time.Duration) float64 {
 	c := 1 - float64(e.room(now))/float64(max(1, e.instance.Slots))
 	if bestPace > 0 {
-		c += float64(e.pace)/float64(bestPace) - 1
-	}
-	if m := q.assigned[e.instance.Name]; m != "" && m != q.model {
-		c += foreignCost
+		c += float64(e.currentPace(now, bestPace))/float64(bestPace) - 1
 	}
 	if q.hosts[e.instance.Name] > 0 {
 		c -= groupBonus
@@ -111,3 +103,46 @@
 	}
 	return c
 }
+
+// Bounds of moving a running item to a faster engine.
+const (
+	// moveRatio is how much slower than the best an engine must be.
+	moveRatio = 1.5
+	// moveGain is the time that a move must save; it costs the reading of what is known so far.
+	moveGain = 300 * time.Millisecond
+)
+
+// slower tells whether an item that needs left events more should leave the engine for a better one
+// that has room. Only measured paces count, so that items do not wander between slow engines.
+func (s *engines) slower(now time.Time, e *engine, left int, q request) bool {
+	best := s.bestPace(q.pool)
+	if best <= 0 || float64(e.pace) < moveRatio*float64(best) || time.Duration(left)*(e.pace-best) < moveGain {
+		return false
+	}
+	to := s.choose(now, q)
+	return to != nil && float64(e.pace) > moveRatio*float64(to.pace)
+}
+
+// shortage counts why a pool's engines could not take a request.
+type shortage struct{ engines, cooling, blocked, old, full int }
+
+func (s *engines) shortage(now time.Time, q request) shortage {
+	var n shortage
+	for _, e := range s.by {
+		if e.instance.Pool != q.pool || e.instance.Draining {
+			continue
+		}
+		n.engines++
+		switch {
+		case now.Before(e.until):
+			n.cooling++
+		case now.Before(e.blocked[q.model]):
+			n.blocked++
+		case q.model != "" && e.versions[q.model] < q.least:
+			n.old++
+		case e.room(now) <= 0:
+			n.full++
+		}
+	}
+	return n
+}
--- a/batch/record.go
+++ b/batch/record.go
@@ -13,6 +13,8 @@
 	recordSubmit recordKind = "submit"
 	recordResult recordKind = "result"
 	recordEnd    recordKind = "end"
+	// recordProgress only saves work: losing one costs tokens.
+	recordProgress recordKind = "progress"
 )
 
 // recordOverhead is room for a record's fields beside its data, in bytes.
@@ -29,6 +31,8 @@
 	Parts   int     `json:"parts,omitempty"`
 	Data    []byte  `json:"data,omitempty"`
 	Result  *Result `json:"result,omitempty"`
+	// Progress is set in records of progress.
+	Progress *Progress `json:"progress,omitempty"`
 }
 
 // encodeSubmission returns the records of a submission, each of at most limit bytes.
@@ -57,12 +61,20 @@
 
 func encodeEnd(id string) ([]byte, error) { return json.Marshal(record{Kind: recordEnd, ID: id}) }
 
-// encodeResult does not escape the text for HTML, which would only make it longer.
 func encodeResult(r *Result) ([]byte, error) {
+	return encodeText(record{Kind: recordResult, ID: r.Submission, Result: r})
+}
+
+func encodeProgress(p *Progress) ([]byte, error) {
+	return encodeText(record{Kind: recordProgress, ID: p.Submission, Progress: p})
+}
+
+// encodeText does not escape texts for HTML, which would only make them longer.
+func encodeText(r record) ([]byte, error) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	enc.SetEscapeHTML(false)
-	if err := enc.Encode(record{Kind: recordResult, ID: r.Submission, Result: r}); err != nil {
+	if err := enc.Encode(r); err != nil {
 		return nil, err
 	}
 	return bytes.TrimRight(b.Bytes(), "\n"), nil
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +19,17 @@
 
 // Times of running items.
 const (
-	// firstEventWait is how long an engine may take to the first event: a full prefill behind a load of
-	// weights.
-	firstEventWait = 2500 * time.Millisecond
-	// eventWait is how long an engine may pause between events: a load of weights.
-	eventWait = 2 * time.Second
+	// firstEventWait is how long an engine may take to the first event. Engines get no more requests
+	// than they run at once, so a wait means that something is wrong; a start elsewhere costs little.
+	firstEventWait = time.Second
+	// eventWait is how long an engine may pause between events.
+	eventWait = 700 * time.Millisecond
+	// saveEvery is how often the text of a long item is written down, so that another VM can go on.
+	saveEvery = time.Second
+	// initialLoad is how long a load of weights is taken to last before one was measured.
+	initialLoad = time.Second
+	// loadGain is the weight of a new measurement in the moving average.
+	loadGain = 0.3
 	// scoreBudget is the time that a scoring call gets.
 	scoreBudget = 3 * time.Second
 	// itemRetry is the pause before an item whose run failed is tried again.
@@ -46,6 +53,9 @@
 	log    *slog.Logger
 	az     string
 	append func(p *partition, r *Result)
+	save   func(p *partition, pr *Progress)
+	// writer names this process in saved texts.
+	writer string
 
 	mu      sync.Mutex
 	jobs    map[string]map[string]*job // by submission and item
@@ -54,7 +64,39 @@
 	seen    *fleet.Snapshot
 	// texts are unfinished texts of ended submissions, which may come again.
 	texts map[string]leftover
-	kick  chan struct{}
+	// load is how long a load of weights lasts.
+	load time.Duration
+	kick chan struct{}
+}
+
+// LoadBegan implements versions.Loads: requests of the model wait until the load should be over.
+func (r *runner) LoadBegan(i versions.Intent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := time.Now().Add(r.load)
+	r.engines.block(i.Instance, i.Model, until)
+	// The new version is believed from then on; the engine's answers tell if it is late.
+	r.engines.versioned(i.Instance, i.Model, i.Version)
+	time.AfterFunc(r.load+time.Millisecond, r.wake)
+}
+
+// LoadEnded implements versions.Loads.
+func (r *runner) LoadEnded(i versions.Intent, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.load += time.Duration(loadGain * float64(took-r.load))
+	r.engines.block(i.Instance, i.Model, time.Time{})
+	r.engines.versioned(i.Instance, i.Model, i.Version)
+	r.wake()
+}
+
+// LoadFailed implements versions.Loads.
+func (r *runner) LoadFailed(i versions.Intent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engines.block(i.Instance, i.Model, time.Time{})
+	r.engines.unversioned(i.Instance, i.Model, i.Instance.Versions[i.Model])
+	r.wake()
 }
 
 // leftover is what was received of an item when its submission ended.
@@ -120,14 +162,53 @@
 		return false
 	}
 	r.start(ctx, snap)
+	r.saveLong(time.Now())
 	return true
 }
 
+// saveLong writes down what long items received since the last time.
+func (r *runner) saveLong(now time.Time) {
+	for _, jobs := range r.jobs {
+		for _, j := range jobs {
+			if j.state == running && len(j.text) > j.saved && now.Sub(j.savedAt) >= saveEvery && now.Sub(j.startedAt) >= saveEvery {
+				r.save(j.part, j.progress(r.writer))
+				j.saved, j.savedAt = len(j.text), now
+			}
+		}
+	}
+}
+
+// saveAll returns what is not written down yet of all unfinished texts.
+func (r *runner) saveAll() []unsaved {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []unsaved
+	for _, jobs := range r.jobs {
+		for _, j := range jobs {
+			if j.state == running && len(j.text) > j.saved || j.state == scoring {
+				out = append(out, unsaved{j.part, j.progress(r.writer)})
+				j.saved = len(j.text)
+			}
+		}
+	}
+	return out
+}
+
+// unsaved is a part of a text to be written to a partition.
+type unsaved struct {
+	part     *partition
+	progress *Progress
+}
+
 // reconcile brings the jobs in line with the owned partitions' submissions.
 func (r *runner) reconcile(ctx context.Context, snap *fleet.Snapshot) {
 	now := time.Now()
 	for p := range r.parts {
 		p.mu.Lock()
+		if !p.current() {
+			p.mu.Unlock()
+			continue
+		}
 		for _, id := range p.book.order {
 			e := p.book.entries[id]
 			jobs := r.jobs[id]
@@ -156,6 +237,9 @@
 			gone := !r.parts[j.part] || j.entry.done()
 			j.part.mu.Unlock()
 			if gone {
+				if !j.entry.done() && j.state == running && len(j.text) > j.saved {
+					r.save(j.part, j.progress(r.writer)) // for the VM that goes on with it
+				}
 				r.leave(j, now)
 				delete(jobs, item)
 			} else if expired(snap, j.sub, now) && j.state != settled {
@@ -227,8 +311,13 @@
 			r.append(p, &res)
 			continue
 		}
-		if l, ok := r.texts[it.ID]; ok {
-			j.text, j.versions = l.text, l.versions
+		if t := e.texts[it.ID]; t != nil {
+			j.text, j.versions = slices.Clone(t.events), slices.Clone(t.versions)
+			j.resumable(single)
+			j.whole = t.whole && len(j.text) > 0
+		}
+		if l, ok := r.texts[it.ID]; ok && len(l.text) > len(j.text) {
+			j.text, j.versions, j.whole = l.text, l.versions, false
 			j.resumable(single)
 			delete(r.texts, it.ID)
 		}
@@ -285,25 +374,28 @@
 				per = pool.Engine.TokensPerEvent
 			}
 			tasks = append(tasks, &task{
-				job: j, due: time.UnixMilli(j.sub.AcceptedMs).Add(route.RunDeadline), need: j.need(per, r.engines.typicalPace(pool.Name)), carried: j.carried,
+				job: j, due: time.UnixMilli(j.sub.AcceptedMs).Add(route.RunDeadline),
+				need: time.Duration(j.left(per)) * r.engines.typicalPace(pool.Name), carried: j.carried,
 			})
 		}
 	}
+	r.move(now, snap, routes)
 	if len(tasks) == 0 {
 		return
 	}
 	sortTasks(now, tasks)
-	assigned := map[string]map[string]string{}
+	var short *shortage
 	for _, t := range tasks {
 		j := t.job
 		route := routes[j.sub.ID]
-		pool := snap.Tables.Pool(route.Pool)
-		if assigned[pool.Name] == nil && pool.Engine != nil {
-			assigned[pool.Name] = versions.Assign(pool.Engine.Models, snap.Named, snap.Pool(pool.Name))
+		if j.whole {
+			j.whole, j.state = false, scoring
+			go r.finish(j, route)
+			continue
 		}
 		group := j.sub.ID + "/" + j.item.Group
 		q := request{
-			pool: pool.Name, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, assigned: assigned[pool.Name], hosts: hosts[group], avoid: j.avoid,
+			pool: route.Pool, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, hosts: hosts[group], avoid: j.avoid,
 		}
 		e := r.engines.choose(now, q)
 		if e == nil && q.avoid != "" {
@@ -311,6 +403,12 @@
 			e = r.engines.choose(now, q)
 		}
 		if e == nil {
+			if short == nil {
+				n := r.engines.shortage(now, q)
+				short = &n
+				r.log.Info("items_wait", "items", len(tasks), "batch", j.sub.ID, "engines", n.engines, "cooling", n.cooling, "loading", n.blocked,
+					"old_version", n.old, "full", n.full)
+			}
 			continue
 		}
 		if hosts[group] == nil {
@@ -321,6 +419,37 @@
 	}
 }
 
+// minRun is how long an item stays on an engine before it may be moved: a few events show the pace.
+const minRun = 400 * time.Millisecond
+
+// move ends runs on slow engines where a faster one has room; they continue there.
+func (r *runner) move(now time.Time, snap *fleet.Snapshot, routes map[string]*fleet.Route) {
+	for id, jobs := range r.jobs {
+		route := routes[id]
+		if route == nil {
+			continue
+		}
+		per := 1
+		if pool := snap.Tables.Pool(route.Pool); pool != nil && pool.Engine != nil {
+			per = pool.Engine.TokensPerEvent
+		}
+		for _, j := range jobs {
+			if j.state != running || j.moving || j.on == nil || now.Sub(j.startedAt) < minRun {
+				continue
+			}
+			e := r.engines.get(j.on)
+			if e == nil {
+				continue // its registration is gone; it may still end its runs
+			}
+			q := request{pool: route.Pool, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, avoid: j.on.Name}
+			if r.engines.slower(now, e, j.left(per), q) {
+				j.moving, j.avoid = true, j.on.Name
+				j.cancel()
+			}
+		}
+	}
+}
+
 // send starts a run of a job on an engine. The runner's lock is held.
 func (r *runner) send(ctx context.Context, j *job, route *fleet.Route, e *engine) {
 	j.resumable(route.SingleVersion)
@@ -333,7 +462,7 @@
 	}
 	call := &target.Call{
 		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
-		RequestID: j.item.ID, Priority: min(9, max(0, int(route.Priority))), ResumeAfter: int64(len(j.text)),
+		RequestID: j.item.ID, Priority: target.NoPriority, ResumeAfter: int64(len(j.text)),
 	}
 	go r.attempt(rctx, cancel, j, route, call)
 }
@@ -346,6 +475,7 @@
 	brokenOff   ending = "broken off"
 	stalled     ending = "stalled"
 	notRun      ending = "not run"
+	moved       ending = "moved"
 	oldVersion  ending = "old version"
 	engineError ending = "engine error"
 	impossible  ending = "impossible"
@@ -356,11 +486,14 @@
 func (r *runner) attempt(ctx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *target.Call) {
 	defer cancel()
 	how, err := r.stream(ctx, cancel, j, call)
-	if ctx.Err() != nil && how == brokenOff {
-		how = ended
-	}
 	r.mu.Lock()
 	now := time.Now()
+	if how == brokenOff && j.moving {
+		how = moved
+	} else if how == brokenOff && ctx.Err() != nil {
+		how = ended
+	}
+	j.moving = false
 	r.engines.ended(call.Instance)
 	j.on, j.cancel = nil, nil
 	r.log.Info("item_run", "id", j.item.ID, "batch", j.sub.ID, "target", call.Instance.Name, "from_event", call.ResumeAfter, "events", len(j.text),
@@ -377,8 +510,9 @@
 		r.wake()
 		return
 	case notRun, oldVersion:
-		r.engines.full(now, call.Instance)
+		r.engines.block(call.Instance, j.sub.Model, now.Add(fullPause))
 		j.notBefore = now.Add(itemRetry / 2)
+	case moved:
 	case brokenOff, stalled:
 		r.engines.failed(now, call.Instance)
 		j.avoid = call.Instance.Name
@@ -430,6 +564,9 @@
 	case a.Status != http.StatusOK:
 		return brokenOff, errors.New(http.StatusText(a.Status))
 	case a.Version > 0 && a.Version < j.sub.MinVersion:
+		r.mu.Lock()
+		r.engines.unversioned(call.Instance, j.sub.Model, a.Version)
+		r.mu.Unlock()
 		return oldVersion, nil
 	}
 	events := r.client.Events(a.Body)
@@ -458,9 +595,8 @@
 		}
 		j.text = append(j.text, ev.Data)
 		j.versions = append(j.versions, version)
-		j.lastEvent = now
 		if ev.ID > call.ResumeAfter+1 {
-			r.engines.paced(call.Instance, now.Sub(last))
+			r.engines.paced(now, call.Instance, now.Sub(last))
 		}
 		if ev.Version > 0 {
 			r.engines.versioned(call.Instance, j.sub.Model, ev.Version)
@@ -532,7 +668,7 @@
 	return &runner{
 		view: o.View, client: o.Client, fwd: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{},
-		kick: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), load: initialLoad,
 	}
 }
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -11,6 +11,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/versions"
 )
 
 // Topic holds submissions, results and ends.
@@ -64,9 +65,14 @@
 		s.writers = append(s.writers, &writer{log: o.Store, id: id, out: o.Log, limit: o.CallBytes})
 	}
 	s.runner.append = s.appendResult
+	s.runner.save = s.save
+	s.runner.writer = o.VM + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	return s
 }
 
+// Loads returns what has to be told of loads of weight versions.
+func (s *Service) Loads() versions.Loads { return s.runner }
+
 // Run runs items until the service's life ends.
 func (s *Service) Run() { s.runner.run(s.life) }
 
@@ -78,6 +84,9 @@
 		if p.owned != owned[p] {
 			s.o.Log.Info("partition_owner", "partition", p.id.Index, "owned", owned[p])
 		}
+		if !p.owned && owned[p] {
+			p.ownedAt = time.Now()
+		}
 		p.owned = owned[p]
 		if p.owned {
 			p.follow(s.life)
@@ -96,10 +105,14 @@
 	s.writers[p.id.Index].add(s.life, data)
 }
 
-// partitionOf returns the partition of all submissions of a route, so that one VM sees all steps of
-// a trainer.
-func (s *Service) partitionOf(routeKey string) *partition {
-	return s.parts[store.Spread(routeKey, len(s.parts))]
+// PartitionOf returns the partition of all submissions to a pool: the VM that owns it places the
+// items of all steps that share the engines.
+func PartitionOf(pool string, partitions int) store.Partition {
+	return store.Partition{Topic: Topic, Index: store.Spread(pool, partitions)}
+}
+
+func (s *Service) partitionOf(pool string) *partition {
+	return s.parts[PartitionOf(pool, len(s.parts)).Index]
 }
 
 // Submit accepts a submission to a route. It returns nil once the submission is kept for good.
@@ -107,7 +120,8 @@
 	if err := sub.Validate(); err != nil {
 		return err
 	}
-	p := s.partitionOf(route.Key())
+	p := s.partitionOf(route.Pool)
+	sub.NewestVersion = newestVersion(s.o.View.Get(), route.Pool, sub.Model)
 	p.mu.Lock()
 	known := p.book.entries[sub.ID] != nil
 	p.mu.Unlock()
@@ -131,6 +145,40 @@
 	return err
 }
 
+// newestVersion is the newest version of a model that was named or is run by an engine.
+func newestVersion(snap *fleet.Snapshot, pool, model string) int64 {
+	newest := snap.Named[model]
+	for _, in := range snap.Pool(pool) {
+		newest = max(newest, in.Versions[model])
+	}
+	return newest
+}
+
+// Handover writes down what this VM knows of unfinished texts, so that another can continue them.
+func (s *Service) Handover() {
+	for _, w := range s.runner.saveAll() {
+		s.save(w.part, w.progress)
+	}
+	deadline := time.Now().Add(handoverBudget)
+	for _, w := range s.writers {
+		for !w.idle() && time.Now().Before(deadline) {
+			time.Sleep(gatherFor)
+		}
+	}
+}
+
+// handoverBudget bounds the time in which unfinished texts are written down at a planned stop.
+const handoverBudget = 800 * time.Millisecond
+
+func (s *Service) save(p *partition, pr *Progress) {
+	data, err := encodeProgress(pr)
+	if err != nil {
+		s.o.Log.Error("progress_lost", "batch", pr.Submission, "id", pr.ItemID, "err", err)
+		return
+	}
+	s.writers[p.id.Index].add(s.life, data)
+}
+
 // appendAll appends records in as few calls as their size allows. It repeats calls whose outcome is
 // not known: a second copy changes nothing.
 func (s *Service) appendAll(ctx context.Context, id store.Partition, records [][]byte) error {
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// idle tells whether nothing waits to be appended.
+func (w *writer) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.running
+}
+
 func (w *writer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, gatherFor)
--- a/entry/process.go
+++ b/entry/process.go
@@ -22,9 +22,10 @@
 const (
 	groupName  = "entry"
 	topicOrder = "orders"
-	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone.
-	joinEvery = 600 * time.Millisecond
-	groupTTL  = 2 * time.Second
+	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone,
+	// and its work stands still until then.
+	joinEvery = 400 * time.Millisecond
+	groupTTL  = 1300 * time.Millisecond
 	// leaveTimeout bounds the farewell of a planned stop.
 	leaveTimeout = time.Second
 	// balancerLag is how long after SIGTERM new connections still come: the balancer asks each second,
@@ -80,7 +81,7 @@
 		Keep: s.BatchRetention, Log: parts.Log, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
 	})
 	p.group = store.Group{
-		Name: groupName, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic, topicOrder},
+		Name: groupName, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic},
 		TTL: max(groupTTL, s.MinGroupTTL),
 	}
 	return p
@@ -191,6 +192,7 @@
 
 // giveBack leaves the group, so that others take the work over at once.
 func (p *Process) giveBack() {
+	p.Batches.Handover()
 	p.mu.Lock()
 	g := p.group
 	p.owned = nil
@@ -225,7 +227,8 @@
 	if t := p.View.Get().Tables; t != nil {
 		for i := range t.Pools {
 			pool := &t.Pools[i]
-			part := store.Partition{Topic: topicOrder, Index: store.Spread(pool.Name, p.parts.Settings.Partitions)}
+			// Who places a pool's items also orders its engines' versions.
+			part := batch.PartitionOf(pool.Name, p.parts.Settings.Partitions)
 			for _, own := range p.owned {
 				if pool.Engine != nil && own == part {
 					wanted[pool.Name] = true
@@ -248,6 +251,11 @@
 		p.duties[name] = cancel
 		d := &versions.Duty{
 			Pool: name, View: p.View, Engines: p.parts.Engines, Log: p.parts.Log, Holder: s.IP,
+			Allowance: func(model string) int64 {
+				n, _ := p.Batches.Allowance(name, model)
+				return n
+			},
+			Loads:  p.Batches.Loads(),
 			Tenure: versions.NewTenureOf(p.parts.Store, topicOrder, s.Partitions, name, s.IP, s.OrderHandover, p.parts.BootTime),
 		}
 		go d.Run(ctx)
--- a/versions/duty.go
+++ b/versions/duty.go
@@ -28,7 +28,18 @@
 	Log     *slog.Logger
 	// Holder names this VM to the engines.
 	Holder string
-	plan   *Planner
+	// Allowance returns by how many versions an engine may lag behind the newest of a model.
+	Allowance func(model string) int64
+	// Loads is told of loads that begin and end.
+	Loads Loads
+	plan  *Planner
+}
+
+// Loads follows loads of weight versions, so that requests keep off engines that would refuse them.
+type Loads interface {
+	LoadBegan(i Intent)
+	LoadEnded(i Intent, took time.Duration)
+	LoadFailed(i Intent)
 }
 
 // NewTenureOf returns the tenure of the pool's orders.
@@ -75,31 +86,46 @@
 		return idleEvery
 	}
 	d.plan.Update(pool, snap.Pool(d.Pool))
-	if !d.plan.Pending(snap.Named) {
+	d.observe(ctx, d.plan.Loading())
+	intents := d.plan.Plan(time.Now(), snap.Named, d.Allowance)
+	if len(intents) == 0 {
+		if len(d.plan.Loading()) > 0 {
+			return reportEvery
+		}
 		return idleEvery
 	}
+	if pause := d.acquire(ctx); pause > 0 {
+		d.fail(intents)
+		return pause
+	}
+	d.wave(ctx, snap, intents)
+	return reportEvery
+}
+
+// acquire takes the tenure and returns how long to wait for it.
+func (d *Duty) acquire(ctx context.Context) time.Duration {
 	wait, err := d.Tenure.Acquire(ctx)
 	if err != nil {
 		d.Log.Warn("order_tenure", "pool", d.Pool, "outcome", "not acquired", "err", err)
 		return retryAfter
 	}
-	if wait > 0 {
-		return min(wait, idleEvery)
-	}
-	d.observe(ctx, d.plan.Loading())
-	intents := d.plan.Plan(time.Now(), snap.Named)
-	if len(intents) > 0 {
-		d.wave(ctx, snap, intents)
+	return min(wait, idleEvery)
+}
+
+// fail takes back intents that were not ordered.
+func (d *Duty) fail(intents []Intent) {
+	for _, i := range intents {
+		d.plan.Failed(time.Now(), i.Instance.Key())
 	}
-	return reportEvery
 }
 
 // observe reads the reports of engines, at the same time.
-func (d *Duty) observe(ctx context.Context, instances []*fleet.Instance) map[fleet.Key]Report {
+func (d *Duty) observe(ctx context.Context, intents []Intent) map[fleet.Key]Report {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := map[fleet.Key]Report{}
-	for _, in := range instances {
+	for _, i := range intents {
+		in := i.Instance
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -114,19 +140,22 @@
 		}()
 	}
 	wg.Wait()
-	for k, r := range out {
-		d.plan.Observed(time.Now(), k, r)
+	for _, i := range intents {
+		r, ok := out[i.Instance.Key()]
+		if !ok {
+			continue
+		}
+		if took, done := d.plan.Observed(time.Now(), i.Instance.Key(), r); done {
+			d.Loads.LoadEnded(i, took)
+			d.Log.Info("version_loaded", "engine", i.Instance.Name, "model", i.Model, "version", i.Version, "ms", took.Milliseconds())
+		}
 	}
 	return out
 }
 
 // wave orders the intents whose engines report that they still need them.
 func (d *Duty) wave(ctx context.Context, snap *fleet.Snapshot, intents []Intent) {
-	instances := make([]*fleet.Instance, 0, len(intents))
-	for _, i := range intents {
-		instances = append(instances, i.Instance)
-	}
-	reports := d.observe(ctx, instances)
+	reports := d.observe(ctx, intents)
 	var due []Intent
 	for _, i := range intents {
 		r, ok := reports[i.Instance.Key()]
@@ -142,9 +171,7 @@
 	}
 	if err := d.Tenure.Begin(ctx); err != nil {
 		d.Log.Warn("order_tenure", "pool", d.Pool, "outcome", "lost", "err", err)
-		for _, i := range due {
-			d.plan.Failed(time.Now(), i.Instance.Key())
-		}
+		d.fail(due)
 		return
 	}
 	var wg sync.WaitGroup
@@ -157,6 +184,7 @@
 		if !d.Tenure.MaySend() {
 			continue
 		}
+		d.Loads.LoadBegan(i)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -170,6 +198,7 @@
 	for n, i := range due {
 		if v := verdicts[n]; v != Accepted && v != Holds {
 			d.plan.Failed(time.Now(), i.Instance.Key())
+			d.Loads.LoadFailed(i)
 		}
 	}
 }
