--- a/batch/batch.go
+++ b/batch/batch.go
@@ -13,8 +13,14 @@
 	"time"
 )
 
-// Submission is a batch as it was accepted.
+// Submission is a batch that a caller hands in.
 type Submission struct {
+	Head
+	Items []Item
+}
+
+// Head is a submission without its items.
+type Head struct {
 	ID string `json:"id"`
 	// Host and Path are those of the submitting request; they select the route of the items.
 	Host string `json:"host"`
@@ -27,12 +33,19 @@
 	// NewestVersion is the newest version that was named, or run by an engine, at the acceptance.
 	NewestVersion int64 `json:"newest_version,omitempty"`
 	// WantGroups is the number of whole groups that the trainer waits for.
-	WantGroups int    `json:"want_groups,omitempty"`
-	Items      []Item `json:"items"`
+	WantGroups int `json:"want_groups,omitempty"`
 	// AcceptedMs is when the submission arrived, by the clock of the VM that took it.
 	AcceptedMs int64 `json:"accepted_ms"`
 }
 
+// scorerID names the request that scores the item; empty if there is none.
+func (i *Item) scorerID() string {
+	if i.Scorer == nil {
+		return ""
+	}
+	return i.Scorer.ID
+}
+
 // Item is one request of a submission.
 type Item struct {
 	ID     string            `json:"id"`
@@ -58,20 +71,18 @@
 
 // Result is a listed item.
 type Result struct {
-	Submission string `json:"submission"`
-	ItemID     string `json:"item"`
+	ItemID string
 	// Abandoned results have no text: the item was given up.
-	Abandoned bool   `json:"abandoned,omitempty"`
-	Text      string `json:"text,omitempty"`
+	Abandoned bool
+	Text      string
 	// Versions are the weight versions that made the text's events, ascending.
-	Versions []int64 `json:"versions,omitempty"`
-	Score    string  `json:"score,omitempty"`
+	Versions []int64
+	Score    string
 }
 
 // Progress is a part of an unfinished text, kept so that another VM can continue it.
 type Progress struct {
-	Submission string `json:"submission"`
-	ItemID     string `json:"item"`
+	ItemID string `json:"item"`
 	// Writer names the process that received the text; parts of two writers are never joined.
 	Writer string `json:"writer"`
 	// From is the number of events before this part.
--- a/batch/book.go
+++ b/batch/book.go
@@ -6,51 +6,52 @@
 	"time"
 )
 
-// entry is a submission as the records say it stands.
+// entry is a submission as the index says it stands.
 type entry struct {
-	sub     *Submission
+	head  *Head
+	total int
+	data  []span
+	// items are nil until they were read from the data topic.
 	items   map[string]*Item
-	results []Result
+	order   []*Item
+	reading bool
+
+	results []listing
 	listed  map[string]bool
 	ended   bool
-	// texts are the unfinished texts that were saved, by item.
-	texts map[string]*savedText
-}
-
-// savedText is what is known of an unfinished text.
-type savedText struct {
-	events   []string
-	versions []int64
-	whole    bool
-	writer   string
+	// saved are the data records of unfinished texts, in the order of the index, by item.
+	saved map[string][]span
 }
 
-func (e *entry) done() bool { return e.ended || len(e.results) == len(e.sub.Items) }
+func (e *entry) done() bool { return e.ended || len(e.results) >= e.total }
 
-// finished is a text that an earlier submission listed.
-type finished struct {
-	result Result
-	scorer string
+// setItems takes the items read from the data topic.
+func (e *entry) setItems(items []Item) {
+	e.items = make(map[string]*Item, len(items))
+	e.order = e.order[:0]
+	for i := range items {
+		e.items[items[i].ID] = &items[i]
+		e.order = append(e.order, &items[i])
+	}
 }
 
-// partial are the parts of a submission that have been read so far.
-type partial struct {
-	data [][]byte
-	got  int
+// finished is a text that a submission listed.
+type finished struct {
+	listing
+	submission string
 }
 
-// book is the state of one partition after the records before next. It does no I/O.
+// book is the state of one partition's index after the records before next. It does no I/O.
 type book struct {
 	next    int64
 	entries map[string]*entry
 	// order holds the IDs of entries in the order of acceptance.
 	order    []string
-	parts    map[string]*partial
 	finished map[string]finished // by item
 }
 
 func newBook() *book {
-	return &book{entries: map[string]*entry{}, parts: map[string]*partial{}, finished: map[string]finished{}}
+	return &book{entries: map[string]*entry{}, finished: map[string]finished{}}
 }
 
 // apply takes the record at offset. Records before next were applied already. An unreadable record
@@ -64,130 +65,72 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return false, fmt.Errorf("record at offset %d: %w", offset, err)
 	}
+	e := b.entries[r.ID]
 	switch r.Kind {
 	case recordSubmit:
-		return b.submit(offset, &r)
+		if r.Head == nil || len(r.Items) == 0 || r.Total < 1 || r.Head.ID != r.ID {
+			return false, fmt.Errorf("record at offset %d is no whole submission", offset)
+		}
+		if e != nil {
+			return false, nil // the first one holds
+		}
+		b.entries[r.ID] = &entry{head: r.Head, total: r.Total, data: r.Items, listed: map[string]bool{}, saved: map[string][]span{}}
+		b.order = append(b.order, r.ID)
+		return true, nil
 	case recordResult:
 		if r.Result == nil {
 			return false, fmt.Errorf("record at offset %d has no result", offset)
 		}
-		return b.list(r.Result), nil
+		return e != nil && b.list(e, r.Result), nil
 	case recordProgress:
-		if r.Progress == nil || len(r.Progress.Events) != len(r.Progress.Versions) {
+		if r.Saved == nil {
 			return false, fmt.Errorf("record at offset %d has no progress", offset)
 		}
-		b.save(r.Progress)
+		if e != nil && !e.done() && !e.listed[r.Saved.ItemID] {
+			e.saved[r.Saved.ItemID] = append(e.saved[r.Saved.ItemID], r.Saved.Data)
+		}
 		return false, nil
 	case recordEnd:
-		e := b.entries[r.ID]
 		if e == nil || e.ended {
 			return false, nil
 		}
 		e.ended = true
+		e.release()
 		return true, nil
 	}
 	return false, fmt.Errorf("record at offset %d has the unknown kind %.20q", offset, r.Kind)
 }
 
-func (b *book) submit(offset int64, r *record) (bool, error) {
-	if b.entries[r.ID] != nil {
-		return false, nil
-	}
-	if r.Parts < 1 || r.Part < 0 || r.Part >= r.Parts {
-		return false, fmt.Errorf("record at offset %d is part %d of %d", offset, r.Part, r.Parts)
-	}
-	data := r.Data
-	if r.Parts > 1 {
-		key := r.ID + "/" + r.Attempt
-		p := b.parts[key]
-		if p == nil {
-			p = &partial{data: make([][]byte, r.Parts)}
-			b.parts[key] = p
-		}
-		if len(p.data) != r.Parts || p.data[r.Part] != nil {
-			return false, nil // a copy of a part
-		}
-		p.data[r.Part] = r.Data
-		if p.got++; p.got < r.Parts {
-			return false, nil
-		}
-		delete(b.parts, key)
-		data = nil
-		for _, d := range p.data {
-			data = append(data, d...)
-		}
-	}
-	var s Submission
-	if err := json.Unmarshal(data, &s); err != nil {
-		return false, fmt.Errorf("submission at offset %d: %w", offset, err)
-	}
-	if s.ID != r.ID {
-		return false, fmt.Errorf("submission at offset %d has two IDs", offset)
-	}
-	e := &entry{sub: &s, items: make(map[string]*Item, len(s.Items)), listed: map[string]bool{}, texts: map[string]*savedText{}}
-	for i := range s.Items {
-		e.items[s.Items[i].ID] = &s.Items[i]
-	}
-	b.entries[s.ID] = e
-	b.order = append(b.order, s.ID)
-	return true, nil
-}
-
-// save takes a part of an unfinished text. Parts of two runs are never joined: one that does not
-// follow what is known is dropped, unless it starts the text anew.
-func (b *book) save(p *Progress) {
-	e := b.entries[p.Submission]
-	if e == nil || e.items[p.ItemID] == nil || e.listed[p.ItemID] {
-		return
-	}
-	t := e.texts[p.ItemID]
-	switch {
-	case p.From == 0 && (t == nil || len(p.Events) >= len(t.events)):
-		t = &savedText{writer: p.Writer}
-		e.texts[p.ItemID] = t
-	case t == nil || p.From != len(t.events) || p.Writer != t.writer:
-		return
-	}
-	t.events = append(t.events, p.Events...)
-	t.versions = append(t.versions, p.Versions...)
-	t.whole = p.Whole
-}
-
 // list takes a result if it is the first of its item.
-func (b *book) list(r *Result) bool {
-	e := b.entries[r.Submission]
-	if e == nil || e.items[r.ItemID] == nil || e.listed[r.ItemID] {
+func (b *book) list(e *entry, l *listing) bool {
+	if e.listed[l.ItemID] || len(e.results) >= e.total {
 		return false
 	}
-	e.listed[r.ItemID] = true
-	delete(e.texts, r.ItemID)
-	e.results = append(e.results, *r)
-	if !r.Abandoned {
-		f := finished{result: *r}
-		if s := e.items[r.ItemID].Scorer; s != nil {
-			f.scorer = s.ID
-		}
-		b.finished[r.ItemID] = f
+	e.listed[l.ItemID] = true
+	delete(e.saved, l.ItemID)
+	e.results = append(e.results, *l)
+	if !l.Abandoned {
+		b.finished[l.ItemID] = finished{listing: *l, submission: e.head.ID}
+	}
+	if e.done() {
+		e.release()
 	}
 	return true
 }
 
+// release drops what only open submissions need.
+func (e *entry) release() {
+	e.items, e.order = nil, nil
+	e.saved = map[string][]span{}
+}
+
 // reusable returns the result that an earlier submission listed for an item, if it fits.
-func (b *book) reusable(s *Submission, it *Item, singleVersion bool) (Result, bool) {
+func (b *book) reusable(h *Head, it *Item, singleVersion bool) (listing, bool) {
 	f, ok := b.finished[it.ID]
-	if !ok || f.result.Submission == s.ID {
-		return Result{}, false
+	if !ok || f.submission == h.ID || f.ScorerID != it.scorerID() || !fits(f.Versions, h.MinVersion, singleVersion) {
+		return listing{}, false
 	}
-	scorer := ""
-	if it.Scorer != nil {
-		scorer = it.Scorer.ID
-	}
-	if f.scorer != scorer || !fits(f.result.Versions, s.MinVersion, singleVersion) {
-		return Result{}, false
-	}
-	r := f.result
-	r.Submission = s.ID
-	return r, true
+	return f.listing, true
 }
 
 // fits tells whether a text made by these versions may be listed.
@@ -209,9 +152,9 @@
 	n := 0
 	for _, id := range b.order {
 		e := b.entries[id]
-		if e.done() && e.sub.AcceptedMs < before.UnixMilli() {
-			for item := range e.items {
-				if b.finished[item].result.Submission == id {
+		if e.done() && e.head.AcceptedMs < before.UnixMilli() {
+			for item := range e.listed {
+				if b.finished[item].submission == id {
 					delete(b.finished, item)
 				}
 			}
@@ -224,3 +167,28 @@
 	b.order = kept
 	return n
 }
+
+// savedText is what is known of an unfinished text.
+type savedText struct {
+	events   []string
+	versions []int64
+	whole    bool
+	writer   string
+}
+
+// add takes a saved part. Parts of two writers are never joined: one that does not follow what is
+// known is dropped, unless it starts the text anew.
+func (t *savedText) add(p *Progress) {
+	if len(p.Events) != len(p.Versions) {
+		return
+	}
+	switch {
+	case p.From == 0 && len(p.Events) >= len(t.events):
+		*t = savedText{writer: p.Writer}
+	case p.From != len(t.events) || p.Writer != t.writer:
+		return
+	}
+	t.events = append(t.events, p.Events...)
+	t.versions = append(t.versions, p.Versions...)
+	t.whole = p.Whole
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -23,7 +23,7 @@
 // run alone touches while it is running.
 type job struct {
 	entry *entry
-	sub   *Submission
+	sub   *Head
 	item  *Item
 	part  *partition
 	state jobState
@@ -61,10 +61,14 @@
 	}
 }
 
-func (j *job) result() *Result {
-	return &Result{Submission: j.sub.ID, ItemID: j.item.ID, Text: strings.Join(j.text, "\n"), Versions: j.distinct()}
+// result returns the item's result and its text.
+func (j *job) result(score string) (listing, string) {
+	return listing{ItemID: j.item.ID, Versions: j.distinct(), Score: score, ScorerID: j.item.scorerID()}, strings.Join(j.text, "\n")
 }
 
+// abandoned is the result of an item that was given up.
+func (j *job) abandoned() listing { return listing{ItemID: j.item.ID, Abandoned: true} }
+
 // left estimates the number of events that the item still needs. An item that is longer than its
 // estimate is believed to need a good part of what it had so far.
 func (j *job) left(tokensPerEvent int) int {
@@ -80,11 +84,10 @@
 
 // progress returns the part of the text that was not saved yet.
 func (j *job) progress(writer string) *Progress {
-	p := &Progress{
-		Submission: j.sub.ID, ItemID: j.item.ID, Writer: writer, From: j.saved,
+	return &Progress{
+		ItemID: j.item.ID, Writer: writer, From: j.saved,
 		Events: slices.Clone(j.text[j.saved:]), Versions: slices.Clone(j.versions[j.saved:]), Whole: j.state == scoring,
 	}
-	return p
 }
 
 // typicalEvents is the length of an item whose caller gave no estimate.
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -16,6 +16,8 @@
 	followWait = 2 * time.Second
 	// hotFor is how long a partition is followed after it was asked for last.
 	hotFor = 10 * time.Second
+	// indexRead is about the most that one read of the index returns, in bytes.
+	indexRead = 1 << 20
 	// readRetry is the pause after a failed read.
 	readRetry = 200 * time.Millisecond
 	// fresh is how old the last answer of the store may be for a partition that is followed to count
@@ -32,6 +34,7 @@
 
 	mu      sync.Mutex
 	book    *book
+	data    *data
 	changed chan struct{}
 	owned   bool
 	ownedAt time.Time
@@ -88,7 +91,7 @@
 	from := p.book.next
 	p.mu.Unlock()
 	sent := time.Now()
-	b, err := p.log.Read(ctx, p.id, from, wait)
+	b, err := p.log.Read(ctx, p.id, from, wait, indexRead)
 	var truncated *store.TruncatedError
 	if errors.As(err, &truncated) {
 		p.mu.Lock()
--- a/batch/record.go
+++ b/batch/record.go
@@ -1,12 +1,18 @@
 package batch
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 )
 
-// recordKind tells what a record of the log says.
+// Topics of the log. The index is small, so that a VM that starts reads all of it at once; the
+// items of submissions and the texts stand in the data topic and are read where they are needed.
+const (
+	Topic     = "batches"
+	dataTopic = "batchdata"
+)
+
+// recordKind tells what a record of the index says.
 type recordKind string
 
 const (
@@ -17,65 +23,58 @@
 	recordProgress recordKind = "progress"
 )
 
-// recordOverhead is room for a record's fields beside its data, in bytes.
-const recordOverhead = 512
+// span names consecutive records of the data partition with the index partition's number.
+type span struct {
+	Offset int64 `json:"offset"`
+	Count  int   `json:"count"`
+}
 
-// record is one record of a partition. A submission that exceeds one record is spread over several
-// with the same Attempt.
+// record is one record of the index.
 type record struct {
 	Kind recordKind `json:"kind"`
-	ID   string     `json:"id,omitempty"` // the submission's
-	// Attempt tells the parts of concurrent submissions of one ID apart.
-	Attempt string  `json:"attempt,omitempty"`
-	Part    int     `json:"part,omitempty"`
-	Parts   int     `json:"parts,omitempty"`
-	Data    []byte  `json:"data,omitempty"`
-	Result  *Result `json:"result,omitempty"`
-	// Progress is set in records of progress.
-	Progress *Progress `json:"progress,omitempty"`
+	ID   string     `json:"id"` // the submission's
+	// Head and Items are set in submissions; the items are a JSON list in parts.
+	Head  *Head  `json:"head,omitempty"`
+	Total int    `json:"total,omitempty"`
+	Items []span `json:"items,omitempty"`
+	// Result is set in results, its text is one data record.
+	Result *listing `json:"result,omitempty"`
+	// Saved is set in records of progress; the data record is a Progress.
+	Saved *saving `json:"saved,omitempty"`
 }
 
-// encodeSubmission returns the records of a submission, each of at most limit bytes.
-func encodeSubmission(s *Submission, attempt string, limit int) ([][]byte, error) {
-	data, err := json.Marshal(s)
-	if err != nil {
-		return nil, err
-	}
-	size := (limit - recordOverhead) * 3 / 4 // base64
-	if size <= 0 {
-		return nil, fmt.Errorf("records of %d bytes are too small for a submission", limit)
-	}
-	parts := max(1, (len(data)+size-1)/size)
-	out := make([][]byte, 0, parts)
-	for i := range parts {
-		r, err := json.Marshal(record{
-			Kind: recordSubmit, ID: s.ID, Attempt: attempt, Part: i, Parts: parts, Data: data[i*size : min(len(data), (i+1)*size)],
-		})
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, r)
-	}
-	return out, nil
+// listing is a result without its text.
+type listing struct {
+	ItemID    string  `json:"item"`
+	Abandoned bool    `json:"abandoned,omitempty"`
+	Versions  []int64 `json:"versions,omitempty"`
+	Score     string  `json:"score,omitempty"`
+	ScorerID  string  `json:"scorer,omitempty"`
+	// Text names the text's data records; no text has none.
+	Text span `json:"text"`
 }
 
-func encodeEnd(id string) ([]byte, error) { return json.Marshal(record{Kind: recordEnd, ID: id}) }
-
-func encodeResult(r *Result) ([]byte, error) {
-	return encodeText(record{Kind: recordResult, ID: r.Submission, Result: r})
+// saving names a saved part of an unfinished text.
+type saving struct {
+	ItemID string `json:"item"`
+	Data   span   `json:"data"`
 }
 
-func encodeProgress(p *Progress) ([]byte, error) {
-	return encodeText(record{Kind: recordProgress, ID: p.Submission, Progress: p})
+// split cuts data into records of at most limit bytes.
+func split(data []byte, limit int) [][]byte {
+	var out [][]byte
+	for len(data) > limit {
+		out = append(out, data[:limit])
+		data = data[limit:]
+	}
+	return append(out, data)
 }
 
-// encodeText does not escape texts for HTML, which would only make them longer.
-func encodeText(r record) ([]byte, error) {
-	var b bytes.Buffer
-	enc := json.NewEncoder(&b)
-	enc.SetEscapeHTML(false)
-	if err := enc.Encode(r); err != nil {
-		return nil, err
+// decodeItems decodes the items of a submission.
+func decodeItems(data []byte) ([]Item, error) {
+	var items []Item
+	if err := json.Unmarshal(data, &items); err != nil {
+		return nil, fmt.Errorf("items of a submission: %w", err)
 	}
-	return bytes.TrimRight(b.Bytes(), "\n"), nil
+	return items, nil
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -52,8 +53,9 @@
 	fwd    Forwarder
 	log    *slog.Logger
 	az     string
-	append func(p *partition, r *Result)
-	save   func(p *partition, pr *Progress)
+	// list appends a result, and its text unless an earlier record holds it.
+	list func(p *partition, submission string, l listing, text string)
+	save func(p *partition, submission string, pr *Progress)
 	// writer names this process in saved texts.
 	writer string
 
@@ -171,7 +173,7 @@
 	for _, jobs := range r.jobs {
 		for _, j := range jobs {
 			if j.state == running && len(j.text) > j.saved && now.Sub(j.savedAt) >= saveEvery && now.Sub(j.startedAt) >= saveEvery {
-				r.save(j.part, j.progress(r.writer))
+				r.save(j.part, j.sub.ID, j.progress(r.writer))
 				j.saved, j.savedAt = len(j.text), now
 			}
 		}
@@ -186,7 +188,7 @@
 	for _, jobs := range r.jobs {
 		for _, j := range jobs {
 			if j.state == running && len(j.text) > j.saved || j.state == scoring {
-				out = append(out, unsaved{j.part, j.progress(r.writer)})
+				out = append(out, unsaved{j.part, j.sub.ID, j.progress(r.writer)})
 				j.saved = len(j.text)
 			}
 		}
@@ -196,8 +198,9 @@
 
 // unsaved is a part of a text to be written to a partition.
 type unsaved struct {
-	part     *partition
-	progress *Progress
+	part       *partition
+	submission string
+	progress   *Progress
 }
 
 // reconcile brings the jobs in line with the owned partitions' submissions.
@@ -212,14 +215,18 @@
 		for _, id := range p.book.order {
 			e := p.book.entries[id]
 			jobs := r.jobs[id]
-			if e.done() || expired(snap, e.sub, now) {
-				if jobs == nil && !e.done() {
-					r.abandonAll(p, e)
+			if e.done() {
+				continue
+			}
+			if jobs == nil && e.items == nil {
+				if !e.reading {
+					e.reading = true
+					go r.read(ctx, p, e)
 				}
 				continue
 			}
 			if jobs == nil {
-				r.open(snap, p, e)
+				r.open(snap, p, e, nil)
 				continue
 			}
 			for item, j := range jobs {
@@ -238,14 +245,13 @@
 			j.part.mu.Unlock()
 			if gone {
 				if !j.entry.done() && j.state == running && len(j.text) > j.saved {
-					r.save(j.part, j.progress(r.writer)) // for the VM that goes on with it
+					r.save(j.part, j.sub.ID, j.progress(r.writer)) // for the VM that goes on with it
 				}
 				r.leave(j, now)
 				delete(jobs, item)
 			} else if expired(snap, j.sub, now) && j.state != settled {
 				r.drop(j)
-				j.state = settled
-				r.append(j.part, &Result{Submission: j.sub.ID, ItemID: item, Abandoned: true})
+				r.abandon(j)
 			}
 		}
 		if len(jobs) == 0 {
@@ -260,7 +266,7 @@
 }
 
 // expired tells whether the items of a submission may be given up. Without a route nothing can run.
-func expired(snap *fleet.Snapshot, s *Submission, now time.Time) bool {
+func expired(snap *fleet.Snapshot, s *Head, now time.Time) bool {
 	route := snap.Tables.Match(s.Host, s.Path)
 	if route == nil || route.Retention <= 0 {
 		return false
@@ -268,29 +274,52 @@
 	return now.UnixMilli() > s.AcceptedMs+route.Retention.Milliseconds()
 }
 
-// abandonAll gives up what is open of a submission that this VM never ran.
-func (r *runner) abandonAll(p *partition, e *entry) {
-	jobs := map[string]*job{}
-	for id, it := range e.items {
-		if !e.listed[id] {
-			jobs[id] = &job{entry: e, sub: e.sub, item: it, part: p, state: settled}
-			r.append(p, &Result{Submission: e.sub.ID, ItemID: id, Abandoned: true})
+// abandon gives an item up.
+func (r *runner) abandon(j *job) {
+	j.state = settled
+	r.list(j.part, j.sub.ID, j.abandoned(), "")
+}
+
+// read reads what the runner needs of an open submission from the data topic, and opens it.
+func (r *runner) read(ctx context.Context, p *partition, e *entry) {
+	p.mu.Lock()
+	saved := maps.Clone(e.saved)
+	p.mu.Unlock()
+	items, err := p.data.items(ctx, e.data)
+	var texts map[string]*savedText
+	if err == nil {
+		texts, err = p.data.texts(ctx, saved)
+	}
+	if err != nil {
+		r.log.Warn("batch_read", "batch", e.head.ID, "partition", p.id.Index, "outcome", "failed", "err", err)
+		sleep(ctx, readRetry)
+	}
+	r.mu.Lock()
+	p.mu.Lock()
+	e.reading = false
+	if err == nil && !e.done() {
+		if e.items == nil {
+			e.setItems(items)
+		}
+		if snap := r.view.Get(); r.parts[p] && r.jobs[e.head.ID] == nil {
+			r.open(snap, p, e, texts)
 		}
 	}
-	r.jobs[e.sub.ID] = jobs
+	p.mu.Unlock()
+	r.mu.Unlock()
+	r.wake()
 }
 
 // open makes the jobs of a submission. The partition's lock is held.
-func (r *runner) open(snap *fleet.Snapshot, p *partition, e *entry) {
+func (r *runner) open(snap *fleet.Snapshot, p *partition, e *entry, texts map[string]*savedText) {
 	single := false
-	if route := snap.Tables.Match(e.sub.Host, e.sub.Path); route != nil {
+	if route := snap.Tables.Match(e.head.Host, e.head.Path); route != nil {
 		single = route.SingleVersion
 	}
-	jobs := make(map[string]*job, len(e.items))
+	jobs := make(map[string]*job, len(e.order))
 	carriedGroups := map[string]bool{}
 	reused := 0
-	for i := range e.sub.Items {
-		it := &e.sub.Items[i]
+	for _, it := range e.order {
 		if _, ok := p.book.finished[it.ID]; ok {
 			carriedGroups[it.Group] = true
 		}
@@ -298,20 +327,19 @@
 			carriedGroups[it.Group] = true
 		}
 	}
-	for i := range e.sub.Items {
-		it := &e.sub.Items[i]
+	for _, it := range e.order {
 		if e.listed[it.ID] {
 			continue
 		}
-		j := &job{entry: e, sub: e.sub, item: it, part: p, carried: carriedGroups[it.Group]}
+		j := &job{entry: e, sub: e.head, item: it, part: p, carried: carriedGroups[it.Group]}
 		jobs[it.ID] = j
-		if res, ok := p.book.reusable(e.sub, it, single); ok {
+		if l, ok := p.book.reusable(e.head, it, single); ok {
 			j.state = settled
 			reused++
-			r.append(p, &res)
+			r.list(p, e.head.ID, l, "")
 			continue
 		}
-		if t := e.texts[it.ID]; t != nil {
+		if t := texts[it.ID]; t != nil {
 			j.text, j.versions = slices.Clone(t.events), slices.Clone(t.versions)
 			j.resumable(single)
 			j.whole = t.whole && len(j.text) > 0
@@ -322,9 +350,9 @@
 			delete(r.texts, it.ID)
 		}
 	}
-	r.jobs[e.sub.ID] = jobs
-	r.log.Info("batch_open", "batch", e.sub.ID, "partition", p.id.Index, "step", e.sub.Step, "model", e.sub.Model, "least_version", e.sub.MinVersion,
-		"items", len(e.sub.Items), "listed", len(e.results), "reused", reused)
+	r.jobs[e.head.ID] = jobs
+	r.log.Info("batch_open", "batch", e.head.ID, "partition", p.id.Index, "step", e.head.Step, "model", e.head.Model, "least_version", e.head.MinVersion,
+		"items", e.total, "listed", len(e.results), "reused", reused, "saved", len(texts))
 }
 
 // drop ends a job's run.
@@ -390,7 +418,7 @@
 		route := routes[j.sub.ID]
 		if j.whole {
 			j.whole, j.state = false, scoring
-			go r.finish(j, route)
+			go r.finish(j)
 			continue
 		}
 		group := j.sub.ID + "/" + j.item.Group
@@ -506,7 +534,7 @@
 	case whole:
 		j.state = scoring
 		r.mu.Unlock()
-		r.finish(j, route)
+		r.finish(j)
 		r.wake()
 		return
 	case notRun, oldVersion:
@@ -524,8 +552,7 @@
 	}
 	j.state = waiting
 	if how == impossible || j.errors >= max(1, route.MaxAttempts) {
-		j.state = settled
-		r.append(j.part, &Result{Submission: j.sub.ID, ItemID: j.item.ID, Abandoned: true})
+		r.abandon(j)
 	}
 	r.mu.Unlock()
 	r.wake()
@@ -607,25 +634,27 @@
 }
 
 // finish scores a whole text and appends its result.
-func (r *runner) finish(j *job, route *fleet.Route) {
-	res := j.result()
+func (r *runner) finish(j *job) {
+	score, failed := "", false
 	if s := j.item.Scorer; s != nil {
-		score, ok := r.score(j, s)
-		if !ok {
+		var ok bool
+		if score, ok = r.score(j, s); !ok {
 			return
 		}
-		if score == "" {
-			res = &Result{Submission: j.sub.ID, ItemID: j.item.ID, Abandoned: true}
-		}
-		res.Score = score
+		failed = score == ""
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if j.state != scoring {
 		return
 	}
+	if failed {
+		r.abandon(j)
+		return
+	}
 	j.state = settled
-	r.append(j.part, res)
+	l, text := j.result(score)
+	r.list(j.part, j.sub.ID, l, text)
 }
 
 // score calls the scorer until it succeeds. An empty score means that it failed as often as the
--- a/batch/service.go
+++ b/batch/service.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -14,9 +14,6 @@
 	"github.com/ibistrail/ibistrail/versions"
 )
 
-// Topic holds submissions, results and ends.
-const Topic = "batches"
-
 // Times of callers' calls.
 const (
 	// submitBudget bounds the time in which a submission is repeated at the store: callers come back
@@ -49,22 +46,19 @@
 	parts   []*partition
 	writers []*writer
 	runner  *runner
-
-	mu       sync.Mutex
-	attempts int
 }
 
 // New returns a service that follows nothing yet; its work ends with life.
 func New(life context.Context, o Options) *Service {
 	s := &Service{o: o, life: life, runner: newRunner(o)}
 	for i := range o.Partitions {
-		id := store.Partition{Topic: Topic, Index: i}
+		id, d := store.Partition{Topic: Topic, Index: i}, newData(o.Store, i)
 		s.parts = append(s.parts, &partition{
-			log: o.Store, id: id, out: o.Log, keep: 2 * o.Keep, book: newBook(), changed: make(chan struct{}), wake: s.runner.wake,
+			log: o.Store, id: id, data: d, out: o.Log, keep: 2 * o.Keep, book: newBook(), changed: make(chan struct{}), wake: s.runner.wake,
 		})
-		s.writers = append(s.writers, &writer{log: o.Store, id: id, out: o.Log, limit: o.CallBytes})
+		s.writers = append(s.writers, &writer{log: o.Store, index: id, data: d, out: o.Log, limit: o.CallBytes})
 	}
-	s.runner.append = s.appendResult
+	s.runner.list = s.list
 	s.runner.save = s.save
 	s.runner.writer = o.VM + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	return s
@@ -96,13 +90,28 @@
 	s.runner.own(owned)
 }
 
-func (s *Service) appendResult(p *partition, r *Result) {
-	data, err := encodeResult(r)
+// list appends a result. A text that stands in the data topic already is not written again.
+func (s *Service) list(p *partition, submission string, l listing, text string) {
+	w := pending{record: record{Kind: recordResult, ID: submission, Result: &l}}
+	if text != "" {
+		w.data = split([]byte(text), s.o.RecordBytes)
+		w.set = func(r *record, text span) { r.Result.Text = text }
+	}
+	s.writers[p.id.Index].add(s.life, w)
+}
+
+// save appends a part of an unfinished text.
+func (s *Service) save(p *partition, submission string, pr *Progress) {
+	data, err := json.Marshal(pr)
 	if err != nil {
-		s.o.Log.Error("result_lost", "batch", r.Submission, "id", r.ItemID, "err", err)
+		s.o.Log.Error("progress_lost", "batch", submission, "id", pr.ItemID, "err", err)
 		return
 	}
-	s.writers[p.id.Index].add(s.life, data)
+	s.writers[p.id.Index].add(s.life, pending{
+		record: record{Kind: recordProgress, ID: submission, Saved: &saving{ItemID: pr.ItemID}},
+		data:   split(data, s.o.RecordBytes),
+		set:    func(r *record, data span) { r.Saved.Data = data },
+	})
 }
 
 // PartitionOf returns the partition of all submissions to a pool: the VM that owns it places the
@@ -128,23 +137,49 @@
 	if known {
 		return nil
 	}
-	s.mu.Lock()
-	s.attempts++
-	attempt := s.o.VM + "/" + strconv.FormatInt(time.Now().UnixNano(), 36) + "/" + strconv.Itoa(s.attempts)
-	s.mu.Unlock()
-	records, err := encodeSubmission(sub, attempt, s.o.RecordBytes)
+	items, err := json.Marshal(sub.Items)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	began := time.Now()
-	err = s.appendAll(ctx, p.id, records)
+	err = s.accept(ctx, p, sub, split(items, s.o.RecordBytes))
 	s.o.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "items", len(sub.Items),
 		"ms", time.Since(began).Milliseconds(), "err", err)
 	return err
 }
 
+// accept writes a submission's items and then its record in the index, which decides.
+func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte) error {
+	var items []span
+	for len(parts) > 0 {
+		n, size := 0, 0
+		for n < len(parts) && (n == 0 || size+len(parts[n])+lengthBytes <= s.o.CallBytes) {
+			size += len(parts[n]) + lengthBytes
+			n++
+		}
+		offset, err := s.appendAll(ctx, p.data.id, parts[:n])
+		if errors.Is(err, ErrUnknown) {
+			// Items without a record in the index are nothing.
+			return &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
+		}
+		if err != nil {
+			return err
+		}
+		items = append(items, span{Offset: offset, Count: n})
+		parts = parts[n:]
+	}
+	r, err := json.Marshal(record{
+		Kind: recordSubmit, ID: sub.ID, Head: &sub.Head, Total: len(sub.Items), Items: items,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = s.appendAll(ctx, p.id, [][]byte{r})
+	return err
+}
+
 // newestVersion is the newest version of a model that was named or is run by an engine.
 func newestVersion(snap *fleet.Snapshot, pool, model string) int64 {
 	newest := snap.Named[model]
@@ -157,7 +192,7 @@
 // Handover writes down what this VM knows of unfinished texts, so that another can continue them.
 func (s *Service) Handover() {
 	for _, w := range s.runner.saveAll() {
-		s.save(w.part, w.progress)
+		s.save(w.part, w.submission, w.progress)
 	}
 	deadline := time.Now().Add(handoverBudget)
 	for _, w := range s.writers {
@@ -170,44 +205,31 @@
 // handoverBudget bounds the time in which unfinished texts are written down at a planned stop.
 const handoverBudget = 800 * time.Millisecond
 
-func (s *Service) save(p *partition, pr *Progress) {
-	data, err := encodeProgress(pr)
-	if err != nil {
-		s.o.Log.Error("progress_lost", "batch", pr.Submission, "id", pr.ItemID, "err", err)
-		return
-	}
-	s.writers[p.id.Index].add(s.life, data)
-}
-
-// appendAll appends records in as few calls as their size allows. It repeats calls whose outcome is
-// not known: a second copy changes nothing.
-func (s *Service) appendAll(ctx context.Context, id store.Partition, records [][]byte) error {
+// appendAll appends records that must follow each other, and returns the offset of the first. It
+// repeats calls whose outcome is not known: a second copy changes nothing.
+func (s *Service) appendAll(ctx context.Context, id store.Partition, records [][]byte) (int64, error) {
 	unknown := false
-	for len(records) > 0 {
-		n, size := 0, 0
-		for n < len(records) && (n == 0 || size+len(records[n])+4 <= s.o.CallBytes) {
-			size += len(records[n]) + 4
-			n++
-		}
-		_, err := s.o.Store.Append(ctx, id, records[:n])
+	for {
+		offset, err := s.o.Store.Append(ctx, id, records)
 		switch {
 		case err == nil:
-			records = records[n:]
-			continue
+			return offset, nil
 		case errors.Is(err, store.ErrUnavailable) && !unknown:
-			return &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
+			return 0, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 		default:
 			unknown = true
-			s.o.Log.Warn("batch_append", "partition", id.Index, "outcome", "unknown", "err", err)
+			s.o.Log.Warn("batch_append", "topic", id.Topic, "partition", id.Index, "outcome", "unknown", "err", err)
 		}
 		sleep(ctx, appendRetry)
 		if ctx.Err() != nil {
-			return ErrUnknown
+			return 0, ErrUnknown
 		}
 	}
-	return nil
 }
 
+// lengthBytes is what the length of a record takes in an append.
+const lengthBytes = 4
+
 // find returns the partition that holds a submission. Only after all partitions were read to their
 // end is it known that there is none.
 func (s *Service) find(ctx context.Context, id string) (*partition, error) {
@@ -262,12 +284,20 @@
 			p.mu.Unlock()
 			return nil, ErrNotFound
 		}
-		page := e.page(after, maxBytes)
+		after = max(0, after)
+		listed := e.results[min(after, len(e.results)):]
+		listed = listed[:min(len(listed), maxPageResults)]
+		page := &Page{Total: e.total, Next: after}
 		complete := e.done()
 		changed := p.changed
 		p.mu.Unlock()
 		switch {
-		case len(page.Results) > 0 || complete && stale == nil:
+		case len(listed) > 0:
+			if err := p.data.page(ctx, page, listed, maxBytes); err != nil {
+				return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
+			}
+			return page, nil
+		case complete && stale == nil:
 			return page, nil
 		case stale != nil:
 			return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: stale}
@@ -284,22 +314,37 @@
 	}
 }
 
-// page returns the results from position after on, at least one if there is one.
-func (e *entry) page(after, maxBytes int) *Page {
-	after = max(0, after)
-	out := &Page{Total: len(e.sub.Items), Next: after}
+// maxPageResults bounds the results of one page.
+const maxPageResults = 512
+
+// page adds listed results with their texts, at least one.
+func (d *data) page(ctx context.Context, page *Page, listed []listing, maxBytes int) error {
 	size := 0
-	for i := after; i < len(e.results); i++ {
-		size += len(e.results[i].Text) + recordOverhead
-		if size > maxBytes && len(out.Results) > 0 {
-			break
+	for i, l := range listed {
+		r := Result{ItemID: l.ItemID, Abandoned: l.Abandoned, Versions: l.Versions, Score: l.Score}
+		if !l.Abandoned {
+			text, err := d.span(ctx, l.Text, len(listed)-i)
+			if err != nil {
+				if len(page.Results) > 0 {
+					return nil // the rest comes with the next page
+				}
+				return err
+			}
+			r.Text = string(text)
 		}
-		out.Results = append(out.Results, e.results[i])
+		size += len(r.Text) + recordOverhead
+		if size > maxBytes && len(page.Results) > 0 {
+			return nil
+		}
+		page.Results = append(page.Results, r)
+		page.Next++
 	}
-	out.Next = after + len(out.Results)
-	return out
+	return nil
 }
 
+// recordOverhead is about the size of a result beside its text, in bytes.
+const recordOverhead = 512
+
 // Item returns the body of an item that is not listed yet.
 func (s *Service) Item(ctx context.Context, id, item string) ([]byte, error) {
 	p, err := s.find(ctx, id)
@@ -307,12 +352,29 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	e := p.book.entries[id]
-	if e == nil || e.items[item] == nil {
+	if e == nil || e.done() {
+		p.mu.Unlock()
 		return nil, ErrNotFound
 	}
-	return e.items[item].Body, nil
+	it, loaded, from := e.items[item], e.items != nil, e.data
+	p.mu.Unlock()
+	if loaded {
+		if it == nil {
+			return nil, ErrNotFound
+		}
+		return it.Body, nil
+	}
+	items, err := p.data.items(ctx, from)
+	if err != nil {
+		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
+	}
+	for i := range items {
+		if items[i].ID == item {
+			return items[i].Body, nil
+		}
+	}
+	return nil, ErrNotFound
 }
 
 // End ends a submission: nothing more of it is started.
@@ -327,13 +389,13 @@
 	if ended {
 		return nil
 	}
-	data, err := encodeEnd(id)
+	data, err := json.Marshal(record{Kind: recordEnd, ID: id})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
-	err = s.appendAll(ctx, p.id, [][]byte{data})
+	_, err = s.appendAll(ctx, p.id, [][]byte{data})
 	s.o.Log.Info("batch_end", "batch", id, "partition", p.id.Index, "err", err)
 	return err
 }
--- a/batch/staleness.go
+++ b/batch/staleness.go
@@ -11,7 +11,7 @@
 	defer p.mu.Unlock()
 	seen := 0
 	for i := len(p.book.order) - 1; i >= 0 && seen < stalenessWindow; i-- {
-		sub := p.book.entries[p.book.order[i]].sub
+		sub := p.book.entries[p.book.order[i]].head
 		if sub.Model != model {
 			continue
 		}
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"sync"
@@ -18,24 +19,42 @@
 	appendRetry = 150 * time.Millisecond
 )
 
-// writer appends results to one partition, several at a time. Results wait in memory while the store
-// is out; a copy of a result that was appended already changes nothing.
+// pending is a record of the index that waits to be appended, after its data.
+type pending struct {
+	record record
+	// data is appended first, and set is told its offset; nil where the record needs none.
+	data [][]byte
+	set  func(r *record, s span)
+}
+
+// size is about what the record and its data take, in bytes.
+func (p *pending) size() int {
+	n := recordOverhead
+	for _, d := range p.data {
+		n += len(d)
+	}
+	return n
+}
+
+// writer appends to one partition, several records at a time. They wait in memory while the store is
+// out; a copy of a record that was appended already changes nothing.
 type writer struct {
 	log   store.Log
-	id    store.Partition
+	index store.Partition
+	data  *data
 	out   *slog.Logger
 	limit int // bytes of one append
 
 	mu      sync.Mutex
-	queue   [][]byte
+	queue   []pending
 	running bool
 }
 
 // add queues a record.
-func (w *writer) add(ctx context.Context, data []byte) {
+func (w *writer) add(ctx context.Context, p pending) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.queue = append(w.queue, data)
+	w.queue = append(w.queue, p)
 	if !w.running {
 		w.running = true
 		go w.run(ctx)
@@ -56,20 +75,12 @@
 		if batch == nil {
 			return
 		}
-		for {
-			_, err := w.log.Append(ctx, w.id, batch)
-			if err == nil || ctx.Err() != nil {
-				break
-			}
-			w.out.Warn("results_append", "partition", w.id.Index, "records", len(batch), "outcome", "failed",
-				"done", !errors.Is(err, store.ErrUnavailable), "err", err)
-			sleep(ctx, appendRetry)
-		}
+		w.write(ctx, batch)
 	}
 }
 
 // take removes what fits into one append, or ends the writer where nothing waits.
-func (w *writer) take() [][]byte {
+func (w *writer) take() []pending {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.queue) == 0 {
@@ -77,11 +88,53 @@
 		return nil
 	}
 	size, n := 0, 0
-	for n < len(w.queue) && (n == 0 || size+len(w.queue[n])+4 <= w.limit) {
-		size += len(w.queue[n]) + 4
+	for n < len(w.queue) && (n == 0 || size+w.queue[n].size() <= w.limit) {
+		size += w.queue[n].size()
 		n++
 	}
 	batch := w.queue[:n:n]
 	w.queue = w.queue[n:]
 	return batch
 }
+
+// write appends the data of a batch and then its records.
+func (w *writer) write(ctx context.Context, batch []pending) {
+	var blobs [][]byte
+	for _, p := range batch {
+		blobs = append(blobs, p.data...)
+	}
+	offset := int64(0)
+	if len(blobs) > 0 {
+		offset = w.appendUntilDone(ctx, w.data.id, blobs)
+	}
+	records := make([][]byte, 0, len(batch))
+	for _, p := range batch {
+		if p.data != nil {
+			p.set(&p.record, span{Offset: offset, Count: len(p.data)})
+			for _, d := range p.data {
+				w.data.put(offset, d)
+				offset++
+			}
+		}
+		r, err := json.Marshal(p.record)
+		if err != nil {
+			w.out.Error("record_lost", "partition", w.index.Index, "batch", p.record.ID, "err", err)
+			continue
+		}
+		records = append(records, r)
+	}
+	w.appendUntilDone(ctx, w.index, records)
+}
+
+// appendUntilDone repeats an append until it succeeds or ctx ends, and returns its offset.
+func (w *writer) appendUntilDone(ctx context.Context, id store.Partition, records [][]byte) int64 {
+	for {
+		offset, err := w.log.Append(ctx, id, records)
+		if err == nil || ctx.Err() != nil {
+			return offset
+		}
+		w.out.Warn("results_append", "topic", id.Topic, "partition", id.Index, "records", len(records), "outcome", "failed",
+			"maybe_done", !errors.Is(err, store.ErrUnavailable), "err", err)
+		sleep(ctx, appendRetry)
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -73,8 +73,9 @@
 	Append(ctx context.Context, p Partition, records [][]byte) (int64, error)
 	// AppendAt is Append on the condition that the partition ends at offset end.
 	AppendAt(ctx context.Context, p Partition, end int64, records [][]byte) (int64, error)
-	// Read returns the records from offset from on. It waits for one for at most wait.
-	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
+	// Read returns the records from offset from on, about maxBytes of them. It waits for one for at most
+	// wait.
+	Read(ctx context.Context, p Partition, from int64, wait time.Duration, maxBytes int) (Batch, error)
 	// Newest returns the newest record of each key and the offset from which to follow the changes.
 	Newest(ctx context.Context, topic string) ([]KeyedRecord, int64, error)
 	// ReadKeyed is Read for a topic that keeps the newest record of each key.
--- a/versions/tenure.go
+++ b/versions/tenure.go
@@ -15,6 +15,9 @@
 // room for one round trip.
 const orderWindow = 500 * time.Millisecond
 
+// readBytes is about the most that one read of waves returns.
+const readBytes = 1 << 20
+
 // errNotHolder tells that this VM may not give orders now.
 var errNotHolder = errors.New("another VM gives the orders, or may still give some; wait until its time has passed")
 
@@ -80,7 +83,7 @@
 	var last *tenureRecord
 	from := t.end
 	for {
-		b, err := t.log.Read(ctx, t.part, from, 0)
+		b, err := t.log.Read(ctx, t.part, from, 0, readBytes)
 		var truncated *store.TruncatedError
 		if errors.As(err, &truncated) {
 			// An expired record was somebody's: its holder must be assumed to be another.
