--- a/entry/process.go
+++ b/entry/process.go
@@ -20,12 +20,13 @@
 
 // Names at the store, and times of the group that shares the work.
 const (
-	groupName  = "entry"
-	topicOrder = "orders"
+	groupName = "entry"
 	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone,
 	// and its work stands still until then.
 	joinEvery = 400 * time.Millisecond
-	groupTTL  = 1300 * time.Millisecond
+	groupTTL  = 1500 * time.Millisecond
+	// joinTimeout bounds a join, so that one whose answer was lost is repeated in time.
+	joinTimeout = 600 * time.Millisecond
 	// leaveTimeout bounds the farewell of a planned stop.
 	leaveTimeout = time.Second
 	// balancerLag is how long after SIGTERM new connections still come: the balancer asks each second,
@@ -63,15 +64,14 @@
 	life     context.Context
 	end      context.CancelFunc
 
-	mu     sync.Mutex
-	group  store.Group
-	duties map[string]context.CancelFunc // by pool
-	owned  []store.Partition
+	mu    sync.Mutex
+	group store.Group
+	work  *work
 }
 
 // New joins a process.
 func New(parts Parts) *Process {
-	p := &Process{parts: parts, View: fleet.NewView(), duties: map[string]context.CancelFunc{}}
+	p := &Process{parts: parts, View: fleet.NewView()}
 	p.life, p.end = context.WithCancel(context.Background())
 	s := parts.Settings
 	p.dir = newDirectory(parts.Store, parts.Log, p.View)
@@ -80,6 +80,7 @@
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
 		Keep: s.BatchRetention, Log: parts.Log, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
 	})
+	p.work = newWork(p)
 	p.group = store.Group{
 		Name: groupName, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic},
 		TTL: max(groupTTL, s.MinGroupTTL),
@@ -109,7 +110,7 @@
 	}
 	go p.Batches.Run()
 	go p.membership()
-	go p.watchPools()
+	go p.work.run()
 	server := p.server()
 	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(front) }()
@@ -163,7 +164,9 @@
 		p.mu.Lock()
 		g := p.group
 		p.mu.Unlock()
-		generation, parts, err := p.parts.Store.Join(p.life, g)
+		ctx, cancel := context.WithTimeout(p.life, joinTimeout)
+		generation, parts, err := p.parts.Store.Join(ctx, g)
+		cancel()
 		switch {
 		case p.Closing():
 			p.giveBack()
@@ -177,87 +180,26 @@
 	}
 }
 
-// assign takes over the partitions that the store gave this VM, and drops the others.
+// assign takes the partitions that the store names this VM as candidate for.
 func (p *Process) assign(generation int64, parts []store.Partition) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.group.Generation != generation {
 		p.parts.Log.Info("group_assigned", "generation", generation, "partitions", len(parts))
 	}
 	p.group.Generation = generation
-	p.owned = parts
-	p.Batches.Own(parts)
-	p.updateDuties()
+	p.mu.Unlock()
+	p.work.setCandidate(parts)
 }
 
 // giveBack leaves the group, so that others take the work over at once.
 func (p *Process) giveBack() {
-	p.Batches.Handover()
+	p.work.stop()
 	p.mu.Lock()
 	g := p.group
-	p.owned = nil
-	p.updateDuties()
 	p.mu.Unlock()
-	p.Batches.Own(nil)
 	ctx, cancel := context.WithTimeout(p.life, leaveTimeout)
 	defer cancel()
 	if err := p.parts.Store.Leave(ctx, g); err != nil {
 		p.parts.Log.Warn("group_leave", "outcome", "failed", "err", err)
 	}
 }
-
-// watchPools starts and ends duties as pools come and go.
-func (p *Process) watchPools() {
-	for p.life.Err() == nil {
-		changed := p.View.Changed()
-		p.mu.Lock()
-		p.updateDuties()
-		p.mu.Unlock()
-		select {
-		case <-p.life.Done():
-		case <-changed:
-		}
-	}
-}
-
-// updateDuties runs the duty of each pool of engines whose orders are this VM's task. The caller
-// holds the lock.
-func (p *Process) updateDuties() {
-	wanted := map[string]bool{}
-	if t := p.View.Get().Tables; t != nil {
-		for i := range t.Pools {
-			pool := &t.Pools[i]
-			// Who places a pool's items also orders its engines' versions.
-			part := batch.PartitionOf(pool.Name, p.parts.Settings.Partitions)
-			for _, own := range p.owned {
-				if pool.Engine != nil && own == part {
-					wanted[pool.Name] = true
-				}
-			}
-		}
-	}
-	for name, cancel := range p.duties {
-		if !wanted[name] {
-			cancel()
-			delete(p.duties, name)
-		}
-	}
-	s := p.parts.Settings
-	for name := range wanted {
-		if p.duties[name] != nil {
-			continue
-		}
-		ctx, cancel := context.WithCancel(p.life)
-		p.duties[name] = cancel
-		d := &versions.Duty{
-			Pool: name, View: p.View, Engines: p.parts.Engines, Log: p.parts.Log, Holder: s.IP,
-			Allowance: func(model string) int64 {
-				n, _ := p.Batches.Allowance(name, model)
-				return n
-			},
-			Loads:  p.Batches.Loads(),
-			Tenure: versions.NewTenureOf(p.parts.Store, topicOrder, s.Partitions, name, s.IP, s.OrderHandover, p.parts.BootTime),
-		}
-		go d.Run(ctx)
-	}
-}
--- /dev/null
+++ b/entry/work.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ibistrail/ibistrail/batch"
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/store"
+	"github.com/ibistrail/ibistrail/tenure"
+	"github.com/ibistrail/ibistrail/versions"
+)
+
+// work holds the tenures of this VM, and runs what they stand for: the items of batches and the
+// orders of weight versions of the pools in a partition.
+type work struct {
+	p       *Process
+	process string
+
+	mu         sync.Mutex
+	stopped    bool
+	candidates map[int]bool
+	tenures    map[int]*tenure.Tenure
+	running    map[int]bool
+	duties     map[string]context.CancelFunc // by pool
+}
+
+func newWork(p *Process) *work {
+	return &work{
+		p: p, process: fmt.Sprintf("%s/%d", p.parts.Settings.VM, time.Now().UnixNano()),
+		tenures: map[int]*tenure.Tenure{}, running: map[int]bool{}, duties: map[string]context.CancelFunc{},
+	}
+}
+
+// run follows the tables until the process ends.
+func (w *work) run() {
+	for w.p.life.Err() == nil {
+		changed := w.p.View.Changed()
+		w.update()
+		select {
+		case <-w.p.life.Done():
+		case <-changed:
+		}
+	}
+}
+
+// setCandidate takes the partitions that the store's group gives this VM.
+func (w *work) setCandidate(parts []store.Partition) {
+	c := map[int]bool{}
+	for _, p := range parts {
+		if p.Topic == batch.Topic {
+			c[p.Index] = true
+		}
+	}
+	w.mu.Lock()
+	w.candidates = c
+	w.mu.Unlock()
+	w.update()
+}
+
+// wanted returns the partitions of pools that batches run on or that have versions to order.
+func wanted(t *fleet.Tables, partitions int) map[int][]string {
+	out := map[int][]string{}
+	if t == nil {
+		return out
+	}
+	for i := range t.Pools {
+		pool := &t.Pools[i]
+		used := pool.Engine != nil
+		for j := range t.Routes {
+			used = used || t.Routes[j].Batch && t.Routes[j].Uses(pool.Name)
+		}
+		if used {
+			n := batch.PartitionOf(pool.Name, partitions).Index
+			out[n] = append(out[n], pool.Name)
+		}
+	}
+	return out
+}
+
+// update starts and ends tenures and duties.
+func (w *work) update() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	s := w.p.parts.Settings
+	want := wanted(w.p.View.Get().Tables, s.Partitions)
+	for n := range want {
+		if w.tenures[n] == nil {
+			w.tenures[n] = tenure.New(tenure.Options{
+				Log: w.p.parts.Store, Partition: n, Machine: s.IP, Process: w.process, Handover: s.OrderHandover,
+				Clock: w.p.parts.BootTime, Out: w.p.parts.Log, Changed: func() { go w.update() },
+			})
+		}
+	}
+	var held []store.Partition
+	duties := map[string]*tenure.Tenure{}
+	for n, t := range w.tenures {
+		t.SetCandidate(w.candidates[n] && len(want[n]) > 0)
+		if t.Active() && !w.running[n] {
+			w.running[n] = true
+			go w.keep(n, t)
+		}
+		if _, ok := t.Held(); ok {
+			held = append(held, store.Partition{Topic: batch.Topic, Index: n})
+			for _, pool := range want[n] {
+				duties[pool] = t
+			}
+		}
+	}
+	w.p.Batches.Own(held)
+	w.updateDuties(duties)
+}
+
+// keep runs a tenure as long as it is active.
+func (w *work) keep(n int, t *tenure.Tenure) {
+	t.Run(w.p.life)
+	w.mu.Lock()
+	w.running[n] = false
+	w.mu.Unlock()
+	if t.Active() {
+		w.update()
+	}
+}
+
+// updateDuties runs the version orders of the pools whose tenure is held.
+func (w *work) updateDuties(wanted map[string]*tenure.Tenure) {
+	for name, cancel := range w.duties {
+		if wanted[name] == nil {
+			cancel()
+			delete(w.duties, name)
+		}
+	}
+	for name, t := range wanted {
+		if w.duties[name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(w.p.life)
+		w.duties[name] = cancel
+		d := &versions.Duty{
+			Pool: name, View: w.p.View, Engines: w.p.parts.Engines, Log: w.p.parts.Log, Holder: w.p.parts.Settings.IP,
+			Allowance: func(model string) int64 {
+				n, _ := w.p.Batches.Allowance(name, model)
+				return n
+			},
+			Loads: w.p.Batches.Loads(), Tenure: t,
+		}
+		go d.Run(ctx)
+	}
+}
+
+// stop writes down unfinished work and gives the tenures up.
+func (w *work) stop() {
+	w.p.Batches.Handover()
+	w.mu.Lock()
+	w.stopped = true
+	tenures := w.tenures
+	w.updateDuties(nil)
+	w.mu.Unlock()
+	w.p.Batches.Own(nil)
+	ctx, cancel := context.WithTimeout(w.p.life, leaveTimeout)
+	defer cancel()
+	for _, t := range tenures {
+		t.Release(ctx)
+	}
+}
--- a/versions/duty.go
+++ b/versions/duty.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/store"
 )
 
 // Times of the duty.
@@ -24,7 +23,7 @@
 	Pool    string
 	View    *fleet.View
 	Engines Engines
-	Tenure  *Tenure
+	Tenure  Tenure
 	Log     *slog.Logger
 	// Holder names this VM to the engines.
 	Holder string
@@ -35,6 +34,17 @@
 	plan  *Planner
 }
 
+// Tenure is the right to give orders.
+type Tenure interface {
+	// OrdersIn returns how long it takes until orders may be given; ok is false if it is not held.
+	OrdersIn() (wait time.Duration, ok bool)
+	// Begin records a wave of orders, which may be sent while MaySend holds.
+	Begin(ctx context.Context) error
+	MaySend() bool
+	// Held returns the fencing token.
+	Held() (token int64, held bool)
+}
+
 // Loads follows loads of weight versions, so that requests keep off engines that would refuse them.
 type Loads interface {
 	LoadBegan(i Intent)
@@ -42,15 +52,9 @@
 	LoadFailed(i Intent)
 }
 
-// NewTenureOf returns the tenure of the pool's orders.
-func NewTenureOf(log store.Log, topic string, partitions int, pool, self string, handover time.Duration, clock func() time.Duration) *Tenure {
-	return NewTenure(log, store.Partition{Topic: topic, Index: store.Spread(pool, partitions)}, self, handover, clock)
-}
-
 // Run gives orders until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
 	d.plan = NewPlanner()
-	defer d.Tenure.Drop()
 	for ctx.Err() == nil {
 		changed := d.View.Changed()
 		pause := d.step(ctx)
@@ -94,24 +98,14 @@
 		}
 		return idleEvery
 	}
-	if pause := d.acquire(ctx); pause > 0 {
+	if wait, ok := d.Tenure.OrdersIn(); !ok || wait > 0 {
 		d.fail(intents)
-		return pause
+		return max(retryAfter, min(wait, idleEvery))
 	}
 	d.wave(ctx, snap, intents)
 	return reportEvery
 }
 
-// acquire takes the tenure and returns how long to wait for it.
-func (d *Duty) acquire(ctx context.Context) time.Duration {
-	wait, err := d.Tenure.Acquire(ctx)
-	if err != nil {
-		d.Log.Warn("order_tenure", "pool", d.Pool, "outcome", "not acquired", "err", err)
-		return retryAfter
-	}
-	return min(wait, idleEvery)
-}
-
 // fail takes back intents that were not ordered.
 func (d *Duty) fail(intents []Intent) {
 	for _, i := range intents {
@@ -174,20 +168,21 @@
 		d.fail(due)
 		return
 	}
+	token, _ := d.Tenure.Held()
 	var wg sync.WaitGroup
 	verdicts := make([]Verdict, len(due))
 	for n, i := range due {
 		o := Order{
 			InstanceID: i.Instance.Name, Address: i.Instance.Address, Model: i.Model, Version: i.Version, Mode: mode(snap.Tables, d.Pool),
-			Holder: d.Holder, FencingToken: d.Tenure.Token(), ExpectOrders: reports[i.Instance.Key()].Orders,
-		}
-		if !d.Tenure.MaySend() {
-			continue
+			Holder: d.Holder, FencingToken: token, ExpectOrders: reports[i.Instance.Key()].Orders,
 		}
 		d.Loads.LoadBegan(i)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			if !d.Tenure.MaySend() {
+				return
+			}
 			v, err := d.Engines.Order(ctx, o)
 			verdicts[n] = v
 			d.Log.Info("version_order", "engine", o.InstanceID, "model", o.Model, "version", o.Version, "token", o.FencingToken,
