entry: larger VMs hold a pool's work; one look at waiting items costs what has room

Cause: on the grown sites the holder was a VM of 0.192 cores (c-15) and stood still: events 94 ms apart instead of 38; each choice of an engine took the square of the engines. Ruled out: the engines (a-3 with 0.8 cores: 48 ms and less). Change: VMs under 0.5 cores are in a group of their own and take over only after 3.5 s of silence; the free engines of a pool are collected once a look.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
 )
 
 // Weights of the choice of an engine, in parts of an engine's slots.
@@ -16,7 +18,8 @@
 
 // task is an item that waits for an engine, as the plan sees it.
 type task struct {
-	job *job
+	job   *job
+	route *fleet.Route
 	// due is when the submission's results are due.
 	due time.Time
 	// need is how long the item will take.
@@ -69,26 +72,47 @@
 	avoid string
 }
 
+// field is a pool's engines that have room, for one look at the waiting items.
+type field struct {
+	now  time.Time
+	best time.Duration // the best pace in the pool
+	free []*engine
+}
+
+// field returns the engines of a pool that may take a request now.
+func (s *engines) field(now time.Time, pool string) *field {
+	f := &field{now: now, best: s.bestPace(pool)}
+	for _, e := range s.by {
+		if e.instance.Pool == pool && !e.instance.Draining && !now.Before(e.until) && e.room(now) > 0 {
+			f.free = append(f.free, e)
+		}
+	}
+	slices.SortFunc(f.free, func(a, b *engine) int { return cmp.Compare(a.instance.Name, b.instance.Name) })
+	return f
+}
+
 // choose returns the engine for an item, or nil if none has room.
-func (s *engines) choose(now time.Time, q request) *engine {
+func (f *field) choose(q request) *engine {
 	var best *engine
 	var bestCost float64
-	for _, e := range s.by {
-		in := e.instance
-		if in.Pool != q.pool || in.Draining || now.Before(e.until) || e.room(now) <= 0 || in.Name == q.avoid {
-			continue
-		}
-		if now.Before(e.blocked[q.model]) || q.model != "" && e.versions[q.model] < q.least {
+	for _, e := range f.free {
+		if e.instance.Name == q.avoid || f.now.Before(e.blocked[q.model]) || q.model != "" && e.versions[q.model] < q.least {
 			continue
 		}
-		cost := e.cost(now, q, s.bestPace(q.pool))
-		if best == nil || cost < bestCost || cost == bestCost && in.Name < best.instance.Name {
+		if cost := e.cost(f.now, q, f.best); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
+// taken updates the field after a request was sent to an engine.
+func (f *field) taken(e *engine) {
+	if e.room(f.now) <= 0 {
+		f.free = slices.DeleteFunc(f.free, func(x *engine) bool { return x == e })
+	}
+}
+
 // cost ranks an engine for a request; the lowest is taken.
 func (e *engine) cost(now time.Time, q request, bestPace time.Duration) float64 {
 	c := 1 - float64(e.room(now))/float64(max(1, e.instance.Slots))
@@ -114,12 +138,11 @@
 
 // slower tells whether an item that needs left events more should leave the engine for a better one
 // that has room. Only measured paces count, so that items do not wander between slow engines.
-func (s *engines) slower(now time.Time, e *engine, left int, q request) bool {
-	best := s.bestPace(q.pool)
-	if best <= 0 || float64(e.pace) < moveRatio*float64(best) || time.Duration(left)*(e.pace-best) < moveGain {
+func (f *field) slower(e *engine, left int, q request) bool {
+	if f.best <= 0 || float64(e.pace) < moveRatio*float64(f.best) || time.Duration(left)*(e.pace-f.best) < moveGain {
 		return false
 	}
-	to := s.choose(now, q)
+	to := f.choose(q)
 	return to != nil && float64(e.pace) > moveRatio*float64(to.pace)
 }
 
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -66,6 +66,8 @@
 	seen    *fleet.Snapshot
 	// texts are unfinished texts of ended submissions, which may come again.
 	texts map[string]leftover
+	// toldShort is when a shortage was logged last.
+	toldShort time.Time
 	// load is how long a load of weights lasts.
 	load time.Duration
 	kick chan struct{}
@@ -132,6 +134,7 @@
 		select {
 		case <-ctx.Done():
 		case <-r.kick:
+			sleep(ctx, gatherKicks)
 		case <-t.C:
 		case <-changed:
 		}
@@ -139,6 +142,9 @@
 	}
 }
 
+// gatherKicks is how long a look waits for further reasons, so that one serves several.
+const gatherKicks = 5 * time.Millisecond
+
 // own sets the partitions whose submissions this VM runs.
 func (r *runner) own(parts map[*partition]bool) {
 	r.mu.Lock()
@@ -374,107 +380,122 @@
 // start sends waiting items to engines while there is room.
 func (r *runner) start(ctx context.Context, snap *fleet.Snapshot) {
 	now := time.Now()
-	var tasks []*task
-	routes := map[string]*fleet.Route{}
+	fields := map[string]*field{}
 	hosts := map[string]map[string]int{} // engines by group
-	for id, jobs := range r.jobs {
+	var tasks []*task
+	for _, jobs := range r.jobs {
+		var route *fleet.Route
+		var pool *fleet.Pool
+		var pace time.Duration
 		for _, j := range jobs {
-			if routes[id] == nil {
-				routes[id] = snap.Tables.Match(j.sub.Host, j.sub.Path)
+			if route == nil {
+				if route = snap.Tables.Match(j.sub.Host, j.sub.Path); route == nil {
+					break // the items wait for their route
+				}
+				if pool = snap.Tables.Pool(route.Pool); pool == nil {
+					break
+				}
+				if fields[pool.Name] == nil {
+					fields[pool.Name] = r.engines.field(now, pool.Name)
+				}
+				pace = r.engines.typicalPace(pool.Name)
 			}
 			if j.on != nil {
-				group := j.sub.ID + "/" + j.item.Group
-				if hosts[group] == nil {
-					hosts[group] = map[string]int{}
-				}
-				hosts[group][j.on.Name]++
+				countHost(hosts, j)
+				r.moveIfSlow(now, fields[pool.Name], j, pool)
 			}
-			route := routes[id]
-			if j.state != waiting || now.Before(j.notBefore) || route == nil {
+			if j.state != waiting || now.Before(j.notBefore) {
 				continue
 			}
-			pool := snap.Tables.Pool(route.Pool)
-			if pool == nil {
+			if j.whole {
+				j.whole, j.state = false, scoring
+				go r.finish(j)
 				continue
 			}
-			per := 1
-			if pool.Engine != nil {
-				per = pool.Engine.TokensPerEvent
-			}
 			tasks = append(tasks, &task{
-				job: j, due: time.UnixMilli(j.sub.AcceptedMs).Add(route.RunDeadline),
-				need: time.Duration(j.left(per)) * r.engines.typicalPace(pool.Name), carried: j.carried,
+				job: j, route: route, due: time.UnixMilli(j.sub.AcceptedMs).Add(route.RunDeadline),
+				need: time.Duration(j.left(tokensPerEvent(pool))) * pace, carried: j.carried,
 			})
 		}
 	}
-	r.move(now, snap, routes)
-	if len(tasks) == 0 {
+	r.place(ctx, now, tasks, fields, hosts)
+}
+
+func tokensPerEvent(p *fleet.Pool) int {
+	if p.Engine == nil {
+		return 1
+	}
+	return p.Engine.TokensPerEvent
+}
+
+func groupKey(j *job) string { return j.sub.ID + "/" + j.item.Group }
+
+func countHost(hosts map[string]map[string]int, j *job) {
+	key := groupKey(j)
+	if hosts[key] == nil {
+		hosts[key] = map[string]int{}
+	}
+	hosts[key][j.on.Name]++
+}
+
+// place sends the tasks that find an engine, the most urgent first.
+func (r *runner) place(ctx context.Context, now time.Time, tasks []*task, fields map[string]*field, hosts map[string]map[string]int) {
+	room := 0
+	for _, f := range fields {
+		room += len(f.free)
+	}
+	if len(tasks) == 0 || room == 0 {
 		return
 	}
 	sortTasks(now, tasks)
 	var short *shortage
 	for _, t := range tasks {
-		j := t.job
-		route := routes[j.sub.ID]
-		if j.whole {
-			j.whole, j.state = false, scoring
-			go r.finish(j)
-			continue
-		}
-		group := j.sub.ID + "/" + j.item.Group
+		j, f := t.job, fields[t.route.Pool]
 		q := request{
-			pool: route.Pool, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, hosts: hosts[group], avoid: j.avoid,
+			pool: t.route.Pool, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, hosts: hosts[groupKey(j)], avoid: j.avoid,
 		}
-		e := r.engines.choose(now, q)
+		e := f.choose(q)
 		if e == nil && q.avoid != "" {
 			q.avoid = ""
-			e = r.engines.choose(now, q)
+			e = f.choose(q)
 		}
 		if e == nil {
 			if short == nil {
 				n := r.engines.shortage(now, q)
 				short = &n
-				r.log.Info("items_wait", "items", len(tasks), "batch", j.sub.ID, "engines", n.engines, "cooling", n.cooling, "loading", n.blocked,
-					"old_version", n.old, "full", n.full)
 			}
 			continue
 		}
-		if hosts[group] == nil {
-			hosts[group] = map[string]int{}
-		}
-		hosts[group][e.instance.Name]++
-		r.send(ctx, j, route, e)
+		r.send(ctx, j, t.route, e)
+		countHost(hosts, j)
+		f.taken(e)
+	}
+	if short != nil && now.Sub(r.toldShort) >= shortEvery {
+		r.toldShort = now
+		r.log.Info("items_wait", "items", len(tasks), "engines", short.engines, "cooling", short.cooling, "loading", short.blocked,
+			"old_version", short.old, "full", short.full)
 	}
 }
 
+// shortEvery bounds how often a runner tells why items wait.
+const shortEvery = time.Second
+
 // minRun is how long an item stays on an engine before it may be moved: a few events show the pace.
 const minRun = 400 * time.Millisecond
 
-// move ends runs on slow engines where a faster one has room; they continue there.
-func (r *runner) move(now time.Time, snap *fleet.Snapshot, routes map[string]*fleet.Route) {
-	for id, jobs := range r.jobs {
-		route := routes[id]
-		if route == nil {
-			continue
-		}
-		per := 1
-		if pool := snap.Tables.Pool(route.Pool); pool != nil && pool.Engine != nil {
-			per = pool.Engine.TokensPerEvent
-		}
-		for _, j := range jobs {
-			if j.state != running || j.moving || j.on == nil || now.Sub(j.startedAt) < minRun {
-				continue
-			}
-			e := r.engines.get(j.on)
-			if e == nil {
-				continue // its registration is gone; it may still end its runs
-			}
-			q := request{pool: route.Pool, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, avoid: j.on.Name}
-			if r.engines.slower(now, e, j.left(per), q) {
-				j.moving, j.avoid = true, j.on.Name
-				j.cancel()
-			}
-		}
+// moveIfSlow ends a run on a slow engine where a faster one has room; it continues there.
+func (r *runner) moveIfSlow(now time.Time, f *field, j *job, pool *fleet.Pool) {
+	if j.state != running || j.moving || now.Sub(j.startedAt) < minRun {
+		return
+	}
+	e := r.engines.get(j.on)
+	if e == nil {
+		return // its registration is gone; it may still end its runs
+	}
+	q := request{pool: pool.Name, model: j.sub.Model, least: j.sub.MinVersion, az: r.az, avoid: j.on.Name}
+	if f.slower(e, j.left(tokensPerEvent(pool)), q) {
+		j.moving, j.avoid = true, j.on.Name
+		j.cancel()
 	}
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -20,7 +20,12 @@
 
 // Names at the store, and times of the group that shares the work.
 const (
-	groupName = "entry"
+	// groupHolders is the group of the VMs that can carry a whole pool's items, groupStandby that of
+	// the others, which take over only where none of the first does.
+	groupHolders = "holders"
+	groupStandby = "standby"
+	// holderCores is what a holder needs of a core: it takes each event of each item of its pools.
+	holderCores = 0.5
 	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone,
 	// and its work stands still until then.
 	joinEvery = 400 * time.Millisecond
@@ -81,13 +86,23 @@
 		Keep: s.BatchRetention, Log: parts.Log, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
 	})
 	p.work = newWork(p)
+	group := groupHolders
+	if p.standby() {
+		group = groupStandby
+	}
 	p.group = store.Group{
-		Name: groupName, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic},
+		Name: group, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic},
 		TTL: max(groupTTL, s.MinGroupTTL),
 	}
 	return p
 }
 
+// standby tells whether this VM is too small to hold a pool's work while another can.
+func (p *Process) standby() bool {
+	s := p.parts.Settings
+	return s.CPUShare > 0 && s.CPUShare*float64(max(1, s.Cores)) < holderCores
+}
+
 // Closing tells whether the process is about to stop.
 func (p *Process) Closing() bool { return p.stopping.Load() }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,6 +19,8 @@
 	// MinGroupTTL is the shortest silence after which the store takes a group's member for gone.
 	MinGroupTTL time.Duration
 	Cores       int
+	// CPUShare is the part of a core that the VM gets.
+	CPUShare    float64
 	MemoryBytes int64
 	Descriptors int
 	// StopGrace is the time between SIGTERM and SIGKILL.
--- a/entry/work.go
+++ b/entry/work.go
@@ -93,7 +93,7 @@
 		if w.tenures[n] == nil {
 			w.tenures[n] = tenure.New(tenure.Options{
 				Log: w.p.parts.Store, Partition: n, Machine: s.IP, Process: w.process, Handover: s.OrderHandover,
-				Clock: w.p.parts.BootTime, Out: w.p.parts.Log, Changed: func() { go w.update() },
+				Standby: w.p.standby(), Clock: w.p.parts.BootTime, Out: w.p.parts.Log, Changed: func() { go w.update() },
 			})
 		}
 	}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -26,6 +26,9 @@
 	renewEvery = 400 * time.Millisecond
 	// silence is how long a candidate hears nothing before it takes over: two records that did not come.
 	silence = 900 * time.Millisecond
+	// standbySilence is the same for a VM that is better not the holder: the store needs about two
+	// seconds to name another candidate.
+	standbySilence = 3500 * time.Millisecond
 	// orderWindow is how long after its record an order may still be sent, which bounds how late a
 	// holder that was succeeded can act. One answer of a slow store must fit into it.
 	orderWindow = 500 * time.Millisecond
@@ -58,6 +61,8 @@
 	Process   string
 	// Handover is how far apart the orders of two holders must be.
 	Handover time.Duration
+	// Standby VMs take over only where no other candidate does.
+	Standby bool
 	// Clock goes on while the VM is suspended.
 	Clock func() time.Duration
 	Out   *slog.Logger
@@ -141,13 +146,21 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	free := t.last == nil || t.last.Release || t.last.Process == t.o.Process || t.o.Clock()-t.heardAt >= silence
-	if !t.candidate || t.stopped || !free {
+	if !t.candidate || t.stopped || !t.free() {
 		return 0, nil
 	}
 	return 0, t.take(ctx)
 }
 
+// free tells whether a candidate may take the tenure. The caller holds mu.
+func (t *Tenure) free() bool {
+	quiet := t.o.Clock() - t.heardAt
+	if t.o.Standby {
+		return quiet >= standbySilence
+	}
+	return t.last == nil || t.last.Release || t.last.Process == t.o.Process || quiet >= silence
+}
+
 // watch reads what holders wrote.
 func (t *Tenure) watch(ctx context.Context) error {
 	t.mu.Lock()
