--- a/batch/data.go
+++ b/batch/data.go
@@ -22,8 +22,8 @@
 
 // data reads the data partition of an index partition, with a small cache of its newest records.
 type data struct {
-	log store.Log
-	id  store.Partition
+	store store.Log
+	id    store.Partition
 
 	mu    sync.Mutex
 	by    map[int64][]byte
@@ -32,7 +32,7 @@
 }
 
 func newData(log store.Log, partition int) *data {
-	return &data{log: log, id: store.Partition{Topic: dataTopic, Index: partition}, by: map[int64][]byte{}}
+	return &data{store: log, id: store.Partition{Topic: dataTopic, Index: partition}, by: map[int64][]byte{}}
 }
 
 // put remembers a record.
@@ -65,7 +65,7 @@
 	if r, ok := d.cached(offset); ok {
 		return r, nil
 	}
-	b, err := d.log.Read(ctx, d.id, offset, 0, min(maxDataRead, max(1, ahead)*readAhead))
+	b, err := d.store.Read(ctx, d.id, offset, 0, min(maxDataRead, max(1, ahead)*readAhead))
 	if err != nil {
 		return nil, fmt.Errorf("data of partition %d at offset %d: %w", d.id.Index, offset, err)
 	}
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -26,10 +26,10 @@
 
 // partition follows one partition of the log while it is owned or asked for.
 type partition struct {
-	log  store.Log
-	id   store.Partition
-	out  *slog.Logger
-	keep time.Duration
+	store store.Log
+	id    store.Partition
+	log   *slog.Logger
+	keep  time.Duration
 
 	mu      sync.Mutex
 	book    *book
@@ -69,7 +69,7 @@
 		}
 		p.mu.Unlock()
 		if err := p.read(ctx, followWait); err != nil && ctx.Err() == nil {
-			p.out.Warn("partition_read", "partition", p.id.Index, "outcome", "failed", "err", err)
+			p.log.Warn("partition_read", "partition", p.id.Index, "outcome", "failed", "err", err)
 			sleep(ctx, readRetry)
 		}
 	}
@@ -90,13 +90,13 @@
 	from := p.book.next
 	p.mu.Unlock()
 	sent := time.Now()
-	b, err := p.log.Read(ctx, p.id, from, wait, indexRead)
+	b, err := p.store.Read(ctx, p.id, from, wait, indexRead)
 	var truncated *store.TruncatedError
 	if errors.As(err, &truncated) {
 		p.mu.Lock()
 		p.book.next = max(p.book.next, truncated.First)
 		p.mu.Unlock()
-		p.out.Warn("partition_truncated", "partition", p.id.Index, "from", from, "first", truncated.First)
+		p.log.Warn("partition_truncated", "partition", p.id.Index, "from", from, "first", truncated.First)
 		return nil
 	}
 	if err != nil {
@@ -108,7 +108,7 @@
 	for i, r := range b.Records {
 		changed, err := p.book.apply(b.From+int64(i), r)
 		if err != nil {
-			p.out.Error("record_ignored", "partition", p.id.Index, "err", err)
+			p.log.Error("record_ignored", "partition", p.id.Index, "err", err)
 		}
 		any = any || changed
 	}
@@ -130,7 +130,7 @@
 			p.wake()
 		}
 		if n := p.book.expire(time.Now().Add(-p.keep)); n > 0 {
-			p.out.Info("batches_expired", "partition", p.id.Index, "count", n)
+			p.log.Info("batches_expired", "partition", p.id.Index, "count", n)
 		}
 	}
 	return nil
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"log/slog"
 	"maps"
@@ -13,6 +14,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/target"
 	"github.com/ibistrail/ibistrail/versions"
@@ -37,8 +39,6 @@
 	itemRetry = 50 * time.Millisecond
 	// idleTick is how often a runner with open items looks for work that nothing announced.
 	idleTick = 250 * time.Millisecond
-	// maxScorings bounds the scoring calls of one VM at a time.
-	maxScorings = 64
 )
 
 // Forwarder serves the scoring calls, as it serves callers.
@@ -71,6 +71,9 @@
 	// load is how long a load of weights lasts.
 	load time.Duration
 	kick chan struct{}
+	// outcomes counts runs of items by how they ended, seconds is how long whole ones took.
+	outcomes *expvar.Map
+	seconds  *process.Latency
 }
 
 // LoadBegan implements versions.Loads: requests of the model wait until the load should be over.
@@ -545,6 +548,10 @@
 	j.moving = false
 	r.engines.ended(call.Instance)
 	j.on, j.cancel = nil, nil
+	r.outcomes.Add(string(how), 1)
+	if how == whole {
+		r.seconds.Observe(now.Sub(j.startedAt))
+	}
 	r.log.Info("item_run", "id", j.item.ID, "batch", j.sub.ID, "target", call.Instance.Name, "from_event", call.ResumeAfter, "events", len(j.text),
 		"versions", j.distinct(), "ms", now.Sub(j.startedAt).Milliseconds(), "outcome", string(how), "err", err)
 	if j.state != running {
@@ -719,6 +726,7 @@
 		view: o.View, client: o.Client, fwd: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{},
 		kick: make(chan struct{}, 1), load: initialLoad,
+		outcomes: o.Metrics.SubMap("item_runs"), seconds: o.Metrics.Latency("item_run_seconds"),
 	}
 }
 
@@ -732,3 +740,29 @@
 	}
 	return out
 }
+
+// EngineState is what the state dump shows of an engine.
+type EngineState struct {
+	Running  int              `json:"running"`
+	Room     int              `json:"room"`
+	PaceMs   int64            `json:"pace_ms"`
+	Versions map[string]int64 `json:"versions"`
+}
+
+// state shows the open jobs by state, and the engines.
+func (r *runner) state() map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := map[jobState]string{waiting: "waiting", running: "running", scoring: "scoring", settled: "settled"}
+	jobs := map[string]int{}
+	for _, js := range r.jobs {
+		for _, j := range js {
+			jobs[names[j.state]]++
+		}
+	}
+	engines := map[string]EngineState{}
+	for _, e := range r.engines.by {
+		engines[e.instance.Name] = EngineState{e.inflight, e.room(time.Now()), e.pace.Milliseconds(), maps.Clone(e.versions)}
+	}
+	return map[string]any{"jobs": jobs, "engines": engines}
+}
--- a/batch/service.go
+++ b/batch/service.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"log/slog"
 	"strconv"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/target"
 	"github.com/ibistrail/ibistrail/versions"
@@ -33,6 +35,7 @@
 	// Keep is how long submissions stay readable.
 	Keep      time.Duration
 	Log       *slog.Logger
+	Metrics   *process.Metrics
 	Store     store.Log
 	View      *fleet.View
 	Client    target.Client
@@ -46,17 +49,19 @@
 	parts   []*partition
 	writers []*writer
 	runner  *runner
+	// calls counts callers' calls by outcome.
+	calls *expvar.Map
 }
 
 // New returns a service that follows nothing yet; its work ends with life.
 func New(life context.Context, o Options) *Service {
-	s := &Service{o: o, life: life, runner: newRunner(o)}
+	s := &Service{o: o, life: life, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
 	for i := range o.Partitions {
 		id, d := store.Partition{Topic: Topic, Index: i}, newData(o.Store, i)
 		s.parts = append(s.parts, &partition{
-			log: o.Store, id: id, data: d, out: o.Log, keep: 2 * o.Keep, book: newBook(), changed: make(chan struct{}), wake: s.runner.wake,
+			store: o.Store, id: id, data: d, log: o.Log, keep: 2 * o.Keep, book: newBook(), changed: make(chan struct{}), wake: s.runner.wake,
 		})
-		s.writers = append(s.writers, &writer{log: o.Store, index: id, data: d, out: o.Log, limit: o.CallBytes})
+		s.writers = append(s.writers, &writer{store: o.Store, index: id, data: d, log: o.Log, limit: o.CallBytes})
 	}
 	s.runner.list = s.list
 	s.runner.save = s.save
@@ -145,6 +150,7 @@
 	defer cancel()
 	began := time.Now()
 	err = s.accept(ctx, p, sub, split(items, s.o.RecordBytes))
+	s.count("submit", err)
 	s.o.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "items", len(sub.Items),
 		"ms", time.Since(began).Milliseconds(), "err", err)
 	return err
@@ -332,13 +338,14 @@
 // maxPageResults bounds the results of one page.
 const maxPageResults = 512
 
-// page adds listed results with their texts, at least one.
+// page adds listed results with their texts, at least one. Texts that stand far apart take a read
+// each, so the page ends when its time is over.
 func (d *data) page(ctx context.Context, page *Page, listed []listing, maxBytes int) error {
-	size := 0
+	size, began := 0, time.Now()
 	for i, l := range listed {
 		r := Result{ItemID: l.ItemID, Abandoned: l.Abandoned, Versions: l.Versions, Score: l.Score}
 		if !l.Abandoned {
-			text, err := d.span(ctx, l.Text, len(listed)-i)
+			text, err := d.span(ctx, l.Text, near(listed[i:]))
 			if err != nil {
 				if len(page.Results) > 0 {
 					return nil // the rest comes with the next page
@@ -353,10 +360,37 @@
 		}
 		page.Results = append(page.Results, r)
 		page.Next++
+		if time.Since(began) > pageBudget {
+			return nil
+		}
 	}
 	return nil
 }
 
+// pageBudget is how long the texts of one page may be collected: readers wait about a second longer
+// than they ask for.
+const pageBudget = 400 * time.Millisecond
+
+// nearBy is how many other records may stand between the texts of one read.
+const nearBy = 8
+
+// near returns how many records, from the first listing's text on, are worth one read: those up to
+// the last of the listings whose texts follow closely.
+func near(listed []listing) int {
+	first := listed[0].Text.Offset
+	end := first + int64(listed[0].Text.Count)
+	for _, l := range listed[1:] {
+		if l.Abandoned {
+			continue
+		}
+		if l.Text.Offset < first || l.Text.Offset > end+nearBy {
+			break
+		}
+		end = max(end, l.Text.Offset+int64(l.Text.Count))
+	}
+	return int(end - first)
+}
+
 // recordOverhead is about the size of a result beside its text, in bytes.
 const recordOverhead = 512
 
@@ -411,6 +445,55 @@
 	ctx, cancel := context.WithTimeout(ctx, submitBudget)
 	defer cancel()
 	_, err = s.appendAll(ctx, p.id, [][]byte{data})
+	s.count("end", err)
 	s.o.Log.Info("batch_end", "batch", id, "partition", p.id.Index, "err", err)
 	return err
 }
+
+// count counts a call by its outcome.
+func (s *Service) count(call string, err error) {
+	outcome := "ok"
+	var unavailable *UnavailableError
+	switch {
+	case errors.As(err, &unavailable):
+		outcome = "refused"
+	case err != nil:
+		outcome = "unknown"
+	}
+	s.calls.Add(call+"."+outcome, 1)
+}
+
+// PartitionState is what the state dump shows of a partition.
+type PartitionState struct {
+	Owned   bool         `json:"owned"`
+	Next    int64        `json:"next_offset"`
+	ReadMs  int64        `json:"read_ms_ago"`
+	Batches []BatchState `json:"batches,omitempty"`
+}
+
+// BatchState is what the state dump shows of a submission.
+type BatchState struct {
+	ID     string `json:"id"`
+	Step   int64  `json:"step"`
+	Total  int    `json:"total"`
+	Listed int    `json:"listed"`
+	Ended  bool   `json:"ended"`
+}
+
+// State returns what the state dump shows: partitions, open jobs and engines.
+func (s *Service) State() map[string]any {
+	parts := map[int]PartitionState{}
+	for i, p := range s.parts {
+		p.mu.Lock()
+		st := PartitionState{Owned: p.owned, Next: p.book.next, ReadMs: time.Since(p.readAt).Milliseconds()}
+		for _, id := range p.book.order {
+			e := p.book.entries[id]
+			st.Batches = append(st.Batches, BatchState{id, e.head.Step, e.total, len(e.results), e.ended})
+		}
+		p.mu.Unlock()
+		if st.Owned || st.Next > 0 {
+			parts[i] = st
+		}
+	}
+	return map[string]any{"partitions": parts, "runner": s.runner.state()}
+}
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -39,10 +39,10 @@
 // writer appends to one partition, several records at a time. They wait in memory while the store is
 // out; a copy of a record that was appended already changes nothing.
 type writer struct {
-	log   store.Log
+	store store.Log
 	index store.Partition
 	data  *data
-	out   *slog.Logger
+	log   *slog.Logger
 	limit int // bytes of one append
 
 	mu      sync.Mutex
@@ -118,7 +118,7 @@
 		}
 		r, err := json.Marshal(p.record)
 		if err != nil {
-			w.out.Error("record_lost", "partition", w.index.Index, "batch", p.record.ID, "err", err)
+			w.log.Error("record_lost", "partition", w.index.Index, "batch", p.record.ID, "err", err)
 			continue
 		}
 		records = append(records, r)
@@ -129,11 +129,11 @@
 // appendUntilDone repeats an append until it succeeds or ctx ends, and returns its offset.
 func (w *writer) appendUntilDone(ctx context.Context, id store.Partition, records [][]byte) int64 {
 	for {
-		offset, err := w.log.Append(ctx, id, records)
+		offset, err := w.store.Append(ctx, id, records)
 		if err == nil || ctx.Err() != nil {
 			return offset
 		}
-		w.out.Warn("results_append", "topic", id.Topic, "partition", id.Index, "records", len(records), "outcome", "failed",
+		w.log.Warn("results_append", "topic", id.Topic, "partition", id.Index, "records", len(records), "outcome", "failed",
 			"maybe_done", !errors.Is(err, store.ErrUnavailable), "err", err)
 		sleep(ctx, appendRetry)
 	}
--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -10,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -18,6 +20,12 @@
 	"github.com/ibistrail/ibistrail/process"
 )
 
+// metricsAddress serves metrics and the state dump; the deploy file names its port.
+const metricsAddress = ":9464"
+
+// flushTime bounds the wait for the last log lines.
+const flushTime = 200 * time.Millisecond
+
 // memoryShare is the part of the VM's memory that the heap may fill before the garbage collector
 // works harder.
 const memoryShare = 0.7
@@ -55,10 +63,14 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
-	log := process.NewLogger(os.Stdout, slog.LevelInfo, "entry", settings.VM)
+	lines := process.NewLogWriter(os.Stdout)
+	defer lines.Flush(flushTime)
+	log := process.NewLogger(lines, slog.LevelInfo, "entry", settings.VM)
+	metrics := process.NewMetrics()
+	metrics.Set("log_lines_dropped", expvar.Func(func() any { return lines.Dropped() }))
 	targets := platform.NewTargets()
 	p := entry.New(entry.Parts{
-		Settings: settings, Log: log, Store: platform.NewStore(settings.StoreAddress), Client: targets, Engines: targets,
+		Settings: settings, Log: log, Store: platform.NewStore(settings.StoreAddress, platform.CountCalls(metrics)), Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
 		Sources: platform.Sources(), BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Plain: p.Forward, Batches: p.Batches, Closing: p.Closing, Log: log}).Handler()
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -46,16 +46,16 @@
 
 // directory keeps the view up to date. Its loops share it under the lock of follow's caller.
 type directory struct {
-	log     store.Log
-	out     *slog.Logger
+	store   store.Log
+	log     *slog.Logger
 	view    *fleet.View
 	lock    chan struct{} // held while dir is used
 	dir     *fleet.Directory
 	failing map[string]time.Time
 }
 
-func newDirectory(log store.Log, out *slog.Logger, view *fleet.View) *directory {
-	return &directory{log: log, out: out, view: view, lock: make(chan struct{}, 1), dir: fleet.NewDirectory(), failing: map[string]time.Time{}}
+func newDirectory(st store.Log, log *slog.Logger, view *fleet.View) *directory {
+	return &directory{store: st, log: log, view: view, lock: make(chan struct{}, 1), dir: fleet.NewDirectory(), failing: map[string]time.Time{}}
 }
 
 // follow reads a topic until ctx ends: first the newest record of each key, then the changes.
@@ -70,7 +70,7 @@
 			next, err = d.changes(ctx, src, next)
 			var truncated *store.TruncatedError
 			if errors.As(err, &truncated) {
-				d.out.Warn("topic_truncated", "topic", src.Topic, "from", next, "first", truncated.First)
+				d.log.Warn("topic_truncated", "topic", src.Topic, "from", next, "first", truncated.First)
 				listed = false
 				continue
 			}
@@ -96,15 +96,14 @@
 
 // list takes the newest record of each key.
 func (d *directory) list(ctx context.Context, src Source) (int64, error) {
-	records, next, err := d.log.Newest(ctx, src.Topic)
+	records, next, err := d.store.Newest(ctx, src.Topic)
 	if err != nil {
 		return 0, err
 	}
 	d.update(src, func(now time.Time) bool {
-		changed := false
 		ids := map[string]bool{}
 		for _, r := range records {
-			changed = d.apply(now, src, r, ids) || changed
+			d.apply(now, src, r, ids)
 		}
 		if src.Targets {
 			d.dir.KeepOnly(now, next, ids)
@@ -120,7 +119,7 @@
 	if src.Targets {
 		wait = targetsWait
 	}
-	records, next, err := d.log.ReadKeyed(ctx, src.Topic, from, wait)
+	records, next, err := d.store.ReadKeyed(ctx, src.Topic, from, wait)
 	if err != nil {
 		return from, err
 	}
@@ -141,14 +140,14 @@
 	now := time.Now()
 	if since, ok := d.failing[src.Topic]; ok {
 		delete(d.failing, src.Topic)
-		d.out.Info("store_reached", "topic", src.Topic, "out_ms", now.Sub(since).Milliseconds())
+		d.log.Info("store_reached", "topic", src.Topic, "out_ms", now.Sub(since).Milliseconds())
 		if now.Sub(since) >= outageAfter {
 			d.dir.Returned(now)
 		}
 	}
 	changed := change(now)
 	if n := d.dir.Expire(now); n > 0 {
-		d.out.Info("targets_lapsed", "count", n)
+		d.log.Info("targets_lapsed", "count", n)
 		changed = true
 	}
 	if changed {
@@ -162,7 +161,7 @@
 	defer func() { <-d.lock }()
 	if _, ok := d.failing[src.Topic]; !ok {
 		d.failing[src.Topic] = time.Now()
-		d.out.Warn("store_lost", "topic", src.Topic, "err", err)
+		d.log.Warn("store_lost", "topic", src.Topic, "err", err)
 	}
 }
 
@@ -170,7 +169,7 @@
 func (d *directory) apply(now time.Time, src Source, r store.KeyedRecord, ids map[string]bool) bool {
 	c, err := src.Decode(r.Key, r.Value)
 	if err != nil {
-		d.out.Warn("record_ignored", "topic", src.Topic, "offset", r.Offset, "err", err)
+		d.log.Warn("record_ignored", "topic", src.Topic, "offset", r.Offset, "err", err)
 	}
 	switch {
 	case src.Targets && c.Instance != nil:
@@ -185,13 +184,13 @@
 		if !d.dir.SetTables(c.Tables) {
 			return false
 		}
-		d.out.Info("tables_in_force", "version", c.Tables.Version, "offset", r.Offset, "routes", len(c.Tables.Routes), "pools", len(c.Tables.Pools))
+		d.log.Info("tables_in_force", "version", c.Tables.Version, "offset", r.Offset, "routes", len(c.Tables.Routes), "pools", len(c.Tables.Pools))
 		return true
 	case c.Model != "":
 		if !d.dir.SetNamed(c.Model, c.Version) {
 			return false
 		}
-		d.out.Info("version_named", "model", c.Model, "version", c.Version, "offset", r.Offset)
+		d.log.Info("version_named", "model", c.Model, "version", c.Version, "offset", r.Offset)
 		return true
 	}
 	return false
--- a/entry/process.go
+++ b/entry/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/target"
 	"github.com/ibistrail/ibistrail/versions"
@@ -45,10 +47,13 @@
 type Parts struct {
 	Settings Settings
 	Log      *slog.Logger
-	Store    store.Log
-	Client   target.Client
-	Engines  versions.Engines
-	Sources  []Source
+	Metrics  *process.Metrics
+	// MetricsAddress serves metrics and the state dump; empty serves none.
+	MetricsAddress string
+	Store          store.Log
+	Client         target.Client
+	Engines        versions.Engines
+	Sources        []Source
 	// BootTime is a clock that goes on while the VM is suspended.
 	BootTime func() time.Duration
 	// Handler serves callers.
@@ -79,11 +84,14 @@
 	p := &Process{parts: parts, View: fleet.NewView()}
 	p.life, p.end = context.WithCancel(context.Background())
 	s := parts.Settings
+	if parts.Metrics == nil {
+		parts.Metrics = process.NewMetrics()
+	}
 	p.dir = newDirectory(parts.Store, parts.Log, p.View)
-	p.Forward = forward.New(p.View, parts.Client, s.AvailabilityZone, parts.Log)
+	p.Forward = forward.New(p.View, parts.Client, s.AvailabilityZone, parts.Log, parts.Metrics)
 	p.Batches = batch.New(p.life, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
-		Keep: s.BatchRetention, Log: parts.Log, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
+		Keep: s.BatchRetention, Log: parts.Log, Metrics: parts.Metrics, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
 	})
 	p.work = newWork(p)
 	group := groupHolders
@@ -131,17 +139,60 @@
 	go func() { failed <- server.Serve(front) }()
 	ready := &http.Server{Handler: p.parts.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second}
 	go func() { failed <- ready.Serve(readyListener) }()
+	p.serveDebug()
 	p.parts.Log.Info("started", "vm", s.VM, "az", s.AvailabilityZone, "callers", s.ListenAddress, "ready", s.ReadyAddress)
 	select {
 	case err := <-failed:
 		p.end()
 		return err
+	case <-p.life.Done():
+		return errors.Join(server.Close(), ready.Close())
 	case <-stop:
 	}
+	defer ready.Close()
 	p.shutdown(server)
 	return nil
 }
 
+// serveDebug serves metrics and the state dump. Without them the process still serves callers.
+func (p *Process) serveDebug() {
+	if p.parts.MetricsAddress == "" {
+		return
+	}
+	l, err := net.Listen("tcp", p.parts.MetricsAddress)
+	if err != nil {
+		p.parts.Log.Error("metrics_unserved", "address", p.parts.MetricsAddress, "err", err)
+		return
+	}
+	d := process.Debug{Metrics: p.parts.Metrics, State: p.State, Ready: p.notReady}
+	go func() {
+		if err := process.Serve(p.life, l, d.Handler()); err != nil {
+			p.parts.Log.Error("metrics_unserved", "address", p.parts.MetricsAddress, "err", err)
+		}
+	}()
+}
+
+func (p *Process) notReady() error {
+	if p.Ready() {
+		return nil
+	}
+	return errors.New("the tables or the targets are not known yet, or the process stops")
+}
+
+// State is what the state dump shows.
+func (p *Process) State() any {
+	snap := p.View.Get()
+	version := int64(0)
+	if snap.Tables != nil {
+		version = snap.Tables.Version
+	}
+	return map[string]any{
+		"vm": p.parts.Settings.VM, "az": p.parts.Settings.AvailabilityZone, "ready": p.Ready(), "stopping": p.Closing(),
+		"tables_version": version, "tables": snap.Tables, "targets": snap.Instances, "named_versions": snap.Named,
+		"tenures": p.work.state(), "batches": p.Batches.State(), "requests": p.Forward.State(),
+	}
+}
+
 // server returns the server of callers.
 func (p *Process) server() *http.Server {
 	idle := newIdleConns(func() time.Duration {
@@ -218,3 +269,9 @@
 		p.parts.Log.Warn("group_leave", "outcome", "failed", "err", err)
 	}
 }
+
+// Abort ends the process at once, without a farewell.
+func (p *Process) Abort() { p.end() }
+
+// Holds tells whether this VM places the items of a pool and orders its versions.
+func (p *Process) Holds(pool string) bool { return p.work.holds(pool) }
--- a/entry/work.go
+++ b/entry/work.go
@@ -92,8 +92,8 @@
 	for n := range want {
 		if w.tenures[n] == nil {
 			w.tenures[n] = tenure.New(tenure.Options{
-				Log: w.p.parts.Store, Partition: n, Machine: s.IP, Process: w.process, Handover: s.OrderHandover,
-				Standby: w.p.standby(), Clock: w.p.parts.BootTime, Out: w.p.parts.Log, Changed: func() { go w.update() },
+				Store: w.p.parts.Store, Partition: n, Machine: s.IP, Process: w.process, Handover: s.OrderHandover,
+				Standby: w.p.standby(), Clock: w.p.parts.BootTime, Log: w.p.parts.Log, Changed: func() { go w.update() },
 			})
 		}
 	}
@@ -168,3 +168,26 @@
 		t.Release(ctx)
 	}
 }
+
+// holds tells whether this VM holds the tenure of a pool's partition.
+func (w *work) holds(pool string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tenures[batch.PartitionOf(pool, w.p.parts.Settings.Partitions).Index]
+	if t == nil {
+		return false
+	}
+	_, held := t.Held()
+	return held
+}
+
+// state shows the tenures by partition.
+func (w *work) state() map[int]tenure.State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[int]tenure.State{}
+	for n, t := range w.tenures {
+		out[n] = t.State()
+	}
+	return out
+}
--- /dev/null
+++ b/fake/errata/target.go
@@ -0,0 +1,264 @@
+package errata
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Run is one request that a target began to work on.
+type Run struct {
+	ID, Method, URI, Host string
+	Header                http.Header
+	Body                  []byte
+	At                    time.Time
+}
+
+// Order is one order that a target accepted.
+type Order struct {
+	Model, Holder string
+	Version       int64
+	Token         int64
+	At            time.Time
+}
+
+// Target is a model engine or a plain service. Its fields are switches, set under Lock.
+type Target struct {
+	sync.Mutex
+	ID, Service, Zone string
+	Slots             int
+	// Versions are the weight versions by model; a target without models is a plain service.
+	Versions map[string]int64
+	// Work is the time of a plain request, Pace that of an event, Events the length of each stream.
+	Work, Pace time.Duration
+	Events     int
+	// LoadTime is how long a change of version takes.
+	LoadTime time.Duration
+	// Full refuses each request as not run.
+	Full bool
+	// Fail answers each request with 500.
+	Fail bool
+	// LoseAnswers runs requests and resets their connection, so many times.
+	LoseAnswers int
+	// WrongID answers with another request's ID, so many times.
+	WrongID int
+	// BreakAfter resets a stream after so many events; 0 never.
+	BreakAfter int
+
+	server *httptest.Server
+	runs   []Run
+	orders []Order
+	seq    int64
+	busy   bool
+	active int
+	beat   int
+}
+
+// NewTarget starts a target on loopback.
+func NewTarget(id, service, zone string, slots int, models ...string) *Target {
+	t := &Target{
+		ID: id, Service: service, Zone: zone, Slots: slots, Versions: map[string]int64{}, Work: 5 * time.Millisecond, Pace: 5 * time.Millisecond,
+		Events: 4, LoadTime: 50 * time.Millisecond,
+	}
+	for _, m := range models {
+		t.Versions[m] = 1
+	}
+	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	return t
+}
+
+// Address is the target's host and port.
+func (t *Target) Address() string { return strings.TrimPrefix(t.server.URL, "http://") }
+
+// Close kills the target.
+func (t *Target) Close() {
+	t.server.CloseClientConnections()
+	t.server.Close()
+}
+
+// Set changes switches.
+func (t *Target) Set(change func(*Target)) {
+	t.Lock()
+	defer t.Unlock()
+	change(t)
+}
+
+// Runs returns the requests that the target began to work on.
+func (t *Target) Runs() []Run {
+	t.Lock()
+	defer t.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Orders returns the orders that the target accepted.
+func (t *Target) Orders() []Order {
+	t.Lock()
+	defer t.Unlock()
+	return append([]Order(nil), t.orders...)
+}
+
+// Register writes the target's registration into the store.
+func (t *Target) Register(s *Store, state string) {
+	t.Lock()
+	t.beat++
+	doc := map[string]any{
+		"Service": t.Service, "Address": t.Address(), "Zone": t.Zone, "Version": "v1", "Slots": t.Slots, "State": state,
+		"ColdRemainingMs": 0, "Seq": t.beat, "Models": t.models(),
+	}
+	t.Unlock()
+	data, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // the document is built here
+	}
+	s.Put("keyed.servers", t.ID, data)
+}
+
+// models lists the versions as registrations and reports do. The caller holds the lock.
+func (t *Target) models() []map[string]any {
+	out := []map[string]any{}
+	for name, v := range t.Versions {
+		out = append(out, map[string]any{"Name": name, "Version": v, "Adapters": []string{}})
+	}
+	return out
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != t.ID {
+		w.Header().Set("Instance-Id", t.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/report":
+		t.Lock()
+		doc := map[string]any{"Stage": "hybrid", "Models": t.models(), "Busy": t.busy, "Seq": t.seq}
+		t.Unlock()
+		reply(w, http.StatusOK, doc)
+	case "/v1/order":
+		t.order(w, r)
+	default:
+		t.request(w, r)
+	}
+}
+
+func (t *Target) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Model, Holder                       string
+		Version, FencingToken, Precondition int64
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.FencingToken == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t.Lock()
+	defer t.Unlock()
+	if t.busy || o.Precondition != t.seq {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	t.seq++
+	t.busy = true
+	t.orders = append(t.orders, Order{o.Model, o.Holder, o.Version, o.FencingToken, time.Now()})
+	time.AfterFunc(t.LoadTime, func() {
+		t.Lock()
+		defer t.Unlock()
+		t.busy = false
+		t.Versions[o.Model] = o.Version
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// abort resets the connection of a request.
+func abort() { panic(http.ErrAbortHandler) }
+
+func (t *Target) request(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		abort()
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	t.Lock()
+	model := r.Header.Get("Model")
+	if t.Full || t.active >= t.Slots || model != "" && t.busy {
+		t.Unlock()
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	t.active++
+	t.runs = append(t.runs, Run{id, r.Method, r.RequestURI, r.Host, r.Header.Clone(), body, time.Now()})
+	fail, lose, wrong, work := t.Fail, t.LoseAnswers > 0, t.WrongID > 0, t.Work
+	if lose {
+		t.LoseAnswers--
+	}
+	if wrong {
+		t.WrongID--
+		w.Header().Set("Request-Id", "another")
+	}
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", t.active, t.Slots))
+	t.Unlock()
+	defer t.Set(func(t *Target) { t.active-- })
+	switch {
+	case fail:
+		w.Header().Set("Server-Stamp", "failed."+id)
+		w.WriteHeader(http.StatusInternalServerError)
+	case model != "":
+		t.stream(w, r, model)
+	default:
+		time.Sleep(work)
+		if lose {
+			abort()
+		}
+		w.Header().Set("Server-Stamp", "stamp."+id)
+		fmt.Fprintf(w, "answer to %s by %s: %s", id, t.ID, body)
+	}
+}
+
+// stream sends the events of a generation; each names the item and its place.
+func (t *Target) stream(w http.ResponseWriter, r *http.Request, model string) {
+	id := r.Header.Get("Request-Id")
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	t.Lock()
+	version, events, pace, breakAfter := t.Versions[model], t.Events, t.Pace, t.BreakAfter
+	t.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Server-Stamp", "stamp."+id)
+	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
+	rc := http.NewResponseController(w)
+	for n := from + 1; n <= events; n++ {
+		time.Sleep(pace)
+		if breakAfter > 0 && n-from > breakAfter {
+			abort()
+		}
+		t.Lock()
+		now := t.Versions[model]
+		t.Unlock()
+		if now != version {
+			version = now
+			fmt.Fprintf(w, "weight-versions: %d\n", version)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(id, n))
+		if rc.Flush() != nil || r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+// EventText is the data of event n of an item.
+func EventText(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
+
+// Text is the whole text of an item.
+func Text(id string, events int) string {
+	parts := make([]string, 0, events)
+	for n := range events {
+		parts = append(parts, EventText(id, n+1))
+	}
+	return strings.Join(parts, "\n")
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,15 +6,18 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/target"
 	"github.com/ibistrail/ibistrail/trial"
@@ -75,6 +78,9 @@
 	client target.Client
 	log    *slog.Logger
 	az     string
+	// requests counts replies by status, seconds is their latency.
+	requests *expvar.Map
+	seconds  *process.Latency
 
 	mu    sync.Mutex
 	rand  *rand.Rand
@@ -89,13 +95,25 @@
 }
 
 // New returns a forwarder.
-func New(view *fleet.View, client target.Client, az string, log *slog.Logger) *Forwarder {
+func New(view *fleet.View, client target.Client, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
 	return &Forwarder{
 		view: view, client: client, log: log, az: az, pools: map[string]*pool{},
+		requests: metrics.SubMap("requests"), seconds: metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
+// State returns what the state dump shows of the targets, by pool.
+func (f *Forwarder) State() map[string][]routing.TargetState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string][]routing.TargetState{}
+	for name, p := range f.pools {
+		out[name] = p.table.State(time.Now())
+	}
+	return out
+}
+
 // pool returns the state of a pool, brought up to the newest registrations. The caller holds mu.
 func (f *Forwarder) pool(now time.Time, snap *fleet.Snapshot, name string) *pool {
 	p := f.pools[name]
@@ -155,6 +173,8 @@
 	}
 	r.deadline = r.began.Add(budget)
 	reply := r.serve(ctx)
+	f.requests.Add(strconv.Itoa(reply.Status), 1)
+	f.seconds.Observe(time.Since(r.began))
 	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", poolName, "status", reply.Status,
 		"sends", r.sends, "target", r.last, "ms", time.Since(r.began).Milliseconds(), "reason", reply.Reason)
 	return reply
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -55,7 +55,7 @@
 
 // Options configure a Tenure.
 type Options struct {
-	Log       store.Log
+	Store     store.Log
 	Partition int
 	Machine   string
 	Process   string
@@ -65,7 +65,7 @@
 	Standby bool
 	// Clock goes on while the VM is suspended.
 	Clock func() time.Duration
-	Out   *slog.Logger
+	Log   *slog.Logger
 	// Changed is told when the tenure was won or lost.
 	Changed func()
 }
@@ -122,7 +122,7 @@
 	for ctx.Err() == nil && t.Active() {
 		pause, err := t.step(ctx)
 		if err != nil && ctx.Err() == nil {
-			t.o.Out.Warn("tenure", "partition", t.part.Index, "outcome", "failed", "err", err)
+			t.o.Log.Warn("tenure", "partition", t.part.Index, "outcome", "failed", "err", err)
 			pause = retry
 		}
 		timer := time.NewTimer(pause)
@@ -190,7 +190,7 @@
 		}
 		r := &record{}
 		if err := json.Unmarshal(data, r); err != nil {
-			t.o.Out.Error("record_ignored", "topic", Topic, "partition", t.part.Index, "err", err)
+			t.o.Log.Error("record_ignored", "topic", Topic, "partition", t.part.Index, "err", err)
 			r = &record{} // it counts as another holder's
 		}
 		t.last, t.heardAt = r, t.o.Clock()
@@ -201,7 +201,7 @@
 func (t *Tenure) read(ctx context.Context, from int64, wait time.Duration) (store.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
-	b, err := t.o.Log.Read(ctx, t.part, from, wait, readBytes)
+	b, err := t.o.Store.Read(ctx, t.part, from, wait, readBytes)
 	var truncated *store.TruncatedError
 	if errors.As(err, &truncated) {
 		// Whose records have expired is not known.
@@ -228,7 +228,7 @@
 	}
 	// Offsets start at 0 and tokens at 1, so that a token is never mistaken for none.
 	t.held, t.token = true, at+1
-	t.o.Out.Info("tenure_taken", "partition", t.part.Index, "token", t.token, "orders_in_ms", t.waitLocked().Milliseconds())
+	t.o.Log.Info("tenure_taken", "partition", t.part.Index, "token", t.token, "orders_in_ms", t.waitLocked().Milliseconds())
 	t.o.Changed()
 	return nil
 }
@@ -244,7 +244,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = t.o.Log.AppendAt(ctx, t.part, t.end, [][]byte{data})
+		_, err = t.o.Store.AppendAt(ctx, t.part, t.end, [][]byte{data})
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
@@ -263,7 +263,7 @@
 // settle finds out whose records stand in the way: an append whose answer was lost is this VM's own.
 // The caller holds mu.
 func (t *Tenure) settle(ctx context.Context) error {
-	b, err := t.o.Log.Read(ctx, t.part, t.end, 0, readBytes)
+	b, err := t.o.Store.Read(ctx, t.part, t.end, 0, readBytes)
 	if err != nil {
 		return fmt.Errorf("reading the tenure of partition %d: %w", t.part.Index, err)
 	}
@@ -273,7 +273,7 @@
 	}
 	if t.held {
 		t.held = false
-		t.o.Out.Info("tenure_lost", "partition", t.part.Index, "token", t.token, "to", t.last.Process)
+		t.o.Log.Info("tenure_lost", "partition", t.part.Index, "token", t.token, "to", t.last.Process)
 		t.o.Changed()
 	}
 	return ErrNotHeld
@@ -325,8 +325,28 @@
 		return
 	}
 	if err := t.append(ctx, record{Release: true}); err != nil {
-		t.o.Out.Warn("tenure", "partition", t.part.Index, "outcome", "not released", "err", err)
+		t.o.Log.Warn("tenure", "partition", t.part.Index, "outcome", "not released", "err", err)
 	}
 	t.held = false
 	t.o.Changed()
 }
+
+// State is what the state dump shows of a tenure.
+type State struct {
+	Candidate bool   `json:"candidate"`
+	Held      bool   `json:"held"`
+	Token     int64  `json:"token,omitempty"`
+	Holder    string `json:"holder,omitempty"`
+	Offset    int64  `json:"offset"`
+}
+
+// State returns what the state dump shows.
+func (t *Tenure) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := State{Candidate: t.candidate, Held: t.held, Token: t.token, Offset: t.end}
+	if t.last != nil {
+		s.Holder = t.last.Process
+	}
+	return s
+}
--- /dev/null
+++ b/versions/plan_test.go
@@ -0,0 +1,130 @@
+package versions
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/fleet"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func pool(models ...string) *fleet.Pool {
+	return &fleet.Pool{Pool: config.Pool{Name: "p"}, Engine: &fleet.Engine{Slots: 8, Models: models}}
+}
+
+func instances(n int, versions map[string]int64) []*fleet.Instance {
+	out := make([]*fleet.Instance, 0, n)
+	for i := range n {
+		out = append(out, &fleet.Instance{Target: config.Target{Name: fmt.Sprintf("e%02d", i)}, Pool: "p", Slots: 8, Versions: versions})
+	}
+	return out
+}
+
+func allow(n int64) func(string) int64 { return func(string) int64 { return n } }
+
+// load carries intents out.
+func load(p *Planner, now time.Time, intents []Intent) {
+	for _, i := range intents {
+		p.Observed(now, i.Instance.Key(), Report{Versions: map[string]int64{i.Model: i.Version}})
+	}
+}
+
+// rounds plans and loads until nothing is due, and returns the number of loads and of waves.
+func rounds(p *Planner, now time.Time, named map[string]int64, allowance int64) (loads, waves int) {
+	for range 100 {
+		intents := p.Plan(now, named, allow(allowance))
+		if len(intents) == 0 {
+			return loads, waves
+		}
+		loads += len(intents)
+		waves++
+		load(p, now, intents)
+	}
+	return loads, waves
+}
+
+func TestStrictStepsLoadAllEnginesInWaves(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("m"), instances(9, map[string]int64{"m": 1}))
+	named := map[string]int64{"m": 2}
+	first := p.Plan(start, named, allow(0))
+	is.Equal(len(first), 2)                          // a fifth of the pool, rounded up
+	is.Equal(len(p.Plan(start, named, allow(0))), 0) // no more before one has ended
+	load(p, start, first)
+	loads, _ := rounds(p, start, named, 0)
+	is.Equal(loads, 7)
+}
+
+func TestEnginesTakeTurnsWhereStepsAcceptTheVersionBefore(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("m"), instances(8, map[string]int64{"m": 1}))
+	total := 0
+	for v := int64(2); v <= 9; v++ {
+		loads, _ := rounds(p, start, map[string]int64{"m": v}, 1)
+		total += loads
+		for _, e := range p.engines {
+			is.True(v-e.versions["m"] <= 1) // each engine serves the newest steps
+		}
+	}
+	is.Equal(total, 8*4) // half of what loading each version on each engine takes
+}
+
+func TestModelsShareTheWave(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("a", "b"), instances(10, map[string]int64{"a": 1, "b": 1}))
+	named := map[string]int64{"a": 3, "b": 3}
+	intents := p.Plan(start, named, allow(1))
+	is.Equal(len(intents), 2)
+	is.True(intents[0].Instance != intents[1].Instance) // one load an engine at a time
+	load(p, start, intents)
+	loads, _ := rounds(p, start, named, 1)
+	is.Equal(loads+len(intents), 20) // all engines are two behind in both models
+}
+
+func TestDrainingAndFailedEnginesAreLeft(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	in := instances(3, map[string]int64{"m": 1})
+	in[0].Draining = true
+	p.Update(pool("m"), in)
+	named := map[string]int64{"m": 2}
+	first := p.Plan(start, named, allow(0))
+	is.Equal(len(first), 1)
+	is.Equal(first[0].Instance.Name, "e01")
+	p.Failed(start, first[0].Instance.Key())
+	next := p.Plan(start, named, allow(0))
+	is.Equal(next[0].Instance.Name, "e02") // another one, while the first waits
+	p.Failed(start, next[0].Instance.Key())
+	is.Equal(len(p.Plan(start, named, allow(0))), 0)
+	is.Equal(len(p.Plan(start.Add(retryAfter), named, allow(0))), 1) // it is tried again
+}
+
+func TestOrderWithoutEffectIsRepeated(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("m"), instances(1, map[string]int64{"m": 1}))
+	named := map[string]int64{"m": 2}
+	is.Equal(len(p.Plan(start, named, allow(0))), 1)
+	is.Equal(len(p.Plan(start.Add(loadTimeout-1), named, allow(0))), 0)
+	is.Equal(len(p.Plan(start.Add(loadTimeout), named, allow(0))), 1)
+}
+
+func TestRestartedEngineStartsAnew(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	in := instances(1, map[string]int64{"m": 1})
+	p.Update(pool("m"), in)
+	load(p, start, p.Plan(start, map[string]int64{"m": 2}, allow(0)))
+	again := *in[0]
+	again.BornMs = 77
+	p.Update(pool("m"), []*fleet.Instance{&again})
+	is.Equal(len(p.Plan(start, map[string]int64{"m": 2}, allow(0))), 1)
+}
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -13,7 +13,7 @@
 	// Await lets running requests end under the old version first.
 	Await Mode = "await"
 	// CarryOver continues running requests under the new version.
-	CarryOver Mode = "carry_over"
+	CarryOver Mode = "carry-over"
 )
 
 // Order asks an engine to run a version.
