--- /dev/null
+++ b/batch/book_test.go
@@ -0,0 +1,165 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func encode(r record) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // the record is built by the test
+	}
+	return data
+}
+
+func submitRecord(id string, total int) []byte {
+	return encode(record{Kind: recordSubmit, ID: id, Head: &Head{ID: id, AcceptedMs: 1000}, Total: total, Items: []span{{0, 1}}})
+}
+
+func resultRecord(id, item, score string) []byte {
+	return encode(record{Kind: recordResult, ID: id, Result: &listing{ItemID: item, Score: score, Text: span{7, 1}}})
+}
+
+func TestFirstRecordHolds(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	for i, r := range [][]byte{
+		resultRecord("b", "i0", "too early"), submitRecord("b", 2), submitRecord("b", 9), resultRecord("b", "i1", "first"), resultRecord("b", "i1", "second"),
+		[]byte("noise"), resultRecord("b", "i2", "x"), resultRecord("b", "i3", "beyond the total"),
+	} {
+		_, err := b.apply(int64(i), r)
+		is.Equal(err != nil, string(r) == "noise")
+	}
+	e := b.entries["b"]
+	is.Equal(e.total, 2)
+	is.Equal(len(e.results), 2)
+	is.Equal(e.results[0].Score, "first")
+	is.True(e.done())
+	changed, err := b.apply(3, resultRecord("b", "i9", "an old offset"))
+	is.NoErr(err)
+	is.True(!changed)
+}
+
+// TestReadersListAlike applies random records in batches of random sizes, with copies, at two readers.
+func TestReadersListAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := [][]byte{}
+		for range rapid.IntRange(1, 60).Draw(t, "n") {
+			id := fmt.Sprint("b", rapid.IntRange(0, 2).Draw(t, "batch"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				records = append(records, submitRecord(id, rapid.IntRange(1, 5).Draw(t, "total")))
+			case 3:
+				records = append(records, encode(record{Kind: recordEnd, ID: id}))
+			default:
+				records = append(records, resultRecord(id, fmt.Sprint("i", rapid.IntRange(0, 5).Draw(t, "item")), fmt.Sprint(len(records))))
+			}
+		}
+		one, two := newBook(), newBook()
+		for i, r := range records {
+			if _, err := one.apply(int64(i), r); err != nil {
+				t.Fatal(err)
+			}
+			before := map[string]int{}
+			for id, e := range one.entries {
+				before[id] = len(e.results)
+			}
+			for k := max(0, i-rapid.IntRange(0, 5).Draw(t, "again")); k <= i; k++ { // reads overlap
+				if _, err := two.apply(int64(k), records[k]); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for id, e := range two.entries {
+				if len(e.results) != before[id] {
+					t.Fatalf("%s: %d results, at the other reader %d", id, len(e.results), before[id])
+				}
+				for n, l := range e.results {
+					if l.Score != one.entries[id].results[n].Score {
+						t.Fatalf("%s: position %d differs", id, n)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestReuseKeepsToVersionsAndScorer(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	apply := func(r []byte) {
+		_, err := b.apply(b.next, r)
+		is.NoErr(err)
+	}
+	apply(submitRecord("b1", 2))
+	apply(encode(record{Kind: recordResult, ID: "b1", Result: &listing{ItemID: "i", Versions: []int64{3, 4}, ScorerID: "s"}}))
+	it := &Item{ID: "i", Scorer: &Scorer{ID: "s"}}
+	_, ok := b.reusable(&Head{ID: "b2", MinVersion: 3}, it, false)
+	is.True(ok)
+	_, ok = b.reusable(&Head{ID: "b2", MinVersion: 4}, it, false)
+	is.True(!ok) // one of its versions is too old
+	_, ok = b.reusable(&Head{ID: "b2", MinVersion: 3}, it, true)
+	is.True(!ok) // it has two versions
+	_, ok = b.reusable(&Head{ID: "b2"}, &Item{ID: "i", Scorer: &Scorer{ID: "other"}}, false)
+	is.True(!ok) // another score
+}
+
+func TestSavedPartsOfTwoWritersAreNeverJoined(t *testing.T) {
+	is := is.New(t)
+	part := func(writer string, from, n int) *Progress {
+		p := &Progress{ItemID: "i", Writer: writer, From: from}
+		for k := range n {
+			p.Events = append(p.Events, fmt.Sprint(writer, from+k))
+			p.Versions = append(p.Versions, 1)
+		}
+		return p
+	}
+	text := &savedText{}
+	text.add(part("a", 0, 3))
+	text.add(part("a", 3, 2))
+	is.Equal(len(text.events), 5)
+	text.add(part("b", 5, 2)) // follows, but of another writer
+	is.Equal(len(text.events), 5)
+	text.add(part("a", 9, 2)) // leaves a gap
+	is.Equal(len(text.events), 5)
+	text.add(part("b", 0, 2)) // shorter than what is known
+	is.Equal(text.writer, "a")
+	text.add(part("b", 0, 6))
+	text.add(part("a", 6, 1))
+	is.Equal(len(text.events), 6)
+	is.Equal(text.events[0], "b0")
+}
+
+func TestExpiryForgetsDoneBatchesOnly(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	for i, r := range [][]byte{submitRecord("done", 1), resultRecord("done", "i", ""), submitRecord("open", 1)} {
+		_, err := b.apply(int64(i), r)
+		is.NoErr(err)
+	}
+	is.Equal(b.expire(time.UnixMilli(1000)), 0)
+	is.Equal(b.expire(time.UnixMilli(1001)), 1)
+	is.True(b.entries["open"] != nil)
+	is.Equal(len(b.finished), 0)
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add(submitRecord("b", 2))
+	f.Add(resultRecord("b", "i", "s"))
+	f.Add([]byte(`{"kind":"progress","id":"b","saved":{"item":"i"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b := newBook()
+		if _, err := b.apply(0, submitRecord("b", 2)); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = b.apply(1, data) // an error is one outcome
+		if e := b.entries["b"]; e == nil || len(e.results) > e.total {
+			t.Fatal("a record broke a batch")
+		}
+	})
+}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -85,7 +85,8 @@
 	heardAt   time.Duration // when the newest record of another holder was read, or watching began
 	watching  bool
 	ordersAt  time.Duration // when the last order by any holder was sent, or later
-	window    time.Duration // orders of this tenure's newest wave may be sent until then; 0 before the first
+	window    time.Duration // orders of this tenure's newest wave may be sent until then
+	apart     bool          // the predecessors' orders are far enough in the past
 }
 
 // New returns a tenure that is not held.
@@ -218,7 +219,7 @@
 
 // take appends the record that makes this VM the holder. The caller holds mu.
 func (t *Tenure) take(ctx context.Context) error {
-	t.ordersAt, t.window = t.o.Clock()-t.o.Handover-orderWindow, 0
+	t.ordersAt, t.window, t.apart = t.o.Clock()-t.o.Handover-orderWindow, 0, false
 	if t.last != nil {
 		t.ordersAt = t.heardAt - time.Duration(t.last.SinceOrdersMs)*time.Millisecond
 	}
@@ -279,7 +280,12 @@
 	return ErrNotHeld
 }
 
+// waitLocked returns how long the predecessors' orders keep this holder from giving its own. The caller
+// holds mu.
 func (t *Tenure) waitLocked() time.Duration {
+	if t.apart {
+		return 0
+	}
 	return max(0, t.ordersAt+t.o.Handover+orderWindow-t.o.Clock())
 }
 
@@ -287,9 +293,6 @@
 func (t *Tenure) OrdersIn() (wait time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.window > 0 {
-		return 0, t.held // orders of its own do not bind a holder
-	}
 	return t.waitLocked(), t.held
 }
 
@@ -297,9 +300,10 @@
 func (t *Tenure) Begin(ctx context.Context) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.held || t.window == 0 && t.waitLocked() > 0 {
+	if !t.held || t.waitLocked() > 0 {
 		return ErrNotHeld
 	}
+	t.apart = true
 	sent := t.o.Clock()
 	t.ordersAt = sent + orderWindow // the record and those after it say that orders follow
 	if err := t.append(ctx, record{}); err != nil {
