tenure: all larger VMs read along and take over within a second or so; the store's groups are not used

Change: candidates are all VMs that can carry the work, kept apart by rank; smaller ones wait for 3 s of silence. TestHolderStaysWhenTheGroupIsDealtAnew is replaced by TestHolderStaysWhenOthersComeAndGo, as there is no group any more.

--- a/batch/partition.go
+++ b/batch/partition.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -60,6 +61,7 @@
 func (p *partition) wanted(now time.Time) bool { return p.owned || now.Sub(p.askedAt) < hotFor }
 
 func (p *partition) loop(ctx context.Context) {
+	var outage process.Outage
 	for {
 		p.mu.Lock()
 		if ctx.Err() != nil || !p.wanted(time.Now()) {
@@ -69,9 +71,11 @@
 		}
 		p.mu.Unlock()
 		if err := p.read(ctx, followWait); err != nil && ctx.Err() == nil {
-			p.log.Warn("partition_read", "partition", p.id.Index, "outcome", "failed", "err", err)
+			outage.Failed(p.log, "partition_read", err, "partition", p.id.Index)
 			sleep(ctx, readRetry)
+			continue
 		}
+		outage.Over(p.log, "partition_read", "partition", p.id.Index)
 	}
 }
 
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -128,13 +129,15 @@
 
 // appendUntilDone repeats an append until it succeeds or ctx ends, and returns its offset.
 func (w *writer) appendUntilDone(ctx context.Context, id store.Partition, records [][]byte) int64 {
+	var outage process.Outage
 	for {
 		offset, err := w.store.Append(ctx, id, records)
 		if err == nil || ctx.Err() != nil {
+			outage.Over(w.log, "results_append", "topic", id.Topic, "partition", id.Index)
 			return offset
 		}
-		w.log.Warn("results_append", "topic", id.Topic, "partition", id.Index, "records", len(records), "outcome", "failed",
-			"maybe_done", !errors.Is(err, store.ErrUnavailable), "err", err)
+		outage.Failed(w.log, "results_append", err, "topic", id.Topic, "partition", id.Index, "records", len(records),
+			"maybe_done", !errors.Is(err, store.ErrUnavailable))
 		sleep(ctx, appendRetry)
 	}
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -108,7 +108,7 @@
 	v.p = entry.New(entry.Parts{
 		Settings: entry.Settings{
 			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.ready, StoreAddress: w.store.Address(),
-			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, MinGroupTTL: time.Second, StopGrace: 4 * time.Second,
+			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
 			OrderHandover: time.Second, BatchRetention: time.Minute,
 		},
 		Log: log, Store: platform.NewStore(w.store.Address(), nil), Client: targets, Engines: targets, Sources: platform.Sources(),
@@ -536,19 +536,25 @@
 	w.is.True(second.At.Sub(first.At) >= time.Second) // the settings' handover
 }
 
-func TestHolderStaysWhenTheGroupIsDealtAnew(t *testing.T) {
-	w := newWorld(t, 1, 1, 3)
+func TestHolderStaysWhenOthersComeAndGo(t *testing.T) {
+	w := newWorld(t, 1, 1, 2)
 	w.name(2)
 	w.eventually(10*time.Second, "an order", func() bool { return len(w.engines[0].Orders()) > 0 })
-	for range 3 {
-		w.store.Revoke("holders")
-		time.Sleep(600 * time.Millisecond)
+	first := w.engines[0].Orders()[0]
+	for _, v := range w.vms {
+		if v.name != first.Holder {
+			w.kill(v)
+		}
 	}
+	w.start("vm-2")
+	w.start("vm-3")
+	w.store.Set(func(s *errata.Store) { s.LoseAnswers = 2 })
+	time.Sleep(2 * time.Second)
 	w.name(3)
 	w.eventually(10*time.Second, "another order", func() bool { return len(w.engines[0].Orders()) > 1 })
-	orders := w.engines[0].Orders()
-	w.is.Equal(orders[1].Holder, orders[0].Holder)
-	w.is.Equal(orders[1].Token, orders[0].Token)
+	second := w.engines[0].Orders()[1]
+	w.is.Equal(second.Holder, first.Holder)
+	w.is.Equal(second.Token, first.Token)
 }
 
 func TestPlannedStopHandsItemsOver(t *testing.T) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,20 +19,10 @@
 	"github.com/ibistrail/ibistrail/versions"
 )
 
-// Names at the store, and times of the group that shares the work.
+// Bounds of a process.
 const (
-	// groupHolders is the group of the VMs that can carry a whole pool's items, groupStandby that of
-	// the others, which take over only where none of the first does.
-	groupHolders = "holders"
-	groupStandby = "standby"
 	// holderCores is what a holder needs of a core: it takes each event of each item of its pools.
 	holderCores = 0.5
-	// joinEvery is how often a VM renews its membership; a member that is silent for groupTTL is gone,
-	// and its work stands still until then.
-	joinEvery = 400 * time.Millisecond
-	groupTTL  = 1500 * time.Millisecond
-	// joinTimeout bounds a join, so that one whose answer was lost is repeated in time.
-	joinTimeout = 600 * time.Millisecond
 	// leaveTimeout bounds the farewell of a planned stop.
 	leaveTimeout = time.Second
 	// balancerLag is how long after SIGTERM new connections still come: the balancer asks each second,
@@ -74,9 +63,7 @@
 	life     context.Context
 	end      context.CancelFunc
 
-	mu    sync.Mutex
-	group store.Group
-	work  *work
+	work *work
 }
 
 // New joins a process.
@@ -94,14 +81,6 @@
 		Keep: s.BatchRetention, Log: parts.Log, Metrics: parts.Metrics, Store: parts.Store, View: p.View, Client: parts.Client, Forwarder: p.Forward,
 	})
 	p.work = newWork(p)
-	group := groupHolders
-	if p.standby() {
-		group = groupStandby
-	}
-	p.group = store.Group{
-		Name: group, Member: fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano()), Topics: []string{batch.Topic},
-		TTL: max(groupTTL, s.MinGroupTTL),
-	}
 	return p
 }
 
@@ -132,7 +111,6 @@
 		go p.dir.follow(p.life, src)
 	}
 	go p.Batches.Run()
-	go p.membership()
 	go p.work.run()
 	server := p.server()
 	failed := make(chan error, 2)
@@ -213,7 +191,7 @@
 	began := time.Now()
 	p.stopping.Store(true)
 	p.parts.Log.Info("stopping", "grace_ms", p.parts.Settings.StopGrace.Milliseconds())
-	p.giveBack()
+	p.work.stop()
 	time.Sleep(min(balancerLag, p.parts.Settings.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.parts.Settings.StopGrace-stopMargin))
 	defer cancel()
@@ -224,52 +202,6 @@
 	p.parts.Log.Info("stopped", "ms", time.Since(began).Milliseconds())
 }
 
-// membership keeps this VM in the group until it stops.
-func (p *Process) membership() {
-	for p.life.Err() == nil && !p.Closing() {
-		p.mu.Lock()
-		g := p.group
-		p.mu.Unlock()
-		ctx, cancel := context.WithTimeout(p.life, joinTimeout)
-		generation, parts, err := p.parts.Store.Join(ctx, g)
-		cancel()
-		switch {
-		case p.Closing():
-			p.giveBack()
-			return
-		case err != nil:
-			p.parts.Log.Warn("group_join", "outcome", "failed", "err", err)
-		default:
-			p.assign(generation, parts)
-		}
-		sleep(p.life, joinEvery)
-	}
-}
-
-// assign takes the partitions that the store names this VM as candidate for.
-func (p *Process) assign(generation int64, parts []store.Partition) {
-	p.mu.Lock()
-	if p.group.Generation != generation {
-		p.parts.Log.Info("group_assigned", "generation", generation, "partitions", len(parts))
-	}
-	p.group.Generation = generation
-	p.mu.Unlock()
-	p.work.setCandidate(parts)
-}
-
-// giveBack leaves the group, so that others take the work over at once.
-func (p *Process) giveBack() {
-	p.work.stop()
-	p.mu.Lock()
-	g := p.group
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(p.life, leaveTimeout)
-	defer cancel()
-	if err := p.parts.Store.Leave(ctx, g); err != nil {
-		p.parts.Log.Warn("group_leave", "outcome", "failed", "err", err)
-	}
-}
-
 // Abort ends the process at once, without a farewell.
 func (p *Process) Abort() { p.end() }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -16,9 +16,7 @@
 	Partitions int
 	// RecordBytes and CallBytes bound one record and all records of one append.
 	RecordBytes, CallBytes int
-	// MinGroupTTL is the shortest silence after which the store takes a group's member for gone.
-	MinGroupTTL time.Duration
-	Cores       int
+	Cores                  int
 	// CPUShare is the part of a core that the VM gets.
 	CPUShare    float64
 	MemoryBytes int64
--- a/entry/work.go
+++ b/entry/work.go
@@ -19,18 +19,16 @@
 	p       *Process
 	process string
 
-	mu         sync.Mutex
-	stopped    bool
-	candidates map[int]bool
-	tenures    map[int]*tenure.Tenure
-	running    map[int]bool
-	duties     map[string]context.CancelFunc // by pool
+	mu      sync.Mutex
+	stopped bool
+	tenures map[int]*tenure.Tenure
+	duties  map[string]context.CancelFunc // by pool
 }
 
 func newWork(p *Process) *work {
 	return &work{
 		p: p, process: fmt.Sprintf("%s/%d", p.parts.Settings.VM, time.Now().UnixNano()),
-		tenures: map[int]*tenure.Tenure{}, running: map[int]bool{}, duties: map[string]context.CancelFunc{},
+		tenures: map[int]*tenure.Tenure{}, duties: map[string]context.CancelFunc{},
 	}
 }
 
@@ -46,20 +44,6 @@
 	}
 }
 
-// setCandidate takes the partitions that the store's group gives this VM.
-func (w *work) setCandidate(parts []store.Partition) {
-	c := map[int]bool{}
-	for _, p := range parts {
-		if p.Topic == batch.Topic {
-			c[p.Index] = true
-		}
-	}
-	w.mu.Lock()
-	w.candidates = c
-	w.mu.Unlock()
-	w.update()
-}
-
 // wanted returns the partitions of pools that batches run on or that have versions to order.
 func wanted(t *fleet.Tables, partitions int) map[int][]string {
 	out := map[int][]string{}
@@ -91,20 +75,17 @@
 	want := wanted(w.p.View.Get().Tables, s.Partitions)
 	for n := range want {
 		if w.tenures[n] == nil {
-			w.tenures[n] = tenure.New(tenure.Options{
+			t := tenure.New(tenure.Options{
 				Store: w.p.parts.Store, Partition: n, Machine: s.IP, Process: w.process, Handover: s.OrderHandover,
 				Standby: w.p.standby(), Clock: w.p.parts.BootTime, Log: w.p.parts.Log, Changed: func() { go w.update() },
 			})
+			w.tenures[n] = t
+			go t.Run(w.p.life)
 		}
 	}
 	var held []store.Partition
 	duties := map[string]*tenure.Tenure{}
 	for n, t := range w.tenures {
-		t.SetCandidate(w.candidates[n] && len(want[n]) > 0)
-		if t.Active() && !w.running[n] {
-			w.running[n] = true
-			go w.keep(n, t)
-		}
 		if _, ok := t.Held(); ok {
 			held = append(held, store.Partition{Topic: batch.Topic, Index: n})
 			for _, pool := range want[n] {
@@ -116,17 +97,6 @@
 	w.updateDuties(duties)
 }
 
-// keep runs a tenure as long as it is active.
-func (w *work) keep(n int, t *tenure.Tenure) {
-	t.Run(w.p.life)
-	w.mu.Lock()
-	w.running[n] = false
-	w.mu.Unlock()
-	if t.Active() {
-		w.update()
-	}
-}
-
 // updateDuties runs the version orders of the pools whose tenure is held.
 func (w *work) updateDuties(wanted map[string]*tenure.Tenure) {
 	for name, cancel := range w.duties {
--- a/fake/errata/store.go
+++ b/fake/errata/store.go
@@ -33,7 +33,6 @@
 	URL      string
 	server   *httptest.Server
 	topics   map[string][]*partition
-	groups   map[string]*group
 	changed  chan struct{}
 	appended map[string]int // records by topic
 }
@@ -46,22 +45,13 @@
 
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
 
-// group is the members of a group and when each was heard last.
-type group struct {
-	generation int64
-	members    map[string]time.Time
-	topics     []string
-}
-
 // NewStore starts a store on loopback.
 func NewStore(parts int) *Store {
-	s := &Store{Parts: parts, topics: map[string][]*partition{}, groups: map[string]*group{}, changed: make(chan struct{}), appended: map[string]int{}}
+	s := &Store{Parts: parts, topics: map[string][]*partition{}, changed: make(chan struct{}), appended: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", s.append)
 	mux.HandleFunc("GET /v1/log-read", s.read)
 	mux.HandleFunc("GET /v1/log-newest", s.newest)
-	mux.HandleFunc("POST /v1/log-join", s.join)
-	mux.HandleFunc("POST /v1/log-leave", s.leave)
 	s.server = httptest.NewServer(mux)
 	s.URL = s.server.URL
 	return s
@@ -100,16 +90,6 @@
 	p.first, p.records = p.first+n, p.records[n:]
 }
 
-// Revoke reassigns all partitions of a group at once, as if its members had never been heard.
-func (s *Store) Revoke(name string) {
-	s.Lock()
-	defer s.Unlock()
-	if g := s.groups[name]; g != nil {
-		g.generation++
-		g.members = map[string]time.Time{}
-	}
-}
-
 // Appended counts the records that were appended to a topic.
 func (s *Store) Appended(topic string) int {
 	s.Lock()
@@ -287,76 +267,3 @@
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
 	reply(w, http.StatusOK, map[string]any{"Items": items, "HasMore": false, "EndOffset": end})
 }
-
-// call is the body of a call about a group.
-type call struct {
-	Group, Member string
-	Topics        []string
-	TtlMs         int64 //nolint:revive // the protocol's spelling
-}
-
-func (s *Store) join(w http.ResponseWriter, r *http.Request) {
-	if s.refused(w, r) {
-		return
-	}
-	var c call
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.Lock()
-	g := s.groups[c.Group]
-	if g == nil {
-		g = &group{members: map[string]time.Time{}, topics: c.Topics}
-		s.groups[c.Group] = g
-	}
-	now := time.Now()
-	for m, at := range g.members {
-		if now.Sub(at) > time.Duration(c.TtlMs)*time.Millisecond {
-			delete(g.members, m)
-			g.generation++
-		}
-	}
-	if _, ok := g.members[c.Member]; !ok {
-		g.generation++
-	}
-	g.members[c.Member] = now
-	names := make([]string, 0, len(g.members))
-	for m := range g.members {
-		names = append(names, m)
-	}
-	sort.Strings(names)
-	parts := [][]any{}
-	for t, topic := range g.topics {
-		for i := range max(1, s.Parts) {
-			if names[(t+i)%len(names)] == c.Member {
-				parts = append(parts, []any{topic, i, 0})
-			}
-		}
-	}
-	generation, lost := g.generation, s.lost()
-	s.Unlock()
-	if lost {
-		<-r.Context().Done()
-		return
-	}
-	reply(w, http.StatusOK, map[string]any{"Generation": generation, "TtlMs": c.TtlMs, "parts": parts})
-}
-
-func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
-	if s.refused(w, r) {
-		return
-	}
-	var c call
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.Lock()
-	if g := s.groups[c.Group]; g != nil {
-		delete(g.members, c.Member)
-		g.generation++
-	}
-	s.Unlock()
-	reply(w, http.StatusOK, map[string]any{})
-}
--- a/store/store.go
+++ b/store/store.go
@@ -1,5 +1,5 @@
 // Package store describes the platform's durable log as the rest of the system uses it: topics of
-// ordered partitions, topics that keep the newest record of each key, and groups that share partitions.
+// ordered partitions, and topics that keep the newest record of each key.
 package store
 
 import (
@@ -58,15 +58,6 @@
 	Offset int64
 }
 
-// Group is one member's claim on its share of the partitions of some topics.
-type Group struct {
-	Name, Member string
-	Topics       []string
-	TTL          time.Duration
-	// Generation is the last one that the store returned; 0 at first.
-	Generation int64
-}
-
 // Log is the store's log.
 type Log interface {
 	// Append adds records, all or none, and returns the offset of the first.
@@ -80,10 +71,6 @@
 	Newest(ctx context.Context, topic string) ([]KeyedRecord, int64, error)
 	// ReadKeyed is Read for a topic that keeps the newest record of each key.
 	ReadKeyed(ctx context.Context, topic string, from int64, wait time.Duration) (records []KeyedRecord, next int64, err error)
-	// Join joins a group, or stays in it, and returns the member's partitions.
-	Join(ctx context.Context, g Group) (generation int64, parts []Partition, err error)
-	// Leave gives the member's partitions back at once.
-	Leave(ctx context.Context, g Group) error
 }
 
 // Spread returns the partition of a key among n, the same on each VM.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -1,8 +1,7 @@
 // Package tenure decides which VM runs the work of a partition and orders its engines. The right is
 // held by records of the platform's log: each record is appended on the condition that nobody else
-// appended one, so a holder that was succeeded finds out before it acts. The store's group only
-// names a candidate, who takes over when the holder's records stop; while they go on the holder
-// stays, however often the group shares its partitions anew.
+// appended one, so a holder that was succeeded finds out before it acts. All VMs that could carry
+// the work read along, and one of them takes over when the holder's records stop.
 package tenure
 
 import (
@@ -14,6 +13,9 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -23,12 +25,17 @@
 // Times of a tenure.
 const (
 	// renewEvery is how often a holder writes a record.
-	renewEvery = 400 * time.Millisecond
-	// silence is how long a candidate hears nothing before it takes over: two records that did not come.
-	silence = 900 * time.Millisecond
-	// standbySilence is the same for a VM that is better not the holder: the store needs about two
-	// seconds to name another candidate.
-	standbySilence = 3500 * time.Millisecond
+	renewEvery = 300 * time.Millisecond
+	// silence is how long a candidate hears nothing before it takes over: two records that did not come,
+	// and the answers of a slow store.
+	silence = 800 * time.Millisecond
+	// rankDelay keeps candidates apart: each of the ranks waits that much longer than the one before.
+	rankDelay = 100 * time.Millisecond
+	ranks     = 5
+	// standbySilence is how long a VM waits that is better not the holder.
+	standbySilence = 3 * time.Second
+	// standbyEvery is how often such a VM looks.
+	standbyEvery = 1200 * time.Millisecond
 	// orderWindow is how long after its record an order may still be sent, which bounds how late a
 	// holder that was succeeded can act. One answer of a slow store must fit into it.
 	orderWindow = 500 * time.Millisecond
@@ -74,41 +81,28 @@
 type Tenure struct {
 	o    Options
 	part store.Partition
+	// delay is this VM's rank among the candidates, as a time.
+	delay time.Duration
 
-	mu        sync.Mutex // guards the state and orders the appends
-	candidate bool
-	stopped   bool
-	held      bool
-	token     int64
-	end       int64
-	last      *record
-	heardAt   time.Duration // when the newest record of another holder was read, or watching began
-	watching  bool
-	ordersAt  time.Duration // when the last order by any holder was sent, or later
-	window    time.Duration // orders of this tenure's newest wave may be sent until then
-	apart     bool          // the predecessors' orders are far enough in the past
+	mu       sync.Mutex // guards the state and orders the appends
+	stopped  bool
+	held     bool
+	token    int64
+	end      int64
+	last     *record
+	heardAt  time.Duration // when the newest record of another holder was read, or watching began
+	watching bool
+	ordersAt time.Duration // when the last order by any holder was sent, or later
+	window   time.Duration // orders of this tenure's newest wave may be sent until then
+	apart    bool          // the predecessors' orders are far enough in the past
 }
 
 // New returns a tenure that is not held.
 func New(o Options) *Tenure {
-	return &Tenure{o: o, part: store.Partition{Topic: Topic, Index: o.Partition}}
-}
-
-// SetCandidate tells whether this VM should take over when the holder is silent.
-func (t *Tenure) SetCandidate(c bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if c && !t.candidate {
-		t.watching = false
+	return &Tenure{
+		o: o, part: store.Partition{Topic: Topic, Index: o.Partition},
+		delay: time.Duration(xxhash.Sum64String(o.Process)%ranks) * rankDelay,
 	}
-	t.candidate = c
-}
-
-// Active tells whether Run has something to do.
-func (t *Tenure) Active() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.stopped && (t.held || t.candidate)
 }
 
 // Held tells whether this VM holds the tenure, and its fencing token.
@@ -118,13 +112,19 @@
 	return t.token, t.held
 }
 
-// Run keeps or takes the tenure until ctx ends or it is neither held nor wanted.
+// Run keeps the tenure, or reads along to take it over, until ctx ends or it is released.
 func (t *Tenure) Run(ctx context.Context) {
-	for ctx.Err() == nil && t.Active() {
+	var outage process.Outage
+	for ctx.Err() == nil && !t.isStopped() {
 		pause, err := t.step(ctx)
-		if err != nil && ctx.Err() == nil {
-			t.o.Log.Warn("tenure", "partition", t.part.Index, "outcome", "failed", "err", err)
+		switch {
+		case errors.Is(err, ErrNotHeld) || ctx.Err() != nil:
 			pause = retry
+		case err != nil:
+			outage.Failed(t.o.Log, "tenure_store", err, "partition", t.part.Index)
+			pause = retry
+		default:
+			outage.Over(t.o.Log, "tenure_store", "partition", t.part.Index)
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -135,6 +135,12 @@
 	}
 }
 
+func (t *Tenure) isStopped() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopped
+}
+
 // step renews the tenure, or watches its holder, and returns when to go on.
 func (t *Tenure) step(ctx context.Context) (time.Duration, error) {
 	if _, held := t.Held(); held {
@@ -147,7 +153,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.candidate || t.stopped || !t.free() {
+	if t.stopped {
+		return 0, nil
+	}
+	if !t.free() {
+		if t.o.Standby {
+			return standbyEvery, nil
+		}
 		return 0, nil
 	}
 	return 0, t.take(ctx)
@@ -159,14 +171,20 @@
 	if t.o.Standby {
 		return quiet >= standbySilence
 	}
-	return t.last == nil || t.last.Release || t.last.Process == t.o.Process || quiet >= silence
+	if t.last != nil && t.last.Process == t.o.Process {
+		return true
+	}
+	if t.last == nil || t.last.Release {
+		return quiet >= t.delay
+	}
+	return quiet >= silence+t.delay
 }
 
 // watch reads what holders wrote.
 func (t *Tenure) watch(ctx context.Context) error {
 	t.mu.Lock()
 	from, wait := t.end, renewEvery
-	if !t.watching {
+	if !t.watching || t.o.Standby {
 		wait = 0
 	}
 	t.mu.Unlock()
@@ -324,12 +342,12 @@
 func (t *Tenure) Release(ctx context.Context) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped, t.candidate = true, false
+	t.stopped = true
 	if !t.held {
 		return
 	}
 	if err := t.append(ctx, record{Release: true}); err != nil {
-		t.o.Log.Warn("tenure", "partition", t.part.Index, "outcome", "not released", "err", err)
+		t.o.Log.Warn("tenure_kept", "partition", t.part.Index, "err", err)
 	}
 	t.held = false
 	t.o.Changed()
@@ -337,18 +355,17 @@
 
 // State is what the state dump shows of a tenure.
 type State struct {
-	Candidate bool   `json:"candidate"`
-	Held      bool   `json:"held"`
-	Token     int64  `json:"token,omitempty"`
-	Holder    string `json:"holder,omitempty"`
-	Offset    int64  `json:"offset"`
+	Held   bool   `json:"held"`
+	Token  int64  `json:"token,omitempty"`
+	Holder string `json:"holder,omitempty"`
+	Offset int64  `json:"offset"`
 }
 
 // State returns what the state dump shows.
 func (t *Tenure) State() State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := State{Candidate: t.candidate, Held: t.held, Token: t.token, Offset: t.end}
+	s := State{Held: t.held, Token: t.token, Offset: t.end}
 	if t.last != nil {
 		s.Holder = t.last.Process
 	}
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -56,7 +56,7 @@
 		Store: m, Machine: machine, Process: machine + "/1", Handover: handover, Standby: standby, Clock: c.read,
 		Log: slog.New(slog.DiscardHandler), Changed: func() {},
 	})
-	t.SetCandidate(true)
+	t.delay = 0
 	return t
 }
 
