versions: loads of weights follow the work of each model and what waits for an engine

Cause: on the grown sites 36 of 44 engines had too old a version at a burst (items_wait old_version=36): the loads that fit into a step's time went to three models alike, and a free load slot waited up to 0.3 s for a report. Change: where not all engines can load each version, models get engines by their work; a model whose items wait is first, then engines with room; reports are read when a load should have ended.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -32,6 +32,8 @@
 	MinVersion int64 `json:"min_version,omitempty"`
 	// NewestVersion is the newest version that was named, or run by an engine, at the acceptance.
 	NewestVersion int64 `json:"newest_version,omitempty"`
+	// ExpectedTokens is the callers' estimate of the output of all items.
+	ExpectedTokens int64 `json:"expected_tokens,omitempty"`
 	// WantGroups is the number of whole groups that the trainer waits for.
 	WantGroups int `json:"want_groups,omitempty"`
 	// AcceptedMs is when the submission arrived, by the clock of the VM that took it.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -66,6 +66,8 @@
 	seen    *fleet.Snapshot
 	// texts are unfinished texts of ended submissions, which may come again.
 	texts map[string]leftover
+	// short are the models of which items waited for an engine at the last look.
+	short map[string]bool
 	// toldShort is when a shortage was logged last.
 	toldShort time.Time
 	// load is how long a load of weights lasts.
@@ -447,6 +449,12 @@
 	for _, f := range fields {
 		room += len(f.free)
 	}
+	clear(r.short)
+	if room == 0 {
+		for _, t := range tasks {
+			r.short[t.job.sub.Model] = true
+		}
+	}
 	if len(tasks) == 0 || room == 0 {
 		return
 	}
@@ -463,6 +471,7 @@
 			e = f.choose(q)
 		}
 		if e == nil {
+			r.short[j.sub.Model] = true
 			if short == nil {
 				n := r.engines.shortage(now, q)
 				short = &n
@@ -724,7 +733,7 @@
 func newRunner(o Options) *runner {
 	return &runner{
 		view: o.View, client: o.Client, fwd: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
-		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{},
+		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{}, short: map[string]bool{},
 		kick: make(chan struct{}, 1), load: initialLoad,
 		outcomes: o.Metrics.SubMap("item_runs"), seconds: o.Metrics.Latency("item_run_seconds"),
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -136,6 +136,9 @@
 	}
 	p := s.partitionOf(route.Pool)
 	sub.NewestVersion = newestVersion(s.o.View.Get(), route.Pool, sub.Model)
+	for i := range sub.Items {
+		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
+	}
 	p.mu.Lock()
 	known := p.book.entries[sub.ID] != nil
 	p.mu.Unlock()
--- a/entry/work.go
+++ b/entry/work.go
@@ -113,10 +113,7 @@
 		w.duties[name] = cancel
 		d := &versions.Duty{
 			Pool: name, View: w.p.View, Engines: w.p.parts.Engines, Log: w.p.parts.Log, Holder: w.p.parts.Settings.IP,
-			Allowance: func(model string) int64 {
-				n, _ := w.p.Batches.Allowance(name, model)
-				return n
-			},
+			Needs: w.p.Batches.Needs(name),
 			Loads: w.p.Batches.Loads(), Tenure: t,
 		}
 		go d.Run(ctx)
--- a/versions/duty.go
+++ b/versions/duty.go
@@ -11,9 +11,6 @@
 
 // Times of the duty.
 const (
-	// reportEvery is the pause between reports of an engine that loads: reports lag by a few hundred
-	// milliseconds, and each one is a call to the engine.
-	reportEvery = 300 * time.Millisecond
 	// idleEvery is how often the duty looks again where nothing is pending.
 	idleEvery = 2 * time.Second
 )
@@ -27,8 +24,8 @@
 	Log     *slog.Logger
 	// Holder names this VM to the engines.
 	Holder string
-	// Allowance returns by how many versions an engine may lag behind the newest of a model.
-	Allowance func(model string) int64
+	// Needs tells what the steps of each model want.
+	Needs Needs
 	// Loads is told of loads that begin and end.
 	Loads Loads
 	plan  *Planner
@@ -90,20 +87,25 @@
 		return idleEvery
 	}
 	d.plan.Update(pool, snap.Pool(d.Pool))
-	d.observe(ctx, d.plan.Loading())
-	intents := d.plan.Plan(time.Now(), snap.Named, d.Allowance)
+	d.observe(ctx, d.plan.Ask(time.Now()))
+	intents := d.plan.Plan(time.Now(), snap.Named, d.Needs)
 	if len(intents) == 0 {
-		if len(d.plan.Loading()) > 0 {
-			return reportEvery
-		}
-		return idleEvery
+		return d.pause()
 	}
 	if wait, ok := d.Tenure.OrdersIn(); !ok || wait > 0 {
 		d.fail(intents)
 		return max(retryAfter, min(wait, idleEvery))
 	}
 	d.wave(ctx, snap, intents)
-	return reportEvery
+	return d.pause()
+}
+
+// pause is how long nothing is to be done, unless registrations change.
+func (d *Duty) pause() time.Duration {
+	if wait, ok := d.plan.Next(time.Now()); ok {
+		return min(wait, idleEvery)
+	}
+	return idleEvery
 }
 
 // fail takes back intents that were not ordered.
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -15,6 +15,15 @@
 	waveShare = 5
 	// loadTimeout is how long an accepted order may take before the engine is asked again.
 	loadTimeout = 4 * time.Second
+	// typicalLoad and typicalStep hold until a load, or the time between two versions, was measured.
+	typicalLoad = time.Second
+	typicalStep = 4 * time.Second
+	// paceGain is the weight of a new measurement in a moving average.
+	paceGain = 0.3
+	// firstReport is the part of a load's usual time after which its engine is asked for the first time,
+	// reportEvery the pause from then on.
+	firstReport = 0.9
+	reportEvery = 120 * time.Millisecond
 	// retryAfter is the pause after an order that failed, or that another one was in the way of.
 	retryAfter = 300 * time.Millisecond
 )
@@ -28,6 +37,8 @@
 	model        string
 	version      int64
 	began, until time.Time
+	// askAt is when to read the engine's report next.
+	askAt time.Time
 	// retry is when the engine may be ordered again.
 	retry time.Time
 }
@@ -38,10 +49,22 @@
 type Planner struct {
 	engines map[fleet.Key]*engine
 	pool    *fleet.Pool
+	named   map[string]*naming
+	// load is how long a load lasts.
+	load time.Duration
+}
+
+// naming is how often versions of a model are named.
+type naming struct {
+	version int64
+	at      time.Time
+	every   time.Duration
 }
 
 // NewPlanner returns a planner without engines.
-func NewPlanner() *Planner { return &Planner{engines: map[fleet.Key]*engine{}} }
+func NewPlanner() *Planner {
+	return &Planner{engines: map[fleet.Key]*engine{}, named: map[string]*naming{}, load: typicalLoad}
+}
 
 // Update takes the pool's registered engines. Registrations lag, so a version that was reported
 // later stays if it is higher.
@@ -74,39 +97,57 @@
 	Version  int64
 }
 
+// Needs tells what the steps of each model want of the engines.
+type Needs interface {
+	// Allowance returns by how many versions an engine may lag behind the newest of a model.
+	Allowance(model string) int64
+	// Work is the recent work of a model in engine time for each version; only ratios count.
+	Work(model string) float64
+	// Waiting tells whether items of the model wait for an engine now.
+	Waiting(model string) bool
+	// Room is the number of requests that an engine could start now.
+	Room(k fleet.Key) int
+}
+
 // candidate is an engine that should load a version of a model.
 type candidate struct {
-	e   *engine
-	lag int64
-	// must is set where the engine cannot serve the model's newest steps.
-	must   bool
+	e      *engine
 	intent Intent
+	// urgent is set where items of the model wait for an engine.
+	urgent bool
+	lag    int64
+	room   int
 }
 
-// Plan returns what to order now and marks it. allowance returns by how many versions an engine may
-// lag behind the newest of a model.
-func (p *Planner) Plan(now time.Time, named map[string]int64, allowance func(model string) int64) []Intent {
+// Plan returns what to order now and marks it.
+func (p *Planner) Plan(now time.Time, named map[string]int64, needs Needs) []Intent {
 	if p.pool == nil || p.pool.Engine == nil {
 		return nil
 	}
-	room := (len(p.engines) + waveShare - 1) / waveShare
+	wave := (len(p.engines) + waveShare - 1) / waveShare
+	room := wave
 	for _, e := range p.engines {
 		if e.busy(now) {
 			room--
 		}
 	}
+	if room <= 0 {
+		return nil
+	}
+	p.noteNamed(now, named)
+	share := p.shares(needs, wave)
 	var due []candidate
 	for _, m := range p.pool.Engine.Models {
-		due = append(due, p.due(now, m, named[m], max(0, allowance(m)))...)
+		due = append(due, p.due(now, m, named[m], share[m], needs)...)
 	}
 	slices.SortStableFunc(due, func(a, b candidate) int {
-		if a.must != b.must {
-			if a.must {
+		if a.urgent != b.urgent {
+			if a.urgent {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(b.lag, a.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
 	})
 	var out []Intent
 	for _, c := range due {
@@ -118,6 +159,7 @@
 		}
 		c.e.loading, c.e.model, c.e.version = true, c.intent.Model, c.intent.Version
 		c.e.began, c.e.until = now, now.Add(loadTimeout)
+		c.e.askAt = now.Add(time.Duration(firstReport * float64(p.load)))
 		out = append(out, c.intent)
 	}
 	return out
@@ -125,39 +167,93 @@
 
 func (e *engine) busy(now time.Time) bool { return e.loading && now.Before(e.until) }
 
-// due returns the engines that should load a model's newest version.
-func (p *Planner) due(now time.Time, model string, newest, allowance int64) []candidate {
+// noteNamed follows how often each model's versions are named.
+func (p *Planner) noteNamed(now time.Time, named map[string]int64) {
+	for m, v := range named {
+		n := p.named[m]
+		if n == nil {
+			p.named[m] = &naming{version: v, at: now, every: typicalStep}
+			continue
+		}
+		if v > n.version {
+			every := now.Sub(n.at) / time.Duration(v-n.version)
+			n.every += time.Duration(paceGain * float64(every-n.every))
+			n.version, n.at = v, now
+		}
+	}
+}
+
+// shares returns how many engines should be able to serve each model. Where the loads for all engines
+// fit between two versions that is all of them; else the loads that fit are shared by the models'
+// work, so that a model with little to do does not take engines from the others.
+func (p *Planner) shares(needs Needs, wave int) map[string]int {
+	out := map[string]int{}
+	wanted, work := 0.0, 0.0 // loads a second that all engines would take; work of all models
+	for _, m := range p.pool.Engine.Models {
+		out[m] = len(p.engines)
+		n := p.named[m]
+		if n == nil || n.every <= 0 {
+			continue
+		}
+		wanted += float64(len(p.engines)) / float64(needs.Allowance(m)+1) / n.every.Seconds()
+		work += needs.Work(m)
+	}
+	possible := float64(wave) / p.load.Seconds()
+	if wanted <= possible || work <= 0 {
+		return out
+	}
+	for _, m := range p.pool.Engine.Models {
+		n := p.named[m]
+		if n == nil || n.every <= 0 {
+			continue
+		}
+		loads := possible * needs.Work(m) / work * n.every.Seconds() // for each version
+		out[m] = min(len(p.engines), max(1, int(loads*float64(needs.Allowance(m)+1)+0.5)))
+	}
+	return out
+}
+
+// due returns the engines that should load a model's newest version, so that share engines can serve
+// its newest steps, and a part of these runs the newest version already.
+func (p *Planner) due(now time.Time, model string, newest int64, share int, needs Needs) []candidate {
 	if newest <= 0 {
 		return nil
 	}
-	var must, may []candidate
-	current := 0
-	for _, e := range p.engines {
+	allowance := max(0, needs.Allowance(model))
+	var old, accepted []candidate
+	current, usable := 0, 0
+	for k, e := range p.engines {
 		lag := newest - e.versions[model]
 		if lag <= 0 || e.busy(now) && e.model == model && e.version >= newest {
 			current++
+			usable++
 			continue
 		}
+		if lag <= allowance {
+			usable++
+		}
 		if e.instance.Draining || e.busy(now) || now.Before(e.retry) {
 			continue
 		}
-		c := candidate{e: e, lag: lag, must: lag > allowance, intent: Intent{e.instance, model, newest}}
-		if c.must {
-			must = append(must, c)
+		c := candidate{e: e, lag: lag, urgent: lag > allowance && needs.Waiting(model), room: needs.Room(k), intent: Intent{e.instance, model, newest}}
+		if lag > allowance {
+			old = append(old, c)
 		} else {
-			may = append(may, c)
+			accepted = append(accepted, c)
 		}
 	}
-	// The engines take turns: at least one share of them runs the newest version.
+	// Engines that followed the model most lately go on with it.
+	byLag := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.lag, b.lag), cmp.Compare(b.room, a.room), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+	}
+	slices.SortFunc(old, byLag)
+	slices.SortFunc(accepted, func(a, b candidate) int { return byLag(b, a) })
+	out := old[:min(len(old), max(0, share-usable))]
 	turns := int(allowance) + 1
-	short := (len(p.engines)+turns-1)/turns - current - len(must)
-	slices.SortFunc(may, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
-	})
-	if short > 0 {
-		must = append(must, may[:min(short, len(may))]...)
+	if short := (share+turns-1)/turns - current - len(out); short > 0 {
+		out = append(out, accepted[:min(short, len(accepted))]...)
 	}
-	return must
+	return out
 }
 
 // Observed takes an engine's report, and returns how long its load took if that has ended.
@@ -171,7 +267,9 @@
 	}
 	if e.loading && e.versions[e.model] >= e.version {
 		e.loading = false
-		return now.Sub(e.began), true
+		took = now.Sub(e.began)
+		p.load += time.Duration(paceGain * float64(took-p.load))
+		return took, true
 	}
 	return 0, false
 }
@@ -183,14 +281,29 @@
 	}
 }
 
-// Loading returns what is being loaded.
-func (p *Planner) Loading() []Intent {
+// Ask returns the loads whose engines' reports are to be read now.
+func (p *Planner) Ask(now time.Time) []Intent {
 	var out []Intent
 	for _, e := range p.engines {
-		if e.loading {
+		if e.loading && !now.Before(e.askAt) {
+			e.askAt = now.Add(reportEvery)
 			out = append(out, Intent{e.instance, e.model, e.version})
 		}
 	}
 	slices.SortFunc(out, func(a, b Intent) int { return cmp.Compare(a.Instance.Name, b.Instance.Name) })
 	return out
 }
+
+// Next returns how long it takes until an engine is to be asked or ordered again; ok is false if none is.
+func (p *Planner) Next(now time.Time) (wait time.Duration, ok bool) {
+	for _, e := range p.engines {
+		at := e.retry
+		if e.loading {
+			at = e.askAt
+		}
+		if d := at.Sub(now); d > 0 && (!ok || d < wait) {
+			wait, ok = d, true
+		}
+	}
+	return wait, ok
+}
