--- a/gate/auth.go
+++ b/gate/auth.go
@@ -84,7 +84,11 @@
 
 // authorizeSteps admits a trainer; an empty route means any steps route that its token opens.
 func (g *Gate) authorizeSteps(r *http.Request, kind config.RouteKind, route string) (string, *config.Route, *api.Error) {
-	a, err := g.admit(r, "steps of route "+route, func(row *config.Route) bool {
+	what := "steps of any route"
+	if route != "" {
+		what = "steps of route " + route
+	}
+	a, err := g.admit(r, what, func(row *config.Route) bool {
 		return row.Kind == kind && (route == "" || row.Name == route)
 	})
 	if err != nil {
