--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fake/errata"
+	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
 )
@@ -91,7 +92,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/load/chaos_test.go
+++ b/load/chaos_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/deployment"
+	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/matryer/is"
 )
 
@@ -17,7 +18,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	quiet := slog.New(slog.DiscardHandler)
-	w, err := StartWorld(ctx, deployment.Options{Preset: deployment.PresetMagnolia, VMsPerZone: 1, DrainTimeoutMs: 1000}, quiet)
+	w, err := StartWorld(ctx, deployment.Options{Preset: deployment.PresetMagnolia, VMsPerZone: 1, DrainTimeoutMs: 1000, Host: loopback.Host()}, quiet)
 	is.NoErr(err)
 	defer w.Close()
 	faults := []FaultEvent{
