--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -613,3 +613,56 @@
 	w.is.Equal(<-w.vms[0].done, nil)
 	w.vms[0].done <- nil
 }
+
+func TestStreamsAreForwardedAsTheyCome(t *testing.T) {
+	w := newWorld(t, 2, 1, 1)
+	w.configure(fmt.Sprintf(`,{"Name":"r-live","Host":%[1]q,"PathPrefix":"/live/","Kind":"streaming","Sticky":true,"TimeoutMs":5000,"TargetLatencyMs":300,"Service":"drafting","MaxAttempts":2},
+		{"Name":"r-again","Host":%[1]q,"PathPrefix":"/again/","Kind":"streaming","Resumable":true,"TimeoutMs":5000,"TargetLatencyMs":300,"Service":"drafting","MaxAttempts":2}`, host))
+	w.eventually(3*time.Second, "the routes are in force", func() bool {
+		return w.call(w.vms[0], http.MethodPost, "/live/x", "probe", "", "Model", model).status == http.StatusOK
+	})
+	a := w.call(w.vms[0], http.MethodPost, "/live/x", "s1", "prompt", "Model", model)
+	w.is.NoErr(a.err)
+	w.is.Equal(a.header.Get("Server-Stamp"), "stamp.s1")
+	w.is.Equal(strings.Count(a.body, "data: s1-"), 4)
+	// A client resumes after the last event that it got.
+	a = w.call(w.vms[0], http.MethodPost, "/again/x", "s2", "prompt", "Model", model, "Last-Event-Id", "2")
+	w.is.NoErr(a.err)
+	w.is.True(!strings.Contains(a.body, "id: 2") && strings.Contains(a.body, "id: 3"))
+	// A stream that breaks must not look complete.
+	for _, e := range w.engines {
+		e.Set(func(e *errata.Target) { e.BreakAfter = 2 })
+	}
+	a = w.call(w.vms[0], http.MethodPost, "/live/x", "s3", "prompt", "Model", model)
+	w.is.True(a.err != nil)
+	runs := 0
+	for _, e := range w.engines {
+		for _, r := range e.Runs() {
+			if r.ID == "s3" {
+				runs++
+			}
+		}
+	}
+	w.is.Equal(runs, 1) // one that cannot resume runs at most once
+}
+
+func TestCallerThatLeavesCancelsItsRun(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	w.engines[0].Set(func(e *errata.Target) { e.Events, e.Pace = 200, 20*time.Millisecond })
+	w.configure(fmt.Sprintf(`,{"Name":"r-live","Host":%q,"PathPrefix":"/live/","Kind":"streaming","TimeoutMs":9000,"TargetLatencyMs":300,"Service":"drafting","MaxAttempts":2}`, host))
+	time.Sleep(1500 * time.Millisecond)
+	c, err := net.Dial("tcp", w.vms[0].address)
+	w.is.NoErr(err)
+	fmt.Fprintf(c, "POST /live/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: s1\r\nModel: %s\r\nContent-Length: 0\r\n\r\n", host, model)
+	w.eventually(3*time.Second, "the run begins", func() bool { return w.engines[0].Active() == 1 })
+	c.Close()
+	w.eventually(500*time.Millisecond, "the run ends", func() bool { return w.engines[0].Active() == 0 })
+}
+
+func TestLimitsOfTheConfigurationHold(t *testing.T) {
+	w := newWorld(t, 0, 1, 1)
+	w.is.Equal(w.call(w.vms[0], http.MethodPost, "/desk/x", "r1", strings.Repeat("x", 1<<20)).status, http.StatusOK)
+	w.is.Equal(w.call(w.vms[0], http.MethodPost, "/desk/x", "r2", strings.Repeat("x", 1<<20+1)).status, http.StatusRequestEntityTooLarge)
+	w.is.Equal(w.call(w.vms[0], http.MethodPost, "/desk/x", "r3", "", "X-Long", strings.Repeat("y", 20_000)).status, http.StatusRequestHeaderFieldsTooLarge)
+	w.is.Equal(len(w.desks[0].Runs()), 1)
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -23,6 +23,8 @@
 const (
 	// holderCores is what a holder needs of a core: it takes each event of each item of its pools.
 	holderCores = 0.5
+	// headerTimeout is the longest time that the headers of a request may take.
+	headerTimeout = 10 * time.Second
 	// leaveTimeout bounds the farewell of a planned stop.
 	leaveTimeout = time.Second
 	// balancerLag is how long after SIGTERM new connections still come: the balancer asks each second,
@@ -182,7 +184,9 @@
 	return &http.Server{
 		Handler:   p.parts.Handler(p),
 		ConnState: idle.state,
-		ErrorLog:  slog.NewLogLogger(p.parts.Log.Handler(), slog.LevelDebug),
+		// Callers stay within the configuration's shorter limit; this one ends connections that never speak.
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          slog.NewLogLogger(p.parts.Log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -262,3 +262,10 @@
 	}
 	return strings.Join(parts, "\n")
 }
+
+// Active counts the requests that the target works on.
+func (t *Target) Active() int {
+	t.Lock()
+	defer t.Unlock()
+	return t.active
+}
