--- a/batch/partition.go
+++ b/batch/partition.go
@@ -72,22 +72,13 @@
 		p.mu.Unlock()
 		if err := p.read(ctx, followWait); err != nil && ctx.Err() == nil {
 			outage.Failed(p.log, "partition_read", err, "partition", p.id.Index)
-			sleep(ctx, readRetry)
+			process.Sleep(ctx, readRetry)
 			continue
 		}
 		outage.Over(p.log, "partition_read", "partition", p.id.Index)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // read reads once and applies what it gets.
 func (p *partition) read(ctx context.Context, wait time.Duration) error {
 	p.mu.Lock()
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -71,7 +71,7 @@
 
 func (w *writer) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, gatherFor)
+		process.Sleep(ctx, gatherFor)
 		batch := w.take()
 		if batch == nil {
 			return
@@ -138,6 +138,6 @@
 		}
 		outage.Failed(w.log, "results_append", err, "topic", id.Topic, "partition", id.Index, "records", len(records),
 			"maybe_done", !errors.Is(err, store.ErrUnavailable))
-		sleep(ctx, appendRetry)
+		process.Sleep(ctx, appendRetry)
 	}
 }
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -78,22 +79,13 @@
 		switch {
 		case err != nil && ctx.Err() == nil:
 			d.failed(src, err)
-			sleep(ctx, storeRetry)
+			process.Sleep(ctx, storeRetry)
 		case src.Targets:
-			sleep(ctx, targetsEvery)
+			process.Sleep(ctx, targetsEvery)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // list takes the newest record of each key.
 func (d *directory) list(ctx context.Context, src Source) (int64, error) {
 	records, next, err := d.store.Newest(ctx, src.Topic)
--- a/versions/duty.go
+++ b/versions/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 )
 
 // Times of the duty.
@@ -61,21 +62,12 @@
 		case <-timer.C:
 		case <-changed:
 			// Registrations change all the time; a short pause lets several be taken at once.
-			sleep(ctx, min(pause, 50*time.Millisecond))
+			process.Sleep(ctx, min(pause, 50*time.Millisecond))
 		}
 		timer.Stop()
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // step orders what is due and returns when to look again.
 func (d *Duty) step(ctx context.Context) time.Duration {
 	snap := d.View.Get()
