--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: help build test scenarios lint ci up demo prove mutants bench capacity
+.PHONY: help build platform test scenarios lint ci up demo prove mutants bench capacity
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -10,6 +10,9 @@
 build: ## build the programs into bin/
 	go build -o $(BIN)/ ./cmd/...
 
+platform: ## build for the Magnolia Errata platform, by the line of deploy/system.toml
+	$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
 test: ## run the tests
 	scripts/gotest.sh $$(go list ./... | grep -v /scenario$$)
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,15 +20,10 @@
 	// CPUShare is the part of a core that the VM gets.
 	CPUShare    float64
 	MemoryBytes int64
-	Descriptors int
 	// StopGrace is the time between SIGTERM and SIGKILL.
 	StopGrace time.Duration
 	// OrderHandover is how far apart the orders of two holders to one engine must be.
 	OrderHandover time.Duration
 	// BatchRetention is how long a batch stays readable after its submission.
 	BatchRetention time.Duration
-	// TargetBeat is how often targets renew their registration.
-	TargetBeat time.Duration
-	// FencingChecked tells whether engines refuse orders with an old fencing token.
-	FencingChecked bool
 }
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -75,18 +75,15 @@
 // Pool is a row of the pools table. Its targets register themselves and are not listed in it.
 type Pool struct {
 	config.Pool
-	// MaxConnections bounds the connections that one target accepts from all VMs.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
 
 // Limits bound what clients may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Tables are both tables in one version.
