targets: the package has a name that is not the build folder's, which git ignores

Cause: the package target stood in the folder into which the deploy file builds; git left it out, so a fresh clone did not build.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 )
 
 // ending tells how a run of an item ended.
@@ -28,7 +28,7 @@
 )
 
 // attempt runs an item once and settles what follows.
-func (r *runner) attempt(ctx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *target.Call) {
+func (r *runner) attempt(ctx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *targets.Call) {
 	defer cancel()
 	how, err := r.stream(ctx, cancel, j, call)
 	r.mu.Lock()
@@ -80,7 +80,7 @@
 }
 
 // stream sends the call and takes its events into the job's text.
-func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *target.Call) (ending, error) {
+func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call) (ending, error) {
 	var silent atomic.Bool
 	watchdog := time.AfterFunc(firstEventWait, func() {
 		silent.Store(true)
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 )
 
 // Bounds of what is believed of engines.
@@ -112,7 +112,7 @@
 }
 
 // loaded takes an engine's word on its load and version.
-func (s *engines) loaded(now time.Time, in *fleet.Instance, l *target.Load) {
+func (s *engines) loaded(now time.Time, in *fleet.Instance, l *targets.Load) {
 	if e := s.get(in); e != nil && l != nil {
 		e.others, e.othersAt = max(0, l.Running+l.Waiting-e.inflight), now
 	}
--- a/batch/place.go
+++ b/batch/place.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 )
 
 // start sends waiting items to engines while there is room.
@@ -148,9 +148,9 @@
 	for name, value := range j.item.Header {
 		header.Set(name, value)
 	}
-	call := &target.Call{
+	call := &targets.Call{
 		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
-		RequestID: j.item.ID, Priority: target.NoPriority, ResumeAfter: int64(len(j.text)),
+		RequestID: j.item.ID, Priority: targets.NoPriority, ResumeAfter: int64(len(j.text)),
 	}
 	go r.attempt(rctx, cancel, j, route, call)
 }
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -42,7 +42,7 @@
 func TestEnginesGetNoMoreThanTheyRun(t *testing.T) {
 	is := is.New(t)
 	s, in := someEngines(2, 4, 3)
-	s.loaded(start, in[0], &target.Load{Running: 3}) // by other VMs
+	s.loaded(start, in[0], &targets.Load{Running: 3}) // by other VMs
 	f := s.field(start, "p")
 	sent := map[string]int{}
 	for {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -12,7 +12,7 @@
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 )
 
 // Times of running items.
@@ -44,7 +44,7 @@
 // runner runs the items of open submissions in the partitions that this VM owns.
 type runner struct {
 	view   *fleet.View
-	client target.Client
+	client targets.Client
 	fwd    Forwarder
 	log    *slog.Logger
 	az     string
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,7 +12,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/versions"
 )
 
@@ -38,7 +38,7 @@
 	Metrics   *process.Metrics
 	Store     store.Log
 	View      *fleet.View
-	Client    target.Client
+	Client    targets.Client
 	Forwarder Forwarder
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,7 +15,7 @@
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/versions"
 )
 
@@ -42,7 +42,7 @@
 	// MetricsAddress serves metrics and the state dump; empty serves none.
 	MetricsAddress string
 	Store          store.Log
-	Client         target.Client
+	Client         targets.Client
 	Engines        versions.Engines
 	Sources        []Source
 	// BootTime is a clock that goes on while the VM is suspended.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,7 +19,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/routing"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/trial"
 )
 
@@ -75,7 +75,7 @@
 // Forwarder sends requests to targets.
 type Forwarder struct {
 	view   *fleet.View
-	client target.Client
+	client targets.Client
 	log    *slog.Logger
 	az     string
 	// requests counts replies by status, seconds is their latency.
@@ -95,7 +95,7 @@
 }
 
 // New returns a forwarder.
-func New(view *fleet.View, client target.Client, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
+func New(view *fleet.View, client targets.Client, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
 	return &Forwarder{
 		view: view, client: client, log: log, az: az, pools: map[string]*pool{},
 		requests: metrics.SubMap("requests"), seconds: metrics.Latency("request_seconds"),
--- a/forward/run.go
+++ b/forward/run.go
@@ -11,7 +11,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/routing"
-	"github.com/ibistrail/ibistrail/target"
+	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/trial"
 )
 
@@ -43,7 +43,7 @@
 // outcome is how an attempt ended: with an answer whose body is whole or a stream, or with an error.
 type outcome struct {
 	a      *attempt
-	answer *target.Answer
+	answer *targets.Answer
 	err    error
 }
 
@@ -64,7 +64,7 @@
 	}
 	hedge := time.NewTimer(r.hedgeAfter())
 	defer hedge.Stop()
-	var failure *target.Answer
+	var failure *targets.Answer
 	var lastErr error
 	for len(r.open) > 0 {
 		select {
@@ -132,7 +132,7 @@
 	table.End(now, address, routing.Query{})
 	r.avoid = append(r.avoid, address)
 	if o.err != nil {
-		if !target.Sent(o.err) {
+		if !targets.Sent(o.err) {
 			table.Dead(now, address)
 			return r.againIf(r.sends < r.route.MaxAttempts+extraSends)
 		}
@@ -194,9 +194,9 @@
 	r.open[a] = true
 	r.sends++
 	r.last = in.Name
-	call := &target.Call{
+	call := &targets.Call{
 		Instance: in, Method: r.req.Method, Host: r.req.Host, URI: r.req.URI, Header: r.req.Header, Body: r.req.Body,
-		RequestID: r.req.ID, Budget: r.deadline.Sub(now), Priority: target.NoPriority, ResumeAfter: r.req.ResumeAfter, Once: !r.repeatable(),
+		RequestID: r.req.ID, Budget: r.deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: r.req.ResumeAfter, Once: !r.repeatable(),
 	}
 	go func() {
 		answer, err := f.client.Do(actx, call)
@@ -214,7 +214,7 @@
 
 // readWhole replaces the body by what was read of it, so that a cut answer is found before any of
 // it is passed on.
-func readWhole(a *target.Answer) error {
+func readWhole(a *targets.Answer) error {
 	if a.Length > maxWhole {
 		return nil
 	}
@@ -231,7 +231,7 @@
 }
 
 // pass returns a target's answer, and ends the other attempts.
-func (r *run) pass(answer *target.Answer, a *attempt, cancel context.CancelFunc) *Reply {
+func (r *run) pass(answer *targets.Answer, a *attempt, cancel context.CancelFunc) *Reply {
 	r.endOthers()
 	body := answer.Body
 	return &Reply{
@@ -254,7 +254,7 @@
 }
 
 // failed ends a request that no target served.
-func (r *run) failed(failure *target.Answer, err error) *Reply {
+func (r *run) failed(failure *targets.Answer, err error) *Reply {
 	if failure != nil {
 		return &Reply{
 			Status: failure.Status, Header: failure.Header, Body: failure.Body, Length: failure.Length, Proof: failure.Proof,
