batch: a VM that holds a partition again goes on with what others saved

Cause: reading the code: a submission whose items were still in memory was opened without the saved texts. TestRegainedPartitionContinuesWhatOthersSaved failed before the change.

--- a/batch/open.go
+++ b/batch/open.go
@@ -23,7 +23,7 @@
 // reconcile brings the jobs in line with the owned partitions' submissions.
 func (r *runner) reconcile(ctx context.Context, snap *fleet.Snapshot) {
 	now := time.Now()
-	r.openNew(ctx, snap)
+	r.openNew(ctx)
 	r.closeGone(snap, now)
 	for item, l := range r.texts {
 		if now.Sub(l.at) > leftoverTTL {
@@ -34,7 +34,7 @@
 
 // openNew opens the submissions of owned partitions that have no jobs yet, and drops the jobs of
 // items that were listed.
-func (r *runner) openNew(ctx context.Context, snap *fleet.Snapshot) {
+func (r *runner) openNew(ctx context.Context) {
 	for p := range r.parts {
 		p.mu.Lock()
 		if !p.current() {
@@ -47,17 +47,14 @@
 			if e.done() {
 				continue
 			}
-			if jobs == nil && e.items == nil {
+			if jobs == nil {
+				// What was read in an earlier tenure lacks what others have saved since.
 				if !e.reading {
 					e.reading = true
 					go r.read(ctx, p, e)
 				}
 				continue
 			}
-			if jobs == nil {
-				r.open(snap, p, e, nil)
-				continue
-			}
 			for item, j := range jobs {
 				if e.listed[item] {
 					r.drop(j)
--- a/batch/partition_test.go
+++ b/batch/partition_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -61,3 +64,51 @@
 
 // forever keeps the tests' submissions, which were accepted in 1970.
 const forever = 200 * 365 * 24 * time.Hour
+
+// TestRegainedPartitionContinuesWhatOthersSaved: a VM that lost a partition and holds it again must not
+// start over where another VM has saved a text meanwhile.
+func TestRegainedPartitionContinuesWhatOthersSaved(t *testing.T) {
+	is := is.New(t)
+	items, err := json.Marshal([]Item{{ID: "i", Path: "/i"}})
+	is.NoErr(err)
+	saved, err := json.Marshal(&Progress{ItemID: "i", Writer: "other", Events: []string{"e1", "e2"}, Versions: []int64{1, 1}})
+	is.NoErr(err)
+	index := &oneByOne{records: [][]byte{submitRecord("b", 1)}}
+	p := &partition{
+		store: index, data: newData(&oneByOne{records: [][]byte{items, saved}}, 0), log: slog.New(slog.DiscardHandler), keep: forever,
+		book: newBook(), changed: make(chan struct{}), wake: func() {},
+	}
+	view := fleet.NewView()
+	view.Set(&fleet.Snapshot{Tables: &fleet.Tables{}})
+	r := newRunner(Options{View: view, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()})
+	own := func(yes bool) {
+		p.mu.Lock()
+		p.owned, p.ownedAt = yes, time.Now()
+		p.mu.Unlock()
+		is.NoErr(p.sync(t.Context()))
+		r.own(map[*partition]bool{p: yes})
+		if !yes {
+			r.own(nil)
+		}
+		r.look(t.Context())
+	}
+	opened := func() *job {
+		for range 100 {
+			r.mu.Lock()
+			j := r.jobs["b"]["i"]
+			r.mu.Unlock()
+			if j != nil {
+				return j
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatal("the batch was not opened")
+		return nil
+	}
+	own(true)
+	is.Equal(len(opened().text), 0)
+	own(false)
+	index.records = append(index.records, encode(record{Kind: recordProgress, ID: "b", Saved: &saving{ItemID: "i", Data: span{1, 1}}}))
+	own(true)
+	is.Equal(opened().text, []string{"e1", "e2"})
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// ownedBy maps the store's assignment to partitions.
+// ownedBy returns the partitions of the topic that are named.
 func ownedBy(all []*partition, topic string, assigned []store.Partition) map[*partition]bool {
 	out := map[*partition]bool{}
 	for _, a := range assigned {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -126,12 +126,7 @@
 		default:
 			outage.Over(t.o.Log, "tenure_store", "partition", t.part.Index)
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		process.Sleep(ctx, pause)
 	}
 }
 
