--- a/process/logwriter_test.go
+++ b/process/logwriter_test.go
@@ -47,6 +47,6 @@
 		is.NoErr(err)
 		told += n
 	}
-	is.Equal(told, w.Dropped()) // it says how many
+	is.Equal(told, w.Dropped())                                       // it says how many
 	is.Equal(strings.Count(got, "msg=event"), lines-int(w.Dropped())) // each line is written or counted
 }
