--- a/batch/engines.go
+++ b/batch/engines.go
@@ -42,7 +42,7 @@
 	until    time.Time // not used before
 }
 
-// slots is the room that is left for this VM.
+// room is the number of requests that this VM may still send.
 func (e *engine) room(now time.Time) int {
 	n := e.instance.Slots - e.inflight
 	if now.Sub(e.othersAt) < loadTTL {
@@ -111,7 +111,7 @@
 	}
 }
 
-// loaded takes an engine's word on its load and version.
+// loaded takes an engine's word on its load.
 func (s *engines) loaded(now time.Time, in *fleet.Instance, l *targets.Load) {
 	if e := s.get(in); e != nil && l != nil {
 		e.others, e.othersAt = max(0, l.Running+l.Waiting-e.inflight), now
--- a/batch/job.go
+++ b/batch/job.go
@@ -19,8 +19,7 @@
 	settled
 )
 
-// job is an item of an open submission. The runner's lock guards it, but for the text, which its
-// run alone touches while it is running.
+// job is an item of an open submission. The runner's lock guards it.
 type job struct {
 	entry *entry
 	sub   *Head
--- a/batch/results.go
+++ b/batch/results.go
@@ -57,12 +57,9 @@
 		case page == nil:
 			return nil, ErrNotFound
 		case len(listed) > 0:
-			if err := p.data.page(ctx, page, listed, maxBytes); err != nil {
-				return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
-			}
-			return page, nil
+			return p.fill(ctx, page, listed, maxBytes)
 		case over || !open:
-			return s.emptyPage(ctx, p, id, after, maxBytes)
+			return p.freshPage(ctx, id, after, maxBytes)
 		}
 		select {
 		case <-changed:
@@ -74,9 +71,9 @@
 	}
 }
 
-// emptyPage answers a reader for whom nothing is known, after a read that began after the question:
+// freshPage answers a reader for whom nothing is known, after a read that began after the question:
 // another VM may have shown a result that has not been read here yet.
-func (s *Service) emptyPage(ctx context.Context, p *partition, id string, after, maxBytes int) (*Page, error) {
+func (p *partition) freshPage(ctx context.Context, id string, after, maxBytes int) (*Page, error) {
 	if err := p.sync(ctx); err != nil {
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 	}
@@ -84,6 +81,11 @@
 	if page == nil {
 		return nil, ErrNotFound
 	}
+	return p.fill(ctx, page, listed, maxBytes)
+}
+
+// fill adds listed results to a page.
+func (p *partition) fill(ctx context.Context, page *Page, listed []listing, maxBytes int) (*Page, error) {
 	if err := p.data.page(ctx, page, listed, maxBytes); err != nil {
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -11,7 +11,6 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
-	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
@@ -144,17 +143,6 @@
 	}
 }
 
-// ownedBy returns the partitions of the topic that are named.
-func ownedBy(all []*partition, topic string, assigned []store.Partition) map[*partition]bool {
-	out := map[*partition]bool{}
-	for _, a := range assigned {
-		if a.Topic == topic && a.Index >= 0 && a.Index < len(all) {
-			out[all[a.Index]] = true
-		}
-	}
-	return out
-}
-
 // EngineState is what the state dump shows of an engine.
 type EngineState struct {
 	Running  int              `json:"running"`
--- a/batch/service.go
+++ b/batch/service.go
@@ -75,10 +75,13 @@
 // Run runs items until the service's life ends.
 func (s *Service) Run() { s.runner.run(s.life) }
 
-// Own sets the partitions whose submissions this VM runs.
-func (s *Service) Own(assigned []store.Partition) {
-	owned := ownedBy(s.parts, Topic, assigned)
-	for _, p := range s.parts {
+// Own sets the partitions whose submissions this VM runs, by index.
+func (s *Service) Own(held map[int]bool) {
+	owned := map[*partition]bool{}
+	for i, p := range s.parts {
+		if held[i] {
+			owned[p] = true
+		}
 		p.mu.Lock()
 		if p.owned != owned[p] {
 			s.o.Log.Info("partition_owner", "partition", p.id.Index, "owned", owned[p])
--- a/entry/work.go
+++ b/entry/work.go
@@ -8,7 +8,6 @@
 
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/tenure"
 	"github.com/ibistrail/ibistrail/versions"
 )
@@ -83,11 +82,11 @@
 			go t.Run(w.p.life)
 		}
 	}
-	var held []store.Partition
+	held := map[int]bool{}
 	duties := map[string]*tenure.Tenure{}
 	for n, t := range w.tenures {
 		if _, ok := t.Held(); ok {
-			held = append(held, store.Partition{Topic: batch.Topic, Index: n})
+			held[n] = true
 			for _, pool := range want[n] {
 				duties[pool] = t
 			}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -52,12 +53,8 @@
 	if version <= d.named[model] {
 		return false
 	}
-	named := make(map[string]int64, len(d.named)+1)
-	for m, v := range d.named {
-		named[m] = v
-	}
-	named[model] = version
-	d.named = named
+	d.named = maps.Clone(d.named) // snapshots share the one before
+	d.named[model] = version
 	return true
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -77,20 +77,19 @@
 			}
 		case o := <-r.outcomes:
 			delete(r.open, o.a)
-			switch next := r.judge(o); next {
-			case final:
+			next := r.judge(o)
+			if next == final {
 				keep = true
 				return r.pass(o.answer, o.a, cancel)
-			default:
-				if o.answer != nil && !o.answer.NotRun {
-					failure = o.answer
-				}
-				if o.err != nil {
-					lastErr = o.err
-				}
-				if len(r.open) == 0 && next == again && !r.start(ctx) {
-					break
-				}
+			}
+			if o.answer != nil && !o.answer.NotRun {
+				failure = o.answer
+			}
+			if o.err != nil {
+				lastErr = o.err
+			}
+			if len(r.open) == 0 && next == again {
+				r.start(ctx) // where no target is left, the loop ends
 			}
 		}
 	}
