ctl: ibisctl vm reads entry VMs; check takes the platform's settings file

Cause: on the platform there are no stewards, so none of ibisctl's verbs but dump worked there; an operator had to read raw JSON. Ruled out: a message protocol of its own at each VM (jsonrpc2): the metrics address has the state already, and control bytes are priced. Change: the state dump is a type (entry.State) that both sides share; 'ibisctl vm list, get and watch' read it from the metrics addresses; 'ibisctl check boot.toml' checks a settings file of the platform.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -143,16 +143,8 @@
 	}
 }
 
-// EngineState is what the state dump shows of an engine.
-type EngineState struct {
-	Running  int              `json:"running"`
-	Room     int              `json:"room"`
-	PaceMs   int64            `json:"pace_ms"`
-	Versions map[string]int64 `json:"versions"`
-}
-
 // state shows the open jobs by state, and the engines.
-func (r *runner) state() map[string]any {
+func (r *runner) state() RunnerState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	names := map[jobState]string{waiting: "waiting", running: "running", scoring: "scoring", settled: "settled"}
@@ -166,5 +158,5 @@
 	for _, e := range r.engines.by {
 		engines[e.instance.Name] = EngineState{e.inflight, e.room(time.Now()), e.pace.Milliseconds(), maps.Clone(e.versions)}
 	}
-	return map[string]any{"jobs": jobs, "engines": engines}
+	return RunnerState{jobs, engines}
 }
--- a/batch/state.go
+++ b/batch/state.go
@@ -1,8 +1,12 @@
 package batch
 
-import (
-	"time"
-)
+import "time"
+
+// State is what the state dump shows of batches.
+type State struct {
+	Partitions map[int]PartitionState `json:"partitions"`
+	Runner     RunnerState            `json:"runner"`
+}
 
 // PartitionState is what the state dump shows of a partition.
 type PartitionState struct {
@@ -21,8 +25,23 @@
 	Ended  bool   `json:"ended"`
 }
 
+// RunnerState is what the state dump shows of the items that this VM runs.
+type RunnerState struct {
+	// Jobs counts the items by state.
+	Jobs    map[string]int         `json:"jobs"`
+	Engines map[string]EngineState `json:"engines"`
+}
+
+// EngineState is what the state dump shows of an engine.
+type EngineState struct {
+	Running  int              `json:"running"`
+	Room     int              `json:"room"`
+	PaceMs   int64            `json:"pace_ms"`
+	Versions map[string]int64 `json:"versions"`
+}
+
 // State returns what the state dump shows: partitions, open jobs and engines.
-func (s *Service) State() map[string]any {
+func (s *Service) State() State {
 	parts := map[int]PartitionState{}
 	for i, p := range s.parts {
 		p.mu.Lock()
@@ -36,5 +55,5 @@
 			parts[i] = st
 		}
 	}
-	return map[string]any{"partitions": parts, "runner": s.runner.state()}
+	return State{parts, s.runner.state()}
 }
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -4,13 +4,18 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/schema"
 	"github.com/ibistrail/ibistrail/settings"
 	"github.com/spf13/cobra"
 )
 
+// kindPlatform is a settings file of an entry VM, in the platform's format.
+const kindPlatform settings.Kind = "platform"
+
 // fileReport is what check found in one file.
 type fileReport struct {
 	File     string           `json:"file"`
@@ -27,13 +32,14 @@
 		Long: `Check tables and settings files against their schema and rules. Each problem is printed with
 its place (a JSON pointer), what is wrong and what to do.`,
 		Example: `  ibisctl check tables.json gate.json steward.json
-  ibisctl check --partial one-route.json`,
+  ibisctl check --partial one-route.json
+  ibisctl check boot.toml`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
 			return a.check(files, settings.Kind(kind), partial)
 		},
 	}
-	cmd.Flags().StringVar(&kind, "kind", "", "what the files are: tables, gate or steward (default: told from their fields)")
+	cmd.Flags().StringVar(&kind, "kind", "", "what the files are: tables, gate, steward or platform (default: told from their fields; .toml is platform)")
 	cmd.Flags().BoolVar(&partial, "partial", false, "tables hold only some rows: check each row alone, as apply does before it joins them")
 	return cmd
 }
@@ -80,6 +86,12 @@
 	if err != nil {
 		return nil, &Error{Exit: ExitUsage, Message: "check", Err: err, Remedy: "name a readable file"}
 	}
+	if kind == "" && filepath.Ext(file) == ".toml" {
+		kind = kindPlatform
+	}
+	if kind == kindPlatform {
+		return checkPlatform(file), nil
+	}
 	if kind == "" {
 		kind = settings.DetectKind(data)
 	}
@@ -89,6 +101,15 @@
 	return r, err
 }
 
+// checkPlatform checks a settings file of an entry VM, whose format is the platform's.
+func checkPlatform(file string) *fileReport {
+	r := &fileReport{File: file, Kind: kindPlatform, Problems: []config.Problem{}}
+	if _, err := platform.LoadSettings(file); err != nil {
+		r.Problems = append(r.Problems, config.Problem{Message: err.Error(), Remedy: "the platform writes this file; ask its operators for the field"})
+	}
+	return r
+}
+
 func problemsOf(data []byte, kind settings.Kind, partial bool) ([]config.Problem, error) {
 	switch {
 	case kind == settings.KindTables && partial:
@@ -109,5 +130,5 @@
 		}
 		return []config.Problem{settings.UnknownKind}, nil
 	}
-	return nil, &Error{Exit: ExitUsage, Message: fmt.Sprintf("kind %q is unknown", kind), Remedy: "use --kind tables, gate or steward", Err: errors.ErrUnsupported}
+	return nil, &Error{Exit: ExitUsage, Message: fmt.Sprintf("kind %q is unknown", kind), Remedy: "use --kind tables, gate, steward or platform", Err: errors.ErrUnsupported}
 }
--- a/ctl/dump.go
+++ b/ctl/dump.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 
 	"github.com/spf13/cobra"
 )
@@ -36,21 +33,9 @@
 func (a *app) dump(ctx context.Context, url string) error {
 	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	raw, err := fetch(ctx, url)
 	if err != nil {
-		return usageErrorf("write IP:PORT of a debug_address", "%v", err)
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return &Error{Exit: ExitUnavailable, Message: "no dump", Err: err, Remedy: "check that ADDRESS is the debug_address of a running process"}
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxDumpBytes))
-	if err != nil {
-		return &Error{Exit: ExitUnavailable, Message: "dump ended early", Err: err, Remedy: "try again"}
-	}
-	if res.StatusCode != http.StatusOK || !json.Valid(raw) {
-		return &Error{Exit: ExitFailure, Message: fmt.Sprintf("%s answered %s", url, res.Status), Remedy: "check that ADDRESS is the debug_address of a process of ibistrail"}
+		return err
 	}
 	return a.printJSON(json.RawMessage(raw))
 }
--- /dev/null
+++ b/ctl/vm.go
@@ -0,0 +1,362 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/ibistrail/ibistrail/entry"
+	"github.com/ibistrail/ibistrail/fleet"
+)
+
+// EnvVM stands for the flag --vm.
+const EnvVM = "IBISCTL_VM"
+
+// vmTimeout bounds the answer of one VM.
+const vmTimeout = 3 * time.Second
+
+// vmState is a VM's state, or why there is none.
+type vmState struct {
+	Address string       `json:"address"`
+	State   *entry.State `json:"state,omitempty"`
+	Error   string       `json:"error,omitempty"`
+}
+
+// vmCommand holds the commands for a deployment of ibisentry, which has no stewards: each VM tells
+// at its metrics address what it knows.
+func (a *app) vmCommand() *cobra.Command {
+	var vms []string
+	cmd := &cobra.Command{
+		Use:   "vm",
+		Short: "Look into the entry VMs of a deployment on the platform",
+		Long: `Read the state of entry VMs (ibisentry) from their metrics addresses. The tables are changed by the
+platform's own configuration; these commands show what each VM has made of it.`,
+	}
+	cmd.PersistentFlags().StringSliceVar(&vms, "vm", envList(EnvVM), "metrics addresses of VMs, IP:PORT ($"+EnvVM+")")
+	cmd.AddCommand(
+		&cobra.Command{
+			Use: "list", Short: "Print each VM with its tables and what it holds", Args: cobra.NoArgs,
+			Example: `  ibisctl vm list --vm 10.0.1.7:9464,10.0.2.7:9464`,
+			RunE:    func(cmd *cobra.Command, _ []string) error { return a.listVMs(cmd.Context(), vms) },
+		},
+		a.vmGetCommand(&vms), a.vmWatchCommand(&vms),
+	)
+	return cmd
+}
+
+// states asks the VMs side by side; at least one has to answer.
+func (a *app) states(ctx context.Context, vms []string) ([]vmState, error) {
+	if len(vms) == 0 {
+		return nil, usageErrorf("name metrics addresses with --vm IP:PORT or $"+EnvVM, "no VM is given")
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(a.timeout, vmTimeout))
+	defer cancel()
+	out := make([]vmState, len(vms))
+	var wg sync.WaitGroup
+	for i, address := range vms {
+		wg.Go(func() {
+			out[i].Address = address
+			s := &entry.State{}
+			if err := fetchState(ctx, address, s); err != nil {
+				out[i].Error = err.Error()
+				return
+			}
+			out[i].State = s
+		})
+	}
+	wg.Wait()
+	if !slices.ContainsFunc(out, func(s vmState) bool { return s.State != nil }) {
+		return nil, &Error{Exit: ExitUnavailable, Message: "no VM answers: " + out[0].Error, Remedy: "check that --vm names metrics addresses of running processes"}
+	}
+	return out, nil
+}
+
+func fetchState(ctx context.Context, address string, into *entry.State) error {
+	raw, err := fetch(ctx, "http://"+address+"/debug/state")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("%s: the state does not decode: %w", address, err)
+	}
+	return nil
+}
+
+// fetch reads a page of a debug server.
+func fetch(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, usageErrorf("write IP:PORT of a debug or metrics address", "%v", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, &Error{Exit: ExitUnavailable, Message: "no dump", Err: err, Remedy: "check that the address is the debug or metrics address of a running process"}
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, maxDumpBytes))
+	if err != nil {
+		return nil, &Error{Exit: ExitUnavailable, Message: "dump ended early", Err: err, Remedy: "try again"}
+	}
+	if res.StatusCode != http.StatusOK || !json.Valid(raw) {
+		return nil, &Error{Exit: ExitFailure, Message: fmt.Sprintf("%s answered %s", url, res.Status), Remedy: "check that the address is the debug or metrics address of a process of ibistrail"}
+	}
+	return raw, nil
+}
+
+func (a *app) silent(states []vmState) {
+	for _, s := range states {
+		if s.State == nil {
+			fmt.Fprintf(a.err, "VM at %s did not answer: %s\n", s.Address, s.Error)
+		}
+	}
+}
+
+func (a *app) listVMs(ctx context.Context, vms []string) error {
+	states, err := a.states(ctx, vms)
+	if err != nil {
+		return err
+	}
+	if a.output == outputJSON {
+		return a.printJSON(states)
+	}
+	var rows [][]string
+	for _, x := range states {
+		s := x.State
+		if s == nil {
+			continue
+		}
+		var held []string
+		for _, n := range slices.Sorted(maps.Keys(s.Tenures)) {
+			if s.Tenures[n].Held {
+				held = append(held, strconv.Itoa(n))
+			}
+		}
+		jobs := s.Batches.Runner.Jobs
+		rows = append(rows, []string{s.VM, s.AvailabilityZone, vmCondition(s), fmt.Sprint(s.TablesVersion), strconv.Itoa(len(s.Targets)),
+			orDash(strings.Join(held, ",")), fmt.Sprintf("%d/%d", jobs["running"]+jobs["scoring"], jobs["waiting"])})
+	}
+	a.table([]string{"VM", "AZ", "CONDITION", "TABLES", "TARGETS", "HOLDS", "ITEMS_RUNNING/WAITING"}, rows)
+	a.silent(states)
+	return nil
+}
+
+func vmCondition(s *entry.State) string {
+	switch {
+	case s.Stopping:
+		return "stopping"
+	case s.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+// vmTables prints one part of a VM's state as a table.
+var vmTables = map[string]struct {
+	head []string
+	rows func(*entry.State) [][]string
+}{
+	"routes":   {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
+	"pools":    {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
+	"targets":  {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "RUNNING", "EJECTED", "VERSIONS"}, targetRows},
+	"versions": {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
+	"batches":  {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
+	"tenures":  {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
+}
+
+func (a *app) vmGetCommand(vms *[]string) *cobra.Command {
+	kinds := slices.Sorted(maps.Keys(vmTables))
+	return &cobra.Command{
+		Use:       "get {" + strings.Join(kinds, "|") + "}",
+		Short:     "Print what the first VM that answers knows",
+		Long:      "Print a part of the state of the first of the VMs that answers. With -o json the whole state is printed.",
+		Example:   "  ibisctl vm get targets --vm 10.0.1.7:9464",
+		Args:      cobra.ExactArgs(1),
+		ValidArgs: kinds,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, ok := vmTables[args[0]]
+			if !ok {
+				return usageErrorf("name one of "+strings.Join(kinds, ", "), "there is no %q", args[0])
+			}
+			states, err := a.states(cmd.Context(), *vms)
+			if err != nil {
+				return err
+			}
+			s := states[slices.IndexFunc(states, func(s vmState) bool { return s.State != nil })].State
+			if a.output == outputJSON {
+				return a.printJSON(s)
+			}
+			fmt.Fprintf(a.out, "VM %s, tables version %d\n", s.VM, s.TablesVersion)
+			a.table(t.head, t.rows(s))
+			return nil
+		},
+	}
+}
+
+func routeRows(s *entry.State) [][]string {
+	var rows [][]string
+	if s.Tables == nil {
+		return nil
+	}
+	for i := range s.Tables.Routes {
+		r := &s.Tables.Routes[i]
+		kind := "single"
+		switch {
+		case r.Batch:
+			kind = "batch"
+		case r.Streaming:
+			kind = "stream"
+		}
+		if r.NonIdempotent {
+			kind += ", once"
+		}
+		rows = append(rows, []string{r.Name, r.Host, r.PathPrefix, r.Pool, strconv.Itoa(int(r.Priority)), fmt.Sprint(r.TimeoutMs), strconv.Itoa(r.MaxAttempts), kind})
+	}
+	return rows
+}
+
+func poolRows(s *entry.State) [][]string {
+	var rows [][]string
+	if s.Tables == nil {
+		return nil
+	}
+	for i := range s.Tables.Pools {
+		p := &s.Tables.Pools[i]
+		targets, draining := 0, 0
+		for _, t := range s.Targets {
+			if t.Pool == p.Name {
+				targets++
+				if t.Draining {
+					draining++
+				}
+			}
+		}
+		slots, models := "-", "-"
+		if p.Engine != nil {
+			slots, models = strconv.Itoa(p.Engine.Slots), strings.Join(p.Engine.Models, ",")
+		}
+		rows = append(rows, []string{p.Name, string(p.Kind), strconv.Itoa(targets), strconv.Itoa(draining), slots, models})
+	}
+	return rows
+}
+
+func targetRows(s *entry.State) [][]string {
+	running, ejected := map[string]int{}, map[string]bool{}
+	for _, pool := range s.Requests {
+		for _, t := range pool {
+			running[t.Name] += t.InFlight
+			ejected[t.Name] = t.Ejected
+		}
+	}
+	var rows [][]string
+	for _, t := range s.Targets {
+		n := running[t.Name] + s.Batches.Runner.Engines[t.Name].Running
+		rows = append(rows, []string{t.Name, t.Pool, t.Address, t.AvailabilityZone, strconv.FormatBool(t.Draining), strconv.Itoa(n),
+			strconv.FormatBool(ejected[t.Name]), orDash(versionsText(t))})
+	}
+	return rows
+}
+
+func versionsText(t *fleet.Instance) string {
+	var out []string
+	for _, m := range slices.Sorted(maps.Keys(t.Versions)) {
+		out = append(out, fmt.Sprintf("%s=%d", m, t.Versions[m]))
+	}
+	return strings.Join(out, ",")
+}
+
+func versionRows(s *entry.State) [][]string {
+	var rows [][]string
+	for _, m := range slices.Sorted(maps.Keys(s.NamedVersions)) {
+		by := map[int64]int{}
+		for _, t := range s.Targets {
+			if v, ok := t.Versions[m]; ok {
+				by[v]++
+			}
+		}
+		var counts []string
+		for _, v := range slices.Backward(slices.Sorted(maps.Keys(by))) {
+			counts = append(counts, fmt.Sprintf("%d:%d", v, by[v]))
+		}
+		rows = append(rows, []string{m, fmt.Sprint(s.NamedVersions[m]), orDash(strings.Join(counts, " "))})
+	}
+	return rows
+}
+
+func batchRows(s *entry.State) [][]string {
+	var rows [][]string
+	for _, n := range slices.Sorted(maps.Keys(s.Batches.Partitions)) {
+		p := s.Batches.Partitions[n]
+		for _, b := range p.Batches {
+			rows = append(rows, []string{strconv.Itoa(n), strconv.FormatBool(p.Owned), b.ID, fmt.Sprint(b.Step), strconv.Itoa(b.Total), strconv.Itoa(b.Listed), strconv.FormatBool(b.Ended)})
+		}
+	}
+	return rows
+}
+
+func tenureRows(s *entry.State) [][]string {
+	var rows [][]string
+	for _, n := range slices.Sorted(maps.Keys(s.Tenures)) {
+		t := s.Tenures[n]
+		rows = append(rows, []string{strconv.Itoa(n), strconv.FormatBool(t.Held), orDash(t.Holder), fmt.Sprint(t.Token), fmt.Sprint(t.Offset)})
+	}
+	return rows
+}
+
+func (a *app) vmWatchCommand(vms *[]string) *cobra.Command {
+	var version int64
+	cmd := &cobra.Command{
+		Use:   "watch",
+		Short: "Wait until each of the VMs has a version of the tables in force",
+		Long: `Wait until each of the VMs has the tables in force in a version, by default the newest that any of them
+has. Exit code 5 names the VMs that lack it at the end of --timeout.`,
+		Example: `  ibisctl vm watch --version 17 --timeout 30s`,
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), a.timeout)
+			defer cancel()
+			return a.watchVMs(ctx, *vms, version)
+		},
+	}
+	cmd.Flags().Int64Var(&version, "version", 0, "version to wait for (default: the newest that a VM has)")
+	return cmd
+}
+
+func (a *app) watchVMs(ctx context.Context, vms []string, want int64) error {
+	for {
+		states, err := a.states(ctx, vms)
+		if err != nil && ctx.Err() == nil {
+			return err
+		}
+		if want == 0 {
+			for _, s := range states {
+				if s.State != nil {
+					want = max(want, s.State.TablesVersion)
+				}
+			}
+		}
+		var lack []string
+		for _, s := range states {
+			if s.State == nil || s.State.TablesVersion < want {
+				lack = append(lack, s.Address)
+			}
+		}
+		if err == nil && len(lack) == 0 && want > 0 {
+			fmt.Fprintf(a.out, "tables version %d is in force on %d VMs\n", want, len(states))
+			return nil
+		}
+		if !pause(ctx, watchPeriod) {
+			return &Error{Exit: ExitTimeout, Message: fmt.Sprintf("tables version %d is not in force on each VM: %s", want, strings.Join(lack, ", ")),
+				Remedy: "read the lines tables_in_force and store_lost in the logs of these VMs"}
+		}
+	}
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -144,7 +144,7 @@
 		p.parts.Log.Error("metrics_unserved", "address", p.parts.MetricsAddress, "err", err)
 		return
 	}
-	d := process.Debug{Metrics: p.parts.Metrics, State: p.State, Ready: p.notReady}
+	d := process.Debug{Metrics: p.parts.Metrics, State: func() any { return p.State() }, Ready: p.notReady}
 	go func() {
 		if err := process.Serve(p.life, l, d.Handler()); err != nil {
 			p.parts.Log.Error("metrics_unserved", "address", p.parts.MetricsAddress, "err", err)
@@ -159,20 +159,6 @@
 	return errors.New("the tables or the targets are not known yet, or the process stops")
 }
 
-// State is what the state dump shows.
-func (p *Process) State() any {
-	snap := p.View.Get()
-	version := int64(0)
-	if snap.Tables != nil {
-		version = snap.Tables.Version
-	}
-	return map[string]any{
-		"vm": p.parts.Settings.VM, "az": p.parts.Settings.AvailabilityZone, "ready": p.Ready(), "stopping": p.Closing(),
-		"tables_version": version, "tables": snap.Tables, "targets": snap.Instances, "named_versions": snap.Named,
-		"tenures": p.work.state(), "batches": p.Batches.State(), "requests": p.Forward.State(),
-	}
-}
-
 // server returns the server of callers.
 func (p *Process) server() *http.Server {
 	idle := newIdleConns(func() time.Duration {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -10,12 +10,12 @@
 type Instance struct {
 	// Target holds the ID as its name, the address and the availability zone.
 	config.Target
-	Pool  string
-	Slots int
+	Pool  string `json:"pool"`
+	Slots int    `json:"slots"`
 	// Versions are the weight versions by model.
-	Versions map[string]int64
+	Versions map[string]int64 `json:"versions,omitempty"`
 	// BornMs is the start of the instance, in Unix milliseconds; 0 if it did not say.
-	BornMs int64
+	BornMs int64 `json:"born_ms,omitempty"`
 }
 
 // Key tells lives apart that reuse an ID.
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -13,32 +13,32 @@
 
 // Share is the part of a route's traffic that a pool gets.
 type Share struct {
-	Pool   string
-	Weight int
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
 }
 
 // Route is a row of the routes table.
 type Route struct {
 	config.Route
-	Host string
+	Host string `json:"host"`
 	// Streaming routes answer with a series of events.
-	Streaming bool
+	Streaming bool `json:"streaming,omitempty"`
 	// Resumable streams can continue on another target after the last event received.
-	Resumable bool
+	Resumable bool `json:"resumable,omitempty"`
 	// Batch routes take batch submissions instead of single requests.
-	Batch bool
+	Batch bool `json:"batch,omitempty"`
 	// SingleVersion asks for samples that were made by one weight version each (batch routes).
-	SingleVersion bool
+	SingleVersion bool `json:"single_version,omitempty"`
 	// Split divides the traffic between pools; empty means all of it goes to Pool.
-	Split []Share
+	Split []Share `json:"split,omitempty"`
 	// MaxAttempts is the largest number of targets that one request may be sent to.
-	MaxAttempts int
+	MaxAttempts int `json:"max_attempts"`
 	// TargetLatency is the objective for a response, or for the first event of a stream.
-	TargetLatency time.Duration
+	TargetLatency time.Duration `json:"target_latency_ns,omitempty"`
 	// RunDeadline is when all results of a batch are due, from its submission on.
-	RunDeadline time.Duration
+	RunDeadline time.Duration `json:"run_deadline_ns,omitempty"`
 	// Retention is how long a batch's items must be tried before they may be given up.
-	Retention time.Duration
+	Retention time.Duration `json:"retention_ns,omitempty"`
 }
 
 // Timeout is the longest time that a request may be kept waiting; 0 means no bound.
@@ -66,32 +66,32 @@
 // Engine is what a pool of model engines offers.
 type Engine struct {
 	// Slots is the number of requests that run at once on one engine.
-	Slots int
+	Slots int `json:"slots"`
 	// TokensPerEvent is the number of tokens that one event of a stream carries.
-	TokensPerEvent int
-	Models         []string
+	TokensPerEvent int      `json:"tokens_per_event"`
+	Models         []string `json:"models"`
 }
 
 // Pool is a row of the pools table. Its targets register themselves and are not listed in it.
 type Pool struct {
 	config.Pool
 	// Engine is nil for plain services.
-	Engine *Engine
+	Engine *Engine `json:"engine,omitempty"`
 }
 
 // Limits bound what clients may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
+	HeaderBytes int           `json:"header_bytes"`
+	BodyBytes   int64         `json:"body_bytes"`
+	IdleTimeout time.Duration `json:"idle_timeout_ns"`
 }
 
 // Tables are both tables in one version.
 type Tables struct {
-	Version int64
-	Routes  []Route
-	Pools   []Pool
-	Limits  Limits
+	Version int64   `json:"version"`
+	Routes  []Route `json:"routes"`
+	Pools   []Pool  `json:"pools"`
+	Limits  Limits  `json:"limits"`
 }
 
 // Pool returns the row named name, or nil.
