load: the loss of a VM breaks its connections before its listeners close; gate: the same at an unplanned end

Cause of the red test TestPromisesHoldWhileAZoneIsLostAndThePlatformIsOut: the harness closed a door's listener first. The gate's Serve then failed, the gate ended its requests and wrote 'deadline_exceeded: the caller has gone' (499) through connections that the harness had not broken yet. A step or a call that read this took it as final: 48 slots undelivered, calls late. The gate had the same order at an unplanned end: it cancelled its requests before it closed their connections. Ruled out: an answer of a live gate (only a gate that ends cancels its requests' context); claims on keys (the call had none). Change: cut connections, then the VM's own, then close listeners; the gate closes its server before it cancels. A step that fails names its error with each slot. TestAbortBreaksConnectionsBeforeTheListenerCloses fails without the change.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,8 +125,9 @@
 		err = g.planned(srv)
 	case err = <-errs:
 	}
-	cancel()
+	// Connections first: the requests that cancel ends must not be answered as if their callers had gone.
 	srv.Close()
+	cancel()
 	wg.Wait()
 	g.pool.Close()
 	g.log.Info("gate_stopped", "err", err)
--- a/load/door.go
+++ b/load/door.go
@@ -32,16 +32,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
-		c.Close()
-		return nil, net.ErrClosed
+		c.Close() // the server reads it as broken
+		return dc, nil
 	}
 	d.conns[dc] = true
 	return dc, nil
 }
 
-// abort closes the listener and breaks its connections.
+// abort breaks the connections and closes the listener. The listener comes last: a server whose
+// Accept fails ends its requests, and what it would answer them must not get out.
 func (d *door) abort() {
+	d.cut()
 	d.Listener.Close()
+}
+
+// cut breaks the connections, and those that are accepted from now on.
+func (d *door) cut() {
 	d.mu.Lock()
 	d.closed = true
 	open := d.conns
--- a/load/trainer.go
+++ b/load/trainer.go
@@ -119,7 +119,7 @@
 	finish := func(err error) (StepRecord, error) {
 		rec.Seconds = time.Since(started).Seconds()
 		rec.Whole = err == nil
-		t.missing(spec, got)
+		t.missing(spec, got, err)
 		return rec, err
 	}
 	step, err := c.Step(ctx, spec, t.version)
@@ -198,11 +198,11 @@
 	}
 }
 
-// missing counts the slots that were never delivered.
-func (t *trainer) missing(spec api.StepSpec, got []bool) {
+// missing counts the slots that were never delivered in a step that ended with err.
+func (t *trainer) missing(spec api.StepSpec, got []bool, err error) {
 	for i, ok := range got {
 		if !ok {
-			t.ledger.problem(&t.ledger.tally.Lost, "step %s: slot %d was not delivered", spec.ID, i)
+			t.ledger.problem(&t.ledger.tally.Lost, "step %s: slot %d was not delivered: %v", spec.ID, i, err)
 		}
 	}
 }
--- a/load/world.go
+++ b/load/world.go
@@ -208,9 +208,12 @@
 // kill ends a VM as the loss of its power does: its connections break and it reaches nobody.
 func (w *World) kill(v *vm) {
 	for _, d := range v.doors {
-		d.abort()
+		d.cut()
 	}
 	v.dialer.SetUnreachable(w.addresses())
+	for _, d := range v.doors {
+		d.abort()
+	}
 	if v.hurry != nil {
 		v.hurry()
 	}
