--- a/batch/open.go
+++ b/batch/open.go
@@ -70,9 +70,13 @@
 // those whose time is over.
 func (r *runner) closeGone(snap *fleet.Snapshot, now time.Time) {
 	for id, jobs := range r.jobs {
+		var whole *Head
 		for item, j := range jobs {
 			j.part.mu.Lock()
 			gone := !r.parts[j.part] || j.entry.done()
+			if j.entry.done() && !j.entry.ended {
+				whole = j.sub
+			}
 			j.part.mu.Unlock()
 			if gone {
 				if !j.entry.done() && j.state == running && len(j.text) > j.saved {
@@ -87,10 +91,21 @@
 		}
 		if len(jobs) == 0 {
 			delete(r.jobs, id)
+			if whole != nil {
+				r.log.Info("batch_done", "batch", id, "ms", now.UnixMilli()-whole.AcceptedMs, "due_ms", dueAfter(snap, whole).Milliseconds())
+			}
 		}
 	}
 }
 
+// dueAfter is the time in which a submission's items are due; 0 where it has no route any more.
+func dueAfter(snap *fleet.Snapshot, s *Head) time.Duration {
+	if route := snap.Tables.Match(s.Host, s.Path); route != nil {
+		return route.RunDeadline
+	}
+	return 0
+}
+
 // expired tells whether the items of a submission may be given up. Without a route nothing can run.
 func expired(snap *fleet.Snapshot, s *Head, now time.Time) bool {
 	route := snap.Tables.Match(s.Host, s.Path)
--- a/batch/place.go
+++ b/batch/place.go
@@ -77,16 +77,18 @@
 		room += len(f.free)
 	}
 	clear(r.short)
+	if len(tasks) == 0 {
+		return
+	}
 	if room == 0 {
 		for _, t := range tasks {
 			r.short[t.job.sub.Model] = true
 		}
-	}
-	if len(tasks) == 0 || room == 0 {
+		r.tellShort(now, tasks[0], len(tasks))
 		return
 	}
 	sortTasks(now, tasks)
-	var short *shortage
+	var short *task
 	for _, t := range tasks {
 		j, f := t.job, fields[t.route.Pool]
 		q := request{
@@ -100,8 +102,7 @@
 		if e == nil {
 			r.short[j.sub.Model] = true
 			if short == nil {
-				n := r.engines.shortage(now, q)
-				short = &n
+				short = t
 			}
 			continue
 		}
@@ -109,11 +110,20 @@
 		countHost(hosts, j)
 		f.taken(e)
 	}
-	if short != nil && now.Sub(r.toldShort) >= shortEvery {
-		r.toldShort = now
-		r.log.Info("items_wait", "items", len(tasks), "engines", short.engines, "cooling", short.cooling, "loading", short.blocked,
-			"old_version", short.old, "full", short.full)
+	if short != nil {
+		r.tellShort(now, short, len(tasks))
+	}
+}
+
+// tellShort logs why engines do not take an item that waits, at most once in shortEvery.
+func (r *runner) tellShort(now time.Time, t *task, items int) {
+	if now.Sub(r.toldShort) < shortEvery {
+		return
 	}
+	r.toldShort = now
+	j := t.job
+	n := r.engines.shortage(now, request{pool: t.route.Pool, model: j.sub.Model, least: j.sub.MinVersion})
+	r.log.Info("items_wait", "batch", j.sub.ID, "items", items, "engines", n.engines, "cooling", n.cooling, "loading", n.blocked, "old_version", n.old, "full", n.full)
 }
 
 // shortEvery bounds how often a runner tells why items wait.
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -34,21 +34,43 @@
 }
 
 func (a *app) explainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "explain REQUEST",
-		Short: "Print what the gates decided about a request or a sample",
+	var files []string
+	var around string
+	cmd := &cobra.Command{
+		Use:   "explain [REQUEST]",
+		Short: "Print what was decided about a request or a sample, and why",
 		Long: `Ask all live gates for the recorded events of a request, by the ID in its answer's header
-Ibistrail-Request-Id, or of a trainer's sample, by its attempt, and print them in order of time.`,
-		Example: `  ibisctl explain 5f1c7d0e-1f5f-4d3a-9b3e-3f1f5d8f4c11`,
-		Args:    cobra.ExactArgs(1),
-		RunE: a.remote(func(ctx context.Context, c *client, args []string) error {
-			n, err := c.nodes(ctx)
-			if err != nil {
-				return err
+Ibistrail-Request-Id, or of a trainer's sample, by its attempt, and print them in order of time.
+
+With --logs the answer comes from the log lines of entry VMs alone (ibisentry, on the platform): the
+chain of decisions about a request, an item or a batch submission, and its first cause in words. The
+files may be of several VMs whose clocks differ, and of processes that are gone. Without an ID,
+--around lists what changed near a time.`,
+		Example: `  ibisctl explain 5f1c7d0e-1f5f-4d3a-9b3e-3f1f5d8f4c11
+  ibisctl explain --logs vm-a.log,vm-b.log 4f755c76a86b3106
+  ibisctl explain --logs vm-a.log,vm-b.log --around 2026-12-04T07:06:50Z`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			switch {
+			case len(files) > 0:
+				return a.explainLogs(files, args, around)
+			case len(args) == 0:
+				return usageErrorf("name a request, or logs with --logs", "there is nothing to explain")
 			}
-			return a.printExplanation(c.explain(ctx, n.Members, args[0]))
-		}),
+			return a.remote(a.explainByGates)(cmd, args)
+		},
+	}
+	cmd.Flags().StringSliceVar(&files, "logs", nil, "files with the log lines of entry VMs; - is standard input")
+	cmd.Flags().StringVar(&around, "around", "", "with --logs: list what changed near this time (RFC 3339)")
+	return cmd
+}
+
+func (a *app) explainByGates(ctx context.Context, c *client, args []string) error {
+	n, err := c.nodes(ctx)
+	if err != nil {
+		return err
 	}
+	return a.printExplanation(c.explain(ctx, n.Members, args[0]))
 }
 
 // explain asks the gates of members side by side.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -37,6 +37,7 @@
 	desks   []*errata.Target
 	vms     []*vm
 	version int
+	log     lockedBuffer // what all VMs have logged
 }
 
 // vm is one entry VM.
@@ -105,7 +106,7 @@
 	w.t.Helper()
 	v := &vm{name: name, address: freeAddress(w.t), ready: freeAddress(w.t), stop: make(chan struct{}), done: make(chan error, 1)}
 	targets := platform.NewTargets()
-	log := slog.New(slog.NewTextHandler(w.t.Output(), nil)).With("vm", name)
+	log := process.NewLogger(io.MultiWriter(w.t.Output(), &w.log), slog.LevelInfo, "entry", name)
 	v.p = entry.New(entry.Parts{
 		Settings: entry.Settings{
 			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.ready, StoreAddress: w.store.Address(),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -151,11 +151,11 @@
 func (f *Forwarder) Serve(ctx context.Context, req *Request) *Reply {
 	snap := f.view.Get()
 	if snap.Tables == nil {
-		return refuse(http.StatusServiceUnavailable, "no configuration is known yet", configRetryAfter)
+		return f.unrouted(req, 0, refuse(http.StatusServiceUnavailable, "no configuration is known yet", configRetryAfter))
 	}
 	route := snap.Tables.Match(req.Host, req.Path)
 	if route == nil {
-		return refuse(http.StatusNotFound, "no route has this host and path", 0)
+		return f.unrouted(req, snap.Tables.Version, refuse(http.StatusNotFound, "no route has this host and path", 0))
 	}
 	budget := req.Budget
 	if budget <= 0 {
@@ -179,3 +179,11 @@
 		"sends", r.sends, "target", r.last, "ms", time.Since(r.began).Milliseconds(), "reason", reply.Reason)
 	return reply
 }
+
+// unrouted notes the refusal of a request that has no route.
+func (f *Forwarder) unrouted(req *Request, tables int64, reply *Reply) *Reply {
+	f.requests.Add(strconv.Itoa(reply.Status), 1)
+	f.log.Info("request", "id", req.ID, "route", "", "tables", tables, "pool", "", "status", reply.Status, "sends", 0, "target", "", "ms", 0,
+		"reason", reply.Reason)
+	return reply
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -82,6 +83,7 @@
 				keep = true
 				return r.pass(o.answer, o.a, cancel)
 			}
+			r.note(o)
 			if o.answer != nil && !o.answer.NotRun {
 				failure = o.answer
 			}
@@ -161,6 +163,24 @@
 	return final
 }
 
+// note logs a send that did not serve the request.
+func (r *run) note(o outcome) {
+	how := ""
+	switch {
+	case o.err != nil && !targets.Sent(o.err):
+		how = "not sent"
+	case o.err != nil:
+		how = "broken off"
+	case o.answer.WrongInstance:
+		how = "another target at its address"
+	case o.answer.NotRun:
+		how = "not run"
+	default:
+		how = "answered " + strconv.Itoa(o.answer.Status)
+	}
+	r.f.log.Info("send_failed", "id", r.req.ID, "target", o.a.instance.Name, "outcome", how, "ms", time.Since(o.a.began).Milliseconds(), "err", o.err)
+}
+
 func (r *run) againIf(ok bool) next {
 	if ok {
 		return again
