batch: a new holder reads the partition's end at once

Cause: a VM whose callers read results keeps a waiting read of the index in flight. When it takes the partition over, that read was sent before and does not count, and since the lost holder writes nothing it lasts its full second; only then was the end known and items went on. Ruled out: reading the data topic (all four batches opened within 60 ms of each other); the tenure itself. Change: taking a partition over asks for its end with a read that does not wait, repeated until it is known. TestNewOwnerDoesNotWaitForAReadInFlight fails without it.

--- a/batch/partition.go
+++ b/batch/partition.go
@@ -54,6 +54,23 @@
 	go p.loop(ctx)
 }
 
+// own sets whether this VM runs the partition's batches.
+func (p *partition) own(ctx context.Context, owned bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.owned == owned {
+		return
+	}
+	p.log.Info("partition_owner", "partition", p.id.Index, "owned", owned)
+	p.owned = owned
+	if owned {
+		p.ownedAt = time.Now()
+		// A read in flight was sent before and may wait for long; the end is asked for at once.
+		go p.catchUp(ctx)
+		p.follow(ctx)
+	}
+}
+
 // current tells whether the partition was read to its end since this VM took it over. Before that, a
 // submission may look open whose end has not been read yet. The caller holds mu.
 func (p *partition) current() bool { return p.owned && !p.readAt.Before(p.ownedAt) }
@@ -131,6 +148,23 @@
 	return nil
 }
 
+// catchUp reads to the end, again and again until it is known.
+func (p *partition) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := p.sync(ctx)
+		p.mu.Lock()
+		over := !p.owned || p.current()
+		p.mu.Unlock()
+		if over {
+			return
+		}
+		if err != nil {
+			p.log.Warn("partition_unread", "partition", p.id.Index, "err", err)
+		}
+		process.Sleep(ctx, readRetry)
+	}
+}
+
 // sync reads to the end that the partition has now.
 func (p *partition) sync(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/batch/partition_test.go
+++ b/batch/partition_test.go
@@ -112,3 +112,46 @@
 	own(true)
 	is.Equal(opened().text, []string{"e1", "e2"})
 }
+
+// waitingLog is an empty log whose waiting reads last as long as they may.
+type waitingLog struct {
+	store.Log
+	waits chan struct{}
+}
+
+func (l *waitingLog) Read(ctx context.Context, _ store.Partition, from int64, wait time.Duration, _ int) (store.Batch, error) {
+	if wait > 0 {
+		select {
+		case l.waits <- struct{}{}:
+		default: // one is enough for the test
+		}
+		process.Sleep(ctx, wait)
+	}
+	return store.Batch{From: from, End: from}, nil
+}
+
+// TestNewOwnerDoesNotWaitForAReadInFlight: a VM whose readers keep it reading has a read under way when
+// it takes the partition over; that one may wait for a record that the lost holder never writes.
+func TestNewOwnerDoesNotWaitForAReadInFlight(t *testing.T) {
+	is := is.New(t)
+	woken := make(chan struct{}, 8)
+	log := &waitingLog{waits: make(chan struct{}, 1)}
+	p := &partition{
+		store: log, log: slog.New(slog.DiscardHandler), keep: forever, book: newBook(), changed: make(chan struct{}),
+		wake: func() { woken <- struct{}{} },
+	}
+	p.mu.Lock()
+	p.askedAt = time.Now()
+	p.follow(t.Context())
+	p.mu.Unlock()
+	<-log.waits
+	p.own(t.Context(), true)
+	select {
+	case <-woken:
+	case <-time.After(followWait / 2):
+		t.Fatal("the new owner waits for the read in flight")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.True(p.current())
+}
--- a/batch/service.go
+++ b/batch/service.go
@@ -82,18 +82,7 @@
 		if held[i] {
 			owned[p] = true
 		}
-		p.mu.Lock()
-		if p.owned != owned[p] {
-			s.o.Log.Info("partition_owner", "partition", p.id.Index, "owned", owned[p])
-		}
-		if !p.owned && owned[p] {
-			p.ownedAt = time.Now()
-		}
-		p.owned = owned[p]
-		if p.owned {
-			p.follow(s.life)
-		}
-		p.mu.Unlock()
+		p.own(s.life, owned[p])
 	}
 	s.runner.own(owned)
 }
