batch: items leave the engines that other models need

Cause: each engine holds some model's accepted version, chosen by loads; an item took any engine with room, so a model's few usable engines were full of other models' items while engines that only the others could use stood empty (items_wait: 9 to 11 of 11 to 14 usable engines full, 30 of 44 too old; 27% of all slots used). Ruled out: more loads (the source of the weights is in full use between outages). Change: the choice of an engine adds what part of the other models' newest steps could use it, half an engine's slots at most. TestItemsLeaveEnginesToModelsThatHaveFew fails without it.

--- a/batch/open.go
+++ b/batch/open.go
@@ -192,6 +192,7 @@
 		}
 	}
 	r.jobs[e.head.ID] = jobs
+	r.least[e.head.Model] = max(r.least[e.head.Model], e.head.MinVersion)
 	r.log.Info("batch_open", "batch", e.head.ID, "partition", p.id.Index, "step", e.head.Step, "model", e.head.Model, "least_version", e.head.MinVersion,
 		"items", e.total, "listed", len(e.results), "reused", reused, "saved", len(texts))
 }
--- a/batch/place.go
+++ b/batch/place.go
@@ -29,6 +29,7 @@
 				}
 				if fields[pool.Name] == nil {
 					fields[pool.Name] = r.engines.field(now, pool.Name)
+					fields[pool.Name].wanted = r.least
 				}
 				pace = r.engines.typicalPace(pool.Name)
 			}
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -14,6 +14,9 @@
 	groupBonus = 0.3
 	// zoneCost is what an engine in another zone costs, where each byte is paid for.
 	zoneCost = 0.1
+	// sharedCost is what an engine costs that all other models could use as well: half of its slots are
+	// kept for them while others have room.
+	sharedCost = 0.5
 )
 
 // task is an item that waits for an engine, as the plan sees it.
@@ -35,8 +38,8 @@
 // up for lost: the callers' estimates are often far off, and the longest items decide when a step ends.
 func (t *task) overdue(now time.Time) bool { return now.After(t.due) }
 
-// sortTasks puts the items first that would be late first, and those that are overdue last. It answers bursts of whole submissions, in which a few long items decide when a step is
-// whole.
+// sortTasks puts the items first that would be late first, and those that are overdue last. It answers
+// bursts of whole submissions, in which a few long items decide when a step is whole.
 func sortTasks(now time.Time, tasks []*task) {
 	slices.SortStableFunc(tasks, func(a, b *task) int {
 		la, lb := a.overdue(now), b.overdue(now)
@@ -71,6 +74,8 @@
 	now  time.Time
 	best time.Duration // the best pace in the pool
 	free []*engine
+	// wanted are the least versions that the newest open steps accept, by model.
+	wanted map[string]int64
 }
 
 // field returns the engines of a pool that may take a request now.
@@ -93,13 +98,32 @@
 		if e.instance.Name == q.avoid || f.now.Before(e.blocked[q.model]) || q.model != "" && e.versions[q.model] < q.least {
 			continue
 		}
-		if cost := e.cost(f.now, q, f.best); best == nil || cost < bestCost {
+		if cost := e.cost(f.now, q, f.best) + sharedCost*f.shared(e, q.model); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
+// shared returns the part of the other models whose newest steps an engine could run. Where few
+// engines have the versions that steps accept, an item is better off where the others cannot go.
+func (f *field) shared(e *engine, model string) float64 {
+	others, usable := 0, 0
+	for m, least := range f.wanted {
+		if m == model {
+			continue
+		}
+		others++
+		if e.versions[m] >= least {
+			usable++
+		}
+	}
+	if others == 0 {
+		return 0
+	}
+	return float64(usable) / float64(others)
+}
+
 // taken updates the field after a request was sent to an engine.
 func (f *field) taken(e *engine) {
 	if e.room(f.now) <= 0 {
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -158,3 +158,24 @@
 	is.Equal(placed, 32)
 	is.Equal(placedLong, 8)
 }
+
+// TestItemsLeaveEnginesToModelsThatHaveFew replays two models' steps after a change of versions: half of
+// the engines run both models' versions, the others only the first one's.
+func TestItemsLeaveEnginesToModelsThatHaveFew(t *testing.T) {
+	is := is.New(t)
+	s, in := someEngines(4, 4, 3)
+	for _, i := range in[:2] {
+		s.versioned(i, "other", 3)
+	}
+	f := s.field(start, "p")
+	f.wanted = map[string]int64{"m": 3, "other": 3}
+	sent := map[string]int{}
+	for range 8 {
+		e := f.choose(request{pool: "p", model: "m", least: 3})
+		sent[e.instance.Name]++
+		s.started(e.instance)
+		f.taken(e)
+	}
+	is.True(sent["e2"]+sent["e3"] >= 6) // the engines that only they can use come first
+	is.True(f.choose(request{pool: "p", model: "other", least: 3}) != nil)
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -60,6 +60,8 @@
 	seen    *fleet.Snapshot
 	// texts are unfinished texts of ended submissions, which may come again.
 	texts map[string]leftover
+	// least are the least versions that the newest submissions of each model accept.
+	least map[string]int64
 	// short are the models of which items waited for an engine at the last look.
 	short map[string]bool
 	// toldShort is when a shortage was logged last.
@@ -137,7 +139,7 @@
 func newRunner(o Options) *runner {
 	return &runner{
 		view: o.View, client: o.Client, fwd: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
-		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{}, short: map[string]bool{},
+		jobs: map[string]map[string]*job{}, parts: map[*partition]bool{}, engines: newEngines(), texts: map[string]leftover{}, short: map[string]bool{}, least: map[string]int64{},
 		kick: make(chan struct{}, 1), load: initialLoad,
 		outcomes: o.Metrics.SubMap("item_runs"), seconds: o.Metrics.Latency("item_run_seconds"),
 	}
