--- a/ctl/logs.go
+++ b/ctl/logs.go
@@ -41,7 +41,7 @@
 	s, err := logs.Explain(lines, args[0])
 	var unknown *logs.UnknownIDError
 	if errors.As(err, &unknown) {
-		return &Error{Exit: ExitFailure, Message: err.Error(), Err: nil}
+		return &Error{Exit: ExitFailure, Message: unknown.Error()}
 	}
 	if err != nil {
 		return err
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -12,18 +12,17 @@
 // Reloader follows the settings file. Limits of the process are applied at once; what the duties were
 // started with holds until the next start, and a file with a mistake changes nothing.
 type Reloader struct {
-	Load func() (Settings, error)
-	// Apply sets the limits of the process: cores and memory.
-	Apply func(Settings)
-	Log   *slog.Logger
-
+	load func() (Settings, error)
+	// apply sets the limits of the process: cores and memory.
+	apply   func(Settings)
+	log     *slog.Logger
 	current Settings
 	bad     string // the last mistake, told once
 }
 
 // NewReloader returns a reloader of a process that runs with the settings s.
 func NewReloader(s Settings, load func() (Settings, error), apply func(Settings), log *slog.Logger) *Reloader {
-	return &Reloader{Load: load, Apply: apply, Log: log, current: s}
+	return &Reloader{load: load, apply: apply, log: log, current: s}
 }
 
 // Run looks at the file at each signal, and now and then without one, until stop is closed.
@@ -45,10 +44,10 @@
 
 // Reload reads the file once.
 func (r *Reloader) Reload() {
-	next, err := r.Load()
+	next, err := r.load()
 	if err != nil {
 		if err.Error() != r.bad {
-			r.Log.Error("settings_rejected", "err", err)
+			r.log.Error("settings_rejected", "err", err)
 		}
 		r.bad = err.Error()
 		return
@@ -58,8 +57,8 @@
 	if len(now)+len(later) == 0 {
 		return
 	}
-	r.Apply(next)
-	r.Log.Info("settings_read", "applied", now, "at_next_start", later)
+	r.apply(next)
+	r.log.Info("settings_read", "applied", now, "at_next_start", later)
 	r.current = next
 }
 
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -19,28 +19,12 @@
 )
 
 // surroundings are the events that can be the cause of what happens to requests beside them.
-var surroundings = map[string]string{
-	"started":             "the VM started",
-	"stopping":            "the VM was told to stop",
-	"stopped":             "the VM stopped",
-	"stopped_early":       "the VM stopped with answers open",
-	"store_lost":          "the VM lost the store",
-	"store_reached":       "the VM reached the store again",
-	"tables_in_force":     "new tables came into force",
-	"targets_lapsed":      "targets lapsed",
-	"tenure_taken":        "the VM took over the partition",
-	"tenure_lost":         "the VM lost the partition to another",
-	"tenure_store":        "the store did not take the holder's records",
-	"partition_read":      "the partition could not be read",
-	"results_append":      "results could not be appended",
-	"order_tenure":        "a wave of orders could not be recorded",
-	"version_named":       "a weight version was named",
-	"items_wait":          "items waited",
-	"settings_rejected":   "a settings file was rejected",
-	"log_lines_dropped":   "log lines were dropped: the story may lack some",
-	"record_ignored":      "a record could not be used",
-	"topic_truncated":     "records had expired",
-	"partition_truncated": "records of the partition had expired",
+var surroundings = map[string]bool{
+	"started": true, "stopping": true, "stopped": true, "stopped_early": true, "settings_rejected": true,
+	"store_lost": true, "store_reached": true, "tables_in_force": true, "targets_lapsed": true,
+	"tenure_taken": true, "tenure_lost": true, "tenure_store": true, "order_tenure": true, "version_named": true,
+	"partition_read": true, "partition_unread": true, "results_append": true, "items_wait": true,
+	"record_ignored": true, "topic_truncated": true, "partition_truncated": true, "log_lines_dropped": true,
 }
 
 // Story is what the lines tell of one request, item or batch.
@@ -115,19 +99,33 @@
 	return slices.Sorted(maps.Keys(starts))
 }
 
-// beside returns the events around the own lines on the VMs, together with the own lines. An event
-// belongs if keep accepts it.
-func beside(lines, own []*Line, keep func(*Line) bool) []*Line {
+// beside returns the own lines, but for those that hide drops, with the events of the same time that
+// keep accepts.
+func beside(lines, own []*Line, hide, keep func(*Line) bool) []*Line {
 	from, to := own[0].Time.Add(-lead), own[len(own)-1].Time
+	mine := make(map[*Line]bool, len(own))
+	for _, l := range own {
+		mine[l] = true
+	}
 	var out []*Line
 	for _, l := range lines {
-		if slices.Contains(own, l) || (!l.Time.Before(from) && !l.Time.After(to) && surroundings[l.Event] != "" && keep(l)) {
+		switch {
+		case mine[l]:
+			if !hide(l) {
+				out = append(out, l)
+			}
+		case surroundings[l.Event] && !l.Time.Before(from) && !l.Time.After(to) && keep(l):
 			out = append(out, l)
 		}
 	}
 	return out
 }
 
+func hideNone(*Line) bool { return false }
+
+// hideWhole drops the runs that went well, of which a batch has hundreds.
+func hideWhole(l *Line) bool { return l.Event == "item_run" && l.Get("outcome") == "whole" }
+
 func onVMs(own []*Line) map[string]bool {
 	vms := map[string]bool{}
 	for _, l := range own {
@@ -145,7 +143,7 @@
 			end = l
 		}
 	}
-	s.Lines = beside(lines, own, func(l *Line) bool {
+	s.Lines = beside(lines, own, hideNone, func(l *Line) bool {
 		return vms[l.VM] && l.Event != "items_wait" && l.Event != "version_named" && !strings.HasPrefix(l.Event, "tenure")
 	})
 	if end.Event == "request_refused" {
@@ -310,8 +308,7 @@
 			holders[l.VM] = true
 		}
 	}
-	telling := slices.DeleteFunc(slices.Clone(own), func(l *Line) bool { return l.Event == "item_run" && l.Get("outcome") == "whole" })
-	s.Lines = beside(lines, telling, func(l *Line) bool {
+	s.Lines = beside(lines, own, hideWhole, func(l *Line) bool {
 		switch l.Event {
 		case "tenure_taken", "tenure_lost":
 			return l.Get("partition") == partition
@@ -420,12 +417,9 @@
 func Around(lines []*Line, at time.Time) []*Line {
 	var out []*Line
 	for _, l := range lines {
-		if surroundings[l.Event] != "" && l.Time.Sub(at).Abs() <= aroundWindow {
+		if surroundings[l.Event] && l.Time.Sub(at).Abs() <= aroundWindow {
 			out = append(out, l)
 		}
 	}
 	return out
 }
-
-// Meaning says in words what an event is; it is empty for those of a request's own.
-func Meaning(event string) string { return surroundings[event] }
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -120,6 +120,15 @@
 	is.True(strings.Index(s.Cause, "older than the step allows") < strings.Index(s.Cause, "took the partition over"))
 }
 
+// An item's own file may hold nothing of its batch but runs that went well.
+func TestItemWithoutItsBatch(t *testing.T) {
+	is := is.New(t)
+	s, err := Explain(read(t, "time=2026-12-04T07:00:14Z msg=item_run node=vm-c id=i1 batch=b1 target=e1 events=20 ms=1000 outcome=whole\n"), "i1")
+	is.NoErr(err)
+	is.Equal(s.Kind, "item")
+	is.True(strings.Contains(s.Cause, "one run made the text"))
+}
+
 func TestUnknownIDNamesRestarts(t *testing.T) {
 	is := is.New(t)
 	_, err := Explain(read(t, "time=2026-12-04T07:00:01Z msg=started node=vm-a\ntime=2026-12-04T07:00:05Z msg=started node=vm-a\n"), "r9")
