forward: log the content fingerprint of failed sends

Cause: each attempt of a caller has its own ID, so the lines of send_failed could not show that several attempts at several VMs were the same request. Change: crashes.Fingerprint hashes method, host, URI, credentials and body; send_failed carries it as content. It is computed only on failure.

--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -181,7 +181,7 @@
 	default:
 		result = "answered " + strconv.Itoa(o.answer.Status)
 	}
-	d.f.log.Info("send_failed", "id", d.req.ID, "target", o.attempt.instance.Name, "outcome", result, "ms", time.Since(o.attempt.startedAt).Milliseconds(), "err", o.err)
+	d.f.log.Info("send_failed", "id", d.req.ID, "content", d.req.fingerprint(), "target", o.attempt.instance.Name, "outcome", result, "ms", time.Since(o.attempt.startedAt).Milliseconds(), "err", o.err)
 }
 
 func (d *delivery) retryIf(ok bool) action {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/routing"
@@ -57,6 +58,11 @@
 	ResumeAfter int64
 }
 
+// fingerprint identifies the request by its content.
+func (r *Request) fingerprint() string {
+	return crashes.Fingerprint(r.Method, r.Host, r.URI, r.Header, r.Body)
+}
+
 // Reply is the answer to a request: that of a target, or a refusal or error of the VM itself.
 type Reply struct {
 	Status int
