entry, platform: failing tests of requests that crash targets; the stand-in crashes on them

Change: fake/errata targets crash on a part of the body, refuse connections while they are down and start again under another ID. Scoring calls of the test submissions now have a body.

--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -194,7 +194,7 @@
 	for _, id := range items {
 		doc.Items = append(doc.Items, item{
 			Id: id, Path: "/notes/" + id, Body: base64.StdEncoding.EncodeToString([]byte("prompt of " + id)), Group: "g",
-			Headers: map[string]string{"Model": model, "Length-Hint": "40"}, Scorer: &scorer{"score-" + id, host, "/desk/score", ""},
+			Headers: map[string]string{"Model": model, "Length-Hint": "40"}, Scorer: &scorer{"score-" + id, host, "/desk/score", base64.StdEncoding.EncodeToString([]byte("score of " + id))},
 		})
 	}
 	data, err := json.Marshal(doc)
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/ibistrail/ibistrail/internal/loopback"
 )
 
 // ExecutedRequest is one request that a target started to execute.
@@ -50,8 +53,17 @@
 	WrongIDAnswers int
 	// ResetStreamAfter is after how many events each stream is reset; 0 means never.
 	ResetStreamAfter int
+	// CrashOn is a part of the bodies of requests that crash the target after RequestDuration; empty means none.
+	CrashOn string
+	// DownTime is how long the target is down after a crash. It starts again under another ID.
+	DownTime time.Duration
 
-	server          *httptest.Server
+	name            string // the first ID
+	address         string
+	server          *http.Server
+	closed          bool
+	crashes         int
+	store           *Store // where the target registers itself
 	executed        []ExecutedRequest
 	orders          []AcceptedOrder
 	orderSeq        int64
@@ -63,23 +75,63 @@
 // NewTarget starts a target on loopback.
 func NewTarget(id, service, zone string, slots int, models ...string) *Target {
 	t := &Target{
-		ID: id, Service: service, Zone: zone, Slots: slots, Versions: map[string]int64{}, RequestDuration: 5 * time.Millisecond, EventInterval: 5 * time.Millisecond,
-		EventsPerStream: 4, LoadTime: 50 * time.Millisecond,
+		name: id, ID: id, Service: service, Zone: zone, Slots: slots, Versions: map[string]int64{}, RequestDuration: 5 * time.Millisecond, EventInterval: 5 * time.Millisecond,
+		EventsPerStream: 4, LoadTime: 50 * time.Millisecond, DownTime: 500 * time.Millisecond,
 	}
 	for _, m := range models {
 		t.Versions[m] = 1
 	}
-	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	t.listen(loopback.Host() + ":0")
 	return t
 }
 
+// listen starts to serve at address, or panics if that fails.
+func (t *Target) listen(address string) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(fmt.Sprintf("target %s: %v", t.ID, err))
+	}
+	t.address = l.Addr().String()
+	// The log would hold the panics by which handlers reset connections.
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ErrorLog: log.New(io.Discard, "", 0)}
+	go func(s *http.Server) { _ = s.Serve(l) }(t.server) // it returns when the target stops
+}
+
 // Address returns the target's host:port.
-func (t *Target) Address() string { return strings.TrimPrefix(t.server.URL, "http://") }
+func (t *Target) Address() string { return t.address }
 
 // Close stops the target and closes its connections.
 func (t *Target) Close() {
-	t.server.CloseClientConnections()
-	t.server.Close()
+	t.Lock()
+	defer t.Unlock()
+	t.closed = true
+	_ = t.server.Close() // all that can fail is closing the listener again
+}
+
+// crash ends the target at once, with all its connections, and starts it again after DownTime. The caller holds the lock.
+func (t *Target) crash() {
+	_ = t.server.Close() // all that can fail is closing the listener again
+	t.crashes++
+	time.AfterFunc(t.DownTime, func() {
+		t.Lock()
+		if t.closed {
+			t.Unlock()
+			return
+		}
+		previous := t.ID
+		t.ID = fmt.Sprintf("%s-%d", t.name, t.crashes)
+		t.listen(t.address)
+		t.Unlock()
+		t.store.Put("keyed.servers", previous, nil)
+		t.Register(t.store, "ready")
+	})
+}
+
+// Crashes returns how often the target has crashed.
+func (t *Target) Crashes() int {
+	t.Lock()
+	defer t.Unlock()
+	return t.crashes
 }
 
 // Set calls change with the lock held, to change fault switches.
@@ -106,17 +158,19 @@
 // Register writes the target's registration with a state to the store, with the next sequence number.
 func (t *Target) Register(s *Store, state string) {
 	t.Lock()
+	t.store = s
 	t.registrationSeq++
 	doc := map[string]any{
 		"Service": t.Service, "Address": t.Address(), "Zone": t.Zone, "Version": "v1", "Slots": t.Slots, "State": state,
 		"ColdRemainingMs": 0, "Seq": t.registrationSeq, "Models": t.models(),
 	}
+	id := t.ID
 	t.Unlock()
 	data, err := json.Marshal(doc)
 	if err != nil {
 		panic(err) // cannot happen: the document holds only encodable values
 	}
-	s.Put("keyed.servers", t.ID, data)
+	s.Put("keyed.servers", id, data)
 }
 
 // models returns the loaded models in the form of registrations and reports. The caller holds the lock.
@@ -129,8 +183,11 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != t.ID {
-		w.Header().Set("Instance-Id", t.ID)
+	t.Lock()
+	id := t.ID
+	t.Unlock()
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != id {
+		w.Header().Set("Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -194,6 +251,7 @@
 	}
 	t.active++
 	t.executed = append(t.executed, ExecutedRequest{id, r.Method, r.RequestURI, r.Host, r.Header.Clone(), body, time.Now()})
+	crashes := t.CrashOn != "" && strings.Contains(string(body), t.CrashOn)
 	fail, loseAnswer, wrongID, duration := t.Fail, t.LoseAnswers > 0, t.WrongIDAnswers > 0, t.RequestDuration
 	if loseAnswer {
 		t.LoseAnswers--
@@ -206,6 +264,10 @@
 	t.Unlock()
 	defer t.Set(func(t *Target) { t.active-- })
 	switch {
+	case crashes:
+		time.Sleep(duration)
+		t.Set((*Target).crash)
+		abort()
 	case fail:
 		w.Header().Set("Server-Stamp", "failed."+id)
 		w.WriteHeader(http.StatusInternalServerError)
