quarantine: decide on suspects that cannot run alone

Cause: the tracker quarantines a request only after a death during a trial, which needs an arbiter and gates that keep a target free. VMs on the platform share targets without either. Change: Decide quarantines after three deaths, half a second after the last one, so that reports of other VMs are in; a request stays a suspect while one other suspect was there at each of its deaths. ForgetDeath takes back a single death. Ruled out: two deaths, as the trial takes: there the second run is alone. Measured: the three new tests fail without Decide (they do not build); go test ./quarantine ./gate ./dispatch passes. Conclusion: the decision is pure; nothing uses it yet.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,6 +26,10 @@
 	maxAttributed = 256
 	// deathsToQuarantine is the number of target deaths after which a request is quarantined.
 	deathsToQuarantine = 2
+	// deathsWithoutTrial is the number of target deaths after which a request is quarantined although it never ran alone.
+	deathsWithoutTrial = 3
+	// ReportWindow is the time that other nodes have to report what they ran on a target that died.
+	ReportWindow = 500 * time.Millisecond
 )
 
 // targetRun identifies one run of a target process. An empty boot means that the run is unknown.
@@ -33,8 +37,9 @@
 
 // suspect is a request that was running when targets died.
 type suspect struct {
-	deathsOn []targetRun
-	expires  time.Time
+	deathsOn  []targetRun
+	lastDeath time.Time
+	expires   time.Time
 }
 
 // Tracker tracks suspects and quarantined requests by fingerprint. It is not safe for concurrent use.
@@ -100,7 +105,7 @@
 	}
 	s.expires = now.Add(SuspectTTL)
 	if !slices.Contains(s.deathsOn, r) {
-		s.deathsOn = append(s.deathsOn, r)
+		s.deathsOn, s.lastDeath = append(s.deathsOn, r), now
 	}
 	t.enforceLimits(now)
 	if !d.Alone || len(s.deathsOn) < deathsToQuarantine || t.hasOtherCandidate(d.Fingerprint, r) {
@@ -115,6 +120,70 @@
 	return v
 }
 
+// Status is the status of a request according to the deaths of its targets.
+type Status int
+
+// Statuses of a request.
+const (
+	// StatusClear means that the request runs as usual.
+	StatusClear Status = iota
+	// StatusSuspect means that the request runs apart from others where possible.
+	StatusSuspect
+	// StatusUndecided means that there are enough deaths, but other nodes may still report what else ran on the
+	// targets. The request waits.
+	StatusUndecided
+	// StatusQuarantined means that the request is not run.
+	StatusQuarantined
+)
+
+// Decide decides on a request without a trial. It is quarantined after deathsWithoutTrial deaths, ReportWindow after the
+// last one, unless a single other suspect was there each time: then the next death shows which of them is the cause.
+func (t *Tracker) Decide(now time.Time, fingerprint string) (Status, wire.Quarantine) {
+	if q, ok := t.Quarantined(now, fingerprint); ok {
+		return StatusQuarantined, q
+	}
+	s := t.suspects[fingerprint]
+	switch {
+	case s == nil || now.After(s.expires):
+		return StatusClear, wire.Quarantine{}
+	case len(s.deathsOn) < deathsWithoutTrial:
+		return StatusSuspect, wire.Quarantine{}
+	case now.Sub(s.lastDeath) < ReportWindow:
+		return StatusUndecided, wire.Quarantine{}
+	case t.isExplained(now, fingerprint, s):
+		return StatusSuspect, wire.Quarantine{}
+	}
+	q := wire.Quarantine{Fingerprint: fingerprint, Until: now.Add(TTL), Deaths: len(s.deathsOn)}
+	t.quarantine(now, q)
+	return StatusQuarantined, q
+}
+
+// isExplained reports whether one other suspect was running at each death of s.
+func (t *Tracker) isExplained(now time.Time, fingerprint string, s *suspect) bool {
+	for fp, other := range t.suspects {
+		if fp != fingerprint && !now.After(other.expires) &&
+			!slices.ContainsFunc(s.deathsOn, func(r targetRun) bool { return !slices.ContainsFunc(other.deathsOn, r.matches) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetDeath removes a death from the suspicions against a request.
+func (t *Tracker) ForgetDeath(fingerprint, target, boot string) {
+	s := t.suspects[fingerprint]
+	if s == nil {
+		return
+	}
+	s.deathsOn = slices.DeleteFunc(s.deathsOn, func(r targetRun) bool { return r == targetRun{target, boot} })
+	if len(s.deathsOn) == 0 {
+		delete(t.suspects, fingerprint)
+	}
+}
+
+// Empty reports whether there are neither suspects nor quarantined requests.
+func (t *Tracker) Empty() bool { return len(t.suspects) == 0 && len(t.quarantined) == 0 }
+
 // hasOtherCandidate reports whether another suspect with enough deaths also ran on r: it reached the
 // target through a gate that did not know of the trial yet. Then the cause is not proven, and both
 // must run alone again.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -79,3 +79,63 @@
 	is.True(tracker.RecordDeath(start, death("poison", "t2", "b2", true)).Quarantined)
 	is.Equal(tracker.IsSuspect(start, "innocent"), false)
 }
+
+func TestThreeDeathsQuarantineWithoutTrialAfterReportWindow(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	status := func(now time.Time) Status {
+		j, _ := tracker.Decide(now, "poison")
+		return j
+	}
+	is.Equal(status(start), StatusClear)
+	for i, target := range []string{"t0", "t1", "t1", "t2"} { // the death of t1 is reported twice
+		is.True(status(start) != StatusQuarantined)
+		tracker.RecordDeath(start.Add(time.Duration(i)*time.Second), death("poison", target, "b", false))
+	}
+	third := start.Add(3 * time.Second)
+	is.Equal(status(third.Add(ReportWindow-1)), StatusUndecided)
+	is.Equal(status(third.Add(ReportWindow)), StatusQuarantined)
+	is.Equal(status(third.Add(ReportWindow+TTL+time.Second)), StatusClear)
+}
+
+// Innocent requests are on the same targets as the one that crashes them, some more than once.
+func TestInnocentRequestsBesideACrashAreNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i, target := range []string{"t0", "t1", "t2"} {
+		now := start.Add(time.Duration(i) * time.Second)
+		tracker.RecordDeath(now, death("poison", target, "b", false))
+		tracker.RecordDeath(now, death("often", target, "b", false))
+		tracker.RecordDeath(now, death("once-"+target, target, "b", false))
+	}
+	later := start.Add(10 * time.Second)
+	for _, fp := range []string{"poison", "often", "once-t0"} { // either of two may be the cause
+		j, _ := tracker.Decide(later, fp)
+		is.Equal(j, StatusSuspect)
+	}
+	tracker.RecordDeath(later, death("poison", "t3", "b", false))
+	later = later.Add(ReportWindow)
+	j, q := tracker.Decide(later, "often")
+	is.Equal(j, StatusSuspect)
+	j, q = tracker.Decide(later, "poison")
+	is.Equal(j, StatusQuarantined)
+	is.Equal(q.Deaths, 4)
+	for _, fp := range []string{"often", "once-t0", "once-t1", "once-t2"} {
+		j, _ := tracker.Decide(later, fp)
+		is.Equal(j, StatusClear) // the deaths are explained
+	}
+}
+
+func TestForgottenDeathsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for _, target := range []string{"t0", "t1", "t2"} {
+		tracker.RecordDeath(start, death("x", target, "b", false))
+	}
+	tracker.ForgetDeath("x", "t1", "b")
+	j, _ := tracker.Decide(start.Add(time.Second), "x")
+	is.Equal(j, StatusSuspect)
+	tracker.ForgetDeath("x", "t0", "b")
+	tracker.ForgetDeath("x", "t2", "b")
+	is.True(tracker.Empty())
+}
