crashes, forward: requests that crash targets are remembered across attempts and VMs

What callers saw: a request that crashes the server that runs it was sent on at every attempt, at every VM; the servers of a pool were down in turn. Cause: forward counted attempts for one client attempt on one VM. Class of fault: memory bound to an attempt, while the request outlives it. Change: a run that breaks off is followed by one connection attempt; if the target refuses it, it has died, and the request's content is a suspect. Deaths are shared in a compacted topic of the store, where they outlast VMs, and count locally while the store is out. After three deaths a request is refused at once with 503 and the rest of the quarantine as Retry-After: it has not run and will not. An answer clears a suspect. A suspect is not hedged and gets a target of its own where the pool has three. The first death is kept back for 200 ms, as most suspects complete elsewhere. store.Follower is the read loop of entry's follower, moved, so that both use it. Ruled out: a count by request ID (each attempt has its own); 4xx (callers' requests are proper, and some would be innocent); direct messages between VMs (the store's topic arrives within 1.5 s, and a VM without the store still knows what it saw).

--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -76,7 +76,7 @@
 	targets := platform.NewTargetClient()
 	p := entry.New(entry.Options{
 		Settings: settings, Log: log, Store: platform.NewStoreClient(settings.StoreAddress, platform.NewCallCounter(metrics)), Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
-		Sources: platform.Sources(), BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
+		Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
--- a/entry/crashing_request_test.go
+++ b/entry/crashing_request_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +58,86 @@
 	d.checkPoisonContained(d.services, start, 3)
 }
 
+// Each VM goes by what it has seen itself, and all share it once the store is back.
+func TestCrashingRequestIsContainedDuringStoreOutage(t *testing.T) {
+	d := newDeployment(t, 0, 6, 2)
+	crashOnPoison(d.services)
+	d.store.Set(func(s *errata.Store) { s.Down = true })
+	send := func(v *vm, id string) response { return d.call(v, http.MethodPost, "/desk/x", id, poison) }
+	for i := range 10 {
+		send(d.vms[0], fmt.Sprintf("p%d", i))
+		time.Sleep(100 * time.Millisecond)
+	}
+	crashes := 0
+	for _, x := range d.services {
+		crashes += x.Crashes()
+	}
+	d.is.True(crashes >= 3 && crashes <= 4) // one VM has seen them all
+	d.store.Set(func(s *errata.Store) { s.Down = false })
+	time.Sleep(settleTime)
+	a := send(d.vms[1], "other")
+	d.is.Equal(a.status, http.StatusServiceUnavailable)
+	d.is.True(a.header.Get("Retry-After") != "")
+	for _, x := range d.services {
+		crashes -= x.Crashes()
+	}
+	d.is.Equal(crashes, 0) // it was not sent
+}
+
+// Callers send other requests all the while, some of them again and again with an equal body.
+func TestInnocentRequestsBesideCrashesAreServed(t *testing.T) {
+	d := newDeployment(t, 0, 6, 2)
+	crashOnPoison(d.services)
+	for _, x := range d.services {
+		x.Set(func(x *errata.Target) { x.RequestDuration = 30 * time.Millisecond })
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var served, failed, quarantined atomic.Int64
+	for c := range 8 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				body := "equal body"
+				if c%2 == 0 {
+					body = fmt.Sprintf("body %d of %d", n, c)
+				}
+				a := d.call(d.vms[n%2], http.MethodPost, "/desk/y", fmt.Sprintf("c%d-%d", c, n), body)
+				switch {
+				case a.status == http.StatusOK:
+					served.Add(1)
+				case strings.Contains(a.body, "crashed while running"):
+					quarantined.Add(1)
+				default:
+					failed.Add(1)
+				}
+			}
+		}()
+	}
+	for i := range 15 {
+		d.call(d.vms[i%2], http.MethodPost, "/desk/x", fmt.Sprintf("p%d", i), poison)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second) // the crashed targets are back
+	close(stop)
+	callers.Wait()
+	t.Logf("served=%d failed=%d quarantined=%d", served.Load(), failed.Load(), quarantined.Load())
+	d.is.Equal(quarantined.Load(), int64(0))
+	crashes := 0
+	for _, x := range d.services {
+		crashes += x.Crashes()
+	}
+	d.is.True(crashes >= 3)
+	d.is.True(served.Load() > 0)
+	d.is.True(int(failed.Load()) <= crashes) // a request fails only if it meets two crashes in turn
+}
+
 func TestCrashingScoringCallIsNotResentForever(t *testing.T) {
 	d := newDeployment(t, 2, 6, 2)
 	crashOnPoison(d.services)
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -113,7 +113,7 @@
 			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
 			OrderHandover: time.Second, BatchRetention: time.Minute,
 		},
-		Log: log, Store: platform.NewStoreClient(d.store.Address(), nil), Client: targets, Engines: targets, Sources: platform.Sources(),
+		Log: log, Store: platform.NewStoreClient(d.store.Address(), nil), Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -21,8 +19,6 @@
 	targetsPollInterval = 500 * time.Millisecond
 	// targetsReadWait is how long one read waits for a new registration.
 	targetsReadWait = 800 * time.Millisecond
-	// storeRetryDelay is the pause after a failed read.
-	storeRetryDelay = 250 * time.Millisecond
 	// minOutage is how long reads must fail before this counts as an outage of the store.
 	minOutage = time.Second
 )
@@ -61,40 +57,25 @@
 	return &topicFollower{store: st, log: log, view: view, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{}}
 }
 
-// follow reads a topic until ctx ends: first the newest record of each key, then new records as they are
-// appended. If the store has truncated the topic beyond its offset, it starts over.
+// follow applies the records of a topic until ctx ends.
 func (f *topicFollower) follow(ctx context.Context, src Source) {
-	offset, listed := int64(0), false
-	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			offset, err = f.readNewest(ctx, src)
-			listed = err == nil
-		} else {
-			offset, err = f.readChanges(ctx, src, offset)
-			var truncated *store.TruncatedError
-			if errors.As(err, &truncated) {
-				f.log.Warn("topic_truncated", "topic", src.Topic, "from", offset, "first", truncated.First)
-				listed = false
-				continue
-			}
-		}
-		switch {
-		case err != nil && ctx.Err() == nil:
-			f.recordReadFailure(src, err)
-			process.Sleep(ctx, storeRetryDelay)
-		case src.Registrations:
-			process.Sleep(ctx, targetsPollInterval)
-		}
+	reader := store.Follower{
+		Log: f.store, Topic: src.Topic, Wait: operatorReadWait,
+		Listed:   func(records []store.KeyedRecord, next int64) { f.applyListing(src, records, next) },
+		Appended: func(records []store.KeyedRecord) { f.applyChanges(src, records) },
+		Truncated: func(from int64, err *store.TruncatedError) {
+			f.log.Warn("topic_truncated", "topic", src.Topic, "from", from, "first", err.First)
+		},
+		Failed: func(err error) { f.recordReadFailure(src, err) },
 	}
+	if src.Registrations {
+		reader.Wait, reader.Pause = targetsReadWait, targetsPollInterval
+	}
+	reader.Run(ctx)
 }
 
-// readNewest applies the newest record of each key. It returns the offset from which to read changes.
-func (f *topicFollower) readNewest(ctx context.Context, src Source) (int64, error) {
-	records, next, err := f.store.ReadNewest(ctx, src.Topic)
-	if err != nil {
-		return 0, err
-	}
+// applyListing applies the newest record of each key.
+func (f *topicFollower) applyListing(src Source, records []store.KeyedRecord, next int64) {
 	f.update(src, func(now time.Time) bool {
 		listedIDs := map[string]bool{}
 		for _, r := range records {
@@ -105,19 +86,10 @@
 		}
 		return true
 	})
-	return next, nil
 }
 
-// readChanges applies the records from an offset on. It returns the next offset to read.
-func (f *topicFollower) readChanges(ctx context.Context, src Source, from int64) (int64, error) {
-	wait := operatorReadWait
-	if src.Registrations {
-		wait = targetsReadWait
-	}
-	records, next, err := f.store.ReadKeyed(ctx, src.Topic, from, wait)
-	if err != nil {
-		return from, err
-	}
+// applyChanges applies the records of one read.
+func (f *topicFollower) applyChanges(src Source, records []store.KeyedRecord) {
 	f.update(src, func(now time.Time) bool {
 		changed := false
 		for _, r := range records {
@@ -125,7 +97,6 @@
 		}
 		return changed
 	})
-	return next, nil
 }
 
 // update is called after each successful read. It runs change under the lock, drops targets whose
--- a/entry/process.go
+++ b/entry/process.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/batch"
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
@@ -46,6 +47,8 @@
 	Client         targets.Client
 	Engines        versions.Engines
 	Sources        []Source
+	// CrashTopic is the compacted topic in which VMs share which requests were running when targets crashed.
+	CrashTopic string
 	// BootTime returns the time since boot, including time during which the VM was suspended.
 	BootTime func() time.Duration
 	// Handler returns the handler of callers' requests.
@@ -62,6 +65,7 @@
 	Batches   *batch.Service
 
 	follower *topicFollower
+	crashes  *crashes.Register
 	stopping atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -78,7 +82,8 @@
 		opts.Metrics = process.NewMetrics()
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
-	p.Forwarder = forward.New(p.View, opts.Client, s.AvailabilityZone, opts.Log, opts.Metrics)
+	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
+	p.Forwarder = forward.New(p.View, opts.Client, p.crashes, s.AvailabilityZone, opts.Log, opts.Metrics)
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: opts.Client, Forwarder: p.Forwarder,
@@ -114,6 +119,7 @@
 	for _, src := range p.opts.Sources {
 		go p.follower.follow(p.ctx, src)
 	}
+	go p.crashes.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
 	callerServer := p.newCallerServer()
--- a/entry/state.go
+++ b/entry/state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/tenure"
 )
@@ -24,6 +25,8 @@
 	Batches batch.State          `json:"batches"`
 	// Requests holds the routing state of the targets of single requests, by pool.
 	Requests map[string][]routing.TargetState `json:"requests"`
+	// Quarantine holds the requests that were running when targets crashed, by the fingerprint of their content.
+	Quarantine quarantine.State `json:"quarantine"`
 }
 
 // State returns the current state for the state dump.
@@ -33,6 +36,7 @@
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
 		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
+		Quarantine: p.crashes.State(),
 	}
 	if snap.Tables != nil {
 		s.TablesVersion = snap.Tables.Version
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -19,12 +19,13 @@
 // delivery is the state of one request while it is forwarded. Only the goroutine that serves the request
 // accesses it; attempts report to it through outcomes.
 type delivery struct {
-	f         *Forwarder
-	req       *Request
-	route     *fleet.Route
-	poolName  string
-	startedAt time.Time
-	deadline  time.Time
+	f           *Forwarder
+	req         *Request
+	fingerprint string
+	route       *fleet.Route
+	poolName    string
+	startedAt   time.Time
+	deadline    time.Time
 
 	outcomes chan outcome
 	pending  map[*attempt]bool
@@ -38,6 +39,7 @@
 // attempt is one send of the request to a target.
 type attempt struct {
 	instance  *fleet.Instance
+	query     routing.Query
 	cancel    context.CancelFunc
 	startedAt time.Time
 }
@@ -52,8 +54,22 @@
 
 func (d *delivery) retryable() bool { return !d.route.NonIdempotent }
 
+// suspect reports whether a target has crashed while it ran the request.
+func (d *delivery) suspect() bool {
+	a := d.f.crashes.Admit(d.fingerprint)
+	return a.Suspect || a.Rejected
+}
+
+// mayRunAgain reports whether the request may be sent to another target after a run that possibly took place.
+func (d *delivery) mayRunAgain() bool {
+	return d.retryable() && d.possibleRuns < d.route.MaxAttempts && !d.f.crashes.Admit(d.fingerprint).Rejected
+}
+
 // serve runs attempts, with a hedge and retries as the route allows, until one succeeds or none is left.
 func (d *delivery) serve(ctx context.Context) *Reply {
+	if a := d.f.crashes.Admit(d.fingerprint); a.Rejected {
+		return refusal(http.StatusServiceUnavailable, a.Reason, a.RetryAfter)
+	}
 	d.pending = map[*attempt]bool{}
 	ctx, cancel := context.WithDeadline(ctx, d.deadline)
 	keepContext := false
@@ -75,7 +91,7 @@
 			d.cancelPending()
 			return d.timeoutReply(ctx)
 		case <-hedge.C:
-			if d.retryable() && !d.route.Streaming && d.possibleRuns+len(d.pending) < d.route.MaxAttempts {
+			if d.retryable() && !d.route.Streaming && d.possibleRuns+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
 				d.startAttempt(ctx)
 			}
 		case o := <-d.outcomes:
@@ -133,7 +149,7 @@
 	defer f.mu.Unlock()
 	table := f.pools[d.poolName].table
 	address := o.attempt.instance.Address
-	table.End(now, address, routing.Query{})
+	table.End(now, address, o.attempt.query)
 	d.tried = append(d.tried, address)
 	if o.err != nil {
 		if !targets.Sent(o.err) {
@@ -142,7 +158,7 @@
 		}
 		d.possibleRuns++
 		table.RecordFailure(now, address)
-		return d.retryIf(d.retryable() && d.possibleRuns < d.route.MaxAttempts)
+		return d.retryIf(d.mayRunAgain())
 	}
 	if l := o.answer.Load; l != nil {
 		table.RecordLoad(now, address, trial.Load{Running: l.Running, Waiting: l.Waiting, BatchLimit: l.Slots})
@@ -156,11 +172,14 @@
 		return d.retryIf(d.sends < d.route.MaxAttempts+maxExtraSends)
 	}
 	d.possibleRuns++
+	if !d.route.Streaming || o.answer.Status >= http.StatusInternalServerError {
+		f.crashes.Answered(d.fingerprint)
+	}
 	if o.answer.Status >= http.StatusInternalServerError {
 		if o.answer.Status == http.StatusInternalServerError {
 			d.serverErrors++
 		}
-		return d.retryIf(d.retryable() && d.possibleRuns < d.route.MaxAttempts)
+		return d.retryIf(d.mayRunAgain())
 	}
 	table.RecordSuccess(now, address, now.Sub(o.attempt.startedAt).Seconds())
 	return actionReply
@@ -181,7 +200,7 @@
 	default:
 		result = "answered " + strconv.Itoa(o.answer.Status)
 	}
-	d.f.log.Info("send_failed", "id", d.req.ID, "content", d.req.fingerprint(), "target", o.attempt.instance.Name, "outcome", result, "ms", time.Since(o.attempt.startedAt).Milliseconds(), "err", o.err)
+	d.f.log.Info("send_failed", "id", d.req.ID, "content", d.fingerprint, "target", o.attempt.instance.Name, "outcome", result, "ms", time.Since(o.attempt.startedAt).Milliseconds(), "err", o.err)
 }
 
 func (d *delivery) retryIf(ok bool) action {
@@ -194,10 +213,16 @@
 // startAttempt sends the request to one more target. It returns false if no target is left.
 func (d *delivery) startAttempt(ctx context.Context) bool {
 	f, now := d.f, time.Now()
+	suspect := d.suspect()
 	f.mu.Lock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
-	q := routing.Query{Avoid: d.tried}
+	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
+	q := routing.Query{Avoid: d.tried, Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
 	address, ok := p.table.Pick(now, q)
+	if !ok && q.Exclusive {
+		q.Exclusive = false
+		address, ok = p.table.Pick(now, q)
+	}
 	if !ok {
 		// All are at their limits. Targets queue requests themselves and refuse them when the queue is full.
 		q.IgnoreLimits = true
@@ -205,14 +230,14 @@
 	}
 	in := p.byAddr[address]
 	if ok && in != nil {
-		p.table.Start(now, address, routing.Query{})
+		p.table.Start(now, address, q)
 	}
 	f.mu.Unlock()
 	if !ok || in == nil {
 		return false
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
-	a := &attempt{instance: in, cancel: cancel, startedAt: now}
+	a := &attempt{instance: in, query: q, cancel: cancel, startedAt: now}
 	d.pending[a] = true
 	d.sends++
 	d.lastTarget = in.Name
@@ -226,6 +251,9 @@
 			err = bufferBody(answer)
 		}
 		if err != nil {
+			if targets.Sent(err) && attemptCtx.Err() == nil {
+				f.crashes.RunBroken(attemptCtx, d.fingerprint, in)
+			}
 			cancel()
 			answer = nil
 		}
@@ -257,6 +285,9 @@
 func (d *delivery) targetReply(answer *targets.Response, a *attempt, cancel context.CancelFunc) *Reply {
 	d.cancelPending()
 	body := answer.Body
+	if d.route.Streaming {
+		body = &streamBody{ReadCloser: body, d: d, instance: a.instance}
+	}
 	return &Reply{
 		Status: answer.Status, Header: answer.Header, Length: answer.Length, Proof: answer.Proof, ServerErrors: d.serverErrors,
 		Body: &cancelingBody{ReadCloser: body, onClose: func() { a.cancel(); cancel() }},
@@ -272,7 +303,7 @@
 	defer d.f.mu.Unlock()
 	for a := range d.pending {
 		a.cancel()
-		d.f.pools[d.poolName].table.End(time.Now(), a.instance.Address, routing.Query{})
+		d.f.pools[d.poolName].table.End(time.Now(), a.instance.Address, a.query)
 	}
 }
 
@@ -290,6 +321,29 @@
 	return refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0)
 }
 
+// streamBody reports whether the target of a stream survived until the first event.
+type streamBody struct {
+	io.ReadCloser
+	d        *delivery
+	instance *fleet.Instance
+	reported bool
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case b.reported:
+	case n > 0 || err == io.EOF:
+		b.reported = true
+		b.d.f.crashes.Answered(b.d.fingerprint)
+	case err != nil && !errors.Is(err, context.Canceled):
+		b.reported = true
+		b.d.f.crashes.RunBroken(context.Background(), b.d.fingerprint, b.instance)
+	}
+	return n, err
+}
+
 // cancelingBody cancels the context of an attempt when the body of its answer is closed.
 type cancelingBody struct {
 	io.ReadCloser
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,8 @@
 	maxExtraSends = 4
 	// maxBufferedBytes is the size of the largest answer that is read completely before it is forwarded.
 	maxBufferedBytes = 4 << 20
+	// minTargetsToIsolate is the smallest pool in which a suspect gets a target for itself.
+	minTargetsToIsolate = 3
 )
 
 // Request is a caller's request.
@@ -81,10 +83,11 @@
 
 // Forwarder forwards requests to targets.
 type Forwarder struct {
-	view   *fleet.View
-	client targets.Client
-	log    *slog.Logger
-	az     string
+	view    *fleet.View
+	client  targets.Client
+	crashes *crashes.Register
+	log     *slog.Logger
+	az      string
 	// requests counts replies by status, latency is their latency distribution.
 	requests *expvar.Map
 	latency  *process.Latency
@@ -102,9 +105,9 @@
 }
 
 // New returns a Forwarder for a VM in the availability zone az.
-func New(view *fleet.View, client targets.Client, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
+func New(view *fleet.View, client targets.Client, register *crashes.Register, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
 	return &Forwarder{
-		view: view, client: client, log: log, az: az, pools: map[string]*poolState{},
+		view: view, client: client, crashes: register, log: log, az: az, pools: map[string]*poolState{},
 		requests: metrics.SubMap("requests"), latency: metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -154,7 +157,7 @@
 }
 
 // Serve forwards a request and returns the answer. It refuses a request at once if there is no configuration,
-// no matching route or no target.
+// no matching route or no target, or if the request crashes the targets that run it.
 func (f *Forwarder) Serve(ctx context.Context, req *Request) *Reply {
 	snap := f.view.Get()
 	if snap.Tables == nil {
@@ -175,7 +178,7 @@
 	poolName := route.PoolFor(f.rand.Float64())
 	f.mu.Unlock()
 	d := &delivery{
-		f: f, req: req, route: route, poolName: poolName, startedAt: time.Now(),
+		f: f, req: req, fingerprint: req.fingerprint(), route: route, poolName: poolName, startedAt: time.Now(),
 		outcomes: make(chan outcome, route.MaxAttempts+maxExtraSends+1),
 	}
 	d.deadline = d.startedAt.Add(timeout)
--- a/store/store.go
+++ b/store/store.go
@@ -68,6 +68,8 @@
 	// Read returns records from offset from on, about maxBytes in total. If there are none, it waits
 	// for at most wait. If the record at from has expired, it returns a *TruncatedError.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration, maxBytes int) (Batch, error)
+	// AppendKeyed atomically appends records to a compacted topic; their offsets are ignored.
+	AppendKeyed(ctx context.Context, topic string, records []KeyedRecord) error
 	// ReadNewest returns the newest record of each key of a compacted topic, and the offset from which
 	// ReadKeyed returns the records that follow.
 	ReadNewest(ctx context.Context, topic string) ([]KeyedRecord, int64, error)
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -74,6 +74,9 @@
 	Do(ctx context.Context, c *Call) (*Response, error)
 	// Events returns a reader of the events in a response body.
 	Events(body io.Reader) EventReader
+	// Gone reports whether the target has ended: nothing listens at its address. An address that does not respond, as behind
+	// a network partition, is not gone.
+	Gone(ctx context.Context, instance *fleet.Instance) bool
 }
 
 // Event is one event of a stream.
