quarantine, crashes: deaths of a common failure do not count

Cause: three deaths were taken for proof, although many targets that never ran these calls died at the same moments. Change: a death does not count if two or more targets that did not run the request died within 100 ms of it. Records carry the time of death. Ruled out: a higher number of deaths (the users allow three, and three late retries); a discount from the second target on, which would let independent crashes hide a request that crashes each target. Measured: TestCommonFailuresDoNotQuarantine fails without it (does not build).

--- a/crashes/register.go
+++ b/crashes/register.go
@@ -55,6 +55,7 @@
 
 // deathState is the state of a known death.
 type deathState struct {
+	at time.Time // by the clock of the VM that recorded it
 	// expires is until when the death counts.
 	expires time.Time
 	// own is set if this process recorded the death, appended if it has begun to append it to the topic.
@@ -118,7 +119,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.add(now, d, &deathState{expires: now.Add(quarantine.SuspectTTL), own: true}) {
+	if r.add(now, d, &deathState{at: now, expires: now.Add(quarantine.SuspectTTL), own: true}) {
 		r.save(d, put)
 		if len(r.deaths[fingerprint]) > 1 {
 			notify(r.urgent)
@@ -173,7 +174,7 @@
 	}
 	known[d] = state
 	if now.Before(state.expires) {
-		r.tracker.RecordDeath(now, wire.Death{Fingerprint: d.fingerprint, Target: d.target, Boot: d.boot})
+		r.tracker.RecordDeathAt(now, state.at, wire.Death{Fingerprint: d.fingerprint, Target: d.target, Boot: d.boot})
 		r.updateInUse()
 	}
 	return true
--- a/crashes/share.go
+++ b/crashes/share.go
@@ -38,6 +38,8 @@
 
 // deathRecord is the value of a death in the shared topic. Its key consists of fingerprint, target and boot.
 type deathRecord struct {
+	// AtMs and ExpiresMs are Unix times by the clock of the VM that recorded the death.
+	AtMs      int64 `json:"at_ms"`
 	ExpiresMs int64 `json:"expires_ms"`
 }
 
@@ -112,7 +114,7 @@
 		case rec.Value == nil:
 			r.forget(d)
 		default:
-			r.add(now, d, &deathState{expires: time.UnixMilli(value.ExpiresMs)})
+			r.add(now, d, &deathState{at: time.UnixMilli(value.AtMs), expires: time.UnixMilli(value.ExpiresMs)})
 		}
 	}
 }
@@ -173,7 +175,7 @@
 		rec := store.KeyedRecord{Key: d.key()}
 		if state := r.deaths[d.fingerprint][d]; c == put && state != nil {
 			state.appended = true
-			rec.Value, _ = json.Marshal(deathRecord{ExpiresMs: state.expires.UnixMilli()}) // an integer always encodes
+			rec.Value, _ = json.Marshal(deathRecord{AtMs: state.at.UnixMilli(), ExpiresMs: state.expires.UnixMilli()}) // integers always encode
 		}
 		records = append(records, rec)
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -30,6 +30,12 @@
 	deathsWithoutTrial = 3
 	// ReportWindow is the time that other nodes have to report what they ran on a target that died.
 	ReportWindow = 500 * time.Millisecond
+	// commonFailureTargets is the number of targets that die within commonFailureWindow from which on their deaths are put
+	// down to a common cause, as the failure of a rack, and not to a request that ran on one of them.
+	commonFailureTargets = 3
+	commonFailureWindow  = 100 * time.Millisecond
+	// maxDeathTimes limits the deaths whose times are kept.
+	maxDeathTimes = 1024
 )
 
 // targetRun identifies one run of a target process. An empty boot means that the run is unknown.
@@ -49,6 +55,14 @@
 	// attributed holds the deaths that quarantined requests caused; other requests that ran on those
 	// targets do not become suspects.
 	attributed []attributedDeath
+	// diedAt holds the times of deaths, the oldest first.
+	diedAt []timedDeath
+}
+
+// timedDeath is the time at which a target died.
+type timedDeath struct {
+	targetRun
+	at time.Time
 }
 
 // attributedDeath is a death whose cause is known.
@@ -136,8 +150,44 @@
 	StatusQuarantined
 )
 
+// RecordDeathAt is RecordDeath for a death at a known time. Decide compares it with the times of other deaths.
+func (t *Tracker) RecordDeathAt(now, at time.Time, d wire.Death) {
+	r := targetRun{d.Target, d.Boot}
+	if !slices.ContainsFunc(t.diedAt, func(x timedDeath) bool { return x.targetRun == r }) {
+		t.diedAt = append(t.diedAt, timedDeath{r, at})
+		t.diedAt = t.diedAt[max(0, len(t.diedAt)-maxDeathTimes):]
+	}
+	t.RecordDeath(now, d)
+}
+
+// countSeparateDeaths returns the number of deaths of s without those of a common failure of several targets.
+func (t *Tracker) countSeparateDeaths(s *suspect) int {
+	var own, others []timedDeath
+	for _, x := range t.diedAt {
+		if slices.ContainsFunc(s.deathsOn, x.matches) {
+			own = append(own, x)
+		} else {
+			others = append(others, x)
+		}
+	}
+	separate := len(s.deathsOn)
+	for _, x := range own {
+		coincident := 1
+		for _, y := range others {
+			if y.at.Sub(x.at).Abs() <= commonFailureWindow {
+				coincident++
+			}
+		}
+		if coincident >= commonFailureTargets {
+			separate--
+		}
+	}
+	return separate
+}
+
 // Decide decides on a request without a trial. It is quarantined after deathsWithoutTrial deaths, ReportWindow after the
 // last one, unless a single other suspect was there each time: then the next death shows which of them is the cause.
+// Deaths of a common failure do not count.
 func (t *Tracker) Decide(now time.Time, fingerprint string) (Status, wire.Quarantine) {
 	if q, ok := t.Quarantined(now, fingerprint); ok {
 		return StatusQuarantined, q
@@ -146,7 +196,7 @@
 	switch {
 	case s == nil || now.After(s.expires):
 		return StatusClear, wire.Quarantine{}
-	case len(s.deathsOn) < deathsWithoutTrial:
+	case len(s.deathsOn) < deathsWithoutTrial || t.countSeparateDeaths(s) < deathsWithoutTrial:
 		return StatusSuspect, wire.Quarantine{}
 	case now.Sub(s.lastDeath) < ReportWindow:
 		return StatusUndecided, wire.Quarantine{}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -139,3 +139,28 @@
 	tracker.ForgetDeath("x", "t2", "b")
 	is.True(tracker.Empty())
 }
+
+// All targets of a pool crash three times, and a request that is sent again after each crash meets all three.
+func TestCommonFailuresDoNotQuarantine(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * 2 * time.Second)
+		boot := string(rune('a' + i))
+		tracker.RecordDeathAt(at, at, death("innocent", "t0", boot, false))
+		for n, target := range []string{"t1", "t2", "t3"} {
+			tracker.RecordDeathAt(at, at.Add(time.Duration(n)*10*time.Millisecond), death("other-"+target+boot, target, boot, false))
+		}
+	}
+	later := start.Add(10 * time.Second)
+	status, _ := tracker.Decide(later, "innocent")
+	is.Equal(status, StatusSuspect)
+	// Two targets that die together are no common failure: a request may be on one, another one on the other.
+	for i, target := range []string{"x0", "x1", "x2"} {
+		at := later.Add(time.Duration(i) * time.Second)
+		tracker.RecordDeathAt(at, at, death("poison", target, "b", false))
+		tracker.RecordDeathAt(at, at, death("by chance "+target, "y"+target, "b", false))
+	}
+	status, _ = tracker.Decide(later.Add(10*time.Second), "poison")
+	is.Equal(status, StatusQuarantined)
+}
