batch: items and scoring calls that crash targets are not repeated without end

What callers saw: an item that crashes the engine that runs it was run again after 50 ms until its retention ended; a scoring call was repeated until its batch ended. Engines and services were down in turn. Cause: the runner and score count answers of 500 only. A crash is no answer. Class of fault: as for callers' requests, the count is bound to what one run returned. Change: a run that breaks off before its first event is reported to the register of crashes, an event clears the item. An item that is rejected is held until its retention ends. A suspect runs on an engine that takes no other items until its first event, and items of equal content one after the other. A refused scoring call pauses for a second at most, so that it ends with its batch.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -39,6 +39,7 @@
 		outcome = outcomeCanceled
 	}
 	j.moving = false
+	r.endIsolation(j, call.Instance)
 	r.engines.requestEnded(call.Instance)
 	j.instance, j.cancel = nil, nil
 	r.outcomes.Add(string(outcome), 1)
@@ -79,7 +80,16 @@
 	r.wake()
 }
 
-// stream sends the call and appends the events of the response to the job.
+// endIsolation lets other items run beside a suspect. The caller holds the lock.
+func (r *runner) endIsolation(j *job, in *fleet.Instance) {
+	if j.suspect {
+		j.suspect = false
+		r.engines.setIsolated(in, false)
+	}
+}
+
+// stream sends the call and appends the events of the response to the job. A run that breaks off before its first event may
+// have crashed the engine; an event shows that it has not.
 func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call) (runOutcome, error) {
 	var timedOut atomic.Bool
 	watchdog := time.AfterFunc(firstEventTimeout, func() {
@@ -87,10 +97,14 @@
 		cancel()
 	})
 	defer watchdog.Stop()
+	answered := false
 	interrupted := func(err error) (runOutcome, error) {
 		if !watchdog.Stop() && timedOut.Load() {
 			return outcomeStalled, err
 		}
+		if !answered && targets.Sent(err) && ctx.Err() == nil {
+			r.crashes.RunBroken(ctx, j.fingerprint, call.Instance)
+		}
 		return outcomeInterrupted, err
 	}
 	response, err := r.client.Do(ctx, call)
@@ -102,6 +116,9 @@
 	r.engines.observeLoad(time.Now(), call.Instance, response.Load)
 	r.engines.observeVersion(call.Instance, j.head.Model, response.Version)
 	r.mu.Unlock()
+	if response.Status >= http.StatusBadRequest && !response.NotExecuted {
+		r.crashes.Answered(j.fingerprint)
+	}
 	switch {
 	case response.NotExecuted:
 		return outcomeNotRun, nil
@@ -149,7 +166,14 @@
 		if ev.Version > 0 {
 			r.engines.observeVersion(call.Instance, j.head.Model, ev.Version)
 		}
+		if !answered {
+			r.endIsolation(j, call.Instance)
+		}
 		r.mu.Unlock()
+		if !answered {
+			answered = true
+			r.crashes.Answered(j.fingerprint)
+		}
 		lastEventAt = now
 	}
 }
--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -29,6 +29,9 @@
 	estimate time.Duration
 	// resubmittedGroup is set if an earlier submission had items of the group: the trainer waits for these in any case.
 	resubmittedGroup bool
+	// suspect is set if an engine crashed while it ran the item. Suspects run apart from each other, so that the next crash
+	// shows which of them is the cause.
+	suspect bool
 }
 
 // latestStart returns the time by which the item must start to meet its deadline.
@@ -83,7 +86,7 @@
 func (s *engines) candidates(now time.Time, pool string) *candidates {
 	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool)}
 	for _, e := range s.byKey {
-		if e.instance.Pool == pool && !e.instance.Draining && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
+		if e.instance.Pool == pool && !e.instance.Draining && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
 			c.free = append(c.free, e)
 		}
 	}
@@ -125,9 +128,9 @@
 	return float64(usable) / float64(others)
 }
 
-// removeIfFull removes an engine that has no free slots left after a request was sent to it.
-func (c *candidates) removeIfFull(e *engine) {
-	if e.freeSlots(c.now) <= 0 {
+// removeIfUnavailable removes an engine that takes no more requests after one was sent to it.
+func (c *candidates) removeIfUnavailable(e *engine) {
+	if e.isolated || e.freeSlots(c.now) <= 0 {
 		c.free = slices.DeleteFunc(c.free, func(x *engine) bool { return x == e })
 	}
 }
--- a/batch/engine_choice_test.go
+++ b/batch/engine_choice_test.go
@@ -64,12 +64,25 @@
 		}
 		sent[e.instance.Name]++
 		s.requestStarted(e.instance)
-		c.removeIfFull(e)
+		c.removeIfUnavailable(e)
 	}
 	is.Equal(sent, map[string]int{"e0": 1, "e1": 4})
 	is.Equal(len(s.candidates(testStart.Add(loadReportTTL), "p").free), 1) // the load report has expired
 }
 
+func TestEngineWithSuspectTakesNoOtherItems(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(2, 4, 3)
+	c := s.candidates(testStart, "p")
+	req := requirements{pool: "p", model: "m"}
+	s.setIsolated(in[0], true)
+	c.removeIfUnavailable(s.get(in[0]))
+	is.Equal(c.choose(req).instance.Name, "e1")
+	is.Equal(len(s.candidates(testStart, "p").free), 1)
+	s.setIsolated(in[0], false)
+	is.Equal(len(s.candidates(testStart, "p").free), 2)
+}
+
 func TestChooseSkipsBlockedFailedOldAndDrainingEngines(t *testing.T) {
 	is := is.New(t)
 	s, in := newTestEngines(3, 4, 3)
@@ -149,7 +162,7 @@
 			break
 		}
 		s.requestStarted(e.instance)
-		c.removeIfFull(e)
+		c.removeIfUnavailable(e)
 		placed++
 		if t.estimate > time.Second {
 			placedLong++
@@ -174,7 +187,7 @@
 		e := c.choose(requirements{pool: "p", model: "m", minVersion: 3})
 		sent[e.instance.Name]++
 		s.requestStarted(e.instance)
-		c.removeIfFull(e)
+		c.removeIfUnavailable(e)
 	}
 	is.True(sent["e2"]+sent["e3"] >= 6) // engines that the other model can't use are preferred
 	is.True(c.choose(requirements{pool: "p", model: "other", minVersion: 3}) != nil)
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -31,6 +31,8 @@
 	instance *fleet.Instance
 	versions map[string]int64
 	inflight int
+	// isolated is set while the engine runs a suspect that it has not sent an event of; it gets no other items.
+	isolated bool
 	// otherLoad is the number of other VMs' requests in the engine's last load report, received at otherLoadAt.
 	otherLoad   int
 	otherLoadAt time.Time
@@ -112,6 +114,13 @@
 	}
 }
 
+// setIsolated sets whether an engine runs a suspect.
+func (s *engines) setIsolated(in *fleet.Instance, isolated bool) {
+	if e := s.get(in); e != nil {
+		e.isolated = isolated
+	}
+}
+
 // observeLoad records the load that an engine reported; l may be nil.
 func (s *engines) observeLoad(now time.Time, in *fleet.Instance, l *targets.Load) {
 	if e := s.get(in); e != nil && l != nil {
--- a/batch/job.go
+++ b/batch/job.go
@@ -25,7 +25,9 @@
 	head       *Head
 	item       *Item
 	partition  *partition
-	state      jobState
+	// fingerprint identifies the content of the item's request.
+	fingerprint string
+	state       jobState
 	// events and versions are the received events and the weight version that generated each.
 	events   []string
 	versions []int64
@@ -37,6 +39,10 @@
 	cancel                     func()
 	resubmittedGroup           bool
 	startedAt                  time.Time
+	// suspect is set during a run of an item that was running when an engine crashed, until its first event.
+	suspect bool
+	// heldLogged is set once the log tells that the item is held back.
+	heldLogged bool
 	// moving is set when the run was canceled to continue on a faster engine.
 	moving bool
 	// textComplete is set if the text that was read from the log is complete and only needs its score.
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -14,6 +14,7 @@
 	now := time.Now()
 	byPool := map[string]*candidates{}
 	groupEngines := map[string]map[string]int{} // running items by group and engine
+	runningSuspects := map[string]bool{}        // by fingerprint
 	var tasks []*task
 	for _, jobs := range r.jobs {
 		var route *fleet.Route
@@ -35,6 +36,9 @@
 			}
 			if j.instance != nil {
 				countGroupEngine(groupEngines, j)
+				if j.suspect {
+					runningSuspects[j.fingerprint] = true
+				}
 				r.moveIfSlow(now, byPool[pool.Name], j, pool)
 			}
 			if j.state != jobWaiting || now.Before(j.notBefore) {
@@ -45,13 +49,26 @@
 				go r.finishItem(j)
 				continue
 			}
+			admission := r.crashes.Admit(j.fingerprint)
+			if admission.Rejected {
+				r.logHeld(j, admission.Reason)
+				continue
+			}
 			tasks = append(tasks, &task{
-				job: j, route: route, deadline: time.UnixMilli(j.head.AcceptedMs).Add(route.RunDeadline),
+				suspect: admission.Suspect, job: j, route: route, deadline: time.UnixMilli(j.head.AcceptedMs).Add(route.RunDeadline),
 				estimate: time.Duration(j.remainingEvents(tokensPerEvent(pool))) * interval, resubmittedGroup: j.resubmittedGroup,
 			})
 		}
 	}
-	r.placeTasks(ctx, now, tasks, byPool, groupEngines)
+	r.placeTasks(ctx, now, tasks, byPool, groupEngines, runningSuspects)
+}
+
+// logHeld logs once that an item is held back because engines crashed while they ran it.
+func (r *runner) logHeld(j *job, reason string) {
+	if !j.heldLogged {
+		j.heldLogged = true
+		r.log.Warn("item_held", "id", j.item.ID, "batch", j.head.ID, "content", j.fingerprint, "reason", reason)
+	}
 }
 
 func tokensPerEvent(p *fleet.Pool) int {
@@ -72,7 +89,7 @@
 }
 
 // placeTasks starts the tasks for which there is an engine, the most urgent first.
-func (r *runner) placeTasks(ctx context.Context, now time.Time, tasks []*task, byPool map[string]*candidates, groupEngines map[string]map[string]int) {
+func (r *runner) placeTasks(ctx context.Context, now time.Time, tasks []*task, byPool map[string]*candidates, groupEngines map[string]map[string]int, runningSuspects map[string]bool) {
 	freeEngines := 0
 	for _, c := range byPool {
 		freeEngines += len(c.free)
@@ -92,6 +109,9 @@
 	var unplaced *task
 	for _, t := range tasks {
 		j, c := t.job, byPool[t.route.Pool]
+		if t.suspect && runningSuspects[j.fingerprint] {
+			continue // items with equal content are tried one after the other
+		}
 		req := requirements{
 			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
 		}
@@ -107,9 +127,12 @@
 			}
 			continue
 		}
-		r.send(ctx, j, t.route, e)
+		r.send(ctx, t, e)
 		countGroupEngine(groupEngines, j)
-		c.removeIfFull(e)
+		if t.suspect {
+			runningSuspects[j.fingerprint] = true
+		}
+		c.removeIfUnavailable(e)
 	}
 	if unplaced != nil {
 		r.logShortage(now, unplaced, len(tasks))
@@ -150,8 +173,10 @@
 	}
 }
 
-// send starts a run of a job on an engine. The runner's lock is held.
-func (r *runner) send(ctx context.Context, j *job, route *fleet.Route, e *engine) {
+// send starts a run of an item on an engine. The runner's lock is held.
+func (r *runner) send(ctx context.Context, t *task, e *engine) {
+	j, route := t.job, t.route
+	j.suspect, e.isolated = t.suspect, t.suspect
 	j.dropTextIfNotAllowed(route.SingleVersion)
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 )
@@ -173,7 +175,10 @@
 		if sub.hasResult[it.ID] {
 			continue
 		}
-		j := &job{submission: sub, head: sub.head, item: it, partition: p, resubmittedGroup: resubmittedGroups[it.Group]}
+		j := &job{
+			submission: sub, head: sub.head, item: it, partition: p, resubmittedGroup: resubmittedGroups[it.Group],
+			fingerprint: crashes.Fingerprint(http.MethodPost, sub.head.Host, it.Path, nil, it.Body),
+		}
 		jobs[it.ID] = j
 		if result, ok := p.index.reusableResult(sub.head, it, singleVersion); ok {
 			j.state = jobResultQueued
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
@@ -29,6 +30,8 @@
 	loadGain = 0.3
 	// scoreTimeout is the budget of one scoring call.
 	scoreTimeout = 3 * time.Second
+	// maxScorePause is the longest pause before a refused scoring call is repeated, so that it ends soon after its batch.
+	maxScorePause = time.Second
 	// itemRetryDelay is the pause before an item is retried after a failed run.
 	itemRetryDelay = 50 * time.Millisecond
 	// pollInterval is how often a runner with open items schedules without a wakeup.
@@ -45,6 +48,7 @@
 	view      *fleet.View
 	client    targets.Client
 	forwarder Forwarder
+	crashes   *crashes.Register
 	log       *slog.Logger
 	az        string
 	// appendResult appends a result. text is empty if the result has none or refers to data that was already written.
@@ -138,7 +142,7 @@
 
 func newRunner(o Options) *runner {
 	return &runner{
-		view: o.View, client: o.Client, forwarder: o.Forwarder, log: o.Log, az: o.AvailabilityZone,
+		view: o.View, client: o.Client, forwarder: o.Forwarder, crashes: o.Crashes, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, owned: map[*partition]bool{}, engines: newEngines(),
 		unfinishedTexts: map[string]unfinishedText{}, waitingModels: map[string]bool{}, minVersions: map[string]int64{},
 		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration,
--- a/batch/score.go
+++ b/batch/score.go
@@ -63,6 +63,6 @@
 		if j.scorerErrors >= attempts {
 			return "", true
 		}
-		time.Sleep(max(itemRetryDelay, reply.RetryAfter))
+		time.Sleep(min(max(itemRetryDelay, reply.RetryAfter), maxScorePause))
 	}
 }
--- a/batch/service.go
+++ b/batch/service.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
@@ -40,6 +41,7 @@
 	View      *fleet.View
 	Client    targets.Client
 	Forwarder Forwarder
+	Crashes   *crashes.Register
 }
 
 // Service accepts, stores and runs batch submissions and returns their results.
--- a/entry/crashing_request_test.go
+++ b/entry/crashing_request_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"strings"
@@ -157,3 +158,22 @@
 	p, _ := d.readPage(d.vms[0], "b1", 0)
 	d.checkResults(p.Results, 4, "i1", "i2")
 }
+
+// The items of a group may have one prompt: each of them crashes the engine that runs it.
+func TestCrashingItemsWithEqualContentAreTriedOneByOne(t *testing.T) {
+	d := newDeployment(t, 6, 1, 2)
+	crashOnPoison(d.engines)
+	ids := []string{"x1-" + poison, "x2-" + poison, "x3-" + poison, "x4-" + poison}
+	doc := submission(0, 1, append(ids, "i1")...)
+	for _, id := range ids {
+		doc = strings.ReplaceAll(doc, "/notes/"+id, "/notes/same")
+		doc = strings.ReplaceAll(doc, base64.StdEncoding.EncodeToString([]byte("prompt of "+id)), base64.StdEncoding.EncodeToString([]byte(poison)))
+	}
+	d.is.Equal(strings.Count(doc, "/notes/same"), len(ids))
+	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b", "b1", doc).status, http.StatusAccepted)
+	start := time.Now()
+	time.Sleep(4 * time.Second)
+	d.checkPoisonContained(d.engines, start, 3)
+	p, _ := d.readPage(d.vms[0], "b1", 0)
+	d.checkResults(p.Results, 4, "i1")
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -86,7 +86,7 @@
 	p.Forwarder = forward.New(p.View, opts.Client, p.crashes, s.AvailabilityZone, opts.Log, opts.Metrics)
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
-		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: opts.Client, Forwarder: p.Forwarder,
+		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: opts.Client, Forwarder: p.Forwarder, Crashes: p.crashes,
 	})
 	p.tenures = newTenureManager(p)
 	return p
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -61,7 +61,7 @@
 	name            string // the first ID
 	address         string
 	server          *http.Server
-	closed          bool
+	down, closed    bool
 	crashes         int
 	store           *Store // where the target registers itself
 	executed        []ExecutedRequest
@@ -110,7 +110,11 @@
 
 // crash ends the target at once, with all its connections, and starts it again after DownTime. The caller holds the lock.
 func (t *Target) crash() {
+	if t.down {
+		return // another request has crashed it
+	}
 	_ = t.server.Close() // all that can fail is closing the listener again
+	t.down = true
 	t.crashes++
 	time.AfterFunc(t.DownTime, func() {
 		t.Lock()
@@ -118,6 +122,7 @@
 			t.Unlock()
 			return
 		}
+		t.down = false
 		previous := t.ID
 		t.ID = fmt.Sprintf("%s-%d", t.name, t.crashes)
 		t.listen(t.address)
