--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -252,7 +252,7 @@
 		}
 		if err != nil {
 			if targets.Sent(err) && attemptCtx.Err() == nil {
-				f.crashes.RunBroken(attemptCtx, d.fingerprint, in)
+				f.crashes.RunBroken(context.WithoutCancel(attemptCtx), d.fingerprint, in)
 			}
 			cancel()
 			answer = nil
