fake: a crashed stand-in answers on none of its connections

Cause: Crash reset the open connections one after the other and closed the listener last. A client that saw one connection end could still be answered on another one, or connect again, by an engine that had already begun anew: an engine that crashed on a poison request ran it again. A process that dies answers nothing after its first connection has ended. Change: Crash closes the listener first, requests on connections that it has not come to are aborted, and the engine ends its streams last.

--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -155,15 +155,18 @@
 	}
 	server, oldSequences := e.server, e.sequences
 	e.reset(version)
+	e.mu.Unlock()
+	if server != nil {
+		server.Crash()
+	}
+	// The handlers abort their connections, so the listener must be closed before.
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, s := range oldSequences {
 		if !s.done() {
 			s.end(now, finishCrash)
 		}
 	}
-	e.mu.Unlock()
-	if server != nil {
-		server.Crash()
-	}
 }
 
 // finishCrash is the finish reason of a sequence that a crash ended; its answer ends with the connection.
--- a/fake/faults/server.go
+++ b/fake/faults/server.go
@@ -29,6 +29,7 @@
 	address    string
 	mu         sync.Mutex
 	httpServer *http.Server
+	listener   net.Listener
 	openConns  map[net.Conn]bool
 	closed     bool
 }
@@ -48,11 +49,24 @@
 func (s *Server) Addr() string { return s.address }
 
 func (s *Server) serveListener(l net.Listener) {
-	hs := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.trackConn}
-	s.httpServer = hs
+	hs := &http.Server{ReadHeaderTimeout: readHeaderTimeout, ConnState: s.trackConn}
+	hs.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.serves(hs) {
+			Abort() // Crash has not come to this connection yet
+		}
+		s.handler.ServeHTTP(w, r)
+	})
+	s.httpServer, s.listener = hs, l
 	go hs.Serve(l) // returns after hs.Close
 }
 
+// serves reports whether hs has not crashed.
+func (s *Server) serves(hs *http.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.httpServer == hs
+}
+
 // trackConn maintains the set of open connections.
 func (s *Server) trackConn(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -64,11 +78,15 @@
 	s.openConns[c] = true
 }
 
-// Crash resets all connections and refuses new ones until Restart.
+// Crash resets all connections and refuses new ones until Restart. A peer that sees one of its connections end gets no
+// answer on another one and is refused if it connects again.
 func (s *Server) Crash() {
 	s.mu.Lock()
 	hs := s.httpServer
 	s.httpServer = nil
+	if hs != nil {
+		_ = s.listener.Close() // hs.Close would report the same error
+	}
 	open := make([]net.Conn, 0, len(s.openConns))
 	for c := range s.openConns {
 		open = append(open, c)
