dispatch: calls to plain services get a connection each

Cause: calls that may be repeated used kept connections. Answers of plain services bear no ID, so the second answer to one call was taken for the answer to the next one on the connection. Evidence: TestSecondAnswerOfTargetIsNotTakenForTheNextOne gets /log/0 for /log/1 before the change. Change: all calls to plain services use the sender that closes its connection after the answer. Ruled out: looking for unread bytes before a connection is used again (a second answer may come later). The platform's path matches answers by ID.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,11 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/ibistrail/ibistrail/admission"
@@ -146,13 +144,8 @@
 		placed.release()
 		return nil, attemptEnd{kind: endNotSent, err: err}
 	}
-	var a *ServiceAnswer
-	var sent bool
-	if r.call.Idempotent {
-		a, sent, err = r.d.roundTrip(req)
-	} else {
-		a, sent, err = (&singleUseSender{dial: dialWithTimeout(r.d.opts.Dial)}).send(ctx, placed.address, req, maxServiceAnswerBytes)
-	}
+	// On a kept connection, a second answer to the call before could not be told from the answer to this one.
+	a, sent, err := (&singleUseSender{dial: dialWithTimeout(r.d.opts.Dial)}).send(ctx, placed.address, req, maxServiceAnswerBytes)
 	r.maybeSent = r.maybeSent || sent
 	if err != nil {
 		return nil, r.failedEnd(ctx, placed, sent, err)
@@ -251,18 +244,6 @@
 	return req, nil
 }
 
-// roundTrip sends a request that may be repeated.
-func (d *Dispatcher) roundTrip(req *http.Request) (a *ServiceAnswer, sent bool, err error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := d.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil {
-		return nil, connected.Load(), err
-	}
-	a, err = readWholeBody(resp, maxServiceAnswerBytes)
-	return a, true, err
-}
-
 func (r *serviceRun) finalError(ctx context.Context, err *api.Error) *api.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && err.Code == api.CodeDeadline {
 		err = errDeadline()
--- a/dispatch/singleuse.go
+++ b/dispatch/singleuse.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// singleUseSender sends requests that must not be repeated. Each request gets a new connection, which is
+// singleUseSender sends requests to plain services, whose answers bear no ID. Each request gets a new connection, which is
 // closed after the response. http.Transport is not used, because it resends a request by itself when an
 // idle connection turns out to be broken.
 type singleUseSender struct {
--- a/gate/service_test.go
+++ b/gate/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,50 @@
 	is.Equal(requests.Load(), int64(3)) // three calls, three requests
 }
 
+// repeatingTarget starts a target that sends each answer, the path of its request, again before the answer to the next
+// request on the connection. It returns its address.
+func repeatingTarget(t *testing.T) string {
+	l := newListener(t)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, last := bufio.NewReader(c), ""
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(req.URL.Path), req.URL.Path)
+					_, _ = io.WriteString(c, last+answer)
+					last = answer
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestSecondAnswerOfTargetIsNotTakenForTheNextOne(t *testing.T) {
+	is := is.New(t)
+	address := repeatingTarget(t)
+	f := newFleet(t, fleetOptions{gates: 1, tables: func(tb *config.Tables) {
+		tb.Pools[1].Targets = []config.Target{{Name: "s", Address: address, AvailabilityZone: zone}}
+	}})
+	for i := range 4 {
+		path := fmt.Sprintf("/log/%d", i)
+		r := f.send(0, http.MethodGet, path, "")
+		body, err := io.ReadAll(r.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+}
+
 func TestNonIdempotentCallIsOneAttempt(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, fleetOptions{gates: 1, services: 3})
