batch: scoring calls end with their VM's process

Cause: score repeated its calls on a context of its own, so a call that is refused without end went on after the process had been told to end. Evidence: TestCrashingScoringCallIsNotResentForever, run 8 times in one process: panic, a log line written after the test had completed. Change: scoring takes the context of the run, which ends with the process; its pauses end with it too. Ruled out: a bound on the number of calls (an item must not be given up before its retention).

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -56,7 +56,7 @@
 	case outcomeComplete:
 		j.state = jobScoring
 		r.mu.Unlock()
-		r.finishItem(j)
+		r.finishItem(ctx, j)
 		r.wake()
 		return
 	case outcomeNotRun, outcomeOldVersion:
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -46,7 +46,7 @@
 			}
 			if j.textComplete {
 				j.textComplete, j.state = false, jobScoring
-				go r.finishItem(j)
+				go r.finishItem(ctx, j)
 				continue
 			}
 			admission := r.crashes.Admit(j.fingerprint)
--- a/batch/score.go
+++ b/batch/score.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/process"
 )
 
 // finishItem scores a complete text and appends the result.
-func (r *runner) finishItem(j *job) {
+func (r *runner) finishItem(ctx context.Context, j *job) {
 	score, failed := "", false
 	if s := j.item.Scorer; s != nil {
 		var ok bool
-		if score, ok = r.score(j, s); !ok {
+		if score, ok = r.score(ctx, j, s); !ok {
 			return
 		}
 		failed = score == ""
@@ -33,17 +33,17 @@
 }
 
 // score calls the scorer until it succeeds. The score is empty if the scorer failed as often as its route allows; ok is
-// false if the job was closed in the meantime.
-func (r *runner) score(j *job, s *Scorer) (score string, ok bool) {
-	for {
+// false if the job was closed or ctx ended in the meantime.
+func (r *runner) score(ctx context.Context, j *job, s *Scorer) (score string, ok bool) {
+	for ctx.Err() == nil {
 		r.mu.Lock()
 		open := j.state == jobScoring && r.jobs[j.head.ID][j.item.ID] == j
 		r.mu.Unlock()
 		if !open {
 			return "", false
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), scoreTimeout)
-		reply := r.forwarder.Serve(ctx, &forward.Request{
+		callCtx, cancel := context.WithTimeout(ctx, scoreTimeout)
+		reply := r.forwarder.Serve(callCtx, &forward.Request{
 			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreTimeout,
 		})
 		if reply.Body != nil {
@@ -63,6 +63,7 @@
 		if j.scorerErrors >= attempts {
 			return "", true
 		}
-		time.Sleep(min(max(itemRetryDelay, reply.RetryAfter), maxScorePause))
+		process.Sleep(ctx, min(max(itemRetryDelay, reply.RetryAfter), maxScorePause))
 	}
+	return "", false
 }
