quarantine, crashes: a frequent request beside crashing ones is not quarantined

Cause: three faults of one kind, a verdict from less than what the VMs know together. (1) Deaths that a request shares with several suspects were not explained, as only a single other one was compared; a VM that starts decided on the frequent request first. (2) An answer took back only the deaths of present suspects, so those that were explained, or became known later, stayed in the store for VMs that start later. (3) A VM without the store condemned it alone, and its deaths then held it at all VMs at once, so that no answer could clear it. Ruled out: a longer wait before the verdict (the request is held meanwhile); a higher number of deaths. Conclusion: two requests that crash targets together at each of their deaths still cost some more targets each.

--- a/crashes/register.go
+++ b/crashes/register.go
@@ -44,6 +44,8 @@
 	// tracker decides on requests by the deaths that have not expired.
 	tracker *quarantine.Tracker
 	deaths  map[string]map[death]*deathState // by fingerprint
+	// answers are this VM's. A death before an answer is taken back, also if it becomes known later.
+	answers recentAnswers
 	unsaved map[death]change
 	changed chan struct{}
 	// urgent ends the wait before the next append.
@@ -143,14 +145,13 @@
 	return strconv.FormatInt(instance.StartedMs, 10)
 }
 
-// Answered records that a target survived a run of a request, which clears a suspect.
+// Answered records that a target survived a run of a request, which clears a suspect. It also ends a quarantine: the request
+// was quarantined for deaths that it did not cause.
 func (r *Register) Answered(fingerprint string) {
-	if !r.inUse.Load() {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.tracker.ClearSuspect(fingerprint) {
+	r.answers.record(fingerprint, time.Now())
+	if len(r.deaths[fingerprint]) == 0 {
 		return
 	}
 	r.events.Add("cleared", 1)
@@ -159,6 +160,7 @@
 		r.save(d, remove)
 	}
 	delete(r.deaths, fingerprint)
+	r.tracker.Clear(fingerprint)
 	r.updateInUse()
 }
 
@@ -168,6 +170,10 @@
 	if known[d] != nil {
 		return false
 	}
+	if state.at.Before(r.answers.last(d.fingerprint)) {
+		r.save(d, remove)
+		return false
+	}
 	if known == nil {
 		known = map[death]*deathState{}
 		r.deaths[d.fingerprint] = known
@@ -175,23 +181,24 @@
 	known[d] = state
 	if now.Before(state.expires) {
 		r.tracker.RecordDeathAt(now, state.at, wire.Death{Fingerprint: d.fingerprint, Target: d.target, Boot: d.boot})
-		r.updateInUse()
 	}
+	r.updateInUse()
 	return true
 }
 
-// forget removes a death. The caller holds the lock.
+// forget removes a death; without deaths, a request is neither suspected nor quarantined. The caller holds the lock.
 func (r *Register) forget(d death) {
 	known := r.deaths[d.fingerprint]
 	delete(known, d)
+	r.tracker.ForgetDeath(d.fingerprint, d.target, d.boot)
 	if len(known) == 0 {
 		delete(r.deaths, d.fingerprint)
+		r.tracker.Clear(d.fingerprint)
 	}
-	r.tracker.ForgetDeath(d.fingerprint, d.target, d.boot)
 	r.updateInUse()
 }
 
-func (r *Register) updateInUse() { r.inUse.Store(!r.tracker.Empty()) }
+func (r *Register) updateInUse() { r.inUse.Store(len(r.deaths) > 0 || !r.tracker.Empty()) }
 
 // State returns the suspects and the quarantined requests, for the state dump.
 func (r *Register) State() quarantine.State {
--- a/crashes/register_test.go
+++ b/crashes/register_test.go
@@ -211,3 +211,39 @@
 	is.True(!r.Admit("fp").Suspect)
 	is.True(r.Admit("gp").Suspect)
 }
+
+// A VM that was out of touch may take a request for a crashing one that others serve.
+func TestAnswerAtOneVMEndsQuarantineAtAnother(t *testing.T) {
+	t.Parallel()
+	x := &topic{}
+	a, b := newRegister(t, x), newRegister(t, x)
+	breakRuns(t, a, "fp", 1, 2, 3)
+	eventually(t, "the first VM rejects it", rejects(a, "fp"))
+	eventually(t, "the other VM knows of it", func() bool { return b.Admit("fp").Rejected })
+	b.Answered("fp") // a run that had begun before
+	eventually(t, "both admit it", func() bool { return !a.Admit("fp").Rejected && !b.Admit("fp").Rejected })
+}
+
+func TestDeathBeforeAnAnswerDoesNotCountWhenItBecomesKnown(t *testing.T) {
+	t.Parallel()
+	is, x := is.New(t), &topic{}
+	a := newRegister(t, x)
+	before := time.Now()
+	a.Answered("fp") // it was never suspected here
+	value := []byte(fmt.Sprintf(`{"at_ms":%d,"expires_ms":%d}`, before.UnixMilli(), before.Add(time.Minute).UnixMilli()))
+	is.NoErr(x.AppendKeyed(t.Context(), "", []store.KeyedRecord{{Key: "fp|t|1", Value: value}}))
+	eventually(t, "it is taken back", func() bool { return x.count() == 2 })
+	is.Equal(a.Admit("fp"), Admission{})
+}
+
+func TestRecentAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	var a recentAnswers
+	at := time.Now()
+	for i := range 3 * answersPerGeneration {
+		a.record(fmt.Sprint(i), at)
+		is.Equal(a.last(fmt.Sprint(i)), at)
+	}
+	is.True(len(a.current)+len(a.previous) <= 2*answersPerGeneration)
+	is.True(a.last("0").IsZero())
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -186,7 +186,7 @@
 }
 
 // Decide decides on a request without a trial. It is quarantined after deathsWithoutTrial deaths, ReportWindow after the
-// last one, unless a single other suspect was there each time: then the next death shows which of them is the cause.
+// last one, unless other suspects with as many were there each time: then the next death shows which of them is the cause.
 // Deaths of a common failure do not count.
 func (t *Tracker) Decide(now time.Time, fingerprint string) (Status, wire.Quarantine) {
 	if q, ok := t.Quarantined(now, fingerprint); ok {
@@ -198,25 +198,32 @@
 		return StatusClear, wire.Quarantine{}
 	case len(s.deathsOn) < deathsWithoutTrial || t.countSeparateDeaths(s) < deathsWithoutTrial:
 		return StatusSuspect, wire.Quarantine{}
-	case now.Sub(s.lastDeath) < ReportWindow:
-		return StatusUndecided, wire.Quarantine{}
 	case t.isExplained(now, fingerprint, s):
 		return StatusSuspect, wire.Quarantine{}
+	case now.Sub(s.lastDeath) < ReportWindow:
+		return StatusUndecided, wire.Quarantine{}
 	}
 	q := wire.Quarantine{Fingerprint: fingerprint, Until: now.Add(TTL), Deaths: len(s.deathsOn)}
 	t.quarantine(now, q)
 	return StatusQuarantined, q
 }
 
-// isExplained reports whether one other suspect was running at each death of s.
+// isExplained reports whether at each death of s another suspect was running that has enough deaths itself. Then s may
+// have run beside the causes, and the next death shows whether it did.
 func (t *Tracker) isExplained(now time.Time, fingerprint string, s *suspect) bool {
+	var others []targetRun
 	for fp, other := range t.suspects {
-		if fp != fingerprint && !now.After(other.expires) &&
-			!slices.ContainsFunc(s.deathsOn, func(r targetRun) bool { return !slices.ContainsFunc(other.deathsOn, r.matches) }) {
-			return true
+		if fp != fingerprint && !now.After(other.expires) && len(other.deathsOn) >= deathsWithoutTrial {
+			others = append(others, other.deathsOn...)
 		}
 	}
-	return false
+	return !slices.ContainsFunc(s.deathsOn, func(r targetRun) bool { return !slices.ContainsFunc(others, r.matches) })
+}
+
+// Clear removes a request from the suspects and from quarantine.
+func (t *Tracker) Clear(fingerprint string) {
+	delete(t.suspects, fingerprint)
+	delete(t.quarantined, fingerprint)
 }
 
 // ForgetDeath removes a death from the suspicions against a request.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -164,3 +164,25 @@
 	status, _ = tracker.Decide(later.Add(10*time.Second), "poison")
 	is.Equal(status, StatusQuarantined)
 }
+
+// A request with an equal body each time is nearly always running, and so meets the crashes of two others.
+func TestFrequentRequestBesideTwoCrashingOnesIsNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for fp, targets := range map[string][]string{
+		"poison 1": {"t0", "t1", "t2"}, "poison 2": {"t3", "t4", "t5"}, "frequent": {"t1", "t4", "t5"},
+	} {
+		for _, target := range targets {
+			tracker.RecordDeath(start, death(fp, target, "b", false))
+		}
+	}
+	later := start.Add(ReportWindow)
+	status, _ := tracker.Decide(later, "frequent") // it arrives first
+	is.Equal(status, StatusSuspect)
+	for _, fp := range []string{"poison 1", "poison 2"} {
+		status, _ := tracker.Decide(later, fp)
+		is.Equal(status, StatusQuarantined)
+	}
+	status, _ = tracker.Decide(later, "frequent")
+	is.Equal(status, StatusClear)
+}
