--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -103,6 +103,12 @@
 
 // startVM starts a VM and waits until it is ready.
 func (d *deployment) startVM(name string) *vm {
+	d.t.Helper()
+	return d.startVMWithin(name, 3*time.Second)
+}
+
+// startVMWithin starts a VM and waits for the given time until it is ready.
+func (d *deployment) startVMWithin(name string, within time.Duration) *vm {
 	d.t.Helper()
 	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), stop: make(chan struct{}), done: make(chan error, 1)}
 	targets := platform.NewTargetClient()
@@ -122,7 +128,7 @@
 	go func() { v.done <- v.process.Run(v.stop) }()
 	d.vms = append(d.vms, v)
 	d.t.Cleanup(func() { d.kill(v) })
-	d.eventually(3*time.Second, name+" is ready", v.process.Ready)
+	d.eventually(within, name+" is ready", v.process.Ready)
 	return v
 }
 
--- a/fake/errata/store.go
+++ b/fake/errata/store.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -122,6 +123,7 @@
 	down, silent := s.Down, s.Hang
 	s.Unlock()
 	if silent {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a disconnect only once the body has been read
 		<-r.Context().Done()
 		return true
 	}
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -132,6 +132,9 @@
 	})
 }
 
+// Crash crashes the target as a request does that CrashOn names.
+func (t *Target) Crash() { t.Set((*Target).crash) }
+
 // Crashes returns how often the target has crashed.
 func (t *Target) Crashes() int {
 	t.Lock()
@@ -271,7 +274,7 @@
 	switch {
 	case crashes:
 		time.Sleep(duration)
-		t.Set((*Target).crash)
+		t.Crash()
 		abort()
 	case fail:
 		w.Header().Set("Server-Stamp", "failed."+id)
