--- a/crashes/register.go
+++ b/crashes/register.go
@@ -38,7 +38,7 @@
 	opts   Options
 	events *expvar.Map
 
-	// inUse is false as long as no request is suspected or quarantined, so that most requests take no lock.
+	// inUse is false as long as no request is suspected or quarantined, so that Admit takes no lock.
 	inUse atomic.Bool
 	mu    sync.Mutex
 	// tracker decides on requests by the deaths that have not expired.
--- a/crashes/register_test.go
+++ b/crashes/register_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -247,3 +248,15 @@
 	is.True(len(a.current)+len(a.previous) <= 2*answersPerGeneration)
 	is.True(a.last("0").IsZero())
 }
+
+func TestDeathWithTooLongKeyIsKeptButNotShared(t *testing.T) {
+	t.Parallel()
+	is, x := is.New(t), &topic{}
+	a := newRegister(t, x)
+	a.RunBroken(t.Context(), "fp", &fleet.Instance{Target: config.Target{Name: strings.Repeat("t", maxKeyBytes)}})
+	breakRuns(t, a, "fp", 1)
+	eventually(t, "the other death is shared", func() bool { return x.count() == 1 })
+	breakRuns(t, a, "fp", 2)
+	eventually(t, "all three count here", rejects(a, "fp"))
+	is.Equal(x.count(), 2)
+}
--- a/crashes/share.go
+++ b/crashes/share.go
@@ -26,6 +26,8 @@
 	orphanGrace = time.Minute
 	// maxUnsaved limits the changes that wait for the store.
 	maxUnsaved = 4096
+	// maxKeyBytes is the longest key of a topic. A longer one would fail each append.
+	maxKeyBytes = 255
 )
 
 // change is a change of the shared topic that has not been appended yet.
@@ -125,7 +127,7 @@
 		delete(r.unsaved, d) // no other VM has seen it
 		return
 	}
-	if len(r.unsaved) >= maxUnsaved {
+	if len(r.unsaved) >= maxUnsaved || len(d.key()) > maxKeyBytes {
 		r.events.Add("unshared", 1)
 		return
 	}
