--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -166,12 +166,13 @@
 	header []string
 	rows   func(*entry.State) [][]string
 }{
-	"routes":   {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
-	"pools":    {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
-	"targets":  {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "RUNNING", "EJECTED", "VERSIONS"}, targetRows},
-	"versions": {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
-	"batches":  {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
-	"tenures":  {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
+	"quarantine": {[]string{"CONTENT", "STATUS", "DEATHS", "UNTIL"}, quarantineRows},
+	"routes":     {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
+	"pools":      {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
+	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "RUNNING", "EJECTED", "VERSIONS"}, targetRows},
+	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
+	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
+	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
 }
 
 func (a *app) vmGetCommand(vms *[]string) *cobra.Command {
@@ -203,6 +204,17 @@
 	}
 }
 
+func quarantineRows(s *entry.State) [][]string {
+	var rows [][]string
+	for _, q := range s.Quarantine.Quarantined {
+		rows = append(rows, []string{q.Fingerprint, "quarantined", strconv.Itoa(q.Deaths), q.Until.UTC().Format(time.RFC3339)})
+	}
+	for _, fp := range s.Quarantine.Suspects {
+		rows = append(rows, []string{fp, "suspect", "-", "-"})
+	}
+	return rows
+}
+
 func routeRows(s *entry.State) [][]string {
 	var rows [][]string
 	if s.Tables == nil {
--- a/ctl/vm_test.go
+++ b/ctl/vm_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -14,7 +15,9 @@
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/tenure"
+	"github.com/ibistrail/ibistrail/wire"
 )
 
 // serveVMState serves the state of an entry VM at its metrics address, as ibisentry does.
@@ -30,6 +33,7 @@
 			{Target: config.Target{Name: "m2", Address: "10.0.0.2:8000", AvailabilityZone: "dixie-east-b", Draining: true}, Pool: "models", Versions: map[string]int64{"draft": 6}},
 		},
 		NamedVersions: map[string]int64{"draft": 7},
+		Quarantine:    quarantine.State{Suspects: []string{"fp-a"}, Quarantined: []wire.Quarantine{{Fingerprint: "fp-b", Deaths: 3, Until: time.Unix(1_800_000_000, 0)}}},
 		Tenures:       map[int]tenure.State{3: {Held: true, Token: 41, Holder: name}},
 		Batches: batch.State{
 			Partitions: map[int]batch.PartitionState{3: {Owned: true, Batches: []batch.BatchState{{ID: "b1", Step: 4, Total: 64, Listed: 60}}}},
@@ -45,12 +49,13 @@
 func TestVMGetShowsEachPartOfState(t *testing.T) {
 	address := serveVMState(t, "vm-1", 17)
 	for what, want := range map[string][]string{
-		"routes":   {"desk", "magnolia.example", "/desk", "single, once"},
-		"pools":    {"models", "engines", "8"},
-		"targets":  {"m1", "10.0.0.1:8000", "draft=7", "true"},
-		"versions": {"draft", "7:1 6:1"},
-		"batches":  {"b1", "64", "60"},
-		"tenures":  {"vm-1", "41"},
+		"routes":     {"desk", "magnolia.example", "/desk", "single, once"},
+		"pools":      {"models", "engines", "8"},
+		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true"},
+		"versions":   {"draft", "7:1 6:1"},
+		"batches":    {"b1", "64", "60"},
+		"tenures":    {"vm-1", "41"},
+		"quarantine": {"fp-a", "suspect", "fp-b", "quarantined", "2027-01-15T08:00:00Z"},
 	} {
 		t.Run(what, func(t *testing.T) {
 			is := is.New(t)
