batch: an item whose run is canceled at its end is still scored

What callers would see: an item that was complete when it was moved to another engine was never listed; its group was lost. A run that is moved or closed just after its last event has a canceled context, so that scoring gave up at once and nothing started it again. TestCompleteItemIsScoredIfItsRunIsCanceledAtTheEnd fails with the context of the run. Change: scoring takes the context of the process, the stream that of the run.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -27,15 +27,16 @@
 	outcomeCanceled    runOutcome = "ended by the submission"
 )
 
-// attempt runs an item once and sets the state of its job according to the outcome.
-func (r *runner) attempt(ctx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *targets.Call) {
+// attempt runs an item once and sets the state of its job according to the outcome. runCtx ends with the run; scoring goes
+// on until ctx ends, as a run may be canceled just after its last event.
+func (r *runner) attempt(ctx, runCtx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *targets.Call) {
 	defer cancel()
-	outcome, err := r.stream(ctx, cancel, j, call)
+	outcome, err := r.stream(runCtx, cancel, j, call)
 	r.mu.Lock()
 	now := time.Now()
 	if outcome == outcomeInterrupted && j.moving {
 		outcome = outcomeMoved
-	} else if outcome == outcomeInterrupted && ctx.Err() != nil {
+	} else if outcome == outcomeInterrupted && runCtx.Err() != nil {
 		outcome = outcomeCanceled
 	}
 	j.moving = false
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -189,5 +189,5 @@
 		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
 		RequestID: j.item.ID, Priority: targets.NoPriority, ResumeAfter: int64(len(j.events)),
 	}
-	go r.attempt(runCtx, cancel, j, route, call)
+	go r.attempt(ctx, runCtx, cancel, j, route, call)
 }
