crashes: deaths are wire.Death; RunBroken probes apart from its run

Found on rereading: crashes had a type of its own for what wire.Death is, with the key that rumor builds from one, and converted between the two. Each caller of RunBroken detached its context, or made one up. Change: wire.Death.Key serves rumor and crashes; ForgetDeath takes a death as RecordDeath does; RunBroken takes no context. No behaviour changes: keys in the store are letter for letter the same. Measured: go test ./crashes ./quarantine ./rumor ./batch ./steward ./entry passes; assertions are as they were.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -104,7 +104,7 @@
 			return outcomeStalled, err
 		}
 		if !answered && targets.Sent(err) && ctx.Err() == nil {
-			r.crashes.RunBroken(context.WithoutCancel(ctx), j.fingerprint, call.Instance)
+			r.crashes.RunBroken(j.fingerprint, call.Instance)
 		}
 		return outcomeInterrupted, err
 	}
--- a/crashes/register.go
+++ b/crashes/register.go
@@ -43,18 +43,15 @@
 	mu    sync.Mutex
 	// tracker decides on requests by the deaths that have not expired.
 	tracker *quarantine.Tracker
-	deaths  map[string]map[death]*deathState // by fingerprint
+	deaths  map[string]map[wire.Death]*deathState // by fingerprint
 	// answers are this VM's. A death before an answer is taken back, also if it becomes known later.
 	answers recentAnswers
-	unsaved map[death]change
+	unsaved map[wire.Death]change
 	changed chan struct{}
 	// urgent ends the wait before the next append.
 	urgent chan struct{}
 }
 
-// death is the death of a target while it ran a request.
-type death struct{ fingerprint, target, boot string }
-
 // deathState is the state of a known death.
 type deathState struct {
 	at time.Time // by the clock of the VM that recorded it
@@ -68,7 +65,7 @@
 func New(o Options) *Register {
 	return &Register{
 		opts: o, events: o.Metrics.SubMap("crashes"), tracker: quarantine.NewTracker(),
-		deaths: map[string]map[death]*deathState{}, unsaved: map[death]change{}, changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		deaths: map[string]map[wire.Death]*deathState{}, unsaved: map[wire.Death]change{}, changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -110,12 +107,13 @@
 	return Admission{}
 }
 
-// RunBroken records that a run of a request ended without an answer. If the target has ended, the request becomes a suspect.
-func (r *Register) RunBroken(ctx context.Context, fingerprint string, instance *fleet.Instance) {
-	if !r.opts.Targets.Gone(ctx, instance) {
+// RunBroken records that a run of a request ended without an answer. If the target has ended, the request becomes a suspect,
+// also if its caller leaves meanwhile.
+func (r *Register) RunBroken(fingerprint string, instance *fleet.Instance) {
+	if !r.opts.Targets.Gone(context.Background(), instance) {
 		return
 	}
-	d := death{fingerprint, instance.Name, bootOf(instance)}
+	d := wire.Death{Fingerprint: fingerprint, Target: instance.Name, Boot: bootOf(instance)}
 	r.events.Add("deaths", 1)
 	r.opts.Log.Warn("target_died", "target", instance.Name, "pool", instance.Pool, "content", fingerprint)
 	now := time.Now()
@@ -165,35 +163,35 @@
 }
 
 // add records a death and reports whether it is new. The caller holds the lock.
-func (r *Register) add(now time.Time, d death, state *deathState) bool {
-	known := r.deaths[d.fingerprint]
+func (r *Register) add(now time.Time, d wire.Death, state *deathState) bool {
+	known := r.deaths[d.Fingerprint]
 	if known[d] != nil {
 		return false
 	}
-	if state.at.Before(r.answers.last(d.fingerprint)) {
+	if state.at.Before(r.answers.last(d.Fingerprint)) {
 		r.save(d, remove)
 		return false
 	}
 	if known == nil {
-		known = map[death]*deathState{}
-		r.deaths[d.fingerprint] = known
+		known = map[wire.Death]*deathState{}
+		r.deaths[d.Fingerprint] = known
 	}
 	known[d] = state
 	if now.Before(state.expires) {
-		r.tracker.RecordDeathAt(now, state.at, wire.Death{Fingerprint: d.fingerprint, Target: d.target, Boot: d.boot})
+		r.tracker.RecordDeathAt(now, state.at, d)
 	}
 	r.updateInUse()
 	return true
 }
 
 // forget removes a death; without deaths, a request is neither suspected nor quarantined. The caller holds the lock.
-func (r *Register) forget(d death) {
-	known := r.deaths[d.fingerprint]
+func (r *Register) forget(d wire.Death) {
+	known := r.deaths[d.Fingerprint]
 	delete(known, d)
-	r.tracker.ForgetDeath(d.fingerprint, d.target, d.boot)
+	r.tracker.ForgetDeath(d)
 	if len(known) == 0 {
-		delete(r.deaths, d.fingerprint)
-		r.tracker.Clear(d.fingerprint)
+		delete(r.deaths, d.Fingerprint)
+		r.tracker.Clear(d.Fingerprint)
 	}
 	r.updateInUse()
 }
--- a/crashes/register_test.go
+++ b/crashes/register_test.go
@@ -104,9 +104,9 @@
 	return r
 }
 
-func breakRuns(t *testing.T, r *Register, fingerprint string, targets ...int) {
+func breakRuns(r *Register, fingerprint string, targets ...int) {
 	for _, i := range targets {
-		r.RunBroken(t.Context(), fingerprint, instance(i))
+		r.RunBroken(fingerprint, instance(i))
 	}
 }
 
@@ -127,9 +127,9 @@
 	t.Parallel()
 	is, x := is.New(t), &topic{}
 	a, b := newRegister(t, x), newRegister(t, x)
-	breakRuns(t, a, "fp", 1, 2)
+	breakRuns(a, "fp", 1, 2)
 	is.True(!a.Admit("fp").Rejected)
-	breakRuns(t, b, "fp", 3)
+	breakRuns(b, "fp", 3)
 	eventually(t, "both reject it", func() bool { return rejects(a, "fp")() && rejects(b, "fp")() })
 	is.True(!a.Admit("other").Rejected)
 	replaced := newRegister(t, x)
@@ -140,7 +140,7 @@
 	t.Parallel()
 	is := is.New(t)
 	r := New(Options{Store: &topic{}, Targets: allAlive{}, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()})
-	breakRuns(t, r, "fp", 1, 2, 3)
+	breakRuns(r, "fp", 1, 2, 3)
 	is.Equal(r.Admit("fp"), Admission{})
 }
 
@@ -148,11 +148,11 @@
 	t.Parallel()
 	is, x := is.New(t), &topic{}
 	a, b := newRegister(t, x), newRegister(t, x)
-	breakRuns(t, a, "fp", 1, 2)
+	breakRuns(a, "fp", 1, 2)
 	eventually(t, "the other VM suspects it", func() bool { return b.Admit("fp").Suspect })
 	b.Answered("fp")
 	eventually(t, "the first VM has cleared it", func() bool { return !a.Admit("fp").Suspect })
-	breakRuns(t, a, "fp", 3)
+	breakRuns(a, "fp", 3)
 	time.Sleep(quarantine.ReportWindow)
 	is.True(!a.Admit("fp").Rejected) // the deaths before do not count
 }
@@ -161,7 +161,7 @@
 	t.Parallel()
 	is, x := is.New(t), &topic{}
 	a := newRegister(t, x)
-	breakRuns(t, a, "fp", 1)
+	breakRuns(a, "fp", 1)
 	a.Answered("fp")
 	time.Sleep(2 * saveDelay)
 	is.Equal(x.count(), 0)
@@ -172,7 +172,7 @@
 	t.Parallel()
 	x := &topic{down: true}
 	a, b := newRegister(t, x), newRegister(t, x)
-	breakRuns(t, a, "fp", 1, 2, 3)
+	breakRuns(a, "fp", 1, 2, 3)
 	eventually(t, "the VM that saw them rejects it", rejects(a, "fp"))
 	x.setDown(false)
 	eventually(t, "the other VM rejects it", rejects(b, "fp"))
@@ -182,7 +182,7 @@
 	t.Parallel()
 	is, x := is.New(t), &topic{}
 	a := newRegister(t, x)
-	breakRuns(t, a, "fp", 1, 2)
+	breakRuns(a, "fp", 1, 2)
 	eventually(t, "the deaths are shared", func() bool { return x.count() == 2 })
 	other := New(Options{Store: x, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()})
 	records, _, err := x.ReadNewest(t.Context(), "")
@@ -218,7 +218,7 @@
 	t.Parallel()
 	x := &topic{}
 	a, b := newRegister(t, x), newRegister(t, x)
-	breakRuns(t, a, "fp", 1, 2, 3)
+	breakRuns(a, "fp", 1, 2, 3)
 	eventually(t, "the first VM rejects it", rejects(a, "fp"))
 	eventually(t, "the other VM knows of it", func() bool { return b.Admit("fp").Rejected })
 	b.Answered("fp") // a run that had begun before
@@ -253,10 +253,10 @@
 	t.Parallel()
 	is, x := is.New(t), &topic{}
 	a := newRegister(t, x)
-	a.RunBroken(t.Context(), "fp", &fleet.Instance{Target: config.Target{Name: strings.Repeat("t", maxKeyBytes)}})
-	breakRuns(t, a, "fp", 1)
+	a.RunBroken("fp", &fleet.Instance{Target: config.Target{Name: strings.Repeat("t", maxKeyBytes)}})
+	breakRuns(a, "fp", 1)
 	eventually(t, "the other death is shared", func() bool { return x.count() == 1 })
-	breakRuns(t, a, "fp", 2)
+	breakRuns(a, "fp", 2)
 	eventually(t, "all three count here", rejects(a, "fp"))
 	is.Equal(x.count(), 2)
 }
--- a/crashes/share.go
+++ b/crashes/share.go
@@ -9,6 +9,7 @@
 
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
+	"github.com/ibistrail/ibistrail/wire"
 )
 
 // Timing and limits of sharing deaths through the store.
@@ -18,11 +19,11 @@
 	// saveRetryDelay is the pause after a failed append.
 	saveRetryDelay = 250 * time.Millisecond
 	// readWait is how long one read waits for other VMs' deaths. The store may fail to end a wait, so that this is also how
-	// late a VM may know of the third death of a request.
+	// late a VM may know of the third wire.Death of a request.
 	readWait = 1500 * time.Millisecond
-	// sweepInterval is the time between removals of expired deaths.
+	// sweepInterval is the time between removals of expired wire.Deaths.
 	sweepInterval = time.Minute
-	// orphanGrace is the time after which other VMs remove an expired death: the VM that recorded it has been replaced.
+	// orphanGrace is the time after which other VMs remove an expired wire.Death: the VM that recorded it has been replaced.
 	orphanGrace = time.Minute
 	// maxUnsaved limits the changes that wait for the store.
 	maxUnsaved = 4096
@@ -38,23 +39,21 @@
 	remove
 )
 
-// deathRecord is the value of a death in the shared topic. Its key consists of fingerprint, target and boot.
+// deathRecord is the value of a death in the shared topic, under the death's key.
 type deathRecord struct {
 	// AtMs and ExpiresMs are Unix times by the clock of the VM that recorded the death.
 	AtMs      int64 `json:"at_ms"`
 	ExpiresMs int64 `json:"expires_ms"`
 }
 
-func (d death) key() string { return d.fingerprint + "|" + d.target + "|" + d.boot }
-
 // decodeKey returns the death that a key names. Target IDs may contain the separator.
-func decodeKey(key string) (death, error) {
+func decodeKey(key string) (wire.Death, error) {
 	fingerprint, rest, ok := strings.Cut(key, "|")
 	last := strings.LastIndex(rest, "|")
 	if !ok || last < 0 || fingerprint == "" {
-		return death{}, fmt.Errorf("key %.60q has no fingerprint, target and boot", key)
+		return wire.Death{}, fmt.Errorf("key %.60q has no fingerprint, target and boot", key)
 	}
-	return death{fingerprint, rest[:last], rest[last+1:]}, nil
+	return wire.Death{Fingerprint: fingerprint, Target: rest[:last], Boot: rest[last+1:]}, nil
 }
 
 // Run shares deaths with the other VMs until ctx ends.
@@ -90,7 +89,7 @@
 	}
 	for _, known := range r.deaths {
 		for d, state := range known {
-			if !state.own && !listed[d.key()] {
+			if !state.own && !listed[d.Key()] {
 				r.forget(d)
 			}
 		}
@@ -122,12 +121,12 @@
 }
 
 // save queues a change for the store. The caller holds the lock.
-func (r *Register) save(d death, c change) {
-	if state := r.deaths[d.fingerprint][d]; c == remove && state != nil && state.own && !state.appended {
+func (r *Register) save(d wire.Death, c change) {
+	if state := r.deaths[d.Fingerprint][d]; c == remove && state != nil && state.own && !state.appended {
 		delete(r.unsaved, d) // no other VM has seen it
 		return
 	}
-	if len(r.unsaved) >= maxUnsaved || len(d.key()) > maxKeyBytes {
+	if len(r.unsaved) >= maxUnsaved || len(d.Key()) > maxKeyBytes {
 		r.events.Add("unshared", 1)
 		return
 	}
@@ -135,7 +134,7 @@
 	notify(r.changed)
 }
 
-// saveLoop appends queued changes and removes expired deaths until ctx ends.
+// saveLoop appends queued changes and removes expired wire.Deaths until ctx ends.
 func (r *Register) saveLoop(ctx context.Context) {
 	var outage process.Outage
 	sweep := time.NewTicker(sweepInterval)
@@ -171,11 +170,11 @@
 func (r *Register) appendUnsaved(ctx context.Context) error {
 	r.mu.Lock()
 	changes := r.unsaved
-	r.unsaved = map[death]change{}
+	r.unsaved = map[wire.Death]change{}
 	records := make([]store.KeyedRecord, 0, len(changes))
 	for d, c := range changes {
-		rec := store.KeyedRecord{Key: d.key()}
-		if state := r.deaths[d.fingerprint][d]; c == put && state != nil {
+		rec := store.KeyedRecord{Key: d.Key()}
+		if state := r.deaths[d.Fingerprint][d]; c == put && state != nil {
 			state.appended = true
 			rec.Value, _ = json.Marshal(deathRecord{AtMs: state.at.UnixMilli(), ExpiresMs: state.expires.UnixMilli()}) // integers always encode
 		}
@@ -199,7 +198,7 @@
 	return err
 }
 
-// sweep removes expired deaths, those of other VMs only after orphanGrace.
+// sweep removes expired wire.Deaths, those of other VMs only after orphanGrace.
 func (r *Register) sweep(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -252,7 +252,7 @@
 		}
 		if err != nil {
 			if targets.Sent(err) && attemptCtx.Err() == nil {
-				f.crashes.RunBroken(context.WithoutCancel(attemptCtx), d.fingerprint, in)
+				f.crashes.RunBroken(d.fingerprint, in)
 			}
 			cancel()
 			answer = nil
@@ -339,7 +339,7 @@
 		b.d.f.crashes.Answered(b.d.fingerprint)
 	case err != nil && !errors.Is(err, context.Canceled):
 		b.reported = true
-		b.d.f.crashes.RunBroken(context.Background(), b.d.fingerprint, b.instance)
+		b.d.f.crashes.RunBroken(b.d.fingerprint, b.instance)
 	}
 	return n, err
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -226,15 +226,15 @@
 	delete(t.quarantined, fingerprint)
 }
 
-// ForgetDeath removes a death from the suspicions against a request.
-func (t *Tracker) ForgetDeath(fingerprint, target, boot string) {
-	s := t.suspects[fingerprint]
+// ForgetDeath removes a death from the suspicions against its request.
+func (t *Tracker) ForgetDeath(d wire.Death) {
+	s := t.suspects[d.Fingerprint]
 	if s == nil {
 		return
 	}
-	s.deathsOn = slices.DeleteFunc(s.deathsOn, func(r targetRun) bool { return r == targetRun{target, boot} })
+	s.deathsOn = slices.DeleteFunc(s.deathsOn, func(r targetRun) bool { return r == targetRun{d.Target, d.Boot} })
 	if len(s.deathsOn) == 0 {
-		delete(t.suspects, fingerprint)
+		delete(t.suspects, d.Fingerprint)
 	}
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -132,11 +132,11 @@
 	for _, target := range []string{"t0", "t1", "t2"} {
 		tracker.RecordDeath(start, death("x", target, "b", false))
 	}
-	tracker.ForgetDeath("x", "t1", "b")
+	tracker.ForgetDeath(death("x", "t1", "b", false))
 	j, _ := tracker.Decide(start.Add(time.Second), "x")
 	is.Equal(j, StatusSuspect)
-	tracker.ForgetDeath("x", "t0", "b")
-	tracker.ForgetDeath("x", "t2", "b")
+	tracker.ForgetDeath(death("x", "t0", "b", false))
+	tracker.ForgetDeath(death("x", "t2", "b", false))
 	is.True(tracker.Empty())
 }
 
--- a/rumor/suspects.go
+++ b/rumor/suspects.go
@@ -22,7 +22,7 @@
 func NewDeath(now time.Time, d wire.Death) wire.Rumor {
 	alone, _ := json.Marshal(d.Alone) // a bool always encodes
 	return wire.Rumor{
-		Kind: KindDeath, Key: d.Fingerprint + "|" + d.Target + "|" + d.Boot,
+		Kind: KindDeath, Key: d.Key(),
 		Seq: now.UnixMilli(), Expires: now.Add(DeathTTL).UnixMilli(), Value: alone,
 	}
 }
--- a/wire/state.go
+++ b/wire/state.go
@@ -75,6 +75,9 @@
 	Alone bool `json:"alone"`
 }
 
+// Key identifies the death by fingerprint, target and boot, for records that have a key.
+func (d Death) Key() string { return d.Fingerprint + "|" + d.Target + "|" + d.Boot }
+
 // QuarantineNotice notifies peers directly of suspect and quarantined requests, ahead of the slower rumors.
 type QuarantineNotice struct {
 	// Deaths lists engine deaths; their requests become suspects.
