dispatch: plain calls need no guard against the library's repeats

Since calls to plain services are written to a connection of their own, net/http does not send them and cannot repeat them; the reader that it could not rewind is dead.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -224,15 +223,10 @@
 }
 
 func (r *serviceRun) newRequest(ctx context.Context, address string) (*http.Request, error) {
-	var body io.Reader
-	if len(r.call.Body) > 0 {
-		body = io.MultiReader(bytes.NewReader(r.call.Body))
-	}
-	req, err := http.NewRequestWithContext(ctx, r.call.Method, "http://"+address+r.call.Path, body)
+	req, err := http.NewRequestWithContext(ctx, r.call.Method, "http://"+address+r.call.Path, bytes.NewReader(r.call.Body))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(r.call.Body))
 	req.Header = ForwardableHeaders(r.call.Header)
 	if r.call.IdempotencyKey != "" {
 		req.Header.Set(api.HeaderIdempotencyKey, r.call.IdempotencyKey)
