fake/errata: targets crash and restart as the other stand-ins do

Targets use it; whether one is down is asked of the server. Measured: go test ./entry ./fake/... passes; assertions are as they were.

--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -4,14 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/ibistrail/ibistrail/fake/faults"
 	"github.com/ibistrail/ibistrail/internal/loopback"
 )
 
@@ -59,9 +58,7 @@
 	DownTime time.Duration
 
 	name            string // the first ID
-	address         string
-	server          *http.Server
-	down, closed    bool
+	server          *faults.Server
 	crashes         int
 	store           *Store // where the target registers itself
 	executed        []ExecutedRequest
@@ -81,55 +78,44 @@
 	for _, m := range models {
 		t.Versions[m] = 1
 	}
-	t.listen(loopback.Host() + ":0")
-	return t
-}
-
-// listen starts to serve at address, or panics if that fails.
-func (t *Target) listen(address string) {
-	l, err := net.Listen("tcp", address)
+	server, err := faults.Listen(loopback.Host()+":0", http.HandlerFunc(t.serve))
 	if err != nil {
-		panic(fmt.Sprintf("target %s: %v", t.ID, err))
+		panic(fmt.Sprintf("target %s: %v", id, err))
 	}
-	t.address = l.Addr().String()
-	// The log would hold the panics by which handlers reset connections.
-	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ErrorLog: log.New(io.Discard, "", 0)}
-	go func(s *http.Server) { _ = s.Serve(l) }(t.server) // it returns when the target stops
+	t.server = server
+	return t
 }
 
 // Address returns the target's host:port.
-func (t *Target) Address() string { return t.address }
+func (t *Target) Address() string { return t.server.Addr() }
 
 // Close stops the target and closes its connections.
-func (t *Target) Close() {
-	t.Lock()
-	defer t.Unlock()
-	t.closed = true
-	_ = t.server.Close() // all that can fail is closing the listener again
-}
+func (t *Target) Close() { t.server.Close() }
 
 // crash ends the target at once, with all its connections, and starts it again after DownTime. The caller holds the lock.
 func (t *Target) crash() {
-	if t.down {
+	if t.server.Down() {
 		return // another request has crashed it
 	}
-	_ = t.server.Close() // all that can fail is closing the listener again
-	t.down = true
+	t.server.Crash()
 	t.crashes++
-	time.AfterFunc(t.DownTime, func() {
-		t.Lock()
-		if t.closed {
-			t.Unlock()
-			return
-		}
-		t.down = false
-		previous := t.ID
-		t.ID = fmt.Sprintf("%s-%d", t.name, t.crashes)
-		t.listen(t.address)
-		t.Unlock()
-		t.store.Put("keyed.servers", previous, nil)
-		t.Register(t.store, "ready")
-	})
+	time.AfterFunc(t.DownTime, t.restart)
+}
+
+// restart starts the target again under another ID, unless it was closed meanwhile.
+func (t *Target) restart() {
+	t.Lock()
+	previous := t.ID
+	t.ID = fmt.Sprintf("%s-%d", t.name, t.crashes)
+	t.Unlock()
+	if err := t.server.Restart(); err != nil {
+		panic(fmt.Sprintf("target %s: %v", t.name, err))
+	}
+	if t.server.Down() {
+		return
+	}
+	t.store.Put("keyed.servers", previous, nil)
+	t.Register(t.store, "ready")
 }
 
 // Crash crashes the target as a request does that CrashOn names.
