--- a/entry/crash_soak_test.go
+++ b/entry/crash_soak_test.go
@@ -28,6 +28,7 @@
 // store fails, VMs are replaced and targets crash by themselves. Afterwards the VMs may send each of the two
 // on maxLateRuns times more, and no other request is refused.
 func TestCrashingRequestsUnderFaults(t *testing.T) {
+	t.Parallel()
 	seeds := 2
 	if n, err := strconv.Atoi(os.Getenv(crashSoakSeedsEnv)); err == nil {
 		seeds = n
@@ -169,12 +170,8 @@
 // poisonRuns returns how often targets have begun to run each of the crashing requests, by body.
 func (s *crashSoak) poisonRuns() map[string]int {
 	n := map[string]int{}
-	for _, x := range s.services {
-		for _, r := range x.ExecutedRequests() {
-			if strings.Contains(string(r.Body), poison) {
-				n[string(r.Body)]++
-			}
-		}
+	for _, r := range poisonRuns(s.services) {
+		n[string(r.Body)]++
 	}
 	return n
 }
--- a/entry/crashing_request_test.go
+++ b/entry/crashing_request_test.go
@@ -28,19 +28,38 @@
 	}
 }
 
+// poisonRuns returns the runs of requests that crash targets.
+func poisonRuns(targets []*errata.Target) []errata.ExecutedRequest {
+	var runs []errata.ExecutedRequest
+	for _, x := range targets {
+		for _, r := range x.ExecutedRequests() {
+			if strings.Contains(string(r.Body), poison) {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+// crashCount returns how often the targets have crashed.
+func crashCount(targets []*errata.Target) int {
+	n := 0
+	for _, x := range targets {
+		n += x.Crashes()
+	}
+	return n
+}
+
 // checkPoisonContained checks that the targets crashed at least wantCrashes times, but no more often than is allowed, and
 // that no request has crashed one later than settleTime after start.
 func (d *deployment) checkPoisonContained(targets []*errata.Target, start time.Time, wantCrashes int) {
 	d.t.Helper()
-	crashes := 0
-	for _, x := range targets {
-		crashes += x.Crashes()
-		for _, r := range x.ExecutedRequests() {
-			if strings.Contains(string(r.Body), poison) && r.At.Sub(start) > settleTime {
-				d.t.Errorf("%s ran %s %s after the start", x.ID, r.ID, r.At.Sub(start))
-			}
+	for _, r := range poisonRuns(targets) {
+		if r.At.Sub(start) > settleTime {
+			d.t.Errorf("%s ran %s after the start", r.ID, r.At.Sub(start))
 		}
 	}
+	crashes := crashCount(targets)
 	if crashes < wantCrashes || crashes > 3+maxLateRuns {
 		d.t.Errorf("targets crashed %d times, want %d to %d", crashes, wantCrashes, 3+maxLateRuns)
 	}
@@ -69,20 +88,14 @@
 		send(d.vms[0], fmt.Sprintf("p%d", i))
 		time.Sleep(100 * time.Millisecond)
 	}
-	crashes := 0
-	for _, x := range d.services {
-		crashes += x.Crashes()
-	}
+	crashes := crashCount(d.services)
 	d.is.True(crashes >= 3 && crashes <= 4) // one VM has seen them all
 	d.store.Set(func(s *errata.Store) { s.Down = false })
 	time.Sleep(settleTime)
 	a := send(d.vms[1], "other")
 	d.is.Equal(a.status, http.StatusServiceUnavailable)
 	d.is.True(a.header.Get("Retry-After") != "")
-	for _, x := range d.services {
-		crashes -= x.Crashes()
-	}
-	d.is.Equal(crashes, 0) // it was not sent
+	d.is.Equal(crashCount(d.services), crashes) // it was not sent
 }
 
 // Callers send other requests all the while, some of them again and again with an equal body.
@@ -130,10 +143,7 @@
 	callers.Wait()
 	t.Logf("served=%d failed=%d quarantined=%d", served.Load(), failed.Load(), quarantined.Load())
 	d.is.Equal(quarantined.Load(), int64(0))
-	crashes := 0
-	for _, x := range d.services {
-		crashes += x.Crashes()
-	}
+	crashes := crashCount(d.services)
 	d.is.True(crashes >= 3)
 	d.is.True(served.Load() > 0)
 	d.is.True(int(failed.Load()) <= crashes) // a request fails only if it meets two crashes in turn
