--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -48,14 +48,15 @@
 		r.durations.Observe(now.Sub(j.startedAt))
 	}
 	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "from_event", call.ResumeAfter, "events", len(j.events),
-		"versions", j.distinctVersions(), "ms", now.Sub(j.startedAt).Milliseconds(), "outcome", string(outcome), "err", err)
+		"versions", j.distinctVersions(), "ms", now.Sub(j.startedAt).Milliseconds(), "first_ms", j.firstEventDelay().Milliseconds(),
+		"silent_ms", j.silence(now).Milliseconds(), "outcome", string(outcome), "err", err)
 	if j.state != jobRunning {
 		r.mu.Unlock()
 		return // canceled in the meantime
 	}
 	switch outcome {
 	case outcomeComplete:
-		j.state = jobScoring
+		j.state, j.textCompleteAt = jobScoring, now
 		r.mu.Unlock()
 		r.finishItem(ctx, j)
 		r.wake()
@@ -161,6 +162,10 @@
 		}
 		j.events = append(j.events, ev.Data)
 		j.versions = append(j.versions, version)
+		if j.firstEventAt.IsZero() {
+			j.firstEventAt = now
+		}
+		j.lastEventAt = now
 		if ev.ID > call.ResumeAfter+1 {
 			r.engines.observeInterval(now, call.Instance, now.Sub(lastEventAt))
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -39,6 +39,10 @@
 	cancel                     func()
 	resubmittedGroup           bool
 	startedAt                  time.Time
+	// firstEventAt and lastEventAt are the times of the first and the newest event of the current run, zero before.
+	firstEventAt, lastEventAt time.Time
+	// textCompleteAt and resultQueuedAt are the times at which the text was complete and its result was queued for the log.
+	textCompleteAt, resultQueuedAt time.Time
 	// suspect is set during a run of an item that was running when an engine crashed, until its first event.
 	suspect bool
 	// heldLogged is set once the log tells that the item is held back.
@@ -71,6 +75,22 @@
 	return resultMeta{ItemID: j.item.ID, Versions: j.distinctVersions(), Score: score, ScorerID: j.item.scorerID()}, strings.Join(j.events, "\n")
 }
 
+// firstEventDelay returns the time from the start of the current run to its first event, or 0 if there was none.
+func (j *job) firstEventDelay() time.Duration {
+	if j.firstEventAt.IsZero() {
+		return 0
+	}
+	return j.firstEventAt.Sub(j.startedAt)
+}
+
+// silence returns the time since the newest event of the current run, or since its start.
+func (j *job) silence(now time.Time) time.Duration {
+	if j.lastEventAt.IsZero() {
+		return now.Sub(j.startedAt)
+	}
+	return now.Sub(j.lastEventAt)
+}
+
 // abandonedResult returns the result of an abandoned item.
 func (j *job) abandonedResult() resultMeta { return resultMeta{ItemID: j.item.ID, Abandoned: true} }
 
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -59,6 +59,7 @@
 			}
 			for item, j := range jobs {
 				if sub.hasResult[item] {
+					r.logListed(j)
 					r.cancelRun(j)
 					delete(jobs, item)
 				}
@@ -68,6 +69,15 @@
 	}
 }
 
+// logListed logs that the result of an item that this VM completed is in the log.
+func (r *runner) logListed(j *job) {
+	if j.resultQueuedAt.IsZero() || j.textCompleteAt.IsZero() {
+		return // another VM listed it, or it was abandoned or reused
+	}
+	r.log.Info("item_listed", "id", j.item.ID, "batch", j.head.ID, "score_ms", j.resultQueuedAt.Sub(j.textCompleteAt).Milliseconds(),
+		"append_ms", time.Since(j.resultQueuedAt).Milliseconds())
+}
+
 // closeJobs closes the jobs of submissions that are done or whose partition is no longer owned, and abandons the
 // items of expired submissions.
 func (r *runner) closeJobs(snap *fleet.Snapshot, now time.Time) {
@@ -76,11 +86,15 @@
 		for item, j := range jobs {
 			j.partition.mu.Lock()
 			closed := !r.owned[j.partition] || j.submission.done()
+			listed := j.submission.hasResult[item]
 			if j.submission.done() && !j.submission.ended {
 				completed = j.head
 			}
 			j.partition.mu.Unlock()
 			if closed {
+				if listed {
+					r.logListed(j)
+				}
 				if !j.submission.done() && j.state == jobRunning && len(j.events) > j.savedEvents {
 					r.appendProgress(j.partition, j.head.ID, j.unsavedProgress(r.writer)) // for the new owner of the partition
 				}
--- a/batch/score.go
+++ b/batch/score.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
@@ -27,7 +28,7 @@
 		r.abandon(j)
 		return
 	}
-	j.state = jobResultQueued
+	j.state, j.resultQueuedAt = jobResultQueued, time.Now()
 	result, text := j.result(score)
 	r.appendResult(j.partition, j.head.ID, result, text)
 }
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -35,6 +35,7 @@
 func (a *app) explainCommand() *cobra.Command {
 	var files []string
 	var around string
+	var steps bool
 	cmd := &cobra.Command{
 		Use:   "explain [REQUEST]",
 		Short: "Print the decisions about a request or a sample, and their reasons",
@@ -44,15 +45,19 @@
 With --logs only the log lines of entry VMs (ibisentry, on the platform) are read: the output is the
 chain of decisions about a request, an item or a batch submission, with its first cause. The files
 may come from several VMs whose clocks differ, and from processes that no longer run. Without an ID,
---around lists what changed near a time.`,
+--around lists what changed near a time, and --steps shows for each step of a trainer where its time
+went, in milliseconds: along the runs of the item that was ready last.`,
 		Example: `  ibisctl explain 5f1c7d0e-1f5f-4d3a-9b3e-3f1f5d8f4c11
   ibisctl explain --logs vm-a.log,vm-b.log 4f755c76a86b3106
-  ibisctl explain --logs vm-a.log,vm-b.log --around 2026-12-04T07:06:50Z`,
+  ibisctl explain --logs vm-a.log,vm-b.log --around 2026-12-04T07:06:50Z
+  ibisctl explain --logs vm-a.log,vm-b.log --steps`,
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			switch {
 			case len(files) > 0:
-				return a.explainLogs(files, args, around)
+				return a.explainLogs(files, args, around, steps)
+			case steps:
+				return usageErrorf("name the log files with --logs", "--steps reads the log lines of entry VMs")
 			case len(args) == 0:
 				return usageErrorf("specify the ID of a request or sample, or logs with --logs", "no ID is given")
 			}
@@ -61,6 +66,7 @@
 	}
 	cmd.Flags().StringSliceVar(&files, "logs", nil, "files with the log lines of entry VMs; - is standard input")
 	cmd.Flags().StringVar(&around, "around", "", "with --logs: list what changed near this time (RFC 3339)")
+	cmd.Flags().BoolVar(&steps, "steps", false, "with --logs: show where the time of each trainer's step went")
 	return cmd
 }
 
--- a/ctl/explain_logs.go
+++ b/ctl/explain_logs.go
@@ -6,16 +6,25 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/ibistrail/ibistrail/logs"
 )
 
-// explainLogs prints the explanation of an ID, or the changes near a time, from log files.
-func (a *app) explainLogs(files, args []string, around string) error {
-	if (len(args) == 0) == (around == "") {
-		return usageErrorf("specify either an ID or --around TIME", "--logs needs exactly one of an ID and a time")
+// explainLogs prints the explanation of an ID, the changes near a time, or the steps, from log files.
+func (a *app) explainLogs(files, args []string, around string, steps bool) error {
+	questions := len(args)
+	if around != "" {
+		questions++
+	}
+	if steps {
+		questions++
+	}
+	if questions != 1 {
+		return usageErrorf("specify one of an ID, --around TIME and --steps", "--logs needs exactly one question")
 	}
 	var lines []*logs.Line
 	skipped := 0
@@ -38,6 +47,9 @@
 	if around != "" {
 		return a.printEventsNear(lines, around)
 	}
+	if steps {
+		return a.printSteps(logs.ExplainSteps(lines))
+	}
 	e, err := logs.Explain(lines, args[0])
 	var unknown *logs.UnknownIDError
 	if errors.As(err, &unknown) {
@@ -78,6 +90,41 @@
 	return nil
 }
 
+// printSteps prints a row for each step, with the parts that any step has, and their sum.
+func (a *app) printSteps(steps []*logs.Step) error {
+	if len(steps) == 0 {
+		return &Error{Exit: ExitFailure, Message: "no line tells of a submitted step", Remedy: "pass the logs of all VMs: the one that accepted a step and its holder"}
+	}
+	if a.format == formatJSON {
+		return a.printJSON(steps)
+	}
+	total := &logs.Step{Parts: map[logs.Part]int64{}}
+	for _, s := range steps {
+		total.TotalMs += s.TotalMs
+		for part, n := range s.Parts {
+			total.Parts[part] += n
+		}
+	}
+	parts := slices.DeleteFunc(slices.Clone(logs.AllParts), func(p logs.Part) bool { return total.Parts[p] == 0 })
+	header := []string{"BEGAN", "MODEL", "STEP", "BATCH", "TOTAL_MS"}
+	for _, p := range parts {
+		header = append(header, string(p))
+	}
+	row := func(s *logs.Step, columns ...string) []string {
+		columns = append(columns, strconv.FormatInt(s.TotalMs, 10))
+		for _, p := range parts {
+			columns = append(columns, strconv.FormatInt(s.Parts[p], 10))
+		}
+		return columns
+	}
+	var rows [][]string
+	for _, s := range steps {
+		rows = append(rows, row(s, s.Began.UTC().Format("15:04:05.000"), orDash(s.Model), strconv.FormatInt(s.Step, 10), s.Batch))
+	}
+	a.printTable(header, append(rows, row(total, "sum", "-", "-", "-")))
+	return nil
+}
+
 func (a *app) printLogExplanation(e *logs.Explanation) error {
 	if a.format == formatJSON {
 		return a.printJSON(e)
--- a/entry/explain_test.go
+++ b/entry/explain_test.go
@@ -114,3 +114,32 @@
 	}
 	d.is.Equal(taken, 1)
 }
+
+// TestStepTimeAfterHolderLossIsExplainedFromLogs covers a step whose holder is killed: its time is divided from the lines alone.
+func TestStepTimeAfterHolderLossIsExplainedFromLogs(t *testing.T) {
+	d := newDeployment(t, 2, 1, 2)
+	for _, e := range d.engines {
+		e.Set(func(e *errata.Target) { e.EventsPerStream, e.EventInterval = 100, 25*time.Millisecond })
+	}
+	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1", "i2")).status, http.StatusAccepted)
+	time.Sleep(1500 * time.Millisecond)
+	holder, other := d.holder()
+	d.kill(holder)
+	d.readAll(other, "b1", 2, 10*time.Second)
+	d.is.Equal(d.call(other, http.MethodDelete, "/v1/lots/b1", "", "").status, http.StatusOK)
+	d.eventually(2*time.Second, "the end and the last results are logged", func() bool {
+		return strings.Contains(d.log.String(), "msg=batch_end") && strings.Count(d.log.String(), "msg=item_listed") == 2
+	})
+	lines, unread, err := logs.Read(strings.NewReader(d.log.String()), "")
+	d.is.NoErr(err)
+	d.is.Equal(unread, 0)
+	logs.Align(lines)
+	steps := logs.ExplainSteps(lines)
+	d.is.Equal(len(steps), 1)
+	s := steps[0]
+	t.Log(s.TotalMs, s.Parts)
+	d.is.True(s.Ended)
+	d.is.True(s.Parts[logs.PartNoHolder] > 0)
+	d.is.True(s.Parts[logs.PartEvents] > s.TotalMs/2)
+	d.is.True(s.Parts[logs.PartUnknown] <= s.TotalMs/10)
+}
