forward: the last error of a streaming target reaches the caller whole

Cause: found by reading. The error answers of streaming routes, and those too large to buffer, are read by the caller after the attempts are over, but their context ended with them: the body was cut. Change: the context lasts until that body is closed; the bodies of earlier errors are closed, so that their connections are not kept. Tested: TestLastErrorOfAStreamingTargetIsPassedOnWhole reads "context canceled" before.

--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -102,8 +102,14 @@
 				return d.targetReply(o.answer, o.attempt, cancel)
 			}
 			d.logFailedSend(o)
-			if o.answer != nil && !o.answer.NotExecuted {
-				lastFailure = o.answer
+			if o.answer != nil {
+				unused := o.answer
+				if !o.answer.NotExecuted {
+					unused, lastFailure = lastFailure, o.answer
+				}
+				if unused != nil {
+					unused.Body.Close()
+				}
 			}
 			if o.err != nil {
 				lastErr = o.err
@@ -113,7 +119,8 @@
 			}
 		}
 	}
-	return d.failureReply(lastFailure, lastErr)
+	keepContext = lastFailure != nil // until its body was read
+	return d.failureReply(lastFailure, lastErr, cancel)
 }
 
 // hedgeAfter returns the time after which an idempotent request without an answer is sent to a second target.
@@ -307,12 +314,13 @@
 	}
 }
 
-// failureReply returns the reply to a request that no target served: the last error answer of a target, if any.
-func (d *delivery) failureReply(lastFailure *targets.Response, err error) *Reply {
+// failureReply returns the reply to a request that no target served: the last error answer of a target, if any. Closing
+// its body calls cancel.
+func (d *delivery) failureReply(lastFailure *targets.Response, err error, cancel context.CancelFunc) *Reply {
 	if lastFailure != nil {
 		return &Reply{
-			Status: lastFailure.Status, Header: lastFailure.Header, Body: lastFailure.Body, Length: lastFailure.Length, Proof: lastFailure.Proof,
-			ServerErrors: d.serverErrors,
+			Status: lastFailure.Status, Header: lastFailure.Header, Length: lastFailure.Length, Proof: lastFailure.Proof,
+			ServerErrors: d.serverErrors, Body: &cancelingBody{ReadCloser: lastFailure.Body, onClose: cancel},
 		}
 	}
 	if d.possibleRuns == 0 {
--- /dev/null
+++ b/forward/delivery_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/crashes"
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/targets"
+)
+
+// contextBody is a body that can be read until its request's context ends.
+type contextBody struct {
+	ctx    context.Context
+	r      io.Reader
+	closed chan struct{}
+}
+
+func (b *contextBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.r.Read(p)
+}
+
+func (b *contextBody) Close() error {
+	close(b.closed)
+	return nil
+}
+
+// failingClient answers each call with status 500 and a body.
+type failingClient struct {
+	targets.Client
+	text   string
+	bodies []*contextBody
+}
+
+func (c *failingClient) Do(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
+	b := &contextBody{ctx, strings.NewReader(c.text), make(chan struct{})}
+	c.bodies = append(c.bodies, b)
+	return &targets.Response{Status: http.StatusInternalServerError, Body: b, Length: int64(len(c.text))}, nil
+}
+
+// TestLastErrorOfAStreamingTargetIsPassedOnWhole guards against a cut answer: the bodies of streaming routes, and bodies too
+// large to buffer, are read only after the attempts are over.
+func TestLastErrorOfAStreamingTargetIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	view := fleet.NewView()
+	view.Set(&fleet.Snapshot{
+		Tables: &fleet.Tables{
+			Routes: []fleet.Route{{Host: "h", Route: config.Route{PathPrefix: "/", Pool: "p"}, Streaming: true, MaxAttempts: 2}},
+			Pools:  []fleet.Pool{{Pool: config.Pool{Name: "p"}}},
+		},
+		Instances: []*fleet.Instance{
+			{Target: config.Target{Name: "t1", Address: "1"}, Pool: "p", Slots: 4}, {Target: config.Target{Name: "t2", Address: "2"}, Pool: "p", Slots: 4},
+		},
+	})
+	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
+	client := &failingClient{text: "the engine has no memory"}
+	f := New(view, client, crashes.New(crashes.Options{Log: log, Metrics: metrics}), "a", log, metrics)
+	reply := f.Serve(t.Context(), &Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Budget: time.Minute})
+	is.Equal(reply.Status, http.StatusInternalServerError)
+	data, err := io.ReadAll(reply.Body)
+	is.NoErr(err)
+	is.Equal(string(data), client.text)
+	is.NoErr(reply.Body.Close())
+	is.Equal(len(client.bodies), 2)
+	for _, b := range client.bodies {
+		<-b.closed                  // no body keeps its connection
+		is.True(b.ctx.Err() != nil) // nor its context
+	}
+}
