versions: engines idle no more while items wait for a version

Change: the median lag of steps that could show one; a share that grows while the next version is overdue; loads beyond the share for engines with free slots while items wait; candidates are taken one by one, among urgent ones those of the trainer furthest behind first. Ruled out: the source of the weights (8 loads took 0.98 to 1.1 s, as one does).

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -33,15 +34,31 @@
 	}
 }
 
-// AllowedLag returns the smallest version lag that the newest steps accepted at the time of their submission.
+// AllowedLag returns the typical version lag that the newest steps accepted at the time of their submission.
 func (d *poolDemand) AllowedLag(model string) int64 {
-	smallest, known := int64(0), false
-	d.eachRecent(model, func(sub *submissionState) {
-		if lag := max(0, sub.head.NewestVersion-sub.head.MinVersion); !known || lag < smallest {
-			smallest, known = lag, true
+	var heads []*Head
+	d.eachRecent(model, func(sub *submissionState) { heads = append(heads, sub.head) })
+	return typicalLag(heads)
+}
+
+// firstVersion is the version of a model before any was named.
+const firstVersion = 1
+
+// typicalLag returns the median of the version lags that steps accepted, or 0 if there are none. Single lags are off: if
+// the accepting VM did not know the newest version yet, or if a step was submitted late, after the next version was named.
+// A step submitted while only the first version existed shows no lag.
+func typicalLag(heads []*Head) int64 {
+	var lags []int64
+	for _, h := range heads {
+		if h.NewestVersion > firstVersion {
+			lags = append(lags, max(0, h.NewestVersion-h.MinVersion))
 		}
-	})
-	return smallest
+	}
+	if len(lags) == 0 {
+		return 0
+	}
+	slices.Sort(lags)
+	return lags[(len(lags)-1)/2]
 }
 
 // RecentWork returns the mean number of expected tokens of the newest steps.
@@ -54,6 +71,13 @@
 	return sum / float64(max(1, steps))
 }
 
+// NewestStep returns the number of the newest step of a model, or 0 if there is none.
+func (d *poolDemand) NewestStep(model string) int64 {
+	newest := int64(0)
+	d.eachRecent(model, func(sub *submissionState) { newest = max(newest, sub.head.Step) })
+	return newest
+}
+
 // HasQueuedItems reports whether items of the model got no engine in the last scheduling pass.
 func (d *poolDemand) HasQueuedItems(model string) bool {
 	d.service.runner.mu.Lock()
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -106,16 +106,32 @@
 	RecentWork(model string) float64
 	// HasQueuedItems reports whether items of the model are queued for an engine.
 	HasQueuedItems(model string) bool
+	// NewestStep returns the number of the newest step of a model, which tells how far its trainer has come.
+	NewestStep(model string) int64
 	// FreeSlots returns the number of requests that an engine could start now.
 	FreeSlots(k fleet.Key) int
 }
 
-// candidate is an engine that should load a version of a model.
+// modelPlan holds the state of a model in one pass of the planner. Its candidates are engines that may be ordered now, the
+// best first.
+type modelPlan struct {
+	now    time.Time
+	model  string
+	newest int64
+	// share is the number of engines that should be able to serve the model's newest steps, usable those that are; turn is
+	// the number that should run the newest version, current those that do. Both count loads in progress.
+	share, usable, turn, current int
+	// queued is set if items of the model wait for an engine.
+	queued     bool
+	newestStep int64
+	// tooOld are engines with versions that the newest steps don't accept, accepted those with older versions that
+	// they do.
+	tooOld, accepted []*candidate
+}
+
+// candidate is an engine that may load a model's newest version.
 type candidate struct {
-	e      *engine
-	intent Intent
-	// urgent is set if the engine's version is too old for the model's steps and items of the model are queued.
-	urgent    bool
+	e         *engine
 	lag       int64
 	freeSlots int
 }
@@ -136,34 +152,83 @@
 		return nil
 	}
 	p.recordNamed(now, named)
-	shares := p.engineShares(demand, waveSize)
-	var due []candidate
+	shares := p.engineShares(now, demand, waveSize)
+	var plans []*modelPlan
 	for _, m := range p.pool.Engine.Models {
-		due = append(due, p.loadCandidates(now, m, named[m], shares[m], demand)...)
+		if named[m] > 0 {
+			plans = append(plans, p.planModel(now, m, named[m], shares[m], demand))
+		}
 	}
-	slices.SortStableFunc(due, func(a, b candidate) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
+	var out []Intent
+	for _, next := range []func(*modelPlan) (*candidate, float64){(*modelPlan).nextUrgent, (*modelPlan).nextSurplus, (*modelPlan).nextRegular} {
+		for len(out) < freeLoads {
+			plan, c := leastServed(plans, next)
+			if c == nil {
+				break
 			}
-			return 1
+			plan.usable++
+			plan.current++
+			e := c.e
+			e.loading, e.loadModel, e.loadVersion = true, plan.model, plan.newest
+			e.loadStarted, e.loadDeadline = now, now.Add(loadTimeout)
+			e.nextReport = now.Add(time.Duration(firstReportShare * float64(p.loadTime)))
+			out = append(out, Intent{e.instance, plan.model, plan.newest})
 		}
-		return cmp.Or(cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(b.lag, a.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
-	})
-	var out []Intent
-	for _, c := range due {
-		if len(out) >= freeLoads {
-			break
+	}
+	return out
+}
+
+// leastServed returns the next candidate of the plan that reached the smallest part of its goal, so that models take
+// turns, or nil if no plan has a candidate.
+func leastServed(plans []*modelPlan, next func(*modelPlan) (*candidate, float64)) (plan *modelPlan, c *candidate) {
+	smallest := 0.0
+	for _, p := range plans {
+		if found, reached := next(p); found != nil && (c == nil || reached < smallest) {
+			plan, c, smallest = p, found, reached
 		}
-		if c.e.busy(now) {
-			continue // selected for another model
+	}
+	return plan, c
+}
+
+// nextUrgent returns the next load that queued items wait for, within the model's share. The model whose trainer is
+// furthest behind goes first: if several models wait, loads in turn would make the steps of all of them late.
+func (p *modelPlan) nextUrgent() (*candidate, float64) {
+	if !p.queued || p.usable >= p.share {
+		return nil, 0
+	}
+	return p.firstIdle(p.tooOld, 0), float64(p.newestStep)
+}
+
+// nextRegular returns the next load within the model's share. Engines whose version is too old go first.
+func (p *modelPlan) nextRegular() (*candidate, float64) {
+	if p.usable < p.share {
+		if c := p.firstIdle(p.tooOld, 0); c != nil {
+			return c, float64(p.usable) / float64(p.share)
 		}
-		c.e.loading, c.e.loadModel, c.e.loadVersion = true, c.intent.Model, c.intent.Version
-		c.e.loadStarted, c.e.loadDeadline = now, now.Add(loadTimeout)
-		c.e.nextReport = now.Add(time.Duration(firstReportShare * float64(p.loadTime)))
-		out = append(out, c.intent)
 	}
-	return out
+	if p.current < p.turn {
+		return p.firstIdle(p.accepted, 0), float64(p.current) / float64(p.turn)
+	}
+	return nil, 0
+}
+
+// nextSurplus returns the next load beyond the model's share: while items wait, an engine with free slots whose version is
+// too old is useless to them, so a load is better than a wave that is not full.
+func (p *modelPlan) nextSurplus() (*candidate, float64) {
+	if !p.queued {
+		return nil, 0
+	}
+	return p.firstIdle(p.tooOld, 1), float64(p.usable) / float64(max(1, p.share))
+}
+
+// firstIdle returns the first candidate that has not been selected in this pass and has at least minFreeSlots, or nil.
+func (p *modelPlan) firstIdle(candidates []*candidate, minFreeSlots int) *candidate {
+	for _, c := range candidates {
+		if !c.e.busy(p.now) && c.freeSlots >= minFreeSlots {
+			return c
+		}
+	}
+	return nil
 }
 
 func (e *engine) busy(now time.Time) bool { return e.loading && now.Before(e.loadDeadline) }
@@ -187,7 +252,10 @@
 // engineShares returns the number of engines that should be able to serve each model. If the loads of all engines fit
 // into the time between two versions, it is all of them. Otherwise the loads that are possible are divided between the models in
 // proportion to their work, so that a model with little work doesn't take engines from the others.
-func (p *Planner) engineShares(demand Demand, waveSize int) map[string]int {
+//
+// While the next version is overdue, such as in an outage of the trainers' store, the share grows with the time since
+// the last one.
+func (p *Planner) engineShares(now time.Time, demand Demand, waveSize int) map[string]int {
 	shares := map[string]int{}
 	wantedRate, totalWork := 0.0, 0.0 // loads per second if all engines served all models; work of all models
 	for _, m := range p.pool.Engine.Models {
@@ -208,56 +276,47 @@
 		if n == nil || n.interval <= 0 {
 			continue
 		}
-		loadsPerVersion := possibleRate * demand.RecentWork(m) / totalWork * n.interval.Seconds()
+		interval := max(n.interval, now.Sub(n.namedAt))
+		loadsPerVersion := possibleRate * demand.RecentWork(m) / totalWork * interval.Seconds()
 		shares[m] = min(len(p.engines), max(1, int(loadsPerVersion*float64(demand.AllowedLag(m)+1)+0.5)))
 	}
 	return shares
 }
 
-// loadCandidates returns the engines that should load a model's newest version, so that share engines can serve its newest
-// steps and one in allowedLag+1 of these runs the newest version.
-func (p *Planner) loadCandidates(now time.Time, model string, newest int64, share int, demand Demand) []candidate {
-	if newest <= 0 {
-		return nil
-	}
+// planModel returns the state of a model at the beginning of a pass. One in allowedLag+1 of the engines of its share should
+// run the newest version.
+func (p *Planner) planModel(now time.Time, model string, newest int64, share int, demand Demand) *modelPlan {
 	allowedLag := max(0, demand.AllowedLag(model))
-	var tooOld, accepted []candidate
-	current, usable := 0, 0
+	turns := int(allowedLag) + 1
+	plan := &modelPlan{now: now, model: model, newest: newest, share: share, turn: (share + turns - 1) / turns, queued: demand.HasQueuedItems(model), newestStep: demand.NewestStep(model)}
 	for k, e := range p.engines {
 		lag := newest - e.versions[model]
 		if lag <= 0 || e.busy(now) && e.loadModel == model && e.loadVersion >= newest {
-			current++
-			usable++
+			plan.current++
+			plan.usable++
 			continue
 		}
 		if lag <= allowedLag {
-			usable++
+			plan.usable++
 		}
 		if e.instance.Draining || e.busy(now) || now.Before(e.retryAt) {
 			continue
 		}
-		c := candidate{
-			e: e, lag: lag, urgent: lag > allowedLag && demand.HasQueuedItems(model), freeSlots: demand.FreeSlots(k),
-			intent: Intent{e.instance, model, newest},
-		}
+		c := &candidate{e: e, lag: lag, freeSlots: demand.FreeSlots(k)}
 		if lag > allowedLag {
-			tooOld = append(tooOld, c)
+			plan.tooOld = append(plan.tooOld, c)
 		} else {
-			accepted = append(accepted, c)
+			plan.accepted = append(plan.accepted, c)
 		}
 	}
-	// Engines that are too old are ordered from the smallest lag up, accepted ones from the largest lag down.
-	byLag := func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.lag, b.lag), cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
-	}
-	slices.SortFunc(tooOld, byLag)
-	slices.SortFunc(accepted, func(a, b candidate) int { return byLag(b, a) })
-	out := tooOld[:min(len(tooOld), max(0, share-usable))]
-	turns := int(allowedLag) + 1
-	if missing := (share+turns-1)/turns - current - len(out); missing > 0 {
-		out = append(out, accepted[:min(missing, len(accepted))]...)
-	}
-	return out
+	// A load of an engine with free slots delays the fewest items.
+	slices.SortFunc(plan.tooOld, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.lag, b.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+	})
+	slices.SortFunc(plan.accepted, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+	})
+	return plan
 }
 
 // RecordReport records an engine's report. If it completes a load, RecordReport returns the load's duration and true.
--- a/versions/plan_test.go
+++ b/versions/plan_test.go
@@ -31,6 +31,7 @@
 func (n lagDemand) AllowedLag(string) int64    { return int64(n) }
 func (n lagDemand) RecentWork(string) float64  { return 1 }
 func (n lagDemand) HasQueuedItems(string) bool { return false }
+func (n lagDemand) NewestStep(string) int64    { return 0 }
 func (n lagDemand) FreeSlots(fleet.Key) int    { return 1 }
 
 // applyAll reports the intents' loads as completed.
@@ -190,3 +191,113 @@
 		}
 	}
 }
+
+// backlogDemand is the demand of models with equal work whose steps accept the newest version only.
+type backlogDemand struct {
+	lagDemand
+	// queued is set if items of all models wait, noneIdle if no engine has free slots.
+	queued, noneIdle bool
+}
+
+func (d backlogDemand) HasQueuedItems(string) bool { return d.queued }
+
+func (d backlogDemand) FreeSlots(fleet.Key) int {
+	if d.noneIdle {
+		return 0
+	}
+	return 1
+}
+
+// TestQueuedItemsLoadIdleEnginesBeyondTheShare replays a day of the large deployment: after an outage two models name two
+// versions each within half a second, so that the naming intervals suggest small shares. Hundreds of items waited while 28
+// of 40 engines idled with versions that no open step accepts.
+func TestQueuedItemsLoadIdleEnginesBeyondTheShare(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		demand backlogDemand
+		want   int // loads in five waves of eight
+	}{
+		{"items wait", backlogDemand{queued: true}, 40},
+		{"no items wait", backlogDemand{}, 32},
+		{"items wait, no engine is idle", backlogDemand{queued: true, noneIdle: true}, 32},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := NewPlanner()
+			p.Update(pool("a", "b"), instances(40, map[string]int64{"a": 1, "b": 1}))
+			burst := 2950 * time.Millisecond
+			p.namingRates = map[string]*namingRate{"a": {3, start, burst}, "b": {3, start, burst}}
+			p.loadTime = 1100 * time.Millisecond
+			loads, now := 0, start
+			for range 5 {
+				intents := p.Plan(now, map[string]int64{"a": 3, "b": 3}, tc.demand)
+				loads += len(intents)
+				now = now.Add(p.loadTime)
+				applyAll(p, now, intents)
+			}
+			is.New(t).Equal(loads, tc.want)
+		})
+	}
+}
+
+// TestLoadsWithinTheShareGoFirst covers two models with queued items: a load beyond the share of one must not delay the
+// loads within the share of the other.
+func TestLoadsWithinTheShareGoFirst(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("a", "b"), instances(10, map[string]int64{"a": 1, "b": 1}))
+	second := time.Second
+	p.namingRates = map[string]*namingRate{"a": {3, start, second}, "b": {3, start, second}}
+	for n := range 6 {
+		p.engines[instances(10, nil)[n].Key()].versions["a"] = 3
+	}
+	intents := p.Plan(start, map[string]int64{"a": 3, "b": 3}, backlogDemand{lagDemand: 1, queued: true})
+	is.Equal(len(intents), 2)
+	for _, i := range intents {
+		is.Equal(i.Model, "b")
+	}
+}
+
+// TestShareGrowsWhileTheNextVersionIsOverdue covers a pool whose loads were measured too long to load all engines between
+// two versions: if the next version does not come, the others are loaded in the time that is left.
+func TestShareGrowsWhileTheNextVersionIsOverdue(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("m"), instances(5, map[string]int64{"m": 1}))
+	p.loadTime = 950 * time.Millisecond
+	now := start
+	for range 10 {
+		intents := p.Plan(now, map[string]int64{"m": 2}, lagDemand(0))
+		now = now.Add(p.loadTime)
+		applyAll(p, now, intents)
+	}
+	for _, e := range p.engines {
+		is.Equal(e.versions["m"], int64(2))
+	}
+}
+
+// trainersApart is a demand with queued items of all models whose trainers have come to different steps.
+type trainersApart struct {
+	backlogDemand
+	steps map[string]int64
+}
+
+func (d trainersApart) NewestStep(model string) int64 { return d.steps[model] }
+
+// TestModelOfTrainerFurthestBehindLoadsFirst replays the return of the store on the large deployment: two models need new
+// versions on all engines. Loads in turn made the steps of both late.
+func TestModelOfTrainerFurthestBehindLoadsFirst(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner()
+	p.Update(pool("a", "b"), instances(20, map[string]int64{"a": 3, "b": 3}))
+	p.namingRates = map[string]*namingRate{"a": {5, start, 4 * time.Second}, "b": {5, start, 4 * time.Second}}
+	named := map[string]int64{"a": 5, "b": 5}
+	d := trainersApart{backlogDemand{lagDemand: 1, queued: true}, map[string]int64{"a": 6, "b": 5}}
+	for range 3 { // the share is 4 loads a second for 4 s and 2 versions, divided between two models
+		intents := p.Plan(start, named, d)
+		is.Equal(len(intents), 4)
+		for _, i := range intents {
+			is.Equal(i.Model, "b")
+		}
+		applyAll(p, start.Add(time.Second), intents)
+	}
+}
