tenure: a restarted holder goes on at once; takeover after 0.7 s

Another VM took the tenure over and then waited 2.6 s before it ordered, though the former holder's VM was back: a holder is a machine, so orders of its next process are no change of holder. A lost holder was succeeded after 0.9 s. Change: a new process on the holder's VM takes the tenure at once; it may order at once if the last orders of other VMs were old enough (recorded with each renewal). Renewals each 150 ms, takeover after 700 ms; a call without an answer is given up after 400 ms and repeated after 50 ms, so that one lost answer does not end a tenure (500 ms did: TestTenureHolderIsStable). Ruled out: two processes of one VM at a time; the platform starts the next one after the end of the first. Tested: TestRestartedHolderContinuesAtOnce, TestRestartedHolderWaitsForOrdersOfOtherVMs, TestOneLostResponseDoesNotEndTheTenure.

--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -25,10 +25,10 @@
 // Timing and limits of a tenure.
 const (
 	// renewInterval is the time between two records of a holder.
-	renewInterval = 300 * time.Millisecond
-	// takeoverTimeout is the time without a record after which a candidate takes over: two missed records and the
-	// response time of a slow store.
-	takeoverTimeout = 800 * time.Millisecond
+	renewInterval = 150 * time.Millisecond
+	// takeoverTimeout is the time without a record after which a candidate takes over. It must exceed the gap that a lost
+	// response leaves: renewInterval, callTimeout and lostCallDelay.
+	takeoverTimeout = 700 * time.Millisecond
 	// rankDelay staggers the candidates: each rank waits that much longer than the previous one.
 	rankDelay = 100 * time.Millisecond
 	rankCount = 5
@@ -39,10 +39,12 @@
 	// orderWindow is the time after a wave's start during which its orders may be sent. It bounds how late a replaced
 	// holder can act. It must cover one response of a slow store.
 	orderWindow = 500 * time.Millisecond
-	// retryDelay is the pause after a failed call.
-	retryDelay = 200 * time.Millisecond
-	// callTimeout bounds a store call, so that a call whose response was lost is retried before other VMs take over.
-	callTimeout = 500 * time.Millisecond
+	// retryDelay is the pause after a call that the store refused, lostCallDelay that after one without a response.
+	retryDelay    = 200 * time.Millisecond
+	lostCallDelay = 50 * time.Millisecond
+	// callTimeout bounds a store call, so that a call whose response was lost is retried before other VMs take over. It must
+	// cover one response of a slow store.
+	callTimeout = 400 * time.Millisecond
 	// maxReadBytes is the approximate maximum size of a read.
 	maxReadBytes = 256 << 10
 )
@@ -57,7 +59,9 @@
 	Process string `json:"process"`
 	// SinceOrdersMs is a lower bound of the time since any holder sent its last order, in milliseconds.
 	SinceOrdersMs int64 `json:"since_orders_ms"`
-	Release       bool  `json:"release,omitempty"`
+	// HandoverDone is set if the handover delay since the last order of any other machine has passed.
+	HandoverDone bool `json:"handover_done,omitempty"`
+	Release      bool `json:"release,omitempty"`
 }
 
 // Options configure a Tenure.
@@ -123,7 +127,10 @@
 			pause = retryDelay
 		case err != nil:
 			outage.Failed(t.opts.Log, "tenure_store", err, "partition", t.partition.Index)
-			pause = retryDelay
+			pause = lostCallDelay
+			if errors.Is(err, store.ErrUnavailable) {
+				pause = retryDelay
+			}
 		default:
 			outage.Recovered(t.opts.Log, "tenure_store", "partition", t.partition.Index)
 		}
@@ -164,12 +171,12 @@
 // vacant reports whether this VM may take over the tenure. The caller holds mu.
 func (t *Tenure) vacant() bool {
 	elapsed := t.opts.Clock() - t.lastRecordAt
+	if t.lastRecord != nil && t.lastRecord.Machine == t.opts.Machine {
+		return true // a record of this process, or of one that ended on this VM
+	}
 	if t.opts.Standby {
 		return elapsed >= standbyTimeout
 	}
-	if t.lastRecord != nil && t.lastRecord.Process == t.opts.Process {
-		return true
-	}
 	if t.lastRecord == nil || t.lastRecord.Release {
 		return elapsed >= t.takeoverDelay
 	}
@@ -236,6 +243,8 @@
 	t.lastOrderAt, t.sendUntil, t.handoverDone = t.opts.Clock()-t.opts.HandoverDelay-orderWindow, 0, false
 	if t.lastRecord != nil {
 		t.lastOrderAt = t.lastRecordAt - time.Duration(t.lastRecord.SinceOrdersMs)*time.Millisecond
+		// A holder is a VM: after a restart it continues with its own orders.
+		t.handoverDone = t.lastRecord.Machine == t.opts.Machine && t.lastRecord.HandoverDone
 	}
 	offset := t.nextOffset
 	if err := t.append(ctx, record{}); err != nil {
@@ -250,16 +259,16 @@
 
 // append appends a record if no other VM did so first, otherwise it returns ErrNotHeld. The caller holds mu.
 func (t *Tenure) append(ctx context.Context, r record) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	for {
 		r.Machine, r.Process = t.opts.Machine, t.opts.Process
-		r.SinceOrdersMs = max(0, t.opts.Clock()-t.lastOrderAt).Milliseconds()
+		r.SinceOrdersMs, r.HandoverDone = max(0, t.opts.Clock()-t.lastOrderAt).Milliseconds(), t.orderDelayLocked() == 0
 		data, err := json.Marshal(r)
 		if err != nil {
 			return err
 		}
-		_, err = t.opts.Store.AppendAt(ctx, t.partition, t.nextOffset, [][]byte{data})
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err = t.opts.Store.AppendAt(callCtx, t.partition, t.nextOffset, [][]byte{data})
+		cancel()
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
@@ -278,6 +287,8 @@
 // resolveConflict reads the records that made an append fail. It returns nil if this VM still holds the tenure, since the
 // newest one is its own from an append whose response was lost, otherwise ErrNotHeld. The caller holds mu.
 func (t *Tenure) resolveConflict(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	b, err := t.opts.Store.Read(ctx, t.partition, t.nextOffset, 0, maxReadBytes)
 	if err != nil {
 		return fmt.Errorf("reading the tenure of partition %d: %w", t.partition.Index, err)
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -181,3 +181,58 @@
 	is.NoErr(step(small))
 	is.True(held(small))
 }
+
+// restart returns the tenure of a new process on the same machine.
+func restart(t *Tenure) *Tenure {
+	opts := t.opts
+	opts.Process += "+"
+	return New(opts)
+}
+
+// TestRestartedHolderContinuesAtOnce replays a kill of all VMs: they start together, and the former holder neither waits
+// for its own silence nor for its own orders.
+func TestRestartedHolderContinuesAtOnce(t *testing.T) {
+	is := is.New(t)
+	m, c := &memoryLog{}, &clock{now: time.Hour}
+	a, b := newTenure(m, c, "a", false), newTenure(m, c, "b", false)
+	is.NoErr(step(a))
+	is.NoErr(a.BeginWave(t.Context()))
+	a, b = restart(a), restart(b)
+	is.NoErr(step(b))
+	is.True(!held(b))
+	is.NoErr(step(a))
+	is.True(held(a))
+	is.NoErr(a.BeginWave(t.Context()))
+	is.True(a.MaySend())
+}
+
+// TestRestartedHolderWaitsForOrdersOfOtherVMs covers a holder that took over from another VM and restarted before it might
+// send orders: the delay since the other VM's orders still holds.
+func TestRestartedHolderWaitsForOrdersOfOtherVMs(t *testing.T) {
+	is := is.New(t)
+	m, c := &memoryLog{}, &clock{now: time.Hour}
+	a, b := newTenure(m, c, "a", false), newTenure(m, c, "b", false)
+	is.NoErr(step(a))
+	is.NoErr(a.BeginWave(t.Context()))
+	lastSend := c.now + orderWindow
+	is.NoErr(step(b))
+	c.now += takeoverTimeout
+	is.NoErr(step(b))
+	is.True(held(b))
+	for range 3 { // restarts again and again
+		b = restart(b)
+		is.NoErr(step(b))
+		is.True(held(b))
+		is.True(errors.Is(b.BeginWave(t.Context()), ErrNotHeld))
+	}
+	for b.BeginWave(t.Context()) != nil {
+		c.now += 10 * time.Millisecond
+	}
+	is.True(c.now-lastSend >= handover)
+}
+
+// TestOneLostResponseDoesNotEndTheTenure checks the timing: a holder whose append got no response is heard of again before
+// any candidate takes over.
+func TestOneLostResponseDoesNotEndTheTenure(t *testing.T) {
+	is.New(t).True(renewInterval+callTimeout+lostCallDelay < takeoverTimeout)
+}
