batch: failed engines get one request; old steps leave fresh engines to new ones

Change: one request to an engine that failed until it sends events; failures during a cooldown don't extend it; a cost for engines that newer steps need. Tested: TestFailedEngineGetsOneRequestUntilItAnswers, TestConcurrentFailuresCountOnce, TestChooseSparesEnginesUsableByNewerSteps.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -17,6 +17,9 @@
 	// sharedCost is added for an engine that all other models could use as well: half of its slots are
 	// kept for them while other engines have free slots.
 	sharedCost = 0.5
+	// newerStepCost is added for an engine that newer steps of the same model could use, if the item's step accepts older
+	// versions: after a burst of versions few engines can run the newest steps.
+	newerStepCost = 1
 )
 
 // task is an item that waits for an engine.
@@ -102,7 +105,11 @@
 		if e.instance.Name == req.avoidInstance || c.now.Before(e.blockedUntil[req.model]) || req.model != "" && e.versions[req.model] < req.minVersion {
 			continue
 		}
-		if cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model); best == nil || cost < bestCost {
+		cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model)
+		if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
+			cost += newerStepCost
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
--- a/batch/engine_choice_test.go
+++ b/batch/engine_choice_test.go
@@ -192,3 +192,48 @@
 	is.True(sent["e2"]+sent["e3"] >= 6) // engines that the other model can't use are preferred
 	is.True(c.choose(requirements{pool: "p", model: "other", minVersion: 3}) != nil)
 }
+
+// TestChooseSparesEnginesUsableByNewerSteps replays the return of the store on the large deployment: two steps of a model
+// arrive within half a second, and only the engines that loaded since run the version that the second one needs.
+func TestChooseSparesEnginesUsableByNewerSteps(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(4, 4, 3)
+	s.observeVersion(in[0], "m", 5)
+	c := s.candidates(testStart, "p")
+	c.minVersions = map[string]int64{"m": 4}
+	for range 12 {
+		e := c.choose(requirements{pool: "p", model: "m", minVersion: 3})
+		is.True(e.instance.Name != "e0")
+		s.requestStarted(e.instance)
+		c.removeIfUnavailable(e)
+	}
+	is.Equal(c.choose(requirements{pool: "p", model: "m", minVersion: 4}).instance.Name, "e0")
+	is.Equal(c.choose(requirements{pool: "p", model: "m", minVersion: 3}).instance.Name, "e0") // the others are full
+}
+
+// TestFailedEngineGetsOneRequestUntilItAnswers replays the loss of a zone with 7 of 37 engines: after each cooldown the
+// holder sent six items to each of them, and all stalled.
+func TestFailedEngineGetsOneRequestUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(1, 6, 1)
+	s.recordFailure(testStart, in[0])
+	retry := testStart.Add(cooldownMin)
+	is.Equal(s.get(in[0]).freeSlots(retry), 1)
+	s.requestStarted(in[0])
+	is.Equal(len(s.candidates(retry, "p").free), 0)
+	s.observeInterval(retry, in[0], 40*time.Millisecond)
+	is.Equal(s.get(in[0]).freeSlots(retry), 5)
+}
+
+// TestConcurrentFailuresCountOnce replays a reset of all connections: six runs on an engine break off at once, which says
+// no more about the engine than one that breaks off.
+func TestConcurrentFailuresCountOnce(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(1, 6, 1)
+	for range 6 {
+		s.recordFailure(testStart, in[0])
+	}
+	is.Equal(s.get(in[0]).cooldownUntil, testStart.Add(cooldownMin))
+	s.recordFailure(testStart.Add(cooldownMin), in[0])
+	is.Equal(s.get(in[0]).cooldownUntil, testStart.Add(cooldownMin+2*cooldownMin))
+}
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -45,9 +45,14 @@
 	cooldownUntil time.Time // no requests are sent before
 }
 
-// freeSlots returns the number of requests that this VM may still send; negative if the engine is overloaded.
+// freeSlots returns the number of requests that this VM may still send; negative if the engine is overloaded. An engine
+// that failed gets one request until it has sent events again.
 func (e *engine) freeSlots(now time.Time) int {
-	n := e.instance.Slots - e.inflight
+	slots := e.instance.Slots
+	if e.failures > 0 {
+		slots = 1
+	}
+	n := slots - e.inflight
 	if now.Sub(e.otherLoadAt) < loadReportTTL {
 		n -= e.otherLoad
 	}
@@ -168,9 +173,10 @@
 	}
 }
 
-// recordFailure starts the cooldown of an engine that interrupted a request or stalled.
+// recordFailure starts the cooldown of an engine that interrupted a request or stalled. Failures during a cooldown are of
+// requests that were in flight at its start, so they have the same cause and do not extend it.
 func (s *engines) recordFailure(now time.Time, in *fleet.Instance) {
-	if e := s.get(in); e != nil {
+	if e := s.get(in); e != nil && !now.Before(e.cooldownUntil) {
 		e.cooldownUntil = now.Add(min(cooldownMax, cooldownMin<<min(e.failures, 8)))
 		e.failures++
 	}
