batch: saved texts are read together; a holder's errors count for its successor

Change: the parts of a step are saved in one record, each 0.25 s (1 s before); a successor reads them in a few concurrent reads; a part tells the errors so far. Ruled out: reads of results as the cause of unread time; trainers ask each 0.5 s, a read takes 0.1 to 0.2 s of it.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -71,6 +71,7 @@
 		j.notBefore = now.Add(itemRetryDelay)
 	case outcomeEngineError:
 		j.engineErrors++
+		r.saveErrors(j)
 		j.avoidInstance = call.Instance.Name
 		j.notBefore = now.Add(itemRetryDelay)
 	}
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -93,6 +93,9 @@
 	Versions []int64  `json:"versions"`
 	// Complete is set if this part completes the text.
 	Complete bool `json:"whole,omitempty"`
+	// EngineErrors and ScorerErrors count the error responses so far, at all VMs.
+	EngineErrors int `json:"engine_errors,omitempty"`
+	ScorerErrors int `json:"scorer_errors,omitempty"`
 }
 
 // Page is a part of a submission's results. Total is the number of its items, Next the position after the page.
--- a/batch/data_partition.go
+++ b/batch/data_partition.go
@@ -1,12 +1,16 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -107,31 +111,101 @@
 	return decodeItems(all)
 }
 
-// readTexts returns the unfinished texts by item, joined from the saved parts. Parts that the log has truncated are skipped.
-func (d *dataPartition) readTexts(ctx context.Context, saved map[string][]span) (map[string]*partialText, error) {
+// readTexts returns the unfinished texts by item, joined from the saved parts; a text may have no event. Parts that the log has truncated are skipped.
+func (d *dataPartition) readTexts(ctx context.Context, saved []span) (map[string]*partialText, error) {
+	records, err := d.readRecords(ctx, saved)
+	if err != nil {
+		return nil, err
+	}
 	texts := map[string]*partialText{}
-	for item, parts := range saved {
-		t := &partialText{}
-		for _, s := range parts {
-			r, err := d.readSpan(ctx, s, 1)
-			var truncated *store.TruncatedError
-			if errors.As(err, &truncated) {
+	for _, s := range saved {
+		data, ok := joinRecords(records, s)
+		if !ok {
+			continue
+		}
+		var parts []*Progress
+		if err := json.Unmarshal(data, &parts); err != nil {
+			return nil, fmt.Errorf("decode saved texts at offset %d: %w", s.Offset, err)
+		}
+		for _, p := range parts {
+			if p == nil {
 				continue
 			}
-			if err != nil {
-				return nil, err
-			}
-			var p Progress
-			if err := json.Unmarshal(r, &p); err != nil {
-				return nil, fmt.Errorf("decode saved text at offset %d: %w", s.Offset, err)
+			if texts[p.ItemID] == nil {
+				texts[p.ItemID] = &partialText{}
 			}
-			if p.ItemID == item {
-				t.add(&p)
-			}
-		}
-		if len(t.events) > 0 {
-			texts[item] = t
+			texts[p.ItemID].add(p)
 		}
 	}
 	return texts, nil
 }
+
+// joinRecords returns the concatenated records of a span; ok is false if one is missing.
+func joinRecords(records map[int64][]byte, s span) (data []byte, ok bool) {
+	for i := range int64(s.Count) {
+		r, ok := records[s.Offset+i]
+		if !ok {
+			return nil, false
+		}
+		data = append(data, r...)
+	}
+	return data, true
+}
+
+// readRecords returns the records of spans by offset, without those that the log has truncated. Spans near each other are
+// read together, and several reads run at a time: after the loss of a holder its successor needs hundreds of
+// small records before it can continue.
+func (d *dataPartition) readRecords(ctx context.Context, spans []span) (map[int64][]byte, error) {
+	var mu sync.Mutex
+	records := map[int64][]byte{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxConcurrentReads)
+	for _, s := range mergeSpans(spans) {
+		group.Go(func() error {
+			for next, end := s.Offset, s.Offset+int64(s.Count); next < end; {
+				b, err := d.store.Read(ctx, d.id, next, 0, int(min(end-next, maxReadBytes/typicalTextBytes))*typicalTextBytes)
+				var truncated *store.TruncatedError
+				if errors.As(err, &truncated) && truncated.First > next {
+					next = truncated.First
+					continue
+				}
+				if err != nil {
+					return fmt.Errorf("data of partition %d at offset %d: %w", d.id.Index, next, err)
+				}
+				if len(b.Records) == 0 {
+					return fmt.Errorf("data of partition %d ends before offset %d", d.id.Index, next)
+				}
+				mu.Lock()
+				for i, r := range b.Records {
+					records[b.From+int64(i)] = r
+				}
+				mu.Unlock()
+				next = b.From + int64(len(b.Records))
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return records, nil
+}
+
+// maxConcurrentReads limits the concurrent reads of one submission's texts.
+const maxConcurrentReads = 8
+
+// mergeSpans returns spans in the order of the log that cover the given ones. Spans at most maxTextGap records apart
+// are merged, up to the records of one read.
+func mergeSpans(spans []span) []span {
+	sorted := slices.SortedFunc(slices.Values(spans), func(a, b span) int { return cmp.Compare(a.Offset, b.Offset) })
+	var out []span
+	for _, s := range sorted {
+		if n := len(out) - 1; n >= 0 && s.Offset <= out[n].Offset+int64(out[n].Count)+maxTextGap &&
+			s.Offset+int64(s.Count)-out[n].Offset <= maxReadBytes/typicalTextBytes {
+			out[n].Count = max(out[n].Count, int(s.Offset-out[n].Offset)+s.Count)
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/batch/index.go
+++ b/batch/index.go
@@ -19,8 +19,8 @@
 	results   []resultMeta
 	hasResult map[string]bool
 	ended     bool
-	// progressSpans are the data records of unfinished texts by item, in the order of the index.
-	progressSpans map[string][]span
+	// savedParts are the data records of parts of unfinished texts, in the order of the index.
+	savedParts []span
 }
 
 func (s *submissionState) done() bool { return s.ended || len(s.results) >= s.itemCount }
@@ -75,7 +75,7 @@
 			return false, nil // the first submission with an ID wins
 		}
 		ix.submissions[r.ID] = &submissionState{
-			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, progressSpans: map[string][]span{},
+			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{},
 		}
 		ix.order = append(ix.order, r.ID)
 		return true, nil
@@ -85,11 +85,11 @@
 		}
 		return sub != nil && ix.addResult(sub, r.Result), nil
 	case recordProgress:
-		if r.Saved == nil {
-			return false, fmt.Errorf("record at offset %d: the progress record has no saved part", offset)
+		if r.SavedParts == nil {
+			return false, fmt.Errorf("record at offset %d: the progress record has no saved parts", offset)
 		}
-		if sub != nil && !sub.done() && !sub.hasResult[r.Saved.ItemID] {
-			sub.progressSpans[r.Saved.ItemID] = append(sub.progressSpans[r.Saved.ItemID], r.Saved.Data)
+		if sub != nil && !sub.done() {
+			sub.savedParts = append(sub.savedParts, *r.SavedParts)
 		}
 		return false, nil
 	case recordEnd:
@@ -109,7 +109,6 @@
 		return false
 	}
 	sub.hasResult[result.ItemID] = true
-	delete(sub.progressSpans, result.ItemID)
 	sub.results = append(sub.results, *result)
 	if !result.Abandoned {
 		ix.resultsByItem[result.ItemID] = itemResult{resultMeta: *result, submissionID: sub.head.ID}
@@ -123,7 +122,7 @@
 // release frees what only an open submission needs.
 func (s *submissionState) release() {
 	s.items, s.itemList = nil, nil
-	s.progressSpans = map[string][]span{}
+	s.savedParts = nil
 }
 
 // reusableResult returns the result of an item in another submission if it has the same scorer and accepted versions.
@@ -176,6 +175,8 @@
 	versions []int64
 	complete bool
 	writer   string
+	// engineErrors and scorerErrors count the item's error responses.
+	engineErrors, scorerErrors int
 }
 
 // add appends a saved part. Parts of two writers are never joined: a part that doesn't continue the text of the
@@ -184,9 +185,10 @@
 	if len(p.Events) != len(p.Versions) {
 		return
 	}
+	t.engineErrors, t.scorerErrors = max(t.engineErrors, p.EngineErrors), max(t.scorerErrors, p.ScorerErrors)
 	switch {
 	case p.From == 0 && len(p.Events) >= len(t.events):
-		*t = partialText{writer: p.Writer}
+		t.events, t.versions, t.writer = nil, nil, p.Writer
 	case p.From != len(t.events) || p.Writer != t.writer:
 		return
 	}
--- a/batch/job.go
+++ b/batch/job.go
@@ -112,6 +112,7 @@
 	return &Progress{
 		ItemID: j.item.ID, Writer: writer, From: j.savedEvents,
 		Events: slices.Clone(j.events[j.savedEvents:]), Versions: slices.Clone(j.versions[j.savedEvents:]), Complete: j.state == jobScoring,
+		EngineErrors: j.engineErrors, ScorerErrors: j.scorerErrors,
 	}
 }
 
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -82,35 +81,53 @@
 // items of expired submissions.
 func (r *runner) closeJobs(snap *fleet.Snapshot, now time.Time) {
 	for id, jobs := range r.jobs {
-		var completed *Head
+		for _, j := range jobs { // all jobs have the same submission
+			r.closeSubmission(snap, now, j.partition, j.submission, jobs)
+			break
+		}
+		if len(jobs) == 0 {
+			delete(r.jobs, id)
+		}
+	}
+}
+
+// closeSubmission closes the jobs of a submission if it is done or its partition is no longer owned. Otherwise it abandons
+// its items if it has expired.
+func (r *runner) closeSubmission(snap *fleet.Snapshot, now time.Time, p *partition, sub *submissionState, jobs map[string]*job) {
+	p.mu.Lock()
+	done, ended, owned := sub.done(), sub.ended, r.owned[p]
+	if done {
 		for item, j := range jobs {
-			j.partition.mu.Lock()
-			closed := !r.owned[j.partition] || j.submission.done()
-			listed := j.submission.hasResult[item]
-			if j.submission.done() && !j.submission.ended {
-				completed = j.head
+			if sub.hasResult[item] {
+				r.logListed(j)
 			}
-			j.partition.mu.Unlock()
-			if closed {
-				if listed {
-					r.logListed(j)
-				}
-				if !j.submission.done() && j.state == jobRunning && len(j.events) > j.savedEvents {
-					r.appendProgress(j.partition, j.head.ID, j.unsavedProgress(r.writer)) // for the new owner of the partition
+		}
+	}
+	p.mu.Unlock()
+	if owned && !done {
+		if expired(snap, sub.head, now) {
+			for _, j := range jobs {
+				if j.state != jobResultQueued {
+					r.cancelRun(j)
+					r.abandon(j)
 				}
-				r.closeJob(j, now)
-				delete(jobs, item)
-			} else if expired(snap, j.head, now) && j.state != jobResultQueued {
-				r.cancelRun(j)
-				r.abandon(j)
 			}
 		}
-		if len(jobs) == 0 {
-			delete(r.jobs, id)
-			if completed != nil {
-				r.log.Info("batch_done", "batch", id, "ms", now.UnixMilli()-completed.AcceptedMs, "due_ms", runDeadline(snap, completed).Milliseconds())
-			}
+		return
+	}
+	var unsaved []*Progress
+	for item, j := range jobs {
+		if !done && j.state == jobRunning && len(j.events) > j.savedEvents {
+			unsaved = append(unsaved, j.unsavedProgress(r.writer))
 		}
+		r.closeJob(j, now)
+		delete(jobs, item)
+	}
+	if len(unsaved) > 0 {
+		r.appendProgress(p, sub.head.ID, unsaved) // for the new owner of the partition
+	}
+	if done && !ended {
+		r.log.Info("batch_done", "batch", sub.head.ID, "ms", now.UnixMilli()-sub.head.AcceptedMs, "due_ms", runDeadline(snap, sub.head).Milliseconds())
 	}
 }
 
@@ -141,7 +158,7 @@
 // loadSubmission reads the items and unfinished texts of an open submission from the data topic and opens it.
 func (r *runner) loadSubmission(ctx context.Context, p *partition, sub *submissionState) {
 	p.mu.Lock()
-	saved := maps.Clone(sub.progressSpans)
+	saved := slices.Clone(sub.savedParts)
 	p.mu.Unlock()
 	items, err := p.data.readItems(ctx, sub.itemSpans)
 	var texts map[string]*partialText
@@ -204,6 +221,7 @@
 			j.events, j.versions = slices.Clone(saved.events), slices.Clone(saved.versions)
 			j.dropTextIfNotAllowed(singleVersion)
 			j.textComplete = saved.complete && len(j.events) > 0
+			j.engineErrors, j.scorerErrors = saved.engineErrors, saved.scorerErrors
 		}
 		if text, ok := r.unfinishedTexts[it.ID]; ok && len(text.events) > len(j.events) {
 			j.events, j.versions, j.textComplete = text.events, text.versions, false
--- a/batch/record.go
+++ b/batch/record.go
@@ -19,7 +19,7 @@
 	recordSubmit recordKind = "submit"
 	recordResult recordKind = "result"
 	recordEnd    recordKind = "end"
-	// recordProgress saves a part of an unfinished text. If it is lost, its tokens are generated again.
+	// recordProgress saves parts of unfinished texts. If it is lost, their tokens are generated again.
 	recordProgress recordKind = "progress"
 )
 
@@ -39,8 +39,8 @@
 	Items []span `json:"items,omitempty"`
 	// Result is set in results.
 	Result *resultMeta `json:"result,omitempty"`
-	// Saved is set in progress records; its data is a JSON Progress.
-	Saved *savedPart `json:"saved,omitempty"`
+	// SavedParts is set in progress records: the data records that hold a JSON list of Progress.
+	SavedParts *span `json:"saved_parts,omitempty"`
 }
 
 // resultMeta is a result without its text.
@@ -54,12 +54,6 @@
 	Text span `json:"text"`
 }
 
-// savedPart refers to a saved part of an unfinished text.
-type savedPart struct {
-	ItemID string `json:"item"`
-	Data   span   `json:"data"`
-}
-
 // splitRecord splits data into records of at most limit bytes.
 func splitRecord(data []byte, limit int) [][]byte {
 	var out [][]byte
--- a/batch/results.go
+++ b/batch/results.go
@@ -46,11 +46,25 @@
 // Results returns a page of results that begins at position after, with texts of about maxBytes. If there are no
 // results there yet, it waits up to wait for the first one.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
+	start := time.Now()
 	p, err := s.find(ctx, id)
-	if err != nil {
-		return nil, err
+	found := time.Since(start)
+	var page *Page
+	if err == nil {
+		p.keepFollowing(s.ctx)
+		page, err = p.page(ctx, id, after, wait, maxBytes)
 	}
-	p.keepFollowing(s.ctx)
+	results := 0
+	if page != nil {
+		results = len(page.Results)
+	}
+	s.opts.Log.Info("results_read", "batch", id, "after", after, "results", results, "find_ms", found.Milliseconds(),
+		"ms", time.Since(start).Milliseconds(), "err", err)
+	return page, err
+}
+
+// page returns a page of a submission's results. If there are none at its position, it waits up to wait for the first one.
+func (p *partition) page(ctx context.Context, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for timedOut := wait <= 0; ; {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -19,11 +19,13 @@
 const (
 	// firstEventTimeout is how long an engine may take to send the first event. Engines get no more requests
 	// than they run at once, so a longer wait indicates a fault, and starting on another engine costs little.
-	firstEventTimeout = time.Second
+	firstEventTimeout = 600 * time.Millisecond
 	// eventTimeout is the longest accepted pause between two events.
-	eventTimeout = 700 * time.Millisecond
+	eventTimeout = 500 * time.Millisecond
 	// saveInterval is how often the text of a running item is saved to the log, so that another VM can continue it.
-	saveInterval = time.Second
+	saveInterval = 250 * time.Millisecond
+	// minRunBeforeSave is how long an item runs before its text is saved. Most items end before.
+	minRunBeforeSave = time.Second
 	// initialLoadDuration is the assumed duration of a weight load before one was measured.
 	initialLoadDuration = time.Second
 	// loadGain is the weight of a new measurement in the moving average of load durations.
@@ -35,7 +37,7 @@
 	// itemRetryDelay is the pause before an item is retried after a failed run.
 	itemRetryDelay = 50 * time.Millisecond
 	// pollInterval is how often a runner with open items schedules without a wakeup.
-	pollInterval = 250 * time.Millisecond
+	pollInterval = 125 * time.Millisecond
 )
 
 // Forwarder forwards scoring calls in the same way as requests of callers.
@@ -53,7 +55,7 @@
 	az        string
 	// appendResult appends a result. text is empty if the result has none or refers to data that was already written.
 	appendResult   func(p *partition, submissionID string, result resultMeta, text string)
-	appendProgress func(p *partition, submissionID string, progress *Progress)
+	appendProgress func(p *partition, submissionID string, parts []*Progress)
 	// writer identifies this process in saved texts.
 	writer string
 
--- a/batch/score.go
+++ b/batch/score.go
@@ -54,7 +54,12 @@
 		if reply.Status/100 == 2 && reply.Proof != "" {
 			return reply.Proof, true
 		}
-		j.scorerErrors += reply.ServerErrors
+		if reply.ServerErrors > 0 {
+			r.mu.Lock()
+			j.scorerErrors += reply.ServerErrors
+			r.saveErrors(j)
+			r.mu.Unlock()
+		}
 		attempts := 1
 		if snap := r.view.Get(); snap.Tables != nil {
 			if route := snap.Tables.Match(s.Host, s.Path); route != nil {
--- a/batch/service.go
+++ b/batch/service.go
@@ -99,17 +99,17 @@
 	s.writers[p.id.Index].add(s.ctx, entry)
 }
 
-// appendProgress queues a part of an unfinished text.
-func (s *Service) appendProgress(p *partition, submissionID string, progress *Progress) {
-	data, err := json.Marshal(progress)
+// appendProgress queues parts of unfinished texts.
+func (s *Service) appendProgress(p *partition, submissionID string, parts []*Progress) {
+	data, err := json.Marshal(parts)
 	if err != nil {
-		s.opts.Log.Error("progress_lost", "batch", submissionID, "id", progress.ItemID, "err", err)
+		s.opts.Log.Error("progress_lost", "batch", submissionID, "items", len(parts), "err", err)
 		return
 	}
 	s.writers[p.id.Index].add(s.ctx, pending{
-		record:  record{Kind: recordProgress, ID: submissionID, Saved: &savedPart{ItemID: progress.ItemID}},
+		record:  record{Kind: recordProgress, ID: submissionID},
 		data:    splitRecord(data, s.opts.MaxRecordBytes),
-		setSpan: func(r *record, data span) { r.Saved.Data = data },
+		setSpan: func(r *record, data span) { r.SavedParts = &data },
 	})
 }
 
@@ -195,8 +195,8 @@
 
 // Handover saves all unfinished texts, so that another VM can continue them. It blocks for at most handoverTimeout.
 func (s *Service) Handover() {
-	for _, part := range s.runner.takeUnsaved() {
-		s.appendProgress(part.partition, part.submissionID, part.progress)
+	for _, u := range s.runner.takeUnsaved() {
+		s.appendProgress(u.partition, u.submissionID, u.parts)
 	}
 	deadline := time.Now().Add(handoverTimeout)
 	for _, w := range s.writers {
