relay: a VM that the store turns away calls it through another VM

Change: each VM announces a relay in a compacted topic and passes calls of others on to the store. A VM whose call was refused, could not connect or got no answer calls through a peer until a probe of the direct path is answered. Appends without an answer are never sent twice by the relay. If no peer reaches the store either, calls go directly for 0.5 s: an outage is not multiplied. Found by a test while building: an append that a peer may have executed was reported as certainly not executed.

--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -18,6 +18,7 @@
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/relay"
 )
 
 // metricsAddress is where metrics and the state dump are served. The deploy file contains the same port.
@@ -74,8 +75,16 @@
 	metrics := process.NewMetrics()
 	metrics.Set("log_lines_dropped", expvar.Func(func() any { return logWriter.Dropped() }))
 	targets := platform.NewTargetClient()
+	transport := platform.NewStoreTransport(settings.StoreAddress, log)
+	store := platform.NewStoreClient(settings.StoreAddress, transport, platform.NewCallCounter(metrics))
+	var peers *relay.Directory
+	var relayHandler http.Handler
+	if settings.RelayAddress != "" {
+		peers = &relay.Directory{Store: store, Topic: platform.TopicPeers, VM: settings.VM, Address: settings.RelayAddress, Transport: transport, Log: log}
+		relayHandler = platform.NewStoreRelay(settings.StoreAddress, settings.CallBytes, transport)
+	}
 	p := entry.New(entry.Options{
-		Settings: settings, Log: log, Store: platform.NewStoreClient(settings.StoreAddress, platform.NewCallCounter(metrics)), Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
+		Settings: settings, Log: log, Store: store, Peers: peers, Relay: relayHandler, Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
 		Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/relay"
 )
 
 // Names used in the test deployment.
@@ -43,6 +44,7 @@
 // vm is one entry VM.
 type vm struct {
 	name, address, readyAddress string
+	storeAccess                 *storeAccess
 	process                     *entry.Process
 	stop                        chan struct{}
 	done                        chan error
@@ -110,16 +112,21 @@
 // startVMWithin starts a VM and waits for the given time until it is ready.
 func (d *deployment) startVMWithin(name string, within time.Duration) *vm {
 	d.t.Helper()
-	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), stop: make(chan struct{}), done: make(chan error, 1)}
+	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), storeAccess: newStoreAccess(d.t, d.store), stop: make(chan struct{}), done: make(chan error, 1)}
 	targets := platform.NewTargetClient()
 	log := process.NewLogger(io.MultiWriter(d.t.Output(), &d.log), slog.LevelInfo, "entry", name)
+	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
+	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
+	relayAddress := freeAddress(d.t)
 	v.process = entry.New(entry.Options{
 		Settings: entry.Settings{
-			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: d.store.Address(),
+			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress,
 			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
 			OrderHandover: time.Second, BatchRetention: time.Minute,
 		},
-		Log: log, Store: platform.NewStoreClient(d.store.Address(), nil), Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
+		Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
+		Peers:  &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, Address: relayAddress, Transport: transport, Log: log},
+		Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
@@ -384,6 +391,39 @@
 	d.is.Equal(len(d.engines[0].ExecutedRequests()), 3) // MaxAttempts of the route
 }
 
+// TestFailedAttemptsAreCountedAcrossHolders kills each holder after an item's second error: the next one must not begin to
+// count anew, or an item that always fails is sent without end.
+func TestFailedAttemptsAreCountedAcrossHolders(t *testing.T) {
+	d := newDeployment(t, 1, 1, 6)
+	d.engines[0].Set(func(e *errata.Target) { e.Fail = true })
+	runs := func() int { return len(d.engines[0].ExecutedRequests()) }
+	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1")).status, http.StatusAccepted)
+	const idle = 3 * time.Second // longer than any takeover
+	for seen, lastRun := 0, time.Now(); time.Since(lastRun) < idle; time.Sleep(time.Millisecond) {
+		n := runs()
+		if n == seen {
+			continue
+		}
+		lastRun = time.Now()
+		if n%2 == 1 {
+			seen = n
+			continue
+		}
+		seen = n
+		for i, v := range d.vms {
+			if len(d.vms) > 1 && v.process.HoldsPool("drafting") {
+				d.kill(v)
+				d.vms = append(d.vms[:i], d.vms[i+1:]...)
+				break
+			}
+		}
+	}
+	all := d.readAll(d.vms[0], "b1", 1, 5*time.Second)
+	d.is.Equal(all[0].State, "terminated")
+	t.Log("runs:", runs())
+	d.is.True(runs() <= 9) // three times MaxAttempts of the route
+}
+
 func TestConfigurationAppliesWhenStoreDoesNotEndWait(t *testing.T) {
 	d := newDeployment(t, 1, 1, 1)
 	d.store.Set(func(s *errata.Store) { s.IgnoreLongPollWakeups = true })
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,6 +15,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/relay"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/versions"
@@ -49,6 +50,9 @@
 	Sources        []Source
 	// CrashTopic is the compacted topic in which VMs share which requests were running when targets crashed.
 	CrashTopic string
+	// Peers announces this VM's relay and finds those of other VMs, Relay serves it; both are nil without a relay.
+	Peers *relay.Directory
+	Relay http.Handler
 	// BootTime returns the time since boot, including time during which the VM was suspended.
 	BootTime func() time.Duration
 	// Handler returns the handler of callers' requests.
@@ -119,6 +123,7 @@
 	for _, src := range p.opts.Sources {
 		go p.follower.follow(p.ctx, src)
 	}
+	p.serveRelay()
 	go p.crashes.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
@@ -160,6 +165,24 @@
 	}()
 }
 
+// serveRelay starts the relay. A failure is only logged: this VM then serves as long as it reaches the store itself.
+func (p *Process) serveRelay() {
+	if p.opts.Relay == nil {
+		return
+	}
+	l, err := net.Listen("tcp", p.opts.Settings.RelayAddress)
+	if err != nil {
+		p.opts.Log.Error("relay_unserved", "address", p.opts.Settings.RelayAddress, "err", err)
+		return
+	}
+	go func() {
+		if err := process.Serve(p.ctx, l, p.opts.Relay); err != nil {
+			p.opts.Log.Error("relay_unserved", "address", p.opts.Settings.RelayAddress, "err", err)
+		}
+	}()
+	go p.opts.Peers.Run(p.ctx)
+}
+
 func (p *Process) checkReady() error {
 	if p.Ready() {
 		return nil
@@ -191,6 +214,9 @@
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	p.tenures.stop()
+	if p.opts.Peers != nil {
+		p.opts.Peers.Withdraw()
+	}
 	time.Sleep(min(balancerDelay, p.opts.Settings.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.opts.Settings.StopGrace-shutdownMargin))
 	defer cancel()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -13,6 +13,8 @@
 	ListenAddress    string
 	ReadyAddress     string
 	StoreAddress     string
+	// RelayAddress is where other VMs call the store through this one; "" means that this VM has no relay.
+	RelayAddress string
 	// Partitions is the number of partitions of each topic.
 	Partitions int
 	// RecordBytes and CallBytes limit one record and all records of one append, in bytes.
