versions: unreachable engines don't stop the loads of others

Each wave waited a second for the reports of unreachable engines, and these were chosen first, as they had free slots. A test with 4 of 20 engines silent loaded none of the others in 8 s. Change: a report is given up after 250 ms; an engine without one is asked again later and later, goes last, and loses its place in the wave after two; the wave is filled up at once. Tested: TestEnginesBehindAPartitionDoNotDelayOtherLoads (0 of 16 loaded before), TestModelOfTrainerFurthestBehindLoadsFirst.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -85,11 +85,11 @@
 	return d.service.runner.waitingModels[model]
 }
 
-// FreeSlots returns the number of free slots of an engine, or 0 if it is not registered.
+// FreeSlots returns the number of free slots of an engine, or 0 if it is not registered or its last requests failed.
 func (d *poolDemand) FreeSlots(k fleet.Key) int {
 	d.service.runner.mu.Lock()
 	defer d.service.runner.mu.Unlock()
-	if e := d.service.runner.engines.byKey[k]; e != nil {
+	if e := d.service.runner.engines.byKey[k]; e != nil && e.failures == 0 {
 		return e.freeSlots(time.Now())
 	}
 	return 0
--- a/versions/controller.go
+++ b/versions/controller.go
@@ -13,6 +13,8 @@
 const (
 	// idleInterval is the pause between two steps while nothing is pending.
 	idleInterval = 2 * time.Second
+	// reportTimeout bounds the reading of one report. Orders to other engines wait for it.
+	reportTimeout = 250 * time.Millisecond
 )
 
 // Controller orders the engines of one pool to load new weight versions while this VM is responsible for the pool.
@@ -87,7 +89,9 @@
 		c.cancel(intents)
 		return max(retryDelay, min(wait, idleInterval))
 	}
-	c.orderWave(ctx, snap, intents)
+	if c.orderWave(ctx, snap, intents) {
+		return 0 // there may be other engines to load in the place of those without a report
+	}
 	return c.pause()
 }
 
@@ -107,7 +111,7 @@
 }
 
 // readReports reads the reports of the intents' engines concurrently and applies them to the plan. Engines whose report
-// could not be read are missing in the result.
+// could not be read are missing in the result, and in the plan for some time.
 func (c *Controller) readReports(ctx context.Context, intents []Intent) map[fleet.Key]Report {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -117,6 +121,8 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
 			r, err := c.Engines.Report(ctx, in.Address, in.Name)
 			if err != nil {
 				c.Log.Warn("engine_report", "engine", in.Name, "outcome", "failed", "err", err)
@@ -131,6 +137,7 @@
 	for _, i := range intents {
 		r, ok := out[i.Instance.Key()]
 		if !ok {
+			c.planner.RecordMissedReport(time.Now(), i.Instance.Key())
 			continue
 		}
 		if took, done := c.planner.RecordReport(time.Now(), i.Instance.Key(), r); done {
@@ -141,26 +148,30 @@
 	return out
 }
 
-// orderWave sends the orders of the intents whose engines still run an older version according to their reports.
-func (c *Controller) orderWave(ctx context.Context, snap *fleet.Snapshot, intents []Intent) {
+// orderWave sends the orders of the intents whose engines still run an older version according to their reports. It reports
+// whether an engine left its report unanswered.
+func (c *Controller) orderWave(ctx context.Context, snap *fleet.Snapshot, intents []Intent) (missed bool) {
 	reports := c.readReports(ctx, intents)
 	var due []Intent
 	for _, i := range intents {
 		r, ok := reports[i.Instance.Key()]
 		switch {
-		case !ok || r.Loading:
+		case !ok:
+			missed = true
+			c.planner.Cancel(i.Instance.Key())
+		case r.Loading:
 			c.planner.RecordFailure(time.Now(), i.Instance.Key())
 		case r.Versions[i.Model] < i.Version:
 			due = append(due, i)
 		}
 	}
 	if len(due) == 0 {
-		return
+		return missed
 	}
 	if err := c.Tenure.BeginWave(ctx); err != nil {
 		c.Log.Warn("order_tenure", "pool", c.Pool, "outcome", "lost", "err", err)
 		c.cancel(due)
-		return
+		return false
 	}
 	token, _ := c.Tenure.Held()
 	var wg sync.WaitGroup
@@ -190,6 +201,7 @@
 			c.LoadObserver.LoadFailed(i)
 		}
 	}
+	return missed
 }
 
 // orderMode returns Await if any route of the pool requires samples of a single version, otherwise CarryOver.
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -27,6 +27,11 @@
 	reportInterval   = 120 * time.Millisecond
 	// retryDelay is the time before an engine is ordered again after an order failed or conflicted with another.
 	retryDelay = 300 * time.Millisecond
+	// maxRetryDelay limits the time before an engine that did not answer is asked again; it doubles with each failure.
+	maxRetryDelay = 4 * time.Second
+	// maxMissedReports is the number of reports in a row that a loading engine may leave unanswered before its place in the
+	// wave goes to another.
+	maxMissedReports = 2
 )
 
 // engine is the planner's state of one engine.
@@ -42,6 +47,8 @@
 	nextReport time.Time
 	// retryAt is the time from which on the engine may be ordered again.
 	retryAt time.Time
+	// missedReports is the number of reports in a row that the engine left unanswered.
+	missedReports int
 }
 
 // Planner decides which engines load which version next. If steps accept older versions, an engine doesn't load each
@@ -121,6 +128,8 @@
 	// share is the number of engines that should be able to serve the model's newest steps, usable those that are; turn is
 	// the number that should run the newest version, current those that do. Both count loads in progress.
 	share, usable, turn, current int
+	// reachedBefore is usable divided by share before this pass.
+	reachedBefore float64
 	// queued is set if items of the model wait for an engine.
 	queued     bool
 	newestStep int64
@@ -179,24 +188,26 @@
 }
 
 // leastServed returns the next candidate of the plan that reached the smallest part of its goal, so that models take
-// turns, or nil if no plan has a candidate.
+// turns, or nil if no plan has a candidate. Among equal ones the plan of the trainer furthest behind goes first.
 func leastServed(plans []*modelPlan, next func(*modelPlan) (*candidate, float64)) (plan *modelPlan, c *candidate) {
 	smallest := 0.0
 	for _, p := range plans {
-		if found, reached := next(p); found != nil && (c == nil || reached < smallest) {
+		found, reached := next(p)
+		if found != nil && (c == nil || reached < smallest || reached == smallest && p.newestStep < plan.newestStep) {
 			plan, c, smallest = p, found, reached
 		}
 	}
 	return plan, c
 }
 
-// nextUrgent returns the next load that queued items wait for, within the model's share. The model whose trainer is
-// furthest behind goes first: if several models wait, loads in turn would make the steps of all of them late.
+// nextUrgent returns the next load that queued items wait for, within the model's share. What the model had reached before
+// this pass counts, so that the loads of a pass go to one model: its longest items start now, those of the others
+// with the next pass. Half a pass each would delay both.
 func (p *modelPlan) nextUrgent() (*candidate, float64) {
 	if !p.queued || p.usable >= p.share {
 		return nil, 0
 	}
-	return p.firstIdle(p.tooOld, 0), float64(p.newestStep)
+	return p.firstIdle(p.tooOld, 0), p.reachedBefore
 }
 
 // nextRegular returns the next load within the model's share. Engines whose version is too old go first.
@@ -309,12 +320,13 @@
 			plan.accepted = append(plan.accepted, c)
 		}
 	}
-	// A load of an engine with free slots delays the fewest items.
+	plan.reachedBefore = float64(plan.usable) / float64(max(1, share))
+	// A load of an engine with free slots delays the fewest items. One that did not answer may have free slots for that reason.
 	slices.SortFunc(plan.tooOld, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.lag, b.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+		return cmp.Or(cmp.Compare(a.e.missedReports, b.e.missedReports), cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.lag, b.lag), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
 	})
 	slices.SortFunc(plan.accepted, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
+		return cmp.Or(cmp.Compare(a.e.missedReports, b.e.missedReports), cmp.Compare(b.lag, a.lag), cmp.Compare(b.freeSlots, a.freeSlots), cmp.Compare(a.e.instance.Name, b.e.instance.Name))
 	})
 	return plan
 }
@@ -325,6 +337,7 @@
 	if e == nil {
 		return 0, false
 	}
+	e.missedReports = 0
 	for m, v := range r.Versions {
 		e.versions[m] = max(e.versions[m], v)
 	}
@@ -344,6 +357,28 @@
 	}
 }
 
+// Cancel takes back a load that was not ordered.
+func (p *Planner) Cancel(k fleet.Key) {
+	if e := p.engines[k]; e != nil {
+		e.loading = false
+	}
+}
+
+// RecordMissedReport records that an engine left the reading of its report unanswered. It is asked again later and later, so that
+// engines behind a partition don't delay the loads of others.
+func (p *Planner) RecordMissedReport(now time.Time, k fleet.Key) {
+	e := p.engines[k]
+	if e == nil {
+		return
+	}
+	delay := min(maxRetryDelay, retryDelay<<min(e.missedReports, 8))
+	e.missedReports++
+	e.retryAt, e.nextReport = now.Add(delay), now.Add(delay)
+	if e.missedReports >= maxMissedReports {
+		e.loading = false
+	}
+}
+
 // ReportsDue returns the loads in progress for which to read the engine's report now.
 func (p *Planner) ReportsDue(now time.Time) []Intent {
 	var out []Intent
