tenure: the end of an outage is no takeover; first candidates keep up with the index

Change: silence counts from the end of an outage that a candidate saw itself. Tested: TestOutageEndsWithoutATakeover (red before), TestFirstCandidateKeepsUpWithThePartition.

--- a/batch/partition.go
+++ b/batch/partition.go
@@ -42,6 +42,8 @@
 	requestedAt time.Time
 	caughtUpAt  time.Time // the index holds all records that were in the log at this time
 	following   bool
+	// candidate is set on VMs that are first in line for the partition. They keep up with it, so that they can go on at once.
+	candidate bool
 
 	wake func() // notifies the runner of a change in an owned partition
 }
@@ -77,7 +79,9 @@
 func (p *partition) caughtUp() bool { return p.owned && !p.caughtUpAt.Before(p.ownedAt) }
 
 // needed reports whether the read loop must continue. The caller holds mu.
-func (p *partition) needed(now time.Time) bool { return p.owned || now.Sub(p.requestedAt) < followTTL }
+func (p *partition) needed(now time.Time) bool {
+	return p.owned || p.candidate || now.Sub(p.requestedAt) < followTTL
+}
 
 func (p *partition) readLoop(ctx context.Context) {
 	var outage process.Outage
@@ -185,6 +189,15 @@
 	}
 }
 
+// setCandidate starts to follow the partition: for as long as this process runs if it is first in line, otherwise for followTTL, as
+// it may take over soon after its start.
+func (p *partition) setCandidate(ctx context.Context, first bool) {
+	p.mu.Lock()
+	p.candidate = first
+	p.mu.Unlock()
+	p.keepFollowing(ctx)
+}
+
 // keepFollowing keeps the partition up to date for followTTL.
 func (p *partition) keepFollowing(ctx context.Context) {
 	p.mu.Lock()
--- a/batch/partition_test.go
+++ b/batch/partition_test.go
@@ -155,3 +155,29 @@
 	defer p.mu.Unlock()
 	is.True(p.caughtUp())
 }
+
+// TestFirstCandidateKeepsUpWithThePartition guards against a slow takeover: a VM that is first in line has read the
+// partition when it becomes its owner.
+func TestFirstCandidateKeepsUpWithThePartition(t *testing.T) {
+	is := is.New(t)
+	p := &partition{
+		store: &oneRecordLog{records: [][]byte{submitRecord("a", 1), submitRecord("b", 1)}}, log: slog.New(slog.DiscardHandler), retention: noExpiry,
+		index: newIndexState(), changed: make(chan struct{}), wake: func() {},
+	}
+	p.setCandidate(t.Context(), true)
+	for range 100 {
+		p.mu.Lock()
+		n := len(p.index.submissions)
+		p.mu.Unlock()
+		if n == 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.Equal(len(p.index.submissions), 2)
+	is.True(p.needed(time.Now().Add(time.Hour)))
+	p.candidate = false
+	is.True(!p.needed(time.Now().Add(time.Hour)))
+}
--- a/batch/service.go
+++ b/batch/service.go
@@ -89,6 +89,9 @@
 	s.runner.setOwned(owned)
 }
 
+// SetCandidate tells that this VM may take over a partition, and whether it is first in line.
+func (s *Service) SetCandidate(index int, first bool) { s.partitions[index].setCandidate(s.ctx, first) }
+
 // appendResult queues a result. text is empty if the result has none or refers to data that was already written.
 func (s *Service) appendResult(p *partition, submissionID string, result resultMeta, text string) {
 	entry := pending{record: record{Kind: recordResult, ID: submissionID, Result: &result}}
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -81,6 +81,9 @@
 				Standby: m.p.standby(), Clock: m.p.opts.BootTime, Log: m.p.opts.Log, OnChange: func() { go m.syncTenures() },
 			})
 			m.tenures[n] = t
+			if !m.p.standby() {
+				m.p.Batches.SetCandidate(n, t.FirstInLine())
+			}
 			go t.Run(m.p.ctx)
 		}
 	}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -97,6 +97,8 @@
 	lastRecord   *record
 	lastRecordAt time.Duration // when the newest record was read, or this VM first reached the end of the log
 	caughtUp     bool
+	lastReadAt   time.Duration // when the log was last read
+	readFailed   bool          // a read has failed since
 	lastOrderAt  time.Duration // upper bound of the time of the last order by any holder
 	sendUntil    time.Duration // end of the newest wave's order window
 	handoverDone bool          // HandoverDelay has passed since the orders of the previous holders
@@ -117,6 +119,9 @@
 	return t.token, t.held
 }
 
+// FirstInLine reports whether this VM is among the first to take over when the holder is lost.
+func (t *Tenure) FirstInLine() bool { return !t.opts.Standby && t.takeoverDelay == 0 }
+
 // Run renews the tenure, or watches the log to take it over, until ctx is done or Release is called.
 func (t *Tenure) Run(ctx context.Context) {
 	var outage process.Outage
@@ -192,14 +197,21 @@
 	}
 	t.mu.Unlock()
 	b, err := t.read(ctx, from, wait)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if err != nil {
+		t.readFailed = true
 		return err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	now := t.opts.Clock()
+	// A holder can't renew its tenure in an outage of the store, so its silence counts from the end of the outage.
+	if t.readFailed && t.caughtUp && now-t.lastReadAt >= takeoverTimeout {
+		t.lastRecordAt = now
+	}
+	t.lastReadAt, t.readFailed = now, false
 	t.applyRecords(b)
 	if !t.caughtUp && t.nextOffset >= b.End {
-		t.caughtUp, t.lastRecordAt = true, t.opts.Clock()
+		t.caughtUp, t.lastRecordAt = true, now
 	}
 	return nil
 }
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -155,6 +155,36 @@
 	is.True(held(a) && !held(b))
 }
 
+// TestOutageEndsWithoutATakeover replays days of Trinacria: when the store answered again after 7 s, a candidate that had heard of no
+// renewal all the while was quicker than the holder, and all that ran was begun again.
+func TestOutageEndsWithoutATakeover(t *testing.T) {
+	is := is.New(t)
+	m, c := &memoryLog{}, &clock{now: time.Hour}
+	a, b := newTenure(m, c, "a", false), newTenure(m, c, "b", false)
+	is.NoErr(step(a))
+	is.NoErr(step(b))
+	m.unavailable = true
+	for range 10 {
+		c.now += callTimeout
+		is.True(step(a) != nil)
+		is.True(step(b) != nil)
+	}
+	m.unavailable = false
+	is.NoErr(step(b)) // the candidate is the first to reach the store again
+	is.True(!held(b))
+	c.now += callTimeout + lostCallDelay
+	is.NoErr(step(b))
+	is.True(!held(b))
+	is.NoErr(step(a))
+	is.True(held(a))
+	// A holder that was lost in the outage is succeeded.
+	for range 4 {
+		c.now += takeoverTimeout / 2
+		is.NoErr(step(b))
+	}
+	is.True(held(b))
+}
+
 func TestReleasedTenureIsAcquiredImmediately(t *testing.T) {
 	is := is.New(t)
 	m, c := &memoryLog{}, &clock{now: time.Hour}
