--- a/relay/transport.go
+++ b/relay/transport.go
@@ -92,6 +92,9 @@
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return false // the caller gave up, which says nothing about the path
 	}
+	if err != nil {
+		closeIdle(t.opts.Direct)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !failed {
@@ -128,6 +131,9 @@
 		sentAt := time.Now()
 		resp, err := t.opts.Direct.RoundTrip(req)
 		answered := err == nil && !t.opts.Refused(resp.StatusCode)
+		if err != nil {
+			closeIdle(t.opts.Direct)
+		}
 		discard(resp)
 		cancel()
 		t.mu.Lock()
@@ -167,6 +173,9 @@
 			return resp, nil
 		}
 		discard(resp)
+		if err != nil {
+			closeIdle(t.opts.Peer)
+		}
 		if !errors.Is(req.Context().Err(), context.Canceled) {
 			t.mu.Lock()
 			t.paths.peerFailed(now, address, err == nil)
@@ -196,6 +205,14 @@
 	return req.Method == http.MethodGet || errors.As(err, &op) && op.Op == "dial"
 }
 
+// closeIdle closes the kept connections of a transport after a call without an answer: those that were open in an outage may stay
+// silent for good, and each would cost one more call its time.
+func closeIdle(rt http.RoundTripper) {
+	if c, ok := rt.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 func readBody(req *http.Request) ([]byte, error) {
 	if req.Body == nil {
 		return nil, nil
--- a/relay/transport_test.go
+++ b/relay/transport_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -8,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -167,3 +170,100 @@
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 	is.Equal(s.executed.Load(), int32(0))
 }
+
+// silencer passes connections on to an address. After silence, the open ones stay open but carry nothing more; new ones work.
+type silencer struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newSilencer(t *testing.T, address string) *silencer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silencer{Listener: l}
+	t.Cleanup(func() {
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			up, err := net.Dial("tcp", address)
+			if err != nil {
+				c.Close()
+				continue
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c, up)
+			s.mu.Unlock()
+			go func() { _, _ = io.Copy(up, c) }()
+			go func() { _, _ = io.Copy(c, up) }()
+		}
+	}()
+	return s
+}
+
+// silence cuts the open connections behind the listener without closing them towards the client.
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, c := range s.conns {
+		if i%2 == 1 {
+			_ = c.SetDeadline(time.Now()) // ends the copying in both directions
+		}
+	}
+}
+
+// TestConnectionsThatStaySilentAreNotTriedOneByOne replays the end of an outage on Trinacria: a holder's calls each took one of
+// the kept connections, all of which were silent for good, and its tenure went to another VM a second after the store was back.
+func TestConnectionsThatStaySilentAreNotTriedOneByOne(t *testing.T) {
+	is := is.New(t)
+	s := newFakeStore(t)
+	via := newSilencer(t, strings.TrimPrefix(s.URL, "http://"))
+	tr := newTestTransport(&http.Transport{MaxIdleConnsPerHost: 16})
+	storeURL := "http://" + via.Addr().String() + "/v1/x"
+	var wg sync.WaitGroup
+	hold := make(chan struct{})
+	serve := s.serve
+	s.serve = func(w http.ResponseWriter, r *http.Request) {
+		<-hold // so that each call opens a connection
+		serve(w, r)
+	}
+	for range 8 {
+		wg.Go(func() {
+			if _, _, err := call(t, tr, http.MethodGet, storeURL, ""); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(hold)
+	wg.Wait()
+	via.silence()
+	const callTimeout = 200 * time.Millisecond
+	failed := 0
+	for ; failed < 8; failed++ {
+		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, storeURL, nil)
+		is.NoErr(err)
+		resp, err := tr.RoundTrip(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	is.Equal(failed, 1)
+}
