batch: a successor reads the saved parts of unfinished items only

Change: each part has data records of its own again; the parts of a save still share one record of the index. Tested: TestSuccessorReadsSavedTextsTogether (one needed text of 30: 40 records read, 1200 before).

--- a/batch/data_partition.go
+++ b/batch/data_partition.go
@@ -111,31 +111,34 @@
 	return decodeItems(all)
 }
 
-// readTexts returns the unfinished texts by item, joined from the saved parts; a text may have no event. Parts that the log has truncated are skipped.
-func (d *dataPartition) readTexts(ctx context.Context, saved []span) (map[string]*partialText, error) {
-	records, err := d.readRecords(ctx, saved)
+// readTexts returns the unfinished texts by item, joined from the saved parts; a text may have no event. Parts that the log has
+// truncated are skipped.
+func (d *dataPartition) readTexts(ctx context.Context, saved map[string][]span) (map[string]*partialText, error) {
+	var spans []span
+	for _, parts := range saved {
+		spans = append(spans, parts...)
+	}
+	records, err := d.readRecords(ctx, spans)
 	if err != nil {
 		return nil, err
 	}
 	texts := map[string]*partialText{}
-	for _, s := range saved {
-		data, ok := joinRecords(records, s)
-		if !ok {
-			continue
-		}
-		var parts []*Progress
-		if err := json.Unmarshal(data, &parts); err != nil {
-			return nil, fmt.Errorf("decode saved texts at offset %d: %w", s.Offset, err)
-		}
-		for _, p := range parts {
-			if p == nil {
+	for item, parts := range saved {
+		t := &partialText{}
+		for _, s := range parts {
+			data, ok := joinRecords(records, s)
+			if !ok {
 				continue
 			}
-			if texts[p.ItemID] == nil {
-				texts[p.ItemID] = &partialText{}
+			var p Progress
+			if err := json.Unmarshal(data, &p); err != nil {
+				return nil, fmt.Errorf("decode saved text at offset %d: %w", s.Offset, err)
+			}
+			if p.ItemID == item {
+				t.add(&p)
 			}
-			texts[p.ItemID].add(p)
 		}
+		texts[item] = t
 	}
 	return texts, nil
 }
--- a/batch/data_partition_test.go
+++ b/batch/data_partition_test.go
@@ -20,8 +20,8 @@
 	first   int64 // older records were truncated
 	records [][]byte
 
-	mu    sync.Mutex
-	reads int
+	mu              sync.Mutex
+	reads, returned int // calls and records
 }
 
 func (l *slowLog) Read(_ context.Context, _ store.Partition, from int64, _ time.Duration, maxBytes int) (store.Batch, error) {
@@ -33,23 +33,24 @@
 		return store.Batch{}, &store.TruncatedError{First: l.first}
 	}
 	end := int64(len(l.records))
-	return store.Batch{From: from, End: end, Records: l.records[from:min(end, from+int64(max(1, maxBytes/typicalTextBytes)))]}, nil
+	b := store.Batch{From: from, End: end, Records: l.records[from:min(end, from+int64(max(1, maxBytes/typicalTextBytes)))]}
+	l.returned += len(b.Records)
+	return b, nil
 }
 
-// savedTexts appends saves of n texts each to a log, with other records between them, and returns their spans.
-func savedTexts(t *testing.T, l *slowLog, n, saves, gap int) []span {
-	var saved []span
+// savedTexts appends saves of n texts each to a log, with other records between the saves, and returns the spans of the parts by item.
+func savedTexts(t *testing.T, l *slowLog, n, saves, gap int) map[string][]span {
+	saved := map[string][]span{}
 	for save := range saves {
-		var parts []*Progress
 		for i := range n {
-			parts = append(parts, &Progress{ItemID: fmt.Sprintf("i%d", i), Writer: "w", From: save, Events: []string{fmt.Sprint(save)}, Versions: []int64{1}})
-		}
-		data, err := json.Marshal(parts)
-		if err != nil {
-			t.Fatal(err)
+			item := fmt.Sprintf("i%d", i)
+			data, err := json.Marshal(&Progress{ItemID: item, Writer: "w", From: save, Events: []string{fmt.Sprint(save)}, Versions: []int64{1}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			saved[item] = append(saved[item], span{Offset: int64(len(l.records)), Count: 1})
+			l.records = append(l.records, data)
 		}
-		saved = append(saved, span{Offset: int64(len(l.records)), Count: 1})
-		l.records = append(l.records, data)
 		for range gap {
 			l.records = append(l.records, []byte("other"))
 		}
@@ -61,25 +62,35 @@
 // read the parts of 30 texts one after the other, while new steps took the engines.
 func TestSuccessorReadsSavedTextsTogether(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		gap      int
-		maxReads int
-	}{{"neighboring saves", 0, 2}, {"saves far apart", maxTextGap + 1, 40}} {
+		name      string
+		gap       int
+		needed    int // texts without a result
+		maxReads  int
+		maxRecord int // records read
+	}{
+		{"neighboring saves, all texts", 0, 30, 20, 1200},
+		{"saves far apart, all texts", 100, 30, 40, 1200},
+		{"one text: the others have results", 0, 1, 40, 40},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			l := &slowLog{latency: 10 * time.Millisecond}
 			saved := savedTexts(t, l, 30, 40, tc.gap)
+			for i := tc.needed; i < 30; i++ {
+				delete(saved, fmt.Sprintf("i%d", i))
+			}
 			begin := time.Now()
 			texts, err := newDataPartition(l, 0).readTexts(t.Context(), saved)
 			took := time.Since(begin)
 			is.NoErr(err)
-			is.Equal(len(texts), 30)
+			is.Equal(len(texts), tc.needed)
 			for _, text := range texts {
 				is.Equal(len(text.events), 40)
 				is.Equal(text.events[39], "39")
 			}
 			is.True(l.reads <= tc.maxReads)
-			is.True(took < 40*l.latency/2) // one after the other they would take 40 latencies
+			is.True(l.returned <= tc.maxRecord)
+			is.True(took < 40*l.latency/2) // one after the other they would take 40 latencies or more
 		})
 	}
 }
@@ -89,11 +100,11 @@
 	l := &slowLog{}
 	saved := savedTexts(t, l, 1, 4, 0)
 	l.first = 2
-	texts, err := newDataPartition(l, 0).readTexts(t.Context(), saved)
+	d := newDataPartition(l, 0)
+	texts, err := d.readTexts(t.Context(), saved)
 	is.NoErr(err)
 	is.Equal(len(texts["i0"].events), 0) // the first part is missing
-	again := savedTexts(t, l, 2, 1, 0)
-	texts, err = newDataPartition(l, 0).readTexts(t.Context(), append(saved, again...))
+	texts, err = d.readTexts(t.Context(), savedTexts(t, l, 2, 1, 0))
 	is.NoErr(err)
-	is.Equal(len(texts), 2)
+	is.Equal(len(texts["i0"].events)+len(texts["i1"].events), 2)
 }
--- a/batch/index.go
+++ b/batch/index.go
@@ -19,8 +19,8 @@
 	results   []resultMeta
 	hasResult map[string]bool
 	ended     bool
-	// savedParts are the data records of parts of unfinished texts, in the order of the index.
-	savedParts []span
+	// savedParts are the data records of unfinished texts by item, in the order of the index.
+	savedParts map[string][]span
 }
 
 func (s *submissionState) done() bool { return s.ended || len(s.results) >= s.itemCount }
@@ -75,7 +75,7 @@
 			return false, nil // the first submission with an ID wins
 		}
 		ix.submissions[r.ID] = &submissionState{
-			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{},
+			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, savedParts: map[string][]span{},
 		}
 		ix.order = append(ix.order, r.ID)
 		return true, nil
@@ -85,11 +85,15 @@
 		}
 		return sub != nil && ix.addResult(sub, r.Result), nil
 	case recordProgress:
-		if r.SavedParts == nil {
+		if len(r.SavedParts) == 0 {
 			return false, fmt.Errorf("record at offset %d: the progress record has no saved parts", offset)
 		}
 		if sub != nil && !sub.done() {
-			sub.savedParts = append(sub.savedParts, *r.SavedParts)
+			for _, part := range r.SavedParts {
+				if !sub.hasResult[part.ItemID] {
+					sub.savedParts[part.ItemID] = append(sub.savedParts[part.ItemID], part.Data)
+				}
+			}
 		}
 		return false, nil
 	case recordEnd:
@@ -109,6 +113,7 @@
 		return false
 	}
 	sub.hasResult[result.ItemID] = true
+	delete(sub.savedParts, result.ItemID)
 	sub.results = append(sub.results, *result)
 	if !result.Abandoned {
 		ix.resultsByItem[result.ItemID] = itemResult{resultMeta: *result, submissionID: sub.head.ID}
@@ -122,7 +127,7 @@
 // release frees what only an open submission needs.
 func (s *submissionState) release() {
 	s.items, s.itemList = nil, nil
-	s.savedParts = nil
+	s.savedParts = map[string][]span{}
 }
 
 // reusableResult returns the result of an item in another submission if it has the same scorer and accepted versions.
--- a/batch/index_test.go
+++ b/batch/index_test.go
@@ -168,14 +168,14 @@
 // FuzzReadDataRecord reads arbitrary records of the data topic, as another release may have written them.
 func FuzzReadDataRecord(f *testing.F) {
 	f.Add([]byte(`[{"ID":"i","Path":"/i"}]`))
-	f.Add([]byte(`[{"item":"i","writer":"w","from":0,"events":["a"],"versions":[1]}]`))
-	f.Add([]byte(`[null,{"item":"i","writer":"w","from":2,"events":["a"],"versions":[]}]`))
+	f.Add([]byte(`{"item":"i","writer":"w","from":0,"events":["a"],"versions":[1]}`))
+	f.Add([]byte(`{"item":"i","writer":"w","from":2,"events":["a"],"versions":[]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d := newDataPartition(&oneRecordLog{records: [][]byte{data}}, 0)
 		if items, err := d.readItems(t.Context(), []span{{Offset: 0, Count: 1}}); err == nil {
 			setItems(items)
 		}
-		texts, err := d.readTexts(t.Context(), []span{{Offset: 0, Count: 1}})
+		texts, err := d.readTexts(t.Context(), map[string][]span{"i": {{Offset: 0, Count: 1}}})
 		if err == nil && texts["i"] != nil && len(texts["i"].events) != len(texts["i"].versions) {
 			t.Fatal("the text has different numbers of events and versions")
 		}
--- a/batch/partition_test.go
+++ b/batch/partition_test.go
@@ -71,7 +71,7 @@
 	is := is.New(t)
 	items, err := json.Marshal([]Item{{ID: "i", Path: "/i"}})
 	is.NoErr(err)
-	saved, err := json.Marshal([]*Progress{{ItemID: "i", Writer: "other", Events: []string{"e1", "e2"}, Versions: []int64{1, 1}}})
+	saved, err := json.Marshal(&Progress{ItemID: "i", Writer: "other", Events: []string{"e1", "e2"}, Versions: []int64{1, 1}})
 	is.NoErr(err)
 	indexLog := &oneRecordLog{records: [][]byte{submitRecord("b", 1)}}
 	p := &partition{
@@ -108,7 +108,7 @@
 	setOwner(true)
 	is.Equal(len(waitForJob().events), 0)
 	setOwner(false)
-	indexLog.records = append(indexLog.records, encodeRecord(record{Kind: recordProgress, ID: "b", SavedParts: &span{1, 1}}))
+	indexLog.records = append(indexLog.records, encodeRecord(record{Kind: recordProgress, ID: "b", SavedParts: []savedPart{{ItemID: "i", Data: span{1, 1}}}}))
 	setOwner(true)
 	is.Equal(waitForJob().events, []string{"e1", "e2"})
 }
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -158,7 +159,7 @@
 // loadSubmission reads the items and unfinished texts of an open submission from the data topic and opens it.
 func (r *runner) loadSubmission(ctx context.Context, p *partition, sub *submissionState) {
 	p.mu.Lock()
-	saved := slices.Clone(sub.savedParts)
+	saved := maps.Clone(sub.savedParts)
 	p.mu.Unlock()
 	items, err := p.data.readItems(ctx, sub.itemSpans)
 	var texts map[string]*partialText
--- a/batch/record.go
+++ b/batch/record.go
@@ -39,8 +39,8 @@
 	Items []span `json:"items,omitempty"`
 	// Result is set in results.
 	Result *resultMeta `json:"result,omitempty"`
-	// SavedParts is set in progress records: the data records that hold a JSON list of Progress.
-	SavedParts *span `json:"saved_parts,omitempty"`
+	// SavedParts is set in progress records.
+	SavedParts []savedPart `json:"saved_parts,omitempty"`
 }
 
 // resultMeta is a result without its text.
@@ -54,6 +54,12 @@
 	Text span `json:"text"`
 }
 
+// savedPart refers to a saved part of an item's unfinished text. Its data records hold a JSON Progress.
+type savedPart struct {
+	ItemID string `json:"item"`
+	Data   span   `json:"data"`
+}
+
 // splitRecord splits data into records of at most limit bytes.
 func splitRecord(data []byte, limit int) [][]byte {
 	var out [][]byte
--- a/batch/service.go
+++ b/batch/service.go
@@ -6,6 +6,7 @@
 	"errors"
 	"expvar"
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -102,18 +103,39 @@
 	s.writers[p.id.Index].add(s.ctx, entry)
 }
 
-// appendProgress queues parts of unfinished texts.
+// appendProgress queues parts of unfinished texts. Each has data records of its own, so that a successor reads only those that it
+// needs, but they share one record of the index.
 func (s *Service) appendProgress(p *partition, submissionID string, parts []*Progress) {
-	data, err := json.Marshal(parts)
-	if err != nil {
-		s.opts.Log.Error("progress_lost", "batch", submissionID, "items", len(parts), "err", err)
+	for chunk := range slices.Chunk(parts, maxSavedParts) {
+		s.appendParts(p, submissionID, chunk)
+	}
+}
+
+// maxSavedParts limits the parts in one record of the index, so that the record stays below the store's limit.
+const maxSavedParts = 500
+
+func (s *Service) appendParts(p *partition, submissionID string, parts []*Progress) {
+	entry := pending{record: record{Kind: recordProgress, ID: submissionID}}
+	for _, part := range parts {
+		data, err := json.Marshal(part)
+		if err != nil {
+			s.opts.Log.Error("progress_lost", "batch", submissionID, "id", part.ItemID, "err", err)
+			continue
+		}
+		records := splitRecord(data, s.opts.MaxRecordBytes)
+		// The offset is relative to the first record of the entry until that one is known.
+		entry.record.SavedParts = append(entry.record.SavedParts, savedPart{part.ItemID, span{int64(len(entry.data)), len(records)}})
+		entry.data = append(entry.data, records...)
+	}
+	if len(entry.data) == 0 {
 		return
 	}
-	s.writers[p.id.Index].add(s.ctx, pending{
-		record:  record{Kind: recordProgress, ID: submissionID},
-		data:    splitRecord(data, s.opts.MaxRecordBytes),
-		setSpan: func(r *record, data span) { r.SavedParts = &data },
-	})
+	entry.setSpan = func(r *record, data span) {
+		for i := range r.SavedParts {
+			r.SavedParts[i].Data.Offset += data.Offset
+		}
+	}
+	s.writers[p.id.Index].add(s.ctx, entry)
 }
 
 // PartitionOf returns the partition that holds all submissions to a pool, so that one VM places the items of all
