batch: a repeated scoring call keeps its deadline

Each try of a scoring call got a deadline of its own, up to 3 s from its start, so that a target could work on the call long after the first deadline had passed. Change: one deadline for all tries of a call, 30 s from the first, is handed to the targets; a try is still given up after 3 s or the route's time limit. Tested: TestRepeatedScoringCallsKeepTheirDeadline, TestTargetsGetTheTimeUntilTheDeadline.

--- a/batch/attempt_test.go
+++ b/batch/attempt_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -67,3 +68,36 @@
 	is.Equal(len(listed), 1)
 	is.Equal(listed[0].Score, "score")
 }
+
+// failingScorer answers the first calls with an error and records the deadlines of all.
+type failingScorer struct {
+	failures  int
+	deadlines []time.Time
+}
+
+func (f *failingScorer) Serve(_ context.Context, req *forward.Request) *forward.Reply {
+	f.deadlines = append(f.deadlines, req.Deadline)
+	if len(f.deadlines) <= f.failures {
+		return &forward.Reply{Status: http.StatusGatewayTimeout}
+	}
+	return &forward.Reply{Status: http.StatusOK, Proof: "score"}
+}
+
+// TestRepeatedScoringCallsKeepTheirDeadline guards against handing a later try more time than the first one had left (rule BUDGET).
+func TestRepeatedScoringCallsKeepTheirDeadline(t *testing.T) {
+	is := is.New(t)
+	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
+	f := &failingScorer{failures: 4}
+	r := newRunner(Options{View: fleet.NewView(), Forwarder: f, Log: log, Metrics: metrics})
+	s := &Scorer{ID: "s"}
+	j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i", Scorer: s}, state: jobScoring}
+	r.jobs["b"] = map[string]*job{"i": j}
+	score, ok := r.score(t.Context(), j, s)
+	is.True(ok)
+	is.Equal(score, "score")
+	is.Equal(len(f.deadlines), 5)
+	for _, d := range f.deadlines {
+		is.True(!d.IsZero())
+		is.Equal(d, f.deadlines[0])
+	}
+}
--- a/batch/score.go
+++ b/batch/score.go
@@ -36,7 +36,11 @@
 // score calls the scorer until it succeeds. The score is empty if the scorer failed as often as its route allows; ok is
 // false if the job was closed or ctx ended in the meantime.
 func (r *runner) score(ctx context.Context, j *job, s *Scorer) (score string, ok bool) {
+	var deadline time.Time
 	for ctx.Err() == nil {
+		if now := time.Now(); deadline.Sub(now) < scoreTimeout {
+			deadline = now.Add(scoreBudget)
+		}
 		r.mu.Lock()
 		open := j.state == jobScoring && r.jobs[j.head.ID][j.item.ID] == j
 		r.mu.Unlock()
@@ -46,6 +50,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, scoreTimeout)
 		reply := r.forwarder.Serve(callCtx, &forward.Request{
 			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreTimeout,
+			Deadline: deadline,
 		})
 		if reply.Body != nil {
 			reply.Body.Close()
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -248,9 +248,13 @@
 	d.pending[a] = true
 	d.sends++
 	d.lastTarget = in.Name
+	deadline := d.deadline
+	if !d.req.Deadline.IsZero() {
+		deadline = d.req.Deadline
+	}
 	call := &targets.Call{
 		Instance: in, Method: d.req.Method, Host: d.req.Host, URI: d.req.URI, Header: d.req.Header, Body: d.req.Body,
-		RequestID: d.req.ID, Budget: d.deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
+		RequestID: d.req.ID, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
 	}
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -40,33 +40,38 @@
 // failingClient answers each call with status 500 and a body.
 type failingClient struct {
 	targets.Client
-	text   string
-	bodies []*contextBody
+	text    string
+	bodies  []*contextBody
+	budgets []time.Duration
 }
 
-func (c *failingClient) Do(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
+func (c *failingClient) Do(ctx context.Context, call *targets.Call) (*targets.Response, error) {
+	c.budgets = append(c.budgets, call.Budget)
 	b := &contextBody{ctx, strings.NewReader(c.text), make(chan struct{})}
 	c.bodies = append(c.bodies, b)
 	return &targets.Response{Status: http.StatusInternalServerError, Body: b, Length: int64(len(c.text))}, nil
 }
 
-// TestLastErrorOfAStreamingTargetIsPassedOnWhole guards against a cut answer: the bodies of streaming routes, and bodies too
-// large to buffer, are read only after the attempts are over.
-func TestLastErrorOfAStreamingTargetIsPassedOnWhole(t *testing.T) {
-	is := is.New(t)
+// newTestForwarder returns a forwarder for host h with two targets.
+func newTestForwarder(client targets.Client, route fleet.Route) *Forwarder {
 	view := fleet.NewView()
+	route.Host, route.PathPrefix, route.Pool = "h", "/", "p"
 	view.Set(&fleet.Snapshot{
-		Tables: &fleet.Tables{
-			Routes: []fleet.Route{{Host: "h", Route: config.Route{PathPrefix: "/", Pool: "p"}, Streaming: true, MaxAttempts: 2}},
-			Pools:  []fleet.Pool{{Pool: config.Pool{Name: "p"}}},
-		},
+		Tables: &fleet.Tables{Routes: []fleet.Route{route}, Pools: []fleet.Pool{{Pool: config.Pool{Name: "p"}}}},
 		Instances: []*fleet.Instance{
 			{Target: config.Target{Name: "t1", Address: "1"}, Pool: "p", Slots: 4}, {Target: config.Target{Name: "t2", Address: "2"}, Pool: "p", Slots: 4},
 		},
 	})
 	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
+	return New(view, client, crashes.New(crashes.Options{Log: log, Metrics: metrics}), "a", log, metrics)
+}
+
+// TestLastErrorOfAStreamingTargetIsPassedOnWhole guards against a cut answer: the bodies of streaming routes, and bodies too
+// large to buffer, are read only after the attempts are over.
+func TestLastErrorOfAStreamingTargetIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
 	client := &failingClient{text: "the engine has no memory"}
-	f := New(view, client, crashes.New(crashes.Options{Log: log, Metrics: metrics}), "a", log, metrics)
+	f := newTestForwarder(client, fleet.Route{Streaming: true, MaxAttempts: 2})
 	reply := f.Serve(t.Context(), &Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Budget: time.Minute})
 	is.Equal(reply.Status, http.StatusInternalServerError)
 	data, err := io.ReadAll(reply.Body)
@@ -79,3 +84,20 @@
 		is.True(b.ctx.Err() != nil) // nor its context
 	}
 }
+
+// TestTargetsGetTheTimeUntilTheDeadline covers a call that is sent again under its ID: the route's time limit ends a try, but does not
+// give the next one a new deadline.
+func TestTargetsGetTheTimeUntilTheDeadline(t *testing.T) {
+	is := is.New(t)
+	client := &failingClient{}
+	f := newTestForwarder(client, fleet.Route{Route: config.Route{TimeoutMs: 1000}, MaxAttempts: 1})
+	req := &Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Budget: 3 * time.Second}
+	f.Serve(t.Context(), req)
+	is.True(client.budgets[0] <= time.Second)
+	req.Deadline = time.Now().Add(time.Minute)
+	f.Serve(t.Context(), req)
+	time.Sleep(50 * time.Millisecond)
+	f.Serve(t.Context(), req)
+	is.True(client.budgets[1] > 59*time.Second)
+	is.True(client.budgets[2] <= client.budgets[1]-50*time.Millisecond)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,6 +56,9 @@
 	Body      []byte
 	// Budget is how long the caller waits for the answer; 0 if unknown.
 	Budget time.Duration
+	// Deadline is the time until which targets may work on the request, for requests that are sent again under the same ID
+	// after this call: a later try must not get more time than the first one. Zero means until the end of this call.
+	Deadline time.Time
 	// ResumeAfter is the ID of the last event that the caller received; 0 starts from the first.
 	ResumeAfter int64
 }
