--- a/relay/directory.go
+++ b/relay/directory.go
@@ -43,8 +43,9 @@
 	Small            bool   `json:"small,omitempty"`
 }
 
-// Run announces the relay and follows the peers until ctx ends.
+// Run announces the relay and follows the peers until ctx ends. Then it stops the transport.
 func (d *Directory) Run(ctx context.Context) {
+	defer d.Transport.Stop()
 	go d.announce(ctx)
 	d.announced = map[string]announcement{}
 	var outage process.Outage
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -42,6 +42,7 @@
 	mu      sync.Mutex
 	paths   *paths
 	probing bool
+	stopped bool
 }
 
 // NewTransport returns a transport without peers.
@@ -54,6 +55,13 @@
 	t.paths.setPeers(addresses)
 }
 
+// Stop ends the probes of the direct path.
+func (t *Transport) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+}
+
 // Isolated reports whether this VM is cut off from the store and from its peers.
 func (t *Transport) Isolated() bool {
 	t.mu.Lock()
@@ -110,14 +118,14 @@
 		}
 		t.opts.Log.Warn("store_path", "path", "peer", "peers", len(t.paths.peers), "status", status, "err", err)
 	}
-	if !t.probing && len(t.paths.peers) > 0 {
+	if !t.probing && !t.stopped && len(t.paths.peers) > 0 {
 		t.probing = true
 		go t.probe()
 	}
 	return true
 }
 
-// probe calls the store directly until it answers.
+// probe calls the store directly until it answers or Stop is called.
 func (t *Transport) probe() {
 	for {
 		time.Sleep(probeInterval)
@@ -140,7 +148,7 @@
 		if answered && t.paths.directAnswered(sentAt) {
 			t.opts.Log.Info("store_path", "path", "direct")
 		}
-		if !t.paths.directDown {
+		if !t.paths.directDown || t.stopped {
 			t.probing = false
 			t.mu.Unlock()
 			return
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -264,7 +264,7 @@
 // into the time between two versions, it is all of them. Otherwise the loads that are possible are divided between the models in
 // proportion to their work, so that a model with little work doesn't take engines from the others.
 //
-// While the next version is overdue, such as in an outage of the trainers' store, the share grows with the time since
+// While the next version is overdue, such as in an outage of the store, the share grows with the time since
 // the last one.
 func (p *Planner) engineShares(now time.Time, demand Demand, waveSize int) map[string]int {
 	shares := map[string]int{}
