--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: help build platform test scenarios lint ci up demo prove soak mutants bench capacity
+.PHONY: help build platform test scenarios lint ci up demo prove soak mutants bench
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -45,6 +45,3 @@
 
 bench: build ## run the experiments and print the table
 	$(BIN)/ibisload bench
-
-capacity: build ## measure the figures of docs/CAPACITY.md
-	$(BIN)/ibisload capacity
--- a/load/cli.go
+++ b/load/cli.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/ibistrail/ibistrail/load/capacity"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/spf13/cobra"
 )
@@ -24,7 +23,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand(), runCommand(), benchCommand(), tableCommand())
-	root.AddCommand(capacity.NewCommand())
 	return root
 }
 
