process: one DialFailed for the platform's clients and the relay; a dead field and a swallowed error go

Found when the whole change was read once more: - relay decided a failed dial by its own copy of platform's dialFailed, and its server built a POST request only to ask mayRepeat for that. Both, and the platform's clients, now call process.DialFailed. - the history of a step kept its batch_done line, which nothing read. The line still counts as the step's last one. - Directory.announce reset its error to keep its loop going, and an error of json.Marshal would have ended it without a line. It is logged now (it cannot occur with today's fields, which are all strings).

Ruled out: one function for the probe and for recordDirect of the relay, since a probe that fails would then count as another failure of the direct path, which it does not today.

--- a/logs/steps.go
+++ b/logs/steps.go
@@ -103,7 +103,7 @@
 // stepHistory holds the lines of a step by event, each in order of time.
 type stepHistory struct {
 	submits, opens, runs, listed []*Line
-	done, end, last              *Line
+	end, last                    *Line
 }
 
 func (h *stepHistory) add(l *Line) {
@@ -117,8 +117,6 @@
 		h.runs = append(h.runs, l)
 	case "item_listed":
 		h.listed = append(h.listed, l)
-	case "batch_done":
-		h.done = l
 	case "batch_end":
 		if h.end == nil {
 			h.end = l
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -112,13 +112,16 @@
 
 func (d *Directory) announce(ctx context.Context) {
 	value, err := json.Marshal(announcement{d.Address, d.AvailabilityZone, d.Small})
-	for ctx.Err() == nil && err == nil {
-		err = d.Store.AppendKeyed(ctx, d.Topic, []store.KeyedRecord{{Key: d.VM, Value: value}})
+	if err != nil {
+		d.Log.Error("peer_unannounced", "err", err)
+		return
+	}
+	for ctx.Err() == nil {
+		err := d.Store.AppendKeyed(ctx, d.Topic, []store.KeyedRecord{{Key: d.VM, Value: value}})
 		if err == nil {
 			return
 		}
 		d.Log.Warn("peer_unannounced", "err", err)
-		err = nil
 		process.Sleep(ctx, announceRetryDelay)
 	}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/ibistrail/ibistrail/process"
 )
 
 // Server passes the calls of other VMs on to the store. It never asks a third VM.
@@ -49,7 +51,7 @@
 	resp, err := t.opts.Direct.RoundTrip(out)
 	t.recordDirect(r.Context(), sentAt, resp, err)
 	if err != nil {
-		if mayRepeat(&http.Request{Method: http.MethodPost}, nil, err, t.opts.Refused) {
+		if process.DialFailed(err) {
 			unreached(w)
 			return
 		}
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/ibistrail/ibistrail/process"
 )
 
 const (
@@ -209,8 +211,7 @@
 	if resp != nil {
 		return refused(resp.StatusCode)
 	}
-	var op *net.OpError
-	return req.Method == http.MethodGet || errors.As(err, &op) && op.Op == "dial"
+	return req.Method == http.MethodGet || process.DialFailed(err)
 }
 
 // closeIdle closes the kept connections of a transport after a call without an answer: those that were open in an outage may stay
