targetstate: limits that targets name in their answers are decoded, logged and counted

Cause: the header Server-Limit was not read, so logs could not tell which target named which limit, or which VMs knew it. Change: a register of what targets state, fed by each answer; events target_limit and target_limit_lifted, counter target_limits, target_limits in the dump. No request is sent differently.

--- a/entry/process.go
+++ b/entry/process.go
@@ -18,6 +18,7 @@
 	"github.com/ibistrail/ibistrail/relay"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
+	"github.com/ibistrail/ibistrail/targetstate"
 	"github.com/ibistrail/ibistrail/versions"
 )
 
@@ -69,6 +70,7 @@
 
 	follower *topicFollower
 	crashes  *crashes.Register
+	targets  *targetstate.Register
 	stopping atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -84,12 +86,14 @@
 	if opts.Metrics == nil {
 		opts.Metrics = process.NewMetrics()
 	}
+	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
+	client := p.targets.Client(opts.Client)
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
-	p.Forwarder = forward.New(p.View, opts.Client, p.crashes, s.AvailabilityZone, opts.Log, opts.Metrics)
+	p.Forwarder = forward.New(p.View, client, p.crashes, s.AvailabilityZone, opts.Log, opts.Metrics)
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
-		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: opts.Client, Forwarder: p.Forwarder, Crashes: p.crashes,
+		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes,
 	})
 	p.tenures = newTenureManager(p)
 	return p
--- a/entry/state.go
+++ b/entry/state.go
@@ -27,6 +27,8 @@
 	Requests map[string][]routing.TargetState `json:"requests"`
 	// Quarantine holds the requests that were running when targets crashed, by the fingerprint of their content.
 	Quarantine quarantine.State `json:"quarantine"`
+	// RateLimits holds the limits that targets have named, in requests a second, by target.
+	RateLimits map[string]float64 `json:"target_limits,omitempty"`
 }
 
 // State returns the current state for the state dump.
@@ -36,7 +38,7 @@
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
 		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
-		Quarantine: p.crashes.State(),
+		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(),
 	}
 	if snap.Tables != nil {
 		s.TablesVersion = snap.Tables.Version
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -55,6 +55,9 @@
 	// Version is the weight version of the first event; 0 if the target reported none.
 	Version int64
 	Load    *Load
+	// RateLimit is the number of requests a second that the target accepts from all VMs together, for as long as its answers
+	// name it; nil if this one names none.
+	RateLimit *float64
 }
 
 // Success reports whether the request was executed successfully: a 2xx status with a proof.
