--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -54,6 +54,8 @@
 	ResetStreamAfter int
 	// CrashOn is a part of the bodies of requests that crash the target after RequestDuration; empty means none.
 	CrashOn string
+	// RateLimit is the limit that all answers name, in requests a second over all VMs; 0 names none.
+	RateLimit float64
 	// DownTime is how long the target is down after a crash. It starts again under another ID.
 	DownTime time.Duration
 
@@ -62,6 +64,7 @@
 	crashes         int
 	store           *Store // where the target registers itself
 	executed        []ExecutedRequest
+	arrivals        []time.Time // of all requests, also those that were not executed
 	orders          []AcceptedOrder
 	orderSeq        int64
 	loading         bool
@@ -142,6 +145,13 @@
 	return append([]ExecutedRequest(nil), t.executed...)
 }
 
+// Arrivals returns the times at which requests arrived, also those that were not executed, the oldest first.
+func (t *Target) Arrivals() []time.Time {
+	t.Lock()
+	defer t.Unlock()
+	return append([]time.Time(nil), t.arrivals...)
+}
+
 // AcceptedOrders returns the orders that the target accepted, the oldest first.
 func (t *Target) AcceptedOrders() []AcceptedOrder {
 	t.Lock()
@@ -179,6 +189,9 @@
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	t.Lock()
 	id := t.ID
+	if t.RateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(t.RateLimit, 'f', -1, 64))
+	}
 	t.Unlock()
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != id {
 		w.Header().Set("Instance-Id", id)
@@ -236,6 +249,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	t.Lock()
+	t.arrivals = append(t.arrivals, time.Now())
 	model := r.Header.Get("Model")
 	if t.Full || t.active >= t.Slots || model != "" && t.loading {
 		t.Unlock()
