ratelimit: VMs together keep the limits that targets name

Cause: the limit was not read, and requests were spread by load and zone only, which makes a target at its limit look idle. A limit kept by each VM alone would not hold either: up to 195 VMs share a target, and nearly all scoring calls come from one of them. Change: the first VM by hash in the target's zone coordinates a limited target and grants permits at the pace of the limit (generic cell rate algorithm); each send asks it first: single requests, retries, items and scoring calls. Hedges leave limited targets out. If it does not answer, the next in line is asked, which asks the first again; a VM that joins or stops leaves its targets to the others; without any, each VM keeps to its equal share. Callers' requests wait for at most a quarter of their objective and are refused with the time of the next permit. Background requests yield, but keep one permit in four.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -20,6 +20,8 @@
 	// newerStepCost is added for an engine that newer steps of the same model could use, if the item's step accepts older
 	// versions: after a burst of versions few engines can run the newest steps.
 	newerStepCost = 1
+	// rateLimitCost is added for an engine that has named a rate limit: others are used first while they have free slots.
+	rateLimitCost = 0.5
 )
 
 // task is an item that waits for an engine.
@@ -74,6 +76,8 @@
 	// groupEngines counts the running items of the same group, by instance name.
 	groupEngines  map[string]int
 	avoidInstance string
+	// withoutRateLimit excludes engines that have named a rate limit.
+	withoutRateLimit bool
 }
 
 // candidates holds the engines of a pool that have free slots, for one pass over the waiting items.
@@ -83,6 +87,10 @@
 	free             []*engine
 	// minVersions are the oldest versions that the newest open steps accept, by model.
 	minVersions map[string]int64
+	// rateLimited holds the free engines that have named a rate limit.
+	rateLimited map[*engine]bool
+	// atRateLimit counts the engines that were left out because they are at their rate limits.
+	atRateLimit int
 }
 
 // candidates returns the engines of a pool to which a request may be sent now.
@@ -106,6 +114,12 @@
 			continue
 		}
 		cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model)
+		if c.rateLimited[e] {
+			if req.withoutRateLimit {
+				continue
+			}
+			cost += rateLimitCost
+		}
 		if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
 			cost += newerStepCost
 		}
@@ -135,10 +149,15 @@
 	return float64(usable) / float64(others)
 }
 
+// remove removes an engine that takes no more requests in this pass.
+func (c *candidates) remove(e *engine) {
+	c.free = slices.DeleteFunc(c.free, func(x *engine) bool { return x == e })
+}
+
 // removeIfUnavailable removes an engine that takes no more requests after one was sent to it.
 func (c *candidates) removeIfUnavailable(e *engine) {
 	if e.isolated || e.freeSlots(c.now) <= 0 {
-		c.free = slices.DeleteFunc(c.free, func(x *engine) bool { return x == e })
+		c.remove(e)
 	}
 }
 
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -29,8 +29,7 @@
 					break
 				}
 				if byPool[pool.Name] == nil {
-					byPool[pool.Name] = r.engines.candidates(now, pool.Name)
-					byPool[pool.Name].minVersions = r.minVersions
+					byPool[pool.Name] = r.candidates(now, pool.Name)
 				}
 				interval = r.engines.meanInterval(pool.Name)
 			}
@@ -63,6 +62,21 @@
 	r.placeTasks(ctx, now, tasks, byPool, groupEngines, runningSuspects)
 }
 
+// candidates returns the engines of a pool to which a request may be sent now.
+func (r *runner) candidates(now time.Time, pool string) *candidates {
+	c := r.engines.candidates(now, pool)
+	c.minVersions = r.minVersions
+	for _, e := range c.free {
+		if r.limiter.Limited(e.instance) {
+			if c.rateLimited == nil {
+				c.rateLimited = map[*engine]bool{}
+			}
+			c.rateLimited[e] = true
+		}
+	}
+	return c
+}
+
 // logHeld logs once that an item is held back because engines crashed while they ran it.
 func (r *runner) logHeld(j *job, reason string) {
 	if !j.heldLogged {
@@ -102,12 +116,12 @@
 		for _, t := range tasks {
 			r.waitingModels[t.job.head.Model] = true
 		}
-		r.logShortage(now, tasks[0], len(tasks))
+		r.logShortage(now, tasks[0], len(tasks), 0)
 		return
 	}
 	sortTasks(now, tasks)
 	var unplaced *task
-	for _, t := range tasks {
+	for i, t := range tasks {
 		j, c := t.job, byPool[t.route.Pool]
 		if t.suspect && runningSuspects[j.fingerprint] {
 			continue // items with equal content are tried one after the other
@@ -115,10 +129,10 @@
 		req := requirements{
 			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
 		}
-		e := c.choose(req)
+		e := r.chooseWithPermit(c, req, len(tasks)-i)
 		if e == nil && req.avoidInstance != "" {
 			req.avoidInstance = ""
-			e = c.choose(req)
+			e = r.chooseWithPermit(c, req, len(tasks)-i)
 		}
 		if e == nil {
 			r.waitingModels[j.head.Model] = true
@@ -135,12 +149,25 @@
 		c.removeIfUnavailable(e)
 	}
 	if unplaced != nil {
-		r.logShortage(now, unplaced, len(tasks))
+		r.logShortage(now, unplaced, len(tasks), byPool[unplaced.route.Pool].atRateLimit)
+	}
+}
+
+// chooseWithPermit chooses an engine and, if that has named a rate limit, takes a permit for one request to it. Engines without a
+// permit are left out for the rest of the pass. waiting is the number of items that wait.
+func (r *runner) chooseWithPermit(c *candidates, req requirements, waiting int) *engine {
+	for {
+		e := c.choose(req)
+		if e == nil || !c.rateLimited[e] || r.limiter.TryAcquire(e.instance, true, min(waiting, e.freeSlots(c.now))) {
+			return e
+		}
+		c.remove(e)
+		c.atRateLimit++
 	}
 }
 
 // logShortage logs why no engine can run a waiting item, at most once per shortageLogInterval.
-func (r *runner) logShortage(now time.Time, t *task, items int) {
+func (r *runner) logShortage(now time.Time, t *task, items, atRateLimit int) {
 	if now.Sub(r.shortageLoggedAt) < shortageLogInterval {
 		return
 	}
@@ -148,7 +175,7 @@
 	j := t.job
 	counts := r.engines.countShortage(now, requirements{pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion})
 	r.log.Info("items_wait", "batch", j.head.ID, "items", items, "engines", counts.engines,
-		"cooling", counts.coolingDown, "loading", counts.blocked, "old_version", counts.oldVersion, "full", counts.full)
+		"cooling", counts.coolingDown, "loading", counts.blocked, "old_version", counts.oldVersion, "full", counts.full, "at_limit", atRateLimit)
 }
 
 const shortageLogInterval = time.Second
@@ -166,7 +193,7 @@
 	if e == nil {
 		return // no longer registered, but may still complete its runs
 	}
-	req := requirements{pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name}
+	req := requirements{pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name, withoutRateLimit: true}
 	if c.shouldMove(e, j.remainingEvents(tokensPerEvent(pool)), req) {
 		j.moving, j.avoidInstance = true, j.instance.Name
 		j.cancel()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -12,6 +12,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
@@ -53,6 +54,7 @@
 	client    targets.Client
 	forwarder Forwarder
 	crashes   *crashes.Register
+	limiter   *ratelimit.Limiter
 	log       *slog.Logger
 	az        string
 	// appendResult appends a result. text is empty if the result has none or refers to data that was already written.
@@ -145,13 +147,15 @@
 }
 
 func newRunner(o Options) *runner {
-	return &runner{
-		view: o.View, client: o.Client, forwarder: o.Forwarder, crashes: o.Crashes, log: o.Log, az: o.AvailabilityZone,
+	r := &runner{
+		view: o.View, client: o.Client, forwarder: o.Forwarder, crashes: o.Crashes, limiter: o.Limiter, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, owned: map[*partition]bool{}, engines: newEngines(),
 		unfinishedTexts: map[string]unfinishedText{}, waitingModels: map[string]bool{}, minVersions: map[string]int64{},
 		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration,
 		outcomes: o.Metrics.SubMap("item_runs"), durations: o.Metrics.Latency("item_run_seconds"),
 	}
+	o.Limiter.OnPermit(r.wake)
+	return r
 }
 
 // state returns the number of jobs by state, and the state of the engines, for the state dump.
--- a/batch/score.go
+++ b/batch/score.go
@@ -51,7 +51,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, scoreTimeout)
 		reply := r.forwarder.Serve(callCtx, &forward.Request{
 			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreTimeout,
-			Deadline: deadline,
+			Deadline: deadline, Background: true,
 		})
 		if reply.Body != nil {
 			reply.Body.Close()
--- a/batch/service.go
+++ b/batch/service.go
@@ -13,6 +13,7 @@
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/versions"
@@ -43,6 +44,7 @@
 	Client    targets.Client
 	Forwarder Forwarder
 	Crashes   *crashes.Register
+	Limiter   *ratelimit.Limiter
 }
 
 // Service accepts, stores and runs batch submissions and returns their results.
--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -80,12 +80,12 @@
 	var peers *relay.Directory
 	var relayHandler http.Handler
 	if settings.RelayAddress != "" {
-		peers = &relay.Directory{Store: store, Topic: platform.TopicPeers, VM: settings.VM, AvailabilityZone: settings.AvailabilityZone, Address: settings.RelayAddress, Small: settings.Small(), Transport: transport, Log: log}
+		peers = &relay.Directory{Store: store, Topic: platform.TopicPeers, VM: settings.VM, AvailabilityZone: settings.AvailabilityZone, Address: settings.RelayAddress, RPCAddress: settings.RPCAddress, Small: settings.Small(), Transport: transport, Log: log}
 		relayHandler = platform.NewStoreRelay(settings.StoreAddress, settings.CallBytes, transport)
 	}
 	p := entry.New(entry.Options{
 		Settings: settings, Log: log, Store: store, Peers: peers, Relay: relayHandler, Isolated: transport.Isolated, Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
-		Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
+		Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -117,17 +117,17 @@
 	log := process.NewLogger(io.MultiWriter(d.t.Output(), &d.log), slog.LevelInfo, "entry", name)
 	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
 	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
-	relayAddress := freeAddress(d.t)
+	relayAddress, rpcAddress := freeAddress(d.t), freeAddress(d.t)
 	v.process = entry.New(entry.Options{
 		Settings: entry.Settings{
-			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress,
+			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
 			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
 			OrderHandover: time.Second, BatchRetention: time.Minute,
 		},
 		Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
-		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, Transport: transport, Log: log},
+		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, RPCAddress: rpcAddress, Transport: transport, Log: log},
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
-		BootTime: process.BootTime, ReadyHandler: platform.ReadyHandler,
+		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,11 +15,14 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/relay"
+	"github.com/ibistrail/ibistrail/rpc"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/targetstate"
 	"github.com/ibistrail/ibistrail/versions"
+	"github.com/ibistrail/ibistrail/wire"
 )
 
 // Limits and timing of a process.
@@ -53,6 +56,8 @@
 	Relay http.Handler
 	// Isolated reports whether this VM reaches neither the store nor another VM; nil means that it is not known.
 	Isolated func() bool
+	// Dial opens connections to other VMs; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// BootTime returns the time since boot, including time during which the VM was suspended.
 	BootTime func() time.Duration
 	// Handler returns the handler of callers' requests.
@@ -71,6 +76,8 @@
 	follower *topicFollower
 	crashes  *crashes.Register
 	targets  *targetstate.Register
+	limiter  *ratelimit.Limiter
+	rpcPool  *rpc.Pool
 	stopping atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -88,12 +95,20 @@
 	}
 	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
 	client := p.targets.Client(opts.Client)
+	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
+	p.limiter = ratelimit.New(ratelimit.Options{
+		Self:  fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, Small: s.Small()},
+		Alone: opts.Peers == nil, Register: p.targets, Call: p.callPermits, Log: opts.Log, Metrics: opts.Metrics,
+	})
+	if opts.Peers != nil {
+		opts.Peers.OnChange = p.limiter.SetVMs
+	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
-	p.Forwarder = forward.New(p.View, client, p.crashes, s.AvailabilityZone, opts.Log, opts.Metrics)
+	p.Forwarder = forward.New(p.View, client, p.crashes, p.limiter, s.AvailabilityZone, opts.Log, opts.Metrics)
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
-		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes,
+		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter,
 	})
 	p.tenures = newTenureManager(p)
 	return p
@@ -126,6 +141,7 @@
 		go p.follower.follow(p.ctx, src)
 	}
 	p.serveRelay()
+	p.serveRPC()
 	go p.crashes.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
@@ -185,6 +201,33 @@
 	go p.opts.Peers.Run(p.ctx)
 }
 
+// serveRPC starts serving the calls of other VMs. A failure is only logged: the others then do without this VM.
+func (p *Process) serveRPC() {
+	address := p.opts.Settings.RPCAddress
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		p.opts.Log.Error("rpc_unserved", "address", address, "err", err)
+		return
+	}
+	server := rpc.NewServer(rpc.Options{TrustPeers: true, Log: p.opts.Log}, map[string]rpc.Handler{wire.MethodPermits: rpc.NewHandler(p.limiter.Handle)})
+	go func() {
+		defer p.rpcPool.Close()
+		if err := server.Serve(p.ctx, l); err != nil {
+			p.opts.Log.Error("rpc_unserved", "address", address, "err", err)
+		}
+	}()
+}
+
+// callPermits asks another VM for permits.
+func (p *Process) callPermits(ctx context.Context, address string, params wire.PermitsParams) (wire.PermitsResult, error) {
+	var r wire.PermitsResult
+	err := p.rpcPool.Call(ctx, address, wire.MethodPermits, params, &r)
+	return r, err
+}
+
 func (p *Process) checkReady() error {
 	if p.Ready() {
 		return nil
@@ -216,6 +259,7 @@
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	p.tenures.stop()
+	p.limiter.Stop()
 	if p.opts.Peers != nil {
 		p.opts.Peers.Withdraw()
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,6 +19,8 @@
 	StoreAddress     string
 	// RelayAddress is where other VMs call the store through this one; "" means that this VM has no relay.
 	RelayAddress string
+	// RPCAddress is where this VM serves the calls of other VMs; "" means that it serves none.
+	RPCAddress string
 	// Partitions is the number of partitions of each topic.
 	Partitions int
 	// RecordBytes and CallBytes limit one record and all records of one append, in bytes.
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/trial"
@@ -34,6 +35,10 @@
 	sends, possibleRuns int
 	serverErrors        int
 	lastTarget          string
+	// atLimit are the addresses of targets that take no request now because of their rate limits, permitDelay is the time until the
+	// first of them may take one.
+	atLimit     []string
+	permitDelay time.Duration
 }
 
 // attempt is one send of the request to a target.
@@ -78,8 +83,10 @@
 			cancel()
 		}
 	}()
-	if !d.startAttempt(ctx) {
-		return refusal(http.StatusServiceUnavailable, "the pool has no target", noTargetRetryAfter)
+	for !d.startAttempt(ctx) {
+		if !d.awaitPermit(ctx) {
+			return d.unsentReply()
+		}
 	}
 	hedge := time.NewTimer(d.hedgeAfter())
 	defer hedge.Stop()
@@ -92,7 +99,7 @@
 			return d.timeoutReply(ctx)
 		case <-hedge.C:
 			if d.retryable() && !d.route.Streaming && d.possibleRuns+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
-				d.startAttempt(ctx)
+				d.startHedge(ctx)
 			}
 		case o := <-d.outcomes:
 			delete(d.pending, o.attempt)
@@ -115,7 +122,8 @@
 				lastErr = o.err
 			}
 			if len(d.pending) == 0 && nextAction == actionRetry {
-				d.startAttempt(ctx) // if no target is left, the loop ends
+				for !d.startAttempt(ctx) && d.awaitPermit(ctx) {
+				} // if no target is left, the loop ends
 			}
 		}
 	}
@@ -123,6 +131,29 @@
 	return d.failureReply(lastFailure, lastErr, cancel)
 }
 
+// awaitPermit waits until a target that is at its rate limit may take the request. It returns false if there is none, or if the request
+// would wait too long.
+func (d *delivery) awaitPermit(ctx context.Context) bool {
+	longest := time.Duration(permitWaitFraction * float64(d.route.TargetLatency))
+	if d.req.Background {
+		longest = backgroundPermitWait
+	}
+	if len(d.atLimit) == 0 || time.Since(d.startedAt)+d.permitDelay > longest {
+		return false
+	}
+	process.Sleep(ctx, d.permitDelay)
+	d.atLimit = d.atLimit[:0]
+	return ctx.Err() == nil
+}
+
+// unsentReply returns the reply to a request that was sent to no target.
+func (d *delivery) unsentReply() *Reply {
+	if len(d.atLimit) > 0 {
+		return refusal(http.StatusServiceUnavailable, "the targets are at the rate limits that they named", max(minLimitRetryAfter, d.permitDelay))
+	}
+	return refusal(http.StatusServiceUnavailable, "the pool has no target", noTargetRetryAfter)
+}
+
 // hedgeAfter returns the time after which an idempotent request without an answer is sent to a second target.
 func (d *delivery) hedgeAfter() time.Duration {
 	if d.route.TargetLatency <= 0 {
@@ -219,12 +250,44 @@
 
 // startAttempt sends the request to one more target. It returns false if no target is left.
 func (d *delivery) startAttempt(ctx context.Context) bool {
+	for {
+		in, q, ok := d.pick()
+		if !ok {
+			return false
+		}
+		ok, retryAfter := d.f.limiter.Acquire(ctx, in, d.req.Background)
+		if ok {
+			d.send(ctx, in, q)
+			return true
+		}
+		d.unpick(in, q, retryAfter)
+	}
+}
+
+// startHedge sends a copy of the request to another target. Targets that have named a rate limit get no copies.
+func (d *delivery) startHedge(ctx context.Context) {
+	for {
+		in, q, ok := d.pick()
+		if !ok {
+			return
+		}
+		if !d.f.limiter.Limited(in) {
+			d.send(ctx, in, q)
+			return
+		}
+		d.unpick(in, q, 0)
+	}
+}
+
+// pick picks a target and counts the request among its load.
+func (d *delivery) pick() (*fleet.Instance, routing.Query, bool) {
 	f, now := d.f, time.Now()
 	suspect := d.suspect()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
 	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
-	q := routing.Query{Avoid: d.tried, Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
+	q := routing.Query{Avoid: d.tried, Exclude: d.atLimit, Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
 	address, ok := p.table.Pick(now, q)
 	if !ok && q.Exclusive {
 		q.Exclusive = false
@@ -236,13 +299,27 @@
 		address, ok = p.table.Pick(now, q)
 	}
 	in := p.byAddr[address]
-	if ok && in != nil {
-		p.table.Start(now, address, q)
-	}
-	f.mu.Unlock()
 	if !ok || in == nil {
-		return false
+		return nil, q, false
 	}
+	p.table.Start(now, address, q)
+	return in, q, true
+}
+
+// unpick takes back the pick of a target that is at its rate limit for some time.
+func (d *delivery) unpick(in *fleet.Instance, q routing.Query, retryAfter time.Duration) {
+	d.f.mu.Lock()
+	d.f.pools[d.poolName].table.End(time.Now(), in.Address, q)
+	d.f.mu.Unlock()
+	if len(d.atLimit) == 0 || retryAfter < d.permitDelay {
+		d.permitDelay = retryAfter
+	}
+	d.atLimit = append(d.atLimit, in.Address)
+}
+
+// send starts an attempt on a target that was picked.
+func (d *delivery) send(ctx context.Context, in *fleet.Instance, q routing.Query) {
+	f, now := d.f, time.Now()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{instance: in, query: q, cancel: cancel, startedAt: now}
 	d.pending[a] = true
@@ -270,7 +347,6 @@
 		}
 		d.outcomes <- outcome{a, answer, err}
 	}()
-	return true
 }
 
 // bufferBody reads the body into memory, so that a truncated answer is detected before any of it is forwarded.
@@ -328,7 +404,7 @@
 		}
 	}
 	if d.possibleRuns == 0 {
-		return refusal(http.StatusServiceUnavailable, "no target had room for the request", noTargetRetryAfter)
+		return refusal(http.StatusServiceUnavailable, "no target had room for the request", max(noTargetRetryAfter, d.permitDelay))
 	}
 	return refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/trial"
@@ -29,6 +30,8 @@
 	// noTargetRetryAfter is the Retry-After of a refusal when no target can take the request. It is about the
 	// time in which an overloaded target processes part of its queue.
 	noTargetRetryAfter = 200 * time.Millisecond
+	// minLimitRetryAfter is the shortest Retry-After of a refusal because of rate limits. Other requests compete for the next permit.
+	minLimitRetryAfter = 50 * time.Millisecond
 	// configRetryAfter is the Retry-After of a refusal before the first configuration is known.
 	configRetryAfter = 500 * time.Millisecond
 	// defaultTimeout bounds a request if neither the request nor its route has a timeout.
@@ -42,6 +45,11 @@
 	maxExtraSends = 4
 	// maxBufferedBytes is the size of the largest answer that is read completely before it is forwarded.
 	maxBufferedBytes = 4 << 20
+	// permitWaitFraction is the fraction of the latency objective for which a caller's request may wait for targets at their rate
+	// limits, so that enough time is left to try again after a refusal.
+	permitWaitFraction = 0.25
+	// backgroundPermitWait is how long a background request may wait for them.
+	backgroundPermitWait = time.Second
 	// minTargetsToIsolate is the smallest pool in which a suspect gets a target for itself.
 	minTargetsToIsolate = 3
 )
@@ -61,6 +69,8 @@
 	Deadline time.Time
 	// ResumeAfter is the ID of the last event that the caller received; 0 starts from the first.
 	ResumeAfter int64
+	// Background is set for requests that yield to those of callers at targets with a rate limit.
+	Background bool
 }
 
 // fingerprint identifies the request by its content.
@@ -89,6 +99,7 @@
 	view    *fleet.View
 	client  targets.Client
 	crashes *crashes.Register
+	limiter *ratelimit.Limiter
 	log     *slog.Logger
 	az      string
 	// requests counts replies by status, latency is their latency distribution.
@@ -108,9 +119,9 @@
 }
 
 // New returns a Forwarder for a VM in the availability zone az.
-func New(view *fleet.View, client targets.Client, register *crashes.Register, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
+func New(view *fleet.View, client targets.Client, register *crashes.Register, limiter *ratelimit.Limiter, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
 	return &Forwarder{
-		view: view, client: client, crashes: register, log: log, az: az, pools: map[string]*poolState{},
+		view: view, client: client, crashes: register, limiter: limiter, log: log, az: az, pools: map[string]*poolState{},
 		requests: metrics.SubMap("requests"), latency: metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
@@ -28,10 +29,14 @@
 	Topic string
 	// VM and AvailabilityZone are those of this VM, Address is the address of its relay.
 	VM, AvailabilityZone, Address string
+	// RPCAddress is where this VM serves the calls of other VMs; "" if it serves none.
+	RPCAddress string
 	// Small is set if this VM has little processing power, so that others prefer larger ones.
 	Small     bool
 	Transport *Transport
 	Log       *slog.Logger
+	// OnChange is called with the announced VMs after each change; it may be nil.
+	OnChange func([]fleet.VM)
 
 	announced map[string]announcement // by VM
 }
@@ -41,6 +46,7 @@
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"az"`
 	Small            bool   `json:"small,omitempty"`
+	RPCAddress       string `json:"rpc,omitempty"`
 }
 
 // Run announces the relay and follows the peers until ctx ends. Then it stops the transport.
@@ -82,6 +88,18 @@
 		d.announced[r.Key] = a
 	}
 	d.Transport.SetPeers(d.peers())
+	if d.OnChange != nil {
+		d.OnChange(d.vms())
+	}
+}
+
+// vms returns the announced VMs.
+func (d *Directory) vms() []fleet.VM {
+	out := make([]fleet.VM, 0, len(d.announced))
+	for name, a := range d.announced {
+		out = append(out, fleet.VM{Name: name, AvailabilityZone: a.AvailabilityZone, RPCAddress: a.RPCAddress, Small: a.Small})
+	}
+	return out
 }
 
 // peers returns the addresses of the peers to ask: those in other availability zones, since a zone is often cut off as a whole, and
@@ -111,7 +129,7 @@
 }
 
 func (d *Directory) announce(ctx context.Context) {
-	value, err := json.Marshal(announcement{d.Address, d.AvailabilityZone, d.Small})
+	value, err := json.Marshal(announcement{d.Address, d.AvailabilityZone, d.Small, d.RPCAddress})
 	if err != nil {
 		d.Log.Error("peer_unannounced", "err", err)
 		return
--- a/relay/paths_test.go
+++ b/relay/paths_test.go
@@ -108,16 +108,16 @@
 
 func TestLargePeersOfOtherZonesAreAsked(t *testing.T) {
 	is := is.New(t)
-	d := &Directory{VM: "a1", AvailabilityZone: "a", announced: map[string]announcement{"a1": {"1", "a", false}}}
+	d := &Directory{VM: "a1", AvailabilityZone: "a", announced: map[string]announcement{"a1": {"1", "a", false, ""}}}
 	for _, tc := range []struct {
 		vm   string
 		a    announcement
 		want string
 	}{
-		{"a2", announcement{"2", "a", true}, "2"},
-		{"a3", announcement{"3", "a", false}, "3"},
-		{"b1", announcement{"4", "b", true}, "4"},
-		{"b2", announcement{"5", "b", false}, "5"},
+		{"a2", announcement{"2", "a", true, ""}, "2"},
+		{"a3", announcement{"3", "a", false, ""}, "3"},
+		{"b1", announcement{"4", "b", true, ""}, "4"},
+		{"b2", announcement{"5", "b", false, ""}, "5"},
 	} { // each is preferred to those before
 		d.announced[tc.vm] = tc.a
 		is.Equal(d.peers(), []string{tc.want})
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -58,7 +58,7 @@
 	var preferred, fallback []*target
 	preferredCount := 0
 	for _, x := range t.targets {
-		if x.blocked != "" || x.exclusive || x.reserved || q.MinVersion > 0 && x.version > 0 && x.version < q.MinVersion {
+		if x.blocked != "" || x.exclusive || x.reserved || slices.Contains(q.Exclude, x.Address) || q.MinVersion > 0 && x.version > 0 && x.version < q.MinVersion {
 			continue
 		}
 		isPreferred := t.opts.Policy != PolicyDefault || !x.ejected(now)
@@ -202,7 +202,7 @@
 			busy++
 			continue
 		}
-		if x.blocked != "" || x.inflight > 0 || x.ejected(now) || slices.Contains(q.Avoid, x.Address) && len(t.targets) > len(q.Avoid) {
+		if x.blocked != "" || x.inflight > 0 || x.ejected(now) || slices.Contains(q.Exclude, x.Address) || slices.Contains(q.Avoid, x.Address) && len(t.targets) > len(q.Avoid) {
 			continue
 		}
 		if best == nil || t.betterForExclusive(now, x, best) {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -271,3 +271,15 @@
 	_, ok := tb.Pick(start, Query{Versioned: true})
 	is.True(ok) // no target reports versions, so any is used
 }
+
+func TestExcludedTargetsAreNotPicked(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(PolicyDefault, 2)
+	for _, q := range []Query{{Exclude: []string{"t0"}}, {Exclude: []string{"t0"}, Avoid: []string{"t1"}}, {Exclude: []string{"t0"}, Exclusive: true}} {
+		a, ok := tb.Pick(start, q)
+		is.True(ok)
+		is.Equal(a, "t1")
+	}
+	_, ok := tb.Pick(start, Query{Exclude: []string{"t0", "t1"}, IgnoreLimits: true})
+	is.True(!ok)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -50,6 +50,8 @@
 	Prefixes []uint64
 	// Avoid lists addresses that are used only if no other target can serve the request.
 	Avoid []string
+	// Exclude lists addresses that are not used.
+	Exclude []string
 	// MinVersion excludes targets whose known weight version is lower; 0 means no minimum.
 	MinVersion int64
 	// Versioned prefers targets that report weight versions.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -108,6 +108,8 @@
 	// PublicMethods lists the methods that do not require the peer token, because they authenticate the caller
 	// themselves (those that ibisctl uses).
 	PublicMethods map[string]bool
+	// TrustPeers makes a Server treat all connections as authenticated, where the network admits only the deployment's VMs.
+	TrustPeers bool
 	// ByteCounter counts the bytes of params and results under "rx.METHOD" and "tx.METHOD"; nil disables it.
 	ByteCounter Counter
 	Log         *slog.Logger
@@ -150,12 +152,15 @@
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
 	sc := &serverConn{s: s, conn: c, requestSlots: make(chan struct{}, MaxInFlightPerConn)}
 	defer sc.markClosed()
-	if s.unauthenticatedConns.Add(1) > MaxUnauthenticatedConns {
+	sc.messageLimit.Store(MaxUnauthenticatedMessageBytes)
+	if n := s.unauthenticatedConns.Add(1); s.opts.TrustPeers {
+		sc.markAuthenticated()
+	} else if n > MaxUnauthenticatedConns {
 		c.Close()
 		return
+	} else {
+		_ = c.SetReadDeadline(time.Now().Add(s.unauthenticatedTime)) // if this fails, so does the first read
 	}
-	sc.messageLimit.Store(MaxUnauthenticatedMessageBytes)
-	_ = c.SetReadDeadline(time.Now().Add(s.unauthenticatedTime)) // if this fails, so does the first read
 	conn := jsonrpc2.NewConn(ctx, newStream(c, &sc.messageLimit), sc, discardLogs())
 	defer conn.Close()
 	select {
