--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -20,6 +20,8 @@
 	Header                http.Header
 	Body                  []byte
 	At                    time.Time
+	// Software is the target's software version.
+	Software string
 }
 
 // AcceptedOrder is an order to load a weight version that a target accepted, with its fencing token.
@@ -35,6 +37,8 @@
 	sync.Mutex
 	ID, Service, Zone string
 	Slots             int
+	// Software is the version of the target's software.
+	Software string
 	// Versions are the loaded weight versions by model; a target without models is a plain service.
 	Versions map[string]int64
 	// RequestDuration is the duration of a plain request, EventInterval the time between the events of a stream.
@@ -75,7 +79,7 @@
 // NewTarget starts a target on loopback.
 func NewTarget(id, service, zone string, slots int, models ...string) *Target {
 	t := &Target{
-		name: id, ID: id, Service: service, Zone: zone, Slots: slots, Versions: map[string]int64{}, RequestDuration: 5 * time.Millisecond, EventInterval: 5 * time.Millisecond,
+		name: id, ID: id, Service: service, Zone: zone, Slots: slots, Software: "v1", Versions: map[string]int64{}, RequestDuration: 5 * time.Millisecond, EventInterval: 5 * time.Millisecond,
 		EventsPerStream: 4, LoadTime: 50 * time.Millisecond, DownTime: 500 * time.Millisecond,
 	}
 	for _, m := range models {
@@ -165,7 +169,7 @@
 	t.store = s
 	t.registrationSeq++
 	doc := map[string]any{
-		"Service": t.Service, "Address": t.Address(), "Zone": t.Zone, "Version": "v1", "Slots": t.Slots, "State": state,
+		"Service": t.Service, "Address": t.Address(), "Zone": t.Zone, "Version": t.Software, "Slots": t.Slots, "State": state,
 		"ColdRemainingMs": 0, "Seq": t.registrationSeq, "Models": t.models(),
 	}
 	id := t.ID
@@ -258,7 +262,7 @@
 		return
 	}
 	t.active++
-	t.executed = append(t.executed, ExecutedRequest{id, r.Method, r.RequestURI, r.Host, r.Header.Clone(), body, time.Now()})
+	t.executed = append(t.executed, ExecutedRequest{id, r.Method, r.RequestURI, r.Host, r.Header.Clone(), body, time.Now(), t.Software})
 	crashes := t.CrashOn != "" && strings.Contains(string(body), t.CrashOn)
 	fail, loseAnswer, wrongID, duration := t.Fail, t.LoseAnswers > 0, t.WrongIDAnswers > 0, t.RequestDuration
 	if loseAnswer {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -14,6 +14,8 @@
 	Slots int    `json:"slots"`
 	// Versions maps each model to its weight version.
 	Versions map[string]int64 `json:"versions,omitempty"`
+	// SoftwareVersion is the version of the target's software, not of its weights.
+	SoftwareVersion string `json:"software,omitempty"`
 	// StartedMs is the start time of the instance in Unix milliseconds; 0 if not reported.
 	StartedMs int64 `json:"born_ms,omitempty"`
 }
@@ -29,5 +31,5 @@
 
 // equal reports whether both records describe the same instance in the same state.
 func (i *Instance) equal(o *Instance) bool {
-	return i.Target == o.Target && i.Pool == o.Pool && i.Slots == o.Slots && i.StartedMs == o.StartedMs && maps.Equal(i.Versions, o.Versions)
+	return i.Target == o.Target && i.Pool == o.Pool && i.Slots == o.Slots && i.SoftwareVersion == o.SoftwareVersion && i.StartedMs == o.StartedMs && maps.Equal(i.Versions, o.Versions)
 }
