batch: a text is continued only at engines of the software version that began it

Cause: an unfinished text was a list of events without its origin, so a retry, a move to a faster engine, a successor and a later step continued it at any engine with fitting weights. Saved parts of a text that was begun anew had the writer of the old one, and could be joined to it. Change: a text knows the software version that began it, also in saved parts; only engines of that version continue it. If none of them takes requests, the item begins anew (text_restarted), under a writer name of its own. Ruled out: waiting for engines that have failed or hold older weights, as steps would wait for them.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -161,6 +161,9 @@
 			r.mu.Unlock()
 			return outcomeInterrupted, errors.New("the engine sent events out of order")
 		}
+		if len(j.events) == 0 {
+			j.software = call.Instance.SoftwareVersion
+		}
 		j.events = append(j.events, ev.Data)
 		j.versions = append(j.versions, version)
 		if j.firstEventAt.IsZero() {
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -85,8 +85,10 @@
 // Progress is a part of an unfinished text, saved so that another VM can continue it.
 type Progress struct {
 	ItemID string `json:"item"`
-	// Writer identifies the process that received the text; parts of two writers are never joined.
+	// Writer identifies the process that received the text, and which of its texts this is; parts of two writers are never joined.
 	Writer string `json:"writer"`
+	// Software is the software version of the engines that generated the events.
+	Software string `json:"software,omitempty"`
 	// From is the number of events before this part.
 	From     int      `json:"from"`
 	Events   []string `json:"events"`
--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -76,6 +76,9 @@
 	// groupEngines counts the running items of the same group, by instance name.
 	groupEngines  map[string]int
 	avoidInstance string
+	// continuing is set if the item has a text, which only engines of the software version that began it can continue.
+	continuing bool
+	software   string
 	// withoutRateLimit excludes engines that have named a rate limit.
 	withoutRateLimit bool
 }
@@ -110,7 +113,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range c.free {
-		if e.instance.Name == req.avoidInstance || c.now.Before(e.blockedUntil[req.model]) || req.model != "" && e.versions[req.model] < req.minVersion {
+		if e.instance.Name == req.avoidInstance || req.continuing && e.instance.SoftwareVersion != req.software || c.now.Before(e.blockedUntil[req.model]) || req.model != "" && e.versions[req.model] < req.minVersion {
 			continue
 		}
 		cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model)
@@ -176,6 +179,18 @@
 	return cost
 }
 
+// canContinue reports whether an engine is expected to take an item that continues its text, now or soon: one of the same software
+// version that is not draining, has not just failed and runs the weights.
+func (s *engines) canContinue(now time.Time, req requirements) bool {
+	for _, e := range s.byKey {
+		if e.instance.Pool == req.pool && !e.instance.Draining && !now.Before(e.cooldownUntil) && e.instance.SoftwareVersion == req.software &&
+			(req.model == "" || e.versions[req.model] >= req.minVersion) {
+			return true
+		}
+	}
+	return false
+}
+
 // Thresholds for moving a running item to a faster engine.
 const (
 	// minMoveRatio is the minimum ratio of the event intervals of the current and the new engine.
--- a/batch/index.go
+++ b/batch/index.go
@@ -180,6 +180,7 @@
 	versions []int64
 	complete bool
 	writer   string
+	software string
 	// engineErrors and scorerErrors count the item's error responses.
 	engineErrors, scorerErrors int
 }
@@ -193,7 +194,7 @@
 	t.engineErrors, t.scorerErrors = max(t.engineErrors, p.EngineErrors), max(t.scorerErrors, p.ScorerErrors)
 	switch {
 	case p.From == 0 && len(p.Events) >= len(t.events):
-		t.events, t.versions, t.writer = nil, nil, p.Writer
+		t.events, t.versions, t.writer, t.software = nil, nil, p.Writer, p.Software
 	case p.From != len(t.events) || p.Writer != t.writer:
 		return
 	}
--- a/batch/index_test.go
+++ b/batch/index_test.go
@@ -186,3 +186,27 @@
 	sub := &submissionState{}
 	sub.setItems(items)
 }
+
+// TestPartsOfATextThatWasBegunAnewAreNotJoinedToTheOldOne covers a text that is begun anew by the same process: its later parts can begin
+// where the old text ends.
+func TestPartsOfATextThatWasBegunAnewAreNotJoinedToTheOldOne(t *testing.T) {
+	is := is.New(t)
+	j := &job{item: &Item{ID: "i"}, events: []string{"a1", "a2", "a3"}, versions: []int64{1, 1, 1}, software: "v1"}
+	saved := &partialText{}
+	save := func() {
+		saved.add(j.unsavedProgress("w"))
+		j.savedEvents = len(j.events)
+	}
+	save()
+	j.dropText()
+	j.software = "v2"
+	for _, ev := range []string{"b1", "b2", "b3", "b4"} {
+		j.events, j.versions = append(j.events, ev), append(j.versions, 2)
+		save()
+	}
+	for i, ev := range saved.events {
+		is.Equal(ev[0], saved.events[0][0]) // the events of one text
+		is.Equal(saved.versions[i], saved.versions[0])
+	}
+	is.True(saved.software == "v1" && saved.events[0] == "a1" || saved.software == "v2" && saved.events[0] == "b1")
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,10 @@
 	// events and versions are the received events and the weight version that generated each.
 	events   []string
 	versions []int64
+	// software is the software version of the engines that generated the events. What two versions generate doesn't fit together.
+	software string
+	// restarts counts how often the item lost its text and started over at this VM.
+	restarts int
 	// engineErrors counts the engines' responses with status 500, scorerErrors those of the scorer's targets.
 	engineErrors, scorerErrors int
 	instance                   *fleet.Instance
@@ -66,10 +71,26 @@
 // dropTextIfNotAllowed drops the text if the submission doesn't accept its versions, so that the item starts over.
 func (j *job) dropTextIfNotAllowed(singleVersion bool) {
 	if !versionsAllowed(j.distinctVersions(), j.head.MinVersion, singleVersion) {
-		j.events, j.versions, j.savedEvents = nil, nil, 0
+		j.dropText()
 	}
 }
 
+// dropText drops the text, so that the item starts over.
+func (j *job) dropText() {
+	if len(j.events) > 0 {
+		j.restarts++
+	}
+	j.events, j.versions, j.savedEvents = nil, nil, 0
+}
+
+// writerOf returns the name under which the parts of the current text are saved; parts of another text have another name.
+func (j *job) writerOf(process string) string {
+	if j.restarts == 0 {
+		return process
+	}
+	return fmt.Sprintf("%s#%d", process, j.restarts)
+}
+
 // result returns the item's result and its text.
 func (j *job) result(score string) (resultMeta, string) {
 	return resultMeta{ItemID: j.item.ID, Versions: j.distinctVersions(), Score: score, ScorerID: j.item.scorerID()}, strings.Join(j.events, "\n")
@@ -110,7 +131,7 @@
 // unsavedProgress returns the events that have not been written to the log yet.
 func (j *job) unsavedProgress(writer string) *Progress {
 	return &Progress{
-		ItemID: j.item.ID, Writer: writer, From: j.savedEvents,
+		ItemID: j.item.ID, Writer: j.writerOf(writer), From: j.savedEvents, Software: j.software,
 		Events: slices.Clone(j.events[j.savedEvents:]), Versions: slices.Clone(j.versions[j.savedEvents:]), Complete: j.state == jobScoring,
 		EngineErrors: j.engineErrors, ScorerErrors: j.scorerErrors,
 	}
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -126,8 +126,16 @@
 		if t.suspect && runningSuspects[j.fingerprint] {
 			continue // items with equal content are tried one after the other
 		}
+		j.dropTextIfNotAllowed(t.route.SingleVersion)
 		req := requirements{
 			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
+			continuing: len(j.events) > 0, software: j.software,
+		}
+		if req.continuing && !r.engines.canContinue(now, req) {
+			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software)
+			r.outcomes.Add("restarted", 1)
+			j.dropText()
+			req.continuing = false
 		}
 		e := r.chooseWithPermit(c, req, len(tasks)-i)
 		if e == nil && req.avoidInstance != "" {
@@ -193,7 +201,7 @@
 	if e == nil {
 		return // no longer registered, but may still complete its runs
 	}
-	req := requirements{pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name, withoutRateLimit: true}
+	req := requirements{pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name, continuing: len(j.events) > 0, software: j.software, withoutRateLimit: true}
 	if c.shouldMove(e, j.remainingEvents(tokensPerEvent(pool)), req) {
 		j.moving, j.avoidInstance = true, j.instance.Name
 		j.cancel()
@@ -204,7 +212,6 @@
 func (r *runner) send(ctx context.Context, t *task, e *engine) {
 	j, route := t.job, t.route
 	j.suspect, e.isolated = t.suspect, t.suspect
-	j.dropTextIfNotAllowed(route.SingleVersion)
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
 	j.firstEventAt, j.lastEventAt = time.Time{}, time.Time{}
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -16,6 +16,7 @@
 type unfinishedText struct {
 	events   []string
 	versions []int64
+	software string
 	closedAt time.Time
 }
 
@@ -219,13 +220,13 @@
 			continue
 		}
 		if saved := texts[it.ID]; saved != nil {
-			j.events, j.versions = slices.Clone(saved.events), slices.Clone(saved.versions)
+			j.events, j.versions, j.software = slices.Clone(saved.events), slices.Clone(saved.versions), saved.software
 			j.dropTextIfNotAllowed(singleVersion)
 			j.textComplete = saved.complete && len(j.events) > 0
 			j.engineErrors, j.scorerErrors = saved.engineErrors, saved.scorerErrors
 		}
 		if text, ok := r.unfinishedTexts[it.ID]; ok && len(text.events) > len(j.events) {
-			j.events, j.versions, j.textComplete = text.events, text.versions, false
+			j.events, j.versions, j.software, j.textComplete = text.events, text.versions, text.software, false
 			j.dropTextIfNotAllowed(singleVersion)
 			delete(r.unfinishedTexts, it.ID)
 		}
@@ -248,6 +249,6 @@
 func (r *runner) closeJob(j *job, now time.Time) {
 	r.cancelRun(j)
 	if j.state != jobResultQueued && len(j.events) > 0 {
-		r.unfinishedTexts[j.item.ID] = unfinishedText{events: j.events, versions: j.versions, closedAt: now}
+		r.unfinishedTexts[j.item.ID] = unfinishedText{events: j.events, versions: j.versions, software: j.software, closedAt: now}
 	}
 }
