origins: a stream is taken up only at the software version that began it

Change: while the targets of a pool run several versions, the VM at which a stream begins hands its origin over to up to four VMs, by hash of the attempt's ID: two of its zone, where clients come again, and two of all. A VM that is asked to resume finds it there; when a pool gets a second version, the streams under way are handed over. While all targets have run one version, nothing is exchanged. Ruled out: an append to the store for each stream, which would not hold while the store is away and costs a call each; a version by hash of the ID, which fails when the set of versions changes.

--- a/entry/process.go
+++ b/entry/process.go
@@ -14,6 +14,7 @@
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/origins"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/relay"
@@ -77,6 +78,7 @@
 	crashes  *crashes.Register
 	targets  *targetstate.Register
 	limiter  *ratelimit.Limiter
+	origins  *origins.Register
 	rpcPool  *rpc.Pool
 	stopping atomic.Bool
 	ctx      context.Context
@@ -96,16 +98,22 @@
 	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
 	client := p.targets.Client(opts.Client)
 	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
+	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, Small: s.Small()}
 	p.limiter = ratelimit.New(ratelimit.Options{
-		Self:  fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, Small: s.Small()},
-		Alone: opts.Peers == nil, Register: p.targets, Call: p.callPermits, Log: opts.Log, Metrics: opts.Metrics,
+		Self: self, Alone: opts.Peers == nil, Register: p.targets, Call: p.callPermits, Log: opts.Log, Metrics: opts.Metrics,
 	})
+	p.origins = origins.New(origins.Options{Self: self, View: p.View, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics})
 	if opts.Peers != nil {
-		opts.Peers.OnChange = p.limiter.SetVMs
+		opts.Peers.OnChange = func(vms []fleet.VM) {
+			p.limiter.SetVMs(vms)
+			p.origins.SetVMs(vms)
+		}
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
-	p.Forwarder = forward.New(p.View, client, p.crashes, p.limiter, s.AvailabilityZone, opts.Log, opts.Metrics)
+	p.Forwarder = forward.New(forward.Options{
+		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
+	})
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter,
@@ -143,6 +151,7 @@
 	p.serveRelay()
 	p.serveRPC()
 	go p.crashes.Run(p.ctx)
+	go p.origins.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
 	callerServer := p.newCallerServer()
@@ -212,7 +221,10 @@
 		p.opts.Log.Error("rpc_unserved", "address", address, "err", err)
 		return
 	}
-	server := rpc.NewServer(rpc.Options{TrustPeers: true, Log: p.opts.Log}, map[string]rpc.Handler{wire.MethodPermits: rpc.NewHandler(p.limiter.Handle)})
+	server := rpc.NewServer(rpc.Options{TrustPeers: true, Log: p.opts.Log}, map[string]rpc.Handler{
+		wire.MethodPermits: rpc.NewHandler(p.limiter.Handle), wire.MethodRecordOrigins: rpc.NewHandler(p.origins.HandleRecord),
+		wire.MethodFindOrigin: rpc.NewHandler(p.origins.HandleFind),
+	})
 	go func() {
 		defer p.rpcPool.Close()
 		if err := server.Serve(p.ctx, l); err != nil {
--- a/entry/software_version_test.go
+++ b/entry/software_version_test.go
@@ -219,3 +219,56 @@
 		t.Errorf("%d of %d attempts to take a stream up went on, want nearly all", wentOn, resumed)
 	}
 }
+
+// TestStreamIsRefusedIfItsSoftwareVersionIsGone checks that a stream which no target can continue is refused at once with the reason, and that its
+// client can begin it anew.
+func TestStreamIsRefusedIfItsSoftwareVersionIsGone(t *testing.T) {
+	const events = 20
+	d := newDeployment(t, 2, 0, 2)
+	d.configure(streamRoute)
+	for _, e := range d.engines {
+		e.Set(func(e *errata.Target) {
+			e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = events, 7, 10*time.Millisecond
+		})
+	}
+	d.setSoftware(d.engines)
+	time.Sleep(1500 * time.Millisecond)
+	last, _, _ := d.readStream(d.vms[0], "s-0", 0, "")
+	d.is.Equal(last, 7)
+	began := runsByID(d.engines)["s-0"][0].Software
+	for _, e := range d.engines {
+		if e.Software == began {
+			e.Register(d.store, "draining")
+		}
+		e.Set(func(e *errata.Target) { e.ResetStreamAfter = 0 })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i, v := range d.vms {
+		start := time.Now()
+		_, _, status := d.readStream(v, fmt.Sprintf("s-r%d", i), last, "s-0")
+		d.is.Equal(status, http.StatusServiceUnavailable)
+		d.is.True(time.Since(start) < time.Second)
+	}
+	anew, complete, _ := d.readStream(d.vms[0], "s-anew", 0, "")
+	d.is.True(complete)
+	d.is.Equal(anew, events)
+}
+
+// TestStreamsGoOnAfterAllVMsRestart covers a pool whose targets all run one version: no VM needs to know where a stream began.
+func TestStreamsGoOnAfterAllVMsRestart(t *testing.T) {
+	const events = 20
+	d := newDeployment(t, 2, 0, 1)
+	d.configure(streamRoute)
+	for _, e := range d.engines {
+		e.Set(func(e *errata.Target) {
+			e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = events, 7, 10*time.Millisecond
+		})
+	}
+	time.Sleep(time.Second)
+	last, _, _ := d.readStream(d.vms[0], "s-0", 0, "")
+	d.is.Equal(last, 7)
+	d.kill(d.vms[0])
+	v := d.startVM("vm-1")
+	next, _, _ := d.readStream(v, "s-1", last, "s-0")
+	d.is.Equal(next, 14)
+}
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,7 +38,10 @@
 	lastTarget          string
 	// atLimit are the addresses of targets that take no request now because of their rate limits, permitDelay is the time until the
 	// first of them may take one.
-	atLimit     []string
+	atLimit []string
+	// continuing is set if the request resumes a stream that only targets of one software version can continue.
+	continuing  bool
+	software    string
 	permitDelay time.Duration
 }
 
@@ -70,6 +74,30 @@
 	return d.retryable() && d.possibleRuns < d.route.MaxAttempts && !d.f.crashes.Admit(d.fingerprint).Rejected
 }
 
+// resume restricts a request that resumes a stream to the targets that can continue it. It returns a refusal if these are not known
+// or none is left.
+func (d *delivery) resume(ctx context.Context) *Reply {
+	if !d.route.Streaming || !d.route.Resumable || d.req.ResumeAfter == 0 {
+		return nil
+	}
+	origin, ok := d.f.origins.Find(ctx, d.route, d.req.Origin)
+	switch {
+	case !ok:
+		return refusal(http.StatusServiceUnavailable, "this VM does not know which software version began the stream; take it up again or send the request anew", unknownOriginRetryAfter)
+	case !d.route.UsesPool(origin.Pool):
+		return refusal(http.StatusServiceUnavailable, "the stream began in a pool that its route does not use any more; send the request anew", noOriginRetryAfter)
+	}
+	d.poolName = origin.Pool
+	if origin.ID == "" {
+		return nil // all targets run the version that began it
+	}
+	d.continuing, d.software = true, origin.Software
+	if !slices.ContainsFunc(d.f.view.Get().Pool(origin.Pool), func(in *fleet.Instance) bool { return in.SoftwareVersion == origin.Software && !in.Draining }) {
+		return refusal(http.StatusServiceUnavailable, "no target of the software version that began the stream is left; send the request anew", noOriginRetryAfter)
+	}
+	return nil
+}
+
 // serve runs attempts, with a hedge and retries as the route allows, until one succeeds or none is left.
 func (d *delivery) serve(ctx context.Context) *Reply {
 	if a := d.f.crashes.Admit(d.fingerprint); a.Rejected {
@@ -287,7 +315,7 @@
 	defer f.mu.Unlock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
 	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
-	q := routing.Query{Avoid: d.tried, Exclude: d.atLimit, Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
+	q := routing.Query{Avoid: d.tried, Exclude: d.excluded(p), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
 	address, ok := p.table.Pick(now, q)
 	if !ok && q.Exclusive {
 		q.Exclusive = false
@@ -306,6 +334,20 @@
 	return in, q, true
 }
 
+// excluded returns the addresses of the targets that must not get the request.
+func (d *delivery) excluded(p *poolState) []string {
+	if !d.continuing {
+		return d.atLimit
+	}
+	out := slices.Clone(d.atLimit)
+	for address, in := range p.byAddr {
+		if in.SoftwareVersion != d.software {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // unpick takes back the pick of a target that is at its rate limit for some time.
 func (d *delivery) unpick(in *fleet.Instance, q routing.Query, retryAfter time.Duration) {
 	d.f.mu.Lock()
@@ -425,6 +467,9 @@
 	case n > 0 || err == io.EOF:
 		b.reported = true
 		b.d.f.crashes.Answered(b.d.fingerprint)
+		if n > 0 && b.d.route.Resumable && b.d.req.ResumeAfter == 0 {
+			b.d.f.origins.Begin(b.d.req.ID, b.instance)
+		}
 	case err != nil && !errors.Is(err, context.Canceled):
 		b.reported = true
 		b.d.f.crashes.RunBroken(b.d.fingerprint, b.instance)
--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -63,7 +63,7 @@
 		},
 	})
 	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
-	return New(view, client, crashes.New(crashes.Options{Log: log, Metrics: metrics}), nil, "a", log, metrics)
+	return New(Options{View: view, Client: client, Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}), AvailabilityZone: "a", Log: log, Metrics: metrics})
 }
 
 // TestLastErrorOfAStreamingTargetIsPassedOnWhole guards against a cut answer: the bodies of streaming routes, and bodies too
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/origins"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/routing"
@@ -32,6 +33,10 @@
 	noTargetRetryAfter = 200 * time.Millisecond
 	// minLimitRetryAfter is the shortest Retry-After of a refusal because of rate limits. Other requests compete for the next permit.
 	minLimitRetryAfter = 50 * time.Millisecond
+	// unknownOriginRetryAfter is the Retry-After of a request that resumes a stream whose origin is not known: another VM may know it.
+	unknownOriginRetryAfter = 100 * time.Millisecond
+	// noOriginRetryAfter is the Retry-After of a request that resumes a stream which no target can continue now.
+	noOriginRetryAfter = time.Second
 	// configRetryAfter is the Retry-After of a refusal before the first configuration is known.
 	configRetryAfter = 500 * time.Millisecond
 	// defaultTimeout bounds a request if neither the request nor its route has a timeout.
@@ -69,6 +74,8 @@
 	Deadline time.Time
 	// ResumeAfter is the ID of the last event that the caller received; 0 starts from the first.
 	ResumeAfter int64
+	// Origin is the ID of the attempt that got the first event of the stream that this request resumes.
+	Origin string
 	// Background is set for requests that yield to those of callers at targets with a rate limit.
 	Background bool
 }
@@ -100,6 +107,7 @@
 	client  targets.Client
 	crashes *crashes.Register
 	limiter *ratelimit.Limiter
+	origins *origins.Register
 	log     *slog.Logger
 	az      string
 	// requests counts replies by status, latency is their latency distribution.
@@ -118,11 +126,25 @@
 	byAddr   map[string]*fleet.Instance
 }
 
-// New returns a Forwarder for a VM in the availability zone az.
-func New(view *fleet.View, client targets.Client, register *crashes.Register, limiter *ratelimit.Limiter, az string, log *slog.Logger, metrics *process.Metrics) *Forwarder {
+// Options are the dependencies of a Forwarder.
+type Options struct {
+	View    *fleet.View
+	Client  targets.Client
+	Crashes *crashes.Register
+	// Limiter and Origins may be nil.
+	Limiter *ratelimit.Limiter
+	Origins *origins.Register
+	// AvailabilityZone is that of the VM.
+	AvailabilityZone string
+	Log              *slog.Logger
+	Metrics          *process.Metrics
+}
+
+// New returns a Forwarder.
+func New(o Options) *Forwarder {
 	return &Forwarder{
-		view: view, client: client, crashes: register, limiter: limiter, log: log, az: az, pools: map[string]*poolState{},
-		requests: metrics.SubMap("requests"), latency: metrics.Latency("request_seconds"),
+		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
+		requests: o.Metrics.SubMap("requests"), latency: o.Metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -196,10 +218,13 @@
 		outcomes: make(chan outcome, route.MaxAttempts+maxExtraSends+1),
 	}
 	d.deadline = d.startedAt.Add(timeout)
-	reply := d.serve(ctx)
+	reply := d.resume(ctx)
+	if reply == nil {
+		reply = d.serve(ctx)
+	}
 	f.requests.Add(strconv.Itoa(reply.Status), 1)
 	f.latency.Observe(time.Since(d.startedAt))
-	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", poolName, "status", reply.Status,
+	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
 		"sends", d.sends, "target", d.lastTarget, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason)
 	return reply
 }
--- /dev/null
+++ b/origins/register.go
@@ -0,0 +1,269 @@
+// Package origins tells, at each VM, which software version of a pool's targets began a stream, so that the stream is
+// continued at that version only. While all targets of a pool run one version, nothing needs to be exchanged. Otherwise the VM at
+// which a stream begins hands its origin over to a few VMs, which follow from the ID of the client's attempt.
+package origins
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/wire"
+)
+
+const (
+	// zoneHolders and otherHolders are the numbers of VMs that hold an origin, in the zone of the VM at which the stream began, where
+	// its client usually comes again, and in the whole deployment.
+	zoneHolders  = 2
+	otherHolders = 2
+	// recordDelay is how long origins are collected before they are handed over together.
+	recordDelay = 10 * time.Millisecond
+	// callTimeout bounds a call to another VM.
+	callTimeout = 300 * time.Millisecond
+	// defaultStreamTime is how long clients are assumed to take up streams of a route without a timeout.
+	defaultStreamTime = time.Minute
+	// streamTimeFactor is the multiple of a route's timeout after which no client takes a stream up any more.
+	streamTimeFactor = 2
+	// maxUnrecorded limits the origins that wait to be handed over to one VM; further ones are dropped.
+	maxUnrecorded = 10_000
+)
+
+// Options configure a Register.
+type Options struct {
+	Self fleet.VM
+	View *fleet.View
+	// Call calls a method of another VM.
+	Call    func(ctx context.Context, address, method string, params, result any) error
+	Log     *slog.Logger
+	Metrics *process.Metrics
+}
+
+// Register holds origins of streams. It is safe for concurrent use.
+type Register struct {
+	opts   Options
+	events *expvar.Map
+
+	mu    sync.Mutex
+	table *table
+	vms   []fleet.VM // including this one
+	pools map[string]*poolSoftware
+	// unrecorded are origins to be handed over, by the address of the VM; flushing is set while a flush is pending.
+	unrecorded map[string][]wire.Origin
+	flushing   bool
+}
+
+// New returns an empty register.
+func New(o Options) *Register {
+	return &Register{
+		opts: o, events: o.Metrics.SubMap("stream_origins"), table: newTable(), vms: []fleet.VM{o.Self}, pools: map[string]*poolSoftware{},
+		unrecorded: map[string][]wire.Origin{},
+	}
+}
+
+// Run follows the registered targets until ctx ends.
+func (r *Register) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := r.opts.View.Changed()
+		r.update(time.Now(), r.opts.View.Get())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// update applies a new view. When a pool gets a second version, the origins of its streams are handed over.
+func (r *Register) update(now time.Time, snap *fleet.Snapshot) {
+	if snap.Tables == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range snap.Tables.Pools {
+		name := snap.Tables.Pools[i].Name
+		p := r.pools[name]
+		if p == nil {
+			p = &poolSoftware{}
+			r.pools[name] = p
+		}
+		if p.update(now, snap.Pool(name)) {
+			r.opts.Log.Info("software_mixed", "pool", name, "versions", p.versions)
+			for _, o := range r.table.ofPool(now, name) {
+				r.queue(o)
+			}
+		}
+	}
+}
+
+// SetVMs replaces the announced VMs.
+func (r *Register) SetVMs(vms []fleet.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vms = []fleet.VM{r.opts.Self}
+	for _, vm := range vms {
+		if vm.Name != r.opts.Self.Name && vm.RPCAddress != "" {
+			r.vms = append(r.vms, vm)
+		}
+	}
+}
+
+// Begin records that a target has sent the first event of a stream.
+func (r *Register) Begin(id string, in *fleet.Instance) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := wire.Origin{ID: id, Pool: in.Pool, Software: in.SoftwareVersion}
+	r.table.add(time.Now(), o)
+	if p := r.pools[in.Pool]; p == nil || len(p.versions) > 1 {
+		r.queue(o)
+	}
+}
+
+// Find returns the origin of a stream on a route. If it is not known but all targets of the route have run one version for as long
+// as clients take streams up, the origin has no version, and any target may continue the stream; otherwise ok is false.
+func (r *Register) Find(ctx context.Context, route *fleet.Route, id string) (origin wire.Origin, ok bool) {
+	if r == nil {
+		return wire.Origin{Pool: route.Pool}, true
+	}
+	now := time.Now()
+	r.mu.Lock()
+	o, known := r.table.find(now, id)
+	p := r.pools[route.Pool]
+	uniform := len(route.Split) <= 1 && p != nil && p.uniform(now, streamTime(route))
+	holders := r.holders(id)
+	r.mu.Unlock()
+	switch {
+	case known:
+		return o, true
+	case uniform:
+		return wire.Origin{Pool: route.Pool}, true
+	case id == "":
+		return wire.Origin{}, false
+	}
+	if o, known = r.askHolders(ctx, holders, id); known {
+		r.events.Add("found", 1)
+		return o, true
+	}
+	r.events.Add("unknown", 1)
+	return wire.Origin{}, false
+}
+
+// streamTime returns how long after its first event a client may take a stream up.
+func streamTime(route *fleet.Route) time.Duration {
+	if t := route.Timeout(); t > 0 {
+		return streamTimeFactor * t
+	}
+	return defaultStreamTime
+}
+
+// askHolders asks the holders of an origin and returns the first answer.
+func (r *Register) askHolders(ctx context.Context, holders []fleet.VM, id string) (wire.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found := make(chan *wire.Origin, len(holders))
+	for _, vm := range holders {
+		go func() {
+			var res wire.FindOriginResult
+			if err := r.opts.Call(ctx, vm.RPCAddress, wire.MethodFindOrigin, wire.FindOriginParams{ID: id}, &res); err != nil {
+				r.events.Add("unanswered", 1)
+			}
+			found <- res.Origin
+		}()
+	}
+	for range holders {
+		if o := <-found; o != nil {
+			return *o, true
+		}
+	}
+	return wire.Origin{}, false
+}
+
+// holders returns the other VMs that hold an origin. The caller holds the lock.
+func (r *Register) holders(id string) []fleet.VM {
+	ranked := slices.SortedFunc(slices.Values(r.vms), func(a, b fleet.VM) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name+"/"+id), xxhash.Sum64String(b.Name+"/"+id)), cmp.Compare(a.Name, b.Name))
+	})
+	var out []fleet.VM
+	inZone, anywhere := 0, 0
+	for _, vm := range ranked {
+		chosen := false
+		if anywhere < otherHolders {
+			anywhere++
+			chosen = true
+		}
+		if vm.AvailabilityZone == r.opts.Self.AvailabilityZone && inZone < zoneHolders {
+			inZone++
+			chosen = true
+		}
+		if chosen && vm.Name != r.opts.Self.Name {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// queue queues an origin for its holders. The caller holds the lock.
+func (r *Register) queue(o wire.Origin) {
+	for _, vm := range r.holders(o.ID) {
+		if len(r.unrecorded[vm.RPCAddress]) >= maxUnrecorded {
+			r.events.Add("dropped", 1)
+			continue
+		}
+		r.unrecorded[vm.RPCAddress] = append(r.unrecorded[vm.RPCAddress], o)
+	}
+	if !r.flushing && len(r.unrecorded) > 0 {
+		r.flushing = true
+		time.AfterFunc(recordDelay, r.flush)
+	}
+}
+
+// flush hands the queued origins over.
+func (r *Register) flush() {
+	r.mu.Lock()
+	queued := r.unrecorded
+	r.unrecorded, r.flushing = map[string][]wire.Origin{}, false
+	r.mu.Unlock()
+	for address, origins := range queued {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			// Without the origin a holder can't tell it, and the client's next attempt asks the others.
+			if err := r.opts.Call(ctx, address, wire.MethodRecordOrigins, wire.RecordOriginsParams{Origins: origins}, nil); err != nil {
+				r.events.Add("unrecorded", int64(len(origins)))
+				return
+			}
+			r.events.Add("recorded", int64(len(origins)))
+		}()
+	}
+}
+
+// HandleRecord records the origins of streams that began at another VM.
+func (r *Register) HandleRecord(_ context.Context, p wire.RecordOriginsParams) (wire.Empty, error) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range p.Origins {
+		r.table.add(now, o)
+	}
+	return wire.Empty{}, nil
+}
+
+// HandleFind returns the origin of a stream, if this VM knows it.
+func (r *Register) HandleFind(_ context.Context, p wire.FindOriginParams) (wire.FindOriginResult, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o, ok := r.table.find(time.Now(), p.ID); ok {
+		return wire.FindOriginResult{Origin: &o}, nil
+	}
+	return wire.FindOriginResult{}, nil
+}
