crashes: items under which engines crashed are run again after pauses

What callers saw (a report from a system like the users'): after a burst of crashes, a sound item that several servers ran when they died was never placed again. Cause: an item was held like a client's request that crashes its targets, for ten minutes from the third death on; so was its scoring call. But an item was accepted and is owed, and the users state that items never crash servers by themselves.

--- a/batch/placement.go
+++ b/batch/placement.go
@@ -48,7 +48,7 @@
 				go r.finishItem(ctx, j)
 				continue
 			}
-			admission := r.crashes.Admit(j.fingerprint)
+			admission := r.crashes.AdmitItem(j.fingerprint)
 			if admission.Rejected {
 				r.logHeld(j, admission.Reason)
 				continue
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/routing"
@@ -63,15 +64,23 @@
 
 func (d *delivery) retryable() bool { return !d.route.NonIdempotent }
 
+// admission returns whether the request may run, as targets may have crashed while they ran it.
+func (d *delivery) admission() crashes.Admission {
+	if d.req.Background {
+		return d.f.crashes.AdmitScoring(d.fingerprint)
+	}
+	return d.f.crashes.Admit(d.fingerprint)
+}
+
 // suspect reports whether a target has crashed while it ran the request.
 func (d *delivery) suspect() bool {
-	a := d.f.crashes.Admit(d.fingerprint)
+	a := d.admission()
 	return a.Suspect || a.Rejected
 }
 
 // mayRunAgain reports whether the request may be sent to another target after a run that possibly took place.
 func (d *delivery) mayRunAgain() bool {
-	return d.retryable() && d.possibleRuns < d.route.MaxAttempts && !d.f.crashes.Admit(d.fingerprint).Rejected
+	return d.retryable() && d.possibleRuns < d.route.MaxAttempts && !d.admission().Rejected
 }
 
 // resume restricts a request that resumes a stream to the targets that can continue it. It returns a refusal if these are not known
@@ -100,7 +109,7 @@
 
 // serve runs attempts, with a hedge and retries as the route allows, until one succeeds or none is left.
 func (d *delivery) serve(ctx context.Context) *Reply {
-	if a := d.f.crashes.Admit(d.fingerprint); a.Rejected {
+	if a := d.admission(); a.Rejected {
 		return refusal(http.StatusServiceUnavailable, a.Reason, a.RetryAfter)
 	}
 	d.pending = map[*attempt]bool{}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -76,7 +76,8 @@
 	ResumeAfter int64
 	// Origin is the ID of the attempt that got the first event of the stream that this request resumes.
 	Origin string
-	// Background is set for requests that yield to those of callers at targets with a rate limit.
+	// Background is set for calls that score items. They yield to callers' requests at targets with a rate limit, and are owed like the
+	// items, although targets crashed meanwhile.
 	Background bool
 }
 
