platform: answers without end are cut off within bounds of memory

Cause: the head of a target's answer was bounded by 10 MB only, a line of an event stream not at all, a body that is read before it is forwarded by 4 MB for each request. A few faulty targets fill a VM of 184 MB. Streams to clients passed on whatever came. Change: a head has 64 KB, an event 256 KB, a control reply 1 MB; long bodies that are being read share 16 MB, and the first 64 KB of each are read in any case, so that sound answers don't suffer; error answers of streaming routes are read like others. Streams to clients are passed on by whole events, and end with an error where they are no events. An engine that sends more events than an item has tokens is a failed run. Evidence: TestBytesWithoutEndAreCutOff on the commit before is killed for memory after a minute; now a call allocates under 4 MB in each of eight cases. With one endless target in each pool, requests and items beside it are served.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -161,6 +161,10 @@
 			r.mu.Unlock()
 			return outcomeInterrupted, errors.New("the engine sent events out of order")
 		}
+		if j.item.Tokens > 0 && len(j.events) >= j.item.Tokens {
+			r.mu.Unlock()
+			return outcomeInterrupted, errors.New("the engine sent more events than the item has tokens")
+		}
 		if len(j.events) == 0 {
 			j.software = call.Instance.SoftwareVersion
 		}
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -386,8 +385,8 @@
 	}
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
-		if err == nil && !d.route.Streaming {
-			err = bufferBody(answer)
+		if err == nil && (!d.route.Streaming || answer.Status >= http.StatusBadRequest) {
+			err = f.buffer.read(answer)
 		}
 		if err != nil {
 			if targets.Sent(err) && attemptCtx.Err() == nil {
@@ -400,30 +399,13 @@
 	}()
 }
 
-// bufferBody reads the body into memory, so that a truncated answer is detected before any of it is forwarded.
-// It leaves bodies with a length above maxBufferedBytes as they are.
-func bufferBody(answer *targets.Response) error {
-	if answer.Length > maxBufferedBytes {
-		return nil
-	}
-	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
-	if err != nil {
-		return err
-	}
-	if len(data) > maxBufferedBytes {
-		return fmt.Errorf("the answer is longer than %d bytes and has no length", maxBufferedBytes)
-	}
-	answer.Body, answer.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
-	return nil
-}
-
 // targetReply cancels the other attempts and returns a target's answer as the reply. Closing its body calls
 // cancel.
 func (d *delivery) targetReply(answer *targets.Response, a *attempt, cancel context.CancelFunc) *Reply {
 	d.cancelPending()
 	body := answer.Body
-	if d.route.Streaming {
+	if d.route.Streaming && answer.Status < http.StatusBadRequest {
+		body = d.f.client.WholeEvents(body)
 		body = &streamBody{ReadCloser: body, d: d, instance: a.instance}
 	}
 	return &Reply{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -48,8 +48,6 @@
 	// maxExtraSends is how many sends a request may have beyond its route's attempts, as long as targets report
 	// that they did not run it.
 	maxExtraSends = 4
-	// maxBufferedBytes is the size of the largest answer that is read completely before it is forwarded.
-	maxBufferedBytes = 4 << 20
 	// permitWaitFraction is the fraction of the latency objective for which a caller's request may wait for targets at their rate
 	// limits, so that enough time is left to try again after a refusal.
 	permitWaitFraction = 0.25
@@ -111,6 +109,7 @@
 	origins *origins.Register
 	log     *slog.Logger
 	az      string
+	buffer  bodyBuffer
 	// requests counts replies by status, latency is their latency distribution.
 	requests *expvar.Map
 	latency  *process.Latency
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -77,6 +77,9 @@
 	Do(ctx context.Context, c *Call) (*Response, error)
 	// Events returns a reader of the events in a response body.
 	Events(body io.Reader) EventReader
+	// WholeEvents returns a reader of an event stream that returns whole events only. It fails where the stream is no event stream or an event
+	// is too long.
+	WholeEvents(body io.ReadCloser) io.ReadCloser
 	// Gone reports whether the target has ended: nothing listens at its address. An address that does not respond, as behind
 	// a network partition, is not gone.
 	Gone(ctx context.Context, instance *fleet.Instance) bool
