targetstate: targets that say they leave get no new requests

Cause: the header Server-Leaving was not read; only registrations told who drains. Change: the register of what targets state keeps it for the instance, whatever its registration says, until a new process starts; single requests, hedges, retries, resumed streams, scoring calls and items ask it. Work under way goes on. Evidence: TestLeavingTargetsReceiveNoNewRequests, with the store silent, fails before (requests 4 s after the target began to leave) and passes now. Remaining: orders to load weights may still reach such an engine; a VM that got none of its answers does not know of it.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -100,7 +100,7 @@
 func (s *engines) candidates(now time.Time, pool string) *candidates {
 	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool)}
 	for _, e := range s.byKey {
-		if e.instance.Pool == pool && !e.instance.Draining && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
+		if e.instance.Pool == pool && !s.states.Draining(e.instance) && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
 			c.free = append(c.free, e)
 		}
 	}
@@ -183,7 +183,7 @@
 // version that is not draining, has not just failed and runs the weights.
 func (s *engines) canContinue(now time.Time, req requirements) bool {
 	for _, e := range s.byKey {
-		if e.instance.Pool == req.pool && !e.instance.Draining && !now.Before(e.cooldownUntil) && e.instance.SoftwareVersion == req.software &&
+		if e.instance.Pool == req.pool && !s.states.Draining(e.instance) && !now.Before(e.cooldownUntil) && e.instance.SoftwareVersion == req.software &&
 			(req.model == "" || e.versions[req.model] >= req.minVersion) {
 			return true
 		}
@@ -219,7 +219,7 @@
 func (s *engines) countShortage(now time.Time, req requirements) shortageCounts {
 	var counts shortageCounts
 	for _, e := range s.byKey {
-		if e.instance.Pool != req.pool || e.instance.Draining {
+		if e.instance.Pool != req.pool || s.states.Draining(e.instance) {
 			continue
 		}
 		counts.engines++
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -5,6 +5,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/targets"
+	"github.com/ibistrail/ibistrail/targetstate"
 )
 
 // Limits and smoothing factors of the engine estimates.
@@ -62,6 +63,8 @@
 // engines holds what this VM knows about all registered engines. It does no I/O.
 type engines struct {
 	byKey map[fleet.Key]*engine
+	// states is what the engines say about themselves; it may be nil.
+	states *targetstate.Register
 }
 
 func newEngines() *engines { return &engines{byKey: map[fleet.Key]*engine{}} }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -154,6 +154,7 @@
 		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration,
 		outcomes: o.Metrics.SubMap("item_runs"), durations: o.Metrics.Latency("item_run_seconds"),
 	}
+	r.engines.states = o.States
 	o.Limiter.OnPermit(r.wake)
 	return r
 }
--- a/batch/service.go
+++ b/batch/service.go
@@ -16,6 +16,7 @@
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
+	"github.com/ibistrail/ibistrail/targetstate"
 	"github.com/ibistrail/ibistrail/versions"
 )
 
@@ -45,6 +46,7 @@
 	Forwarder Forwarder
 	Crashes   *crashes.Register
 	Limiter   *ratelimit.Limiter
+	States    *targetstate.Register
 }
 
 // Service accepts, stores and runs batch submissions and returns their results.
--- a/entry/process.go
+++ b/entry/process.go
@@ -112,11 +112,11 @@
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
 	p.Forwarder = forward.New(forward.Options{
-		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
+		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
-		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter,
+		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter, States: p.targets,
 	})
 	p.tenures = newTenureManager(p)
 	return p
--- a/entry/state.go
+++ b/entry/state.go
@@ -29,6 +29,8 @@
 	Quarantine quarantine.State `json:"quarantine"`
 	// RateLimits holds the limits that targets have named, in requests a second, by target.
 	RateLimits map[string]float64 `json:"target_limits,omitempty"`
+	// DrainingTargets holds the targets that said in an answer that they leave.
+	DrainingTargets []string `json:"draining_targets,omitempty"`
 }
 
 // State returns the current state for the state dump.
@@ -38,7 +40,7 @@
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
 		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
-		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(),
+		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(),
 	}
 	if snap.Tables != nil {
 		s.TablesVersion = snap.Tables.Version
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -60,6 +60,8 @@
 	CrashOn string
 	// RateLimit is the limit that all answers name, in requests a second over all VMs; 0 names none.
 	RateLimit float64
+	// Leaving makes all answers say that the target leaves.
+	Leaving bool
 	// DownTime is how long the target is down after a crash. It starts again under another ID.
 	DownTime time.Duration
 
@@ -114,6 +116,7 @@
 	t.Lock()
 	previous := t.ID
 	t.ID = fmt.Sprintf("%s-%d", t.name, t.crashes)
+	t.Leaving = false // a new process does not know of it
 	t.Unlock()
 	if err := t.server.Restart(); err != nil {
 		panic(fmt.Sprintf("target %s: %v", t.name, err))
@@ -196,6 +199,9 @@
 	if t.RateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(t.RateLimit, 'f', -1, 64))
 	}
+	if t.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	t.Unlock()
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != id {
 		w.Header().Set("Instance-Id", id)
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -100,7 +100,9 @@
 		return nil // all targets run the version that began it
 	}
 	d.continuing, d.software = true, origin.Software
-	if !slices.ContainsFunc(d.f.view.Get().Pool(origin.Pool), func(in *fleet.Instance) bool { return in.SoftwareVersion == origin.Software && !in.Draining }) {
+	if !slices.ContainsFunc(d.f.view.Get().Pool(origin.Pool), func(in *fleet.Instance) bool {
+		return in.SoftwareVersion == origin.Software && !d.f.states.Draining(in)
+	}) {
 		return refusal(http.StatusServiceUnavailable, "no target of the software version that began the stream is left; send the request anew", noOriginRetryAfter)
 	}
 	return nil
@@ -344,12 +346,9 @@
 
 // excluded returns the addresses of the targets that must not get the request.
 func (d *delivery) excluded(p *poolState) []string {
-	if !d.continuing {
-		return d.atLimit
-	}
 	out := slices.Clone(d.atLimit)
 	for address, in := range p.byAddr {
-		if in.SoftwareVersion != d.software {
+		if d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) {
 			out = append(out, address)
 		}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/targets"
+	"github.com/ibistrail/ibistrail/targetstate"
 	"github.com/ibistrail/ibistrail/trial"
 )
 
@@ -107,6 +108,7 @@
 	crashes *crashes.Register
 	limiter *ratelimit.Limiter
 	origins *origins.Register
+	states  *targetstate.Register
 	log     *slog.Logger
 	az      string
 	buffer  bodyBuffer
@@ -131,9 +133,10 @@
 	View    *fleet.View
 	Client  targets.Client
 	Crashes *crashes.Register
-	// Limiter and Origins may be nil.
+	// Limiter, Origins and States may be nil.
 	Limiter *ratelimit.Limiter
 	Origins *origins.Register
+	States  *targetstate.Register
 	// AvailabilityZone is that of the VM.
 	AvailabilityZone string
 	Log              *slog.Logger
@@ -143,7 +146,7 @@
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
 	return &Forwarder{
-		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
+		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, states: o.States, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
 		requests: o.Metrics.SubMap("requests"), latency: o.Metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -58,6 +58,8 @@
 	// RateLimit is the number of requests a second that the target accepts from all VMs together, for as long as its answers
 	// name it; nil if this one names none.
 	RateLimit *float64
+	// Draining is set if the target says that it leaves and takes no new requests.
+	Draining bool
 }
 
 // Success reports whether the request was executed successfully: a 2xx status with a proof.
--- a/targetstate/register.go
+++ b/targetstate/register.go
@@ -4,6 +4,7 @@
 import (
 	"expvar"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,12 @@
 	"github.com/ibistrail/ibistrail/targets"
 )
 
-// stateTTL is how long the state of an instance is kept after its last answer.
-const stateTTL = 10 * time.Minute
+// stateTTL and drainingTTL are how long the state of an instance is kept after its last answer. One that drains gets no requests, so
+// that it answers none, and may go on for long.
+const (
+	stateTTL    = 10 * time.Minute
+	drainingTTL = 6 * time.Hour
+)
 
 // Register holds the newest statements of each instance. It is safe for concurrent use.
 type Register struct {
@@ -30,6 +35,8 @@
 // state is what one instance has stated.
 type state struct {
 	limit *RateLimit
+	// draining is set for good once the instance has said that it leaves.
+	draining bool
 	// answeredAt is the time of the answer that set or lifted the limit.
 	answeredAt time.Time
 	lastSeen   time.Time
@@ -50,14 +57,15 @@
 // Observe records what an answer states. The request was sent at sentAt. Answers on different connections overtake each
 // other, so one whose request was sent before the newest statement was received does not lift a limit.
 func (r *Register) Observe(in *fleet.Instance, sentAt, now time.Time, answer *targets.Response) {
-	if answer.WrongInstance || answer.RateLimit == nil && !r.inUse.Load() {
+	states := answer.RateLimit != nil || answer.Draining
+	if answer.WrongInstance || !states && !r.inUse.Load() {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[in.Key()]
 	if s == nil {
-		if answer.RateLimit == nil {
+		if !states {
 			return
 		}
 		r.expire(now)
@@ -66,6 +74,10 @@
 		r.inUse.Store(true)
 	}
 	s.lastSeen = now
+	if answer.Draining && !s.draining {
+		s.draining = true
+		r.log.Info("target_draining", "target", in.Name, "pool", in.Pool)
+	}
 	if sentAt.Before(s.answeredAt) && answer.RateLimit == nil {
 		return
 	}
@@ -94,6 +106,18 @@
 	}
 }
 
+// Draining reports whether an instance takes no new requests, according to its registration or to one of its answers. What it said
+// itself holds whatever its registration says, which may be old.
+func (r *Register) Draining(in *fleet.Instance) bool {
+	if in.Draining || r == nil || !r.inUse.Load() {
+		return in.Draining
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[in.Key()]
+	return s != nil && s.draining
+}
+
 // RateLimit returns the limit that an instance has named; ok is false if it has none.
 func (r *Register) RateLimit(in *fleet.Instance) (limit RateLimit, ok bool) {
 	if !r.inUse.Load() {
@@ -110,12 +134,26 @@
 // expire removes the states of instances that have not answered for stateTTL. The caller holds the lock.
 func (r *Register) expire(now time.Time) {
 	for k, s := range r.states {
-		if now.Sub(s.lastSeen) > stateTTL {
+		if now.Sub(s.lastSeen) > stateTTL && !s.draining || now.Sub(s.lastSeen) > drainingTTL {
 			delete(r.states, k)
 		}
 	}
 }
 
+// DrainingTargets returns the IDs of the instances that said that they leave, sorted, for the state dump.
+func (r *Register) DrainingTargets() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for k, s := range r.states {
+		if s.draining {
+			out = append(out, k.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // RateLimits returns the limits in force by the ID of the instance, for the state dump.
 func (r *Register) RateLimits() map[string]float64 {
 	r.mu.Lock()
