--- a/entry/software_version_test.go
+++ b/entry/software_version_test.go
@@ -14,12 +14,26 @@
 	"github.com/ibistrail/ibistrail/fake/errata"
 )
 
-// setSoftware makes each second target run another software version, and registers all again.
+// setSoftware makes each second target run another software version, registers all again and waits until the VMs know it.
 func (d *deployment) setSoftware(targets []*errata.Target) {
 	for i, x := range targets {
 		x.Set(func(x *errata.Target) { x.Software = fmt.Sprintf("v%d", i%2+1) })
 		x.Register(d.store, "ready")
 	}
+	d.eventually(5*time.Second, "the VMs know the software versions", func() bool {
+		for _, v := range d.vms {
+			known := map[string]string{}
+			for _, in := range v.process.View.Get().Instances {
+				known[in.Name] = in.SoftwareVersion
+			}
+			for _, x := range targets {
+				if known[x.ID] != x.Software {
+					return false
+				}
+			}
+		}
+		return true
+	})
 }
 
 // runsByID returns the runs of requests at targets by ID, the oldest first.
@@ -212,7 +226,6 @@
 		})
 	}
 	d.setSoftware(d.engines)
-	time.Sleep(1500 * time.Millisecond) // the registrations are read
 	attempts, resumed, wentOn := d.readStreams(24, events)
 	d.is.True(d.checkStreamsOfOneSoftware(attempts) >= 12)
 	if wentOn < resumed*9/10 {
@@ -232,7 +245,6 @@
 		})
 	}
 	d.setSoftware(d.engines)
-	time.Sleep(1500 * time.Millisecond)
 	last, _, _ := d.readStream(d.vms[0], "s-0", 0, "")
 	d.is.Equal(last, 7)
 	began := runsByID(d.engines)["s-0"][0].Software
