forward: hedges go to other targets, and background calls wait for permits rather than go to full ones

Change: a hedge leaves out the targets that have the request. A scoring call waits for a permit, 60 ms at a time, as long as targets are at their limits. Evidence: TestHedgesGoToOtherTargets fails before: two sends to one target.

--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -179,7 +179,7 @@
 	if len(d.atLimit) == 0 || time.Since(d.startedAt)+d.permitDelay > longest {
 		return false
 	}
-	process.Sleep(ctx, d.permitDelay)
+	process.Sleep(ctx, min(d.permitDelay, maxPermitPause))
 	d.atLimit = d.atLimit[:0]
 	return ctx.Err() == nil
 }
@@ -289,7 +289,7 @@
 // startAttempt sends the request to one more target. It returns false if no target is left.
 func (d *delivery) startAttempt(ctx context.Context) bool {
 	for {
-		in, q, ok := d.pick()
+		in, q, ok := d.pick(false)
 		if !ok {
 			return false
 		}
@@ -304,34 +304,26 @@
 
 // startHedge sends a copy of the request to another target. Targets that have named a rate limit get no copies.
 func (d *delivery) startHedge(ctx context.Context) {
-	for {
-		in, q, ok := d.pick()
-		if !ok {
-			return
-		}
-		if !d.f.limiter.Limited(in) {
-			d.send(ctx, in, q)
-			return
-		}
-		d.unpick(in, q, 0)
+	if in, q, ok := d.pick(true); ok {
+		d.send(ctx, in, q)
 	}
 }
 
-// pick picks a target and counts the request among its load.
-func (d *delivery) pick() (*fleet.Instance, routing.Query, bool) {
+// pick picks a target, for a hedge or for the next attempt, and counts the request among its load.
+func (d *delivery) pick(hedge bool) (*fleet.Instance, routing.Query, bool) {
 	f, now := d.f, time.Now()
 	suspect := d.suspect()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
 	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
-	q := routing.Query{Avoid: d.tried, Exclude: d.excluded(p), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
+	q := routing.Query{Avoid: d.tried, Exclude: d.excluded(p, hedge), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
 	address, ok := p.table.Pick(now, q)
 	if !ok && q.Exclusive {
 		q.Exclusive = false
 		address, ok = p.table.Pick(now, q)
 	}
-	if !ok {
+	if !ok && !d.waitsForPermit() {
 		// All are at their limits. Targets queue requests themselves and refuse them when the queue is full.
 		q.IgnoreLimits = true
 		address, ok = p.table.Pick(now, q)
@@ -344,17 +336,26 @@
 	return in, q, true
 }
 
-// excluded returns the addresses of the targets that must not get the request.
-func (d *delivery) excluded(p *poolState) []string {
+// excluded returns the addresses of the targets that must not get the request, or a copy of it.
+func (d *delivery) excluded(p *poolState, hedge bool) []string {
 	out := slices.Clone(d.atLimit)
+	if hedge {
+		for a := range d.pending {
+			out = append(out, a.instance.Address)
+		}
+	}
 	for address, in := range p.byAddr {
-		if d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) {
+		if d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
 			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// waitsForPermit reports whether the request waits for a permit rather than go to a target that is full: the few targets of a pool that
+// have no rate limit would else get all requests that exceed the limits of the others.
+func (d *delivery) waitsForPermit() bool { return d.req.Background && len(d.atLimit) > 0 }
+
 // unpick takes back the pick of a target that is at its rate limit for some time.
 func (d *delivery) unpick(in *fleet.Instance, q routing.Query, retryAfter time.Duration) {
 	d.f.mu.Lock()
--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +102,42 @@
 	is.True(client.budgets[1] > 59*time.Second)
 	is.True(client.budgets[2] <= client.budgets[1]-50*time.Millisecond)
 }
+
+// slowClient answers each call after a delay and records the targets.
+type slowClient struct {
+	targets.Client
+	delay time.Duration
+	mu    sync.Mutex
+	sent  []string
+}
+
+func (c *slowClient) Do(ctx context.Context, call *targets.Call) (*targets.Response, error) {
+	c.mu.Lock()
+	c.sent = append(c.sent, call.Instance.Name)
+	c.mu.Unlock()
+	select {
+	case <-time.After(c.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return &targets.Response{Status: http.StatusOK, Proof: "p", Body: io.NopCloser(strings.NewReader("")), Length: 0}, nil
+}
+
+// TestHedgesGoToOtherTargets covers a pool in which only one target may get the request: a copy would only add to its load.
+func TestHedgesGoToOtherTargets(t *testing.T) {
+	is := is.New(t)
+	client := &slowClient{delay: 4 * minHedgeDelay}
+	f := newTestForwarder(client, fleet.Route{TargetLatency: 2 * minHedgeDelay, MaxAttempts: 3})
+	serve := func() int {
+		return f.Serve(t.Context(), &Request{ID: "r", Method: http.MethodGet, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Budget: time.Minute}).Status
+	}
+	is.Equal(serve(), http.StatusOK)
+	is.Equal(len(client.sent), 2)
+	is.True(client.sent[0] != client.sent[1])
+	client.sent = nil
+	snap := *f.view.Get()
+	snap.Instances = snap.Instances[:1]
+	f.view.Set(&snap)
+	is.Equal(serve(), http.StatusOK)
+	is.Equal(client.sent, []string{"t1"})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,6 +52,8 @@
 	// permitWaitFraction is the fraction of the latency objective for which a caller's request may wait for targets at their rate
 	// limits, so that enough time is left to try again after a refusal.
 	permitWaitFraction = 0.25
+	// maxPermitPause is how long a request waits before it looks for a target again: one without a rate limit may have room earlier.
+	maxPermitPause = 60 * time.Millisecond
 	// backgroundPermitWait is how long a background request may wait for them.
 	backgroundPermitWait = time.Second
 	// minTargetsToIsolate is the smallest pool in which a suspect gets a target for itself.
