entry: the soak of real processes plays limits and software versions

Targets name limits and start again with other software in the middle of a run; while it settles, all services name one. Judged: requests in any 4 s against the users' bound, and that no text has events of two versions.

--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -36,7 +36,8 @@
 	soakEngines   = 4
 	soakServices  = 4
 	soakDuration  = 12 * time.Second
-	soakSettle    = 8 * time.Second
+	soakSettle    = 10 * time.Second
+	soakLimit     = 4.0             // requests a second that each service accepts while the run settles
 	soakBudget    = 3 * time.Second // of callers, as call sends it
 	soakBatchTime = 40 * time.Second
 	// budgetSlack is that of rule BUDGET, maxBudgetCases the least of its bounds.
@@ -222,7 +223,14 @@
 	}
 	callers.Go(func() { s.callPoison(rand.New(rand.NewPCG(seed, 300)), stop) })
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1)))
+	// Limits are judged while no VM is disturbed, which would excuse it.
+	limited := time.Now()
+	nameLimits(s.services, soakLimit)
 	time.Sleep(soakSettle)
+	for _, x := range s.services {
+		checkLimit(t, x, soakLimit, limited, time.Now(), 0)
+	}
+	nameLimits(s.services, 0) // the last batches end soon
 	close(stop)
 	callers.Wait()
 	s.judge()
@@ -233,7 +241,9 @@
 func newSoakDeployment(t *testing.T) *deployment {
 	d := newDeployment(t, soakEngines, soakServices, 0)
 	for _, e := range d.engines {
-		e.Set(func(e *errata.Target) { e.EventsPerStream, e.EventInterval = 30, 25*time.Millisecond })
+		e.Set(func(e *errata.Target) {
+			e.EventsPerStream, e.EventInterval, e.TagEvents = 30, 25*time.Millisecond, true
+		})
 	}
 	for _, x := range d.services {
 		x.Set(func(x *errata.Target) { x.RequestDuration, x.CrashOn = 15*time.Millisecond, poison })
@@ -250,7 +260,7 @@
 		defer l.Close()
 		return l.Addr().(*net.TCPAddr).Port
 	}
-	name := fmt.Sprintf("vm-%d", i)
+	name, internal := fmt.Sprintf("vm-%d", i), port()
 	n := &soakVM{ip: ip, proxy: newFaultProxy(s.t, s.store.Address()), log: filepath.Join(s.dir, name+".log"), settings: filepath.Join(s.dir, name+".toml")}
 	n.vm = &vm{name: name, address: fmt.Sprintf("%s:%d", ip, port()), readyAddress: fmt.Sprintf("%s:%d", ip, port())}
 	text := fmt.Sprintf(`NodeName = %q
@@ -273,7 +283,7 @@
 parts = 4
 RecordBytes = 262144
 CallBytes = 2097152
-`, name, []string{"a", "b", "c"}[i%3], ip, port(), port(), n.address, n.readyAddress, n.proxy.Addr().String())
+`, name, []string{"a", "b", "c"}[i%3], ip, internal, internal+1, n.address, n.readyAddress, n.proxy.Addr().String())
 	s.is.NoErr(os.WriteFile(n.settings, []byte(text), 0o644))
 	s.t.Cleanup(func() { s.signal(n, syscall.SIGKILL) })
 	return n
@@ -328,7 +338,7 @@
 	version := 2
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		i, lasts := rng.IntN(len(s.nodes)), time.Duration(300+rng.IntN(2200))*time.Millisecond
-		kind := []string{"kill", "pause", "stop", "store", "store", "store for all", "target crash", "answers lost", "streams reset", "tables", "version"}[rng.IntN(11)]
+		kind := []string{"kill", "pause", "stop", "store", "store", "store for all", "target crash", "answers lost", "streams reset", "tables", "version", "limit", "upgrade"}[rng.IntN(13)]
 		mode := []proxyMode{proxyDelays, proxyResets, proxySilent, proxyOneWay}[rng.IntN(4)]
 		n, x, e := s.nodes[i], s.services[rng.IntN(len(s.services))], s.engines[rng.IntN(len(s.engines))]
 		s.note("fault", map[string]any{"kind": kind, "vm": n.name, "mode": mode, "ms": lasts.Milliseconds()})
@@ -379,6 +389,12 @@
 		case "streams reset":
 			e.Set(func(e *errata.Target) { e.ResetStreamAfter = 12 })
 			heal(func() { e.Set(func(e *errata.Target) { e.ResetStreamAfter = 0 }) })
+		case "limit":
+			limited := []*errata.Target{x, e}
+			nameLimits(limited, 0.5+5*rng.Float64())
+			heal(func() { nameLimits(limited, 0) })
+		case "upgrade":
+			e.Upgrade(fmt.Sprintf("v%d", 1+rng.IntN(3)))
 		case "tables":
 			s.configure(fmt.Sprintf(`,{"Name":"r-%d","Host":%q,"PathPrefix":"/new%d/","Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2}`, s.version, host, s.version))
 		case "version":
@@ -471,6 +487,13 @@
 			all = append(all, p.Results...)
 			return len(all) >= len(items)
 		})
+		for i, r := range all {
+			text, software := errata.SplitTags(r.Text)
+			if len(software) > 1 {
+				s.t.Errorf("%s has events of software versions %v", r.Id, software)
+			}
+			all[i].Text = text
+		}
 		s.checkResults(all, 30, items...)
 		s.untilDone(batch+" is read again", func() bool {
 			p, status := s.readPage(s.anyNode(rng), batch, 0)
@@ -478,6 +501,7 @@
 				return false
 			}
 			for i, r := range p.Results {
+				r.Text, _ = errata.SplitTags(r.Text)
 				if !slices.Equal(r.Versions, all[i].Versions) || r.Id != all[i].Id || r.Text != all[i].Text {
 					s.t.Errorf("position %d of %s holds %s and then %s, or another text", i, batch, all[i].Id, r.Id)
 				}
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	Slots             int
 	// Software is the version of the target's software.
 	Software string
+	// TagEvents adds the software version to the data of each event, as TagOf tells it.
+	TagEvents bool
 	// Versions are the loaded weight versions by model; a target without models is a plain service.
 	Versions map[string]int64
 	// RequestDuration is the duration of a plain request, EventInterval the time between the events of a stream.
@@ -131,6 +134,14 @@
 // Crash crashes the target as a request does that CrashOn names.
 func (t *Target) Crash() { t.Set((*Target).crash) }
 
+// Upgrade crashes the target, which starts again with another software version.
+func (t *Target) Upgrade(software string) {
+	t.Lock()
+	defer t.Unlock()
+	t.crash()
+	t.Software = software
+}
+
 // Crashes returns how often the target has crashed.
 func (t *Target) Crashes() int {
 	t.Lock()
@@ -307,6 +318,10 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	t.Lock()
 	version, events, eventInterval, resetAfter := t.Versions[model], t.EventsPerStream, t.EventInterval, t.ResetStreamAfter
+	tag := ""
+	if t.TagEvents {
+		tag = tagSeparator + t.Software
+	}
 	t.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Server-Stamp", "stamp."+id)
@@ -324,7 +339,7 @@
 			version = current
 			fmt.Fprintf(w, "weight-versions: %d\n", version)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventText(id, n))
+		fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", n, EventText(id, n), tag)
 		if rc.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
@@ -343,6 +358,20 @@
 	return strings.Join(parts, "\n")
 }
 
+// tagSeparator separates an event's text from the software version that TagEvents adds.
+const tagSeparator = "@"
+
+// SplitTags returns a text without the software versions of its events, and the distinct versions.
+func SplitTags(text string) (plain string, software []string) {
+	var lines []string
+	for _, line := range strings.Split(text, "\n") {
+		event, tag, _ := strings.Cut(line, tagSeparator)
+		lines, software = append(lines, event), append(software, tag)
+	}
+	slices.Sort(software)
+	return strings.Join(lines, "\n"), slices.Compact(software)
+}
+
 // Active returns the number of requests in progress.
 func (t *Target) Active() int {
 	t.Lock()
