--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -169,7 +169,7 @@
 	"quarantine": {[]string{"CONTENT", "STATUS", "DEATHS", "UNTIL"}, quarantineRows},
 	"routes":     {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
 	"pools":      {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
-	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "RUNNING", "EJECTED", "VERSIONS"}, targetRows},
+	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "SOFTWARE", "VERSIONS"}, targetRows},
 	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
 	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
 	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
@@ -273,8 +273,13 @@
 	var rows [][]string
 	for _, t := range s.Targets {
 		n := inFlight[t.Name] + s.Batches.Runner.Engines[t.Name].Running
-		rows = append(rows, []string{t.Name, t.Pool, t.Address, t.AvailabilityZone, strconv.FormatBool(t.Draining), strconv.Itoa(n),
-			strconv.FormatBool(ejected[t.Name]), orDash(versionsText(t))})
+		draining := t.Draining || slices.Contains(s.DrainingTargets, t.Name)
+		limit := ""
+		if perSecond, ok := s.RateLimits[t.Name]; ok {
+			limit = strconv.FormatFloat(perSecond, 'g', -1, 64)
+		}
+		rows = append(rows, []string{t.Name, t.Pool, t.Address, t.AvailabilityZone, strconv.FormatBool(draining), orDash(limit), strconv.Itoa(n),
+			strconv.FormatBool(ejected[t.Name]), orDash(t.SoftwareVersion), orDash(versionsText(t))})
 	}
 	return rows
 }
--- a/ctl/vm_test.go
+++ b/ctl/vm_test.go
@@ -29,10 +29,11 @@
 			Routes: []fleet.Route{{Route: config.Route{Name: "desk", Pool: "desk", PathPrefix: "/desk", TimeoutMs: 1000, NonIdempotent: true}, Host: "magnolia.example", MaxAttempts: 3}},
 			Pools:  []fleet.Pool{{Pool: config.Pool{Name: "models", Kind: config.PoolEngines}, Engine: &fleet.Engine{Slots: 8, Models: []string{"draft"}}}}},
 		Targets: []*fleet.Instance{
-			{Target: config.Target{Name: "m1", Address: "10.0.0.1:8000", AvailabilityZone: "dixie-east-a"}, Pool: "models", Versions: map[string]int64{"draft": 7}},
+			{Target: config.Target{Name: "m1", Address: "10.0.0.1:8000", AvailabilityZone: "dixie-east-a"}, Pool: "models", SoftwareVersion: "v1.1", Versions: map[string]int64{"draft": 7}},
 			{Target: config.Target{Name: "m2", Address: "10.0.0.2:8000", AvailabilityZone: "dixie-east-b", Draining: true}, Pool: "models", Versions: map[string]int64{"draft": 6}},
 		},
 		NamedVersions: map[string]int64{"draft": 7},
+		RateLimits:    map[string]float64{"m1": 2.5},
 		Quarantine:    quarantine.State{Suspects: []string{"fp-a"}, Quarantined: []wire.Quarantine{{Fingerprint: "fp-b", Deaths: 3, Until: time.Unix(1_800_000_000, 0)}}},
 		Tenures:       map[int]tenure.State{3: {Held: true, Token: 41, Holder: name}},
 		Batches: batch.State{
@@ -51,7 +52,7 @@
 	for what, want := range map[string][]string{
 		"routes":     {"desk", "magnolia.example", "/desk", "single, once"},
 		"pools":      {"models", "engines", "8"},
-		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true"},
+		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true", "2.5", "v1.1"},
 		"versions":   {"draft", "7:1 6:1"},
 		"batches":    {"b1", "64", "60"},
 		"tenures":    {"vm-1", "41"},
