--- a/logs/explain.go
+++ b/logs/explain.go
@@ -24,6 +24,7 @@
 	"store_lost": true, "store_reached": true, "tables_in_force": true, "targets_lapsed": true,
 	"tenure_taken": true, "tenure_lost": true, "tenure_store": true, "order_tenure": true, "version_named": true,
 	"partition_read": true, "partition_unread": true, "results_append": true, "items_wait": true,
+	"target_limit": true, "target_limit_lifted": true, "target_draining": true, "software_mixed": true, "limit_coordinator": true,
 	"record_ignored": true, "topic_truncated": true, "partition_truncated": true, "log_lines_dropped": true,
 }
 
@@ -351,6 +352,7 @@
 var waitReasons = map[string]string{
 	"cooling": "engines cooled down after failures", "loading": "engines were loading",
 	"old_version": "engines had versions older than the step allows", "full": "engines were full",
+	"at_limit": "engines were at the rate limits that they had named",
 }
 
 // explainDelays sets the cause to the reasons why a batch was not complete in time, the earliest first.
@@ -387,6 +389,8 @@
 					add(l, "items waited as "+reason, n)
 				}
 			}
+		case "text_restarted":
+			add(l, "texts began anew, as no engine of the software version that wrote them was usable", 1)
 		case "started":
 			add(l, "the holder "+l.VM+" started again", 1)
 		case "item_run":
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -85,6 +85,11 @@
 time=2026-12-04T07:00:19Z msg=batch_done node=vm-c batch=b1 ms=9000 due_ms=8200
 `
 
+const limitedBatchLog = skewedClocksLog + `time=2026-12-04T07:00:11Z msg=items_wait node=vm-a batch=b1 items=40 engines=9 cooling=0 loading=0 old_version=0 full=1 at_limit=8
+time=2026-12-04T07:00:12Z msg=text_restarted node=vm-a id=i1 batch=b1 events=7 software=v1
+time=2026-12-04T07:00:19Z msg=batch_done node=vm-a batch=b1 ms=9000 due_ms=8200
+`
+
 func TestExplain(t *testing.T) {
 	for _, c := range []struct {
 		name, log, id, kind string
@@ -93,6 +98,7 @@
 		{"lost answer of a target", failingTargetsLog, "r1", "request", []string{"t1: broken off after 120 ms", "t2: answered 500"}},
 		{"refusal without targets", noTargetLog, "r2", "request", []string{"refused: the pool has no target", "without the store since 07:00:01.000"}},
 		{"late batch", lateBatchLog, "b1", "batch", []string{"from 07:00:11.000 items waited as engines had versions older", "vm-c, took the partition over and could order versions 1900 ms later"}},
+		{"batch of limited engines", limitedBatchLog, "b1", "batch", []string{"items waited as engines were at the rate limits", "texts began anew"}},
 		{"item of a late batch", lateBatchLog, "i1", "item", []string{"one run made the text"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/logs/steps.go
+++ b/logs/steps.go
@@ -19,6 +19,7 @@
 	PartLoading    Part = "loading"     // the item waited, as engines loaded weights
 	PartFull       Part = "full"        // the item waited, as engines were full
 	PartCooling    Part = "cooling"     // the item waited, as engines cooled down after failures
+	PartAtLimit    Part = "at_limit"    // the item waited, as engines were at the rate limits that they had named
 	PartWait       Part = "wait"        // the item waited for an engine, and no line tells why
 	PartFirstEvent Part = "first_event" // the engine prepared the first event
 	PartEvents     Part = "events"      // the engine generated events that are in the text
@@ -32,7 +33,7 @@
 )
 
 // AllParts lists the parts in their usual order.
-var AllParts = []Part{PartAccept, PartOpen, PartNoHolder, PartOldVersion, PartLoading, PartFull, PartCooling, PartWait, PartFirstEvent, PartEvents,
+var AllParts = []Part{PartAccept, PartOpen, PartNoHolder, PartOldVersion, PartLoading, PartFull, PartCooling, PartAtLimit, PartWait, PartFirstEvent, PartEvents,
 	PartRepeated, PartStalled, PartScore, PartAppend, PartStoreOut, PartUnread, PartUnknown}
 
 // Step is a step of a trainer, and where its time went: along the runs of the item that was listed last before the submitter
@@ -275,4 +276,4 @@
 const waitLineInterval = time.Second
 
 // waitParts are the parts that the fields of items_wait stand for.
-var waitParts = map[string]Part{"old_version": PartOldVersion, "loading": PartLoading, "full": PartFull, "cooling": PartCooling}
+var waitParts = map[string]Part{"old_version": PartOldVersion, "loading": PartLoading, "full": PartFull, "cooling": PartCooling, "at_limit": PartAtLimit}
