batch: a text waits for its software version if that takes less than a repeat

Change: an engine that takes requests again before the text could be generated anew counts as usable. Evidence: TestTextWaitsForItsSoftwareVersionIfThatTakesLessThanARepeat.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -179,11 +179,12 @@
 	return cost
 }
 
-// canContinue reports whether an engine is expected to take an item that continues its text, now or soon: one of the same software
-// version that is not draining, has not just failed and runs the weights.
-func (s *engines) canContinue(now time.Time, req requirements) bool {
+// canContinue reports whether an engine is expected to take an item that continues its text within the given time: one of the same software
+// version that is not draining, has not failed too recently and runs the weights. After a reset of this VM's connections, all engines
+// have just failed, and a short wait costs less than to generate the texts again.
+func (s *engines) canContinue(now time.Time, req requirements, within time.Duration) bool {
 	for _, e := range s.byKey {
-		if e.instance.Pool == req.pool && !s.states.Draining(e.instance) && !now.Before(e.cooldownUntil) && e.instance.SoftwareVersion == req.software &&
+		if e.instance.Pool == req.pool && !s.states.Draining(e.instance) && e.cooldownUntil.Sub(now) <= within && e.instance.SoftwareVersion == req.software &&
 			(req.model == "" || e.versions[req.model] >= req.minVersion) {
 			return true
 		}
--- a/batch/engine_choice_test.go
+++ b/batch/engine_choice_test.go
@@ -237,3 +237,25 @@
 	s.recordFailure(testStart.Add(cooldownMin), in[0])
 	is.Equal(s.get(in[0]).cooldownUntil, testStart.Add(cooldownMin+2*cooldownMin))
 }
+
+// TestTextWaitsForItsSoftwareVersionIfThatTakesLessThanARepeat covers a VM whose connections were all reset: each engine has just failed.
+func TestTextWaitsForItsSoftwareVersionIfThatTakesLessThanARepeat(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(3, 4, 3)
+	for i, x := range in {
+		x.SoftwareVersion = []string{"v1", "v1", "v2"}[i]
+		s.recordFailure(testStart, x)
+	}
+	req := requirements{pool: "p", model: "m", minVersion: 3, continuing: true, software: "v1"}
+	is.True(s.canContinue(testStart, req, cooldownMin))
+	is.True(!s.canContinue(testStart, req, cooldownMin-1))
+	later := testStart.Add(cooldownMin)
+	is.True(s.canContinue(later, req, 0))
+	req.minVersion = 4
+	is.True(!s.canContinue(later, req, time.Hour)) // the engines have older weights
+	req.minVersion, req.software = 3, "v3"
+	is.True(!s.canContinue(later, req, time.Hour)) // gone
+	req.software = "v2"
+	in[2].Draining = true
+	is.True(!s.canContinue(later, req, time.Hour))
+}
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -131,7 +131,8 @@
 			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
 			continuing: len(j.events) > 0, software: j.software,
 		}
-		if req.continuing && !r.engines.canContinue(now, req) {
+		repeatTime := time.Duration(len(j.events)) * r.engines.meanInterval(t.route.Pool)
+		if req.continuing && !r.engines.canContinue(now, req, repeatTime) {
 			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software)
 			r.outcomes.Add("restarted", 1)
 			j.dropText()
