--- a/origins/register_test.go
+++ b/origins/register_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -60,13 +61,47 @@
 
 // network connects the registers of VMs in two zones; those that are down don't answer.
 type network struct {
+	mu        sync.Mutex
 	registers map[string]*Register // by address
 	down      map[string]bool
 }
 
+// setDown makes the VMs at addresses answer no more calls.
+func (n *network) setDown(addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range addresses {
+		n.down[a] = true
+	}
+}
+
+// awaitRecorded waits until the holders of streams that began at a VM know them.
+func (n *network) awaitRecorded(t *testing.T, at *Register, ids ...string) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for _, id := range ids {
+		at.mu.Lock()
+		holders := at.holders(id)
+		at.mu.Unlock()
+		for _, vm := range holders {
+			for known := false; !known; time.Sleep(time.Millisecond) {
+				r := n.registers[vm.RPCAddress]
+				r.mu.Lock()
+				_, known = r.table.find(time.Now(), id)
+				r.mu.Unlock()
+				if time.Now().After(deadline) {
+					t.Fatalf("%s does not know the origin of %s", vm.Name, id)
+				}
+			}
+		}
+	}
+}
+
 func (n *network) call(ctx context.Context, address, method string, params, result any) error {
-	r := n.registers[address]
-	if r == nil || n.down[address] {
+	n.mu.Lock()
+	r, down := n.registers[address], n.down[address]
+	n.mu.Unlock()
+	if r == nil || down {
 		return errors.New("no answer")
 	}
 	switch p := params.(type) {
@@ -101,13 +136,13 @@
 		n.registers[vm.RPCAddress] = r
 	}
 	first := n.registers["0"]
+	var ids []string
 	for i := range streams {
-		first.Begin(fmt.Sprint("s", i), snap.Instances[i%3])
-	}
-	time.Sleep(10 * recordDelay)
-	for _, address := range []string{"0", "3", "6", "9"} {
-		n.down[address] = true
+		ids = append(ids, fmt.Sprint("s", i))
+		first.Begin(ids[i], snap.Instances[i%3])
 	}
+	n.awaitRecorded(t, first, ids...)
+	n.setDown("0", "3", "6", "9")
 	route := &fleet.Route{Route: config.Route{Pool: "p"}}
 	known := 0
 	for i := range streams {
@@ -139,8 +174,8 @@
 	for _, r := range n.registers {
 		r.update(time.Now(), &fleet.Snapshot{Tables: tables, Instances: targetsOf(1, "v1", "v2")})
 	}
-	time.Sleep(10 * recordDelay)
-	n.down["0"] = true
+	n.awaitRecorded(t, n.registers["0"], "s")
+	n.setDown("0")
 	o, ok := n.registers["1"].Find(t.Context(), &fleet.Route{Route: config.Route{Pool: "p"}}, "s")
 	is.True(ok)
 	is.Equal(o.Software, "v1")
