--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -38,11 +38,11 @@
 	lastTarget          string
 	// atLimit are the addresses of targets that take no request now because of their rate limits, permitDelay is the time until the
 	// first of them may take one.
-	atLimit []string
-	// continuing is set if the request resumes a stream that only targets of one software version can continue.
-	continuing  bool
-	software    string
+	atLimit     []string
 	permitDelay time.Duration
+	// continuing is set if the request resumes a stream that only targets of one software version can continue.
+	continuing bool
+	software   string
 }
 
 // attempt is one send of the request to a target.
@@ -121,10 +121,8 @@
 			cancel()
 		}
 	}()
-	for !d.startAttempt(ctx) {
-		if !d.awaitPermit(ctx) {
-			return d.unsentReply()
-		}
+	if !d.startWhenPermitted(ctx) {
+		return d.unsentReply()
 	}
 	hedge := time.NewTimer(d.hedgeAfter())
 	defer hedge.Stop()
@@ -160,8 +158,7 @@
 				lastErr = o.err
 			}
 			if len(d.pending) == 0 && nextAction == actionRetry {
-				for !d.startAttempt(ctx) && d.awaitPermit(ctx) {
-				} // if no target is left, the loop ends
+				d.startWhenPermitted(ctx) // if no target is left, the loop ends
 			}
 		}
 	}
@@ -169,6 +166,17 @@
 	return d.failureReply(lastFailure, lastErr, cancel)
 }
 
+// startWhenPermitted starts an attempt, after a wait if the targets are at their rate limits. It returns false if no target is left, or
+// if the wait would be too long.
+func (d *delivery) startWhenPermitted(ctx context.Context) bool {
+	for !d.startAttempt(ctx) {
+		if !d.awaitPermit(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitPermit waits until a target that is at its rate limit may take the request. It returns false if there is none, or if the request
 // would wait too long.
 func (d *delivery) awaitPermit(ctx context.Context) bool {
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -73,13 +73,13 @@
 	// granted paces the targets that this VM coordinates, shares this VM's equal share of the limit of those whose coordinators
 	// do not answer.
 	granted, shares buckets
-	states          map[fleet.Key]*targetState
+	states          map[fleet.Key]*targetPermits
 	health          map[string]*vmHealth // by VM
 	onPermit        []func()
 }
 
-// targetState is the state of this VM's own requests to a limited target.
-type targetState struct {
+// targetPermits is the state of this VM's own requests to a limited target.
+type targetPermits struct {
 	coordinators []fleet.VM // nil if not determined yet
 	permits      []time.Time
 	// deniedUntil is until when no permits are expected, for callers' and for background requests.
@@ -107,7 +107,7 @@
 	}
 	return &Limiter{
 		opts: o, events: o.Metrics.SubMap("target_permits"), vms: withSelf(nil, o), granted: buckets{}, shares: buckets{},
-		states: map[fleet.Key]*targetState{}, health: map[string]*vmHealth{},
+		states: map[fleet.Key]*targetPermits{}, health: map[string]*vmHealth{},
 	}
 }
 
@@ -257,7 +257,7 @@
 }
 
 // state returns the state of a target, with its coordinators. The caller holds the lock.
-func (l *Limiter) state(now time.Time, target fleet.Key, az string) *targetState {
+func (l *Limiter) state(now time.Time, target fleet.Key, az string) *targetPermits {
 	s := l.states[target]
 	if s == nil {
 		for k, old := range l.states {
@@ -265,7 +265,7 @@
 				delete(l.states, k)
 			}
 		}
-		s = &targetState{}
+		s = &targetPermits{}
 		l.states[target] = s
 	}
 	s.usedAt = now
@@ -276,7 +276,7 @@
 }
 
 // isFirst reports whether this VM is the first coordinator of a target that answers. The caller holds the lock.
-func (l *Limiter) isFirst(now time.Time, s *targetState) bool {
+func (l *Limiter) isFirst(now time.Time, s *targetPermits) bool {
 	for _, vm := range s.coordinators {
 		if vm.Name != l.opts.Self.Name && l.answers(now, vm) {
 			return false
@@ -289,7 +289,7 @@
 }
 
 // fetch asks the coordinators for permits and distributes them.
-func (l *Limiter) fetch(in *fleet.Instance, s *targetState, p wire.PermitsParams, done chan struct{}) {
+func (l *Limiter) fetch(in *fleet.Instance, s *targetPermits, p wire.PermitsParams, done chan struct{}) {
 	l.mu.Lock()
 	p.Count = min(maxFetch, max(p.Count, s.waiting))
 	l.mu.Unlock()
@@ -315,7 +315,7 @@
 }
 
 // recordDenial records that fewer permits were granted than wanted. The caller holds the lock.
-func (l *Limiter) recordDenial(now time.Time, s *targetState, p wire.PermitsParams, r wire.PermitsResult) {
+func (l *Limiter) recordDenial(now time.Time, s *targetPermits, p wire.PermitsParams, r wire.PermitsResult) {
 	l.events.Add("granted", int64(r.Granted))
 	if r.Granted >= p.Count {
 		return
