--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -33,14 +33,7 @@
 
 // run updates the tenures after each change of the view until the process ends.
 func (m *tenureManager) run() {
-	for m.p.ctx.Err() == nil {
-		changed := m.p.View.Changed()
-		m.syncTenures()
-		select {
-		case <-m.p.ctx.Done():
-		case <-changed:
-		}
-	}
+	m.p.View.Follow(m.p.ctx, func(*fleet.Snapshot) { m.syncTenures() })
 }
 
 // poolsByPartition returns, by partition, the pools that need a holder: those that run batches or have engines,
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+)
 
 // Snapshot is a consistent state of a Directory. It must not be modified.
 type Snapshot struct {
@@ -41,6 +44,18 @@
 // Changed returns a channel that is closed by the next Set. To miss no change, call it before Get.
 func (v *View) Changed() <-chan struct{} { return *v.changed.Load() }
 
+// Follow calls update with the newest snapshot, at first and after each change, until ctx ends.
+func (v *View) Follow(ctx context.Context, update func(*Snapshot)) {
+	for ctx.Err() == nil {
+		changed := v.Changed()
+		update(v.Get())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // Set publishes a snapshot and notifies the receivers of Changed.
 func (v *View) Set(s *Snapshot) {
 	v.snapshot.Store(s)
--- a/origins/register.go
+++ b/origins/register.go
@@ -70,14 +70,7 @@
 
 // Run follows the registered targets until ctx ends.
 func (r *Register) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := r.opts.View.Changed()
-		r.update(time.Now(), r.opts.View.Get())
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
+	r.opts.View.Follow(ctx, func(snap *fleet.Snapshot) { r.update(time.Now(), snap) })
 }
 
 // update applies a new view. When a pool gets a second version, the origins of its streams are handed over.
