ratelimit: permits are asked for by the same call as origins

Change: the limiter took a caller of its own type, for which entry had an adapter; it takes rpc.Pool.Call now, as origins does. Behaviour is the same.

--- a/entry/process.go
+++ b/entry/process.go
@@ -100,7 +100,7 @@
 	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
 	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, Small: s.Small()}
 	p.limiter = ratelimit.New(ratelimit.Options{
-		Self: self, Alone: opts.Peers == nil, Register: p.targets, Call: p.callPermits, Log: opts.Log, Metrics: opts.Metrics,
+		Self: self, Alone: opts.Peers == nil, Register: p.targets, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics,
 	})
 	p.origins = origins.New(origins.Options{Self: self, View: p.View, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics})
 	if opts.Peers != nil {
@@ -233,13 +233,6 @@
 	}()
 }
 
-// callPermits asks another VM for permits.
-func (p *Process) callPermits(ctx context.Context, address string, params wire.PermitsParams) (wire.PermitsResult, error) {
-	var r wire.PermitsResult
-	err := p.rpcPool.Call(ctx, address, wire.MethodPermits, params, &r)
-	return r, err
-}
-
 func (p *Process) checkReady() error {
 	if p.Ready() {
 		return nil
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -39,17 +39,15 @@
 	unknownRetryAfter = time.Second
 )
 
-// Caller asks the VM at an address for permits.
-type Caller func(ctx context.Context, address string, p wire.PermitsParams) (wire.PermitsResult, error)
-
 // Options configure a Limiter.
 type Options struct {
 	// Self is this VM.
 	Self     fleet.VM
 	Register *targetstate.Register
-	Call     Caller
-	Log      *slog.Logger
-	Metrics  *process.Metrics
+	// Call calls a method of another VM.
+	Call    func(ctx context.Context, address, method string, params, result any) error
+	Log     *slog.Logger
+	Metrics *process.Metrics
 	// Alone is set if there are no other VMs, or none that share permits.
 	Alone bool
 	// Now and Go are replaced in tests; nil means the system's clock and a new goroutine.
@@ -380,7 +378,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return l.opts.Call(ctx, vm.RPCAddress, p)
+	var r wire.PermitsResult
+	err := l.opts.Call(ctx, vm.RPCAddress, wire.MethodPermits, p, &r)
+	return r, err
 }
 
 // grantShare takes permits from this VM's equal share of a limit whose coordinators do not answer. The caller holds the lock.
@@ -439,7 +439,7 @@
 // check asks a VM that did not answer for nothing, and takes it up again if it answers.
 func (l *Limiter) check(vm fleet.VM, h *vmHealth) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkInterval)
-	_, err := l.opts.Call(ctx, vm.RPCAddress, wire.PermitsParams{})
+	err := l.opts.Call(ctx, vm.RPCAddress, wire.MethodPermits, wire.PermitsParams{}, nil)
 	cancel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -113,12 +113,16 @@
 	n.limiter = New(Options{
 		Self: n.VM, Register: register, Log: log, Metrics: metrics,
 		Now: func() time.Time { return w.now }, Go: func(f func()) { w.tasks = append(w.tasks, f) },
-		Call: func(ctx context.Context, address string, p wire.PermitsParams) (wire.PermitsResult, error) {
+		Call: func(ctx context.Context, address, method string, params, result any) error {
 			to := w.node(address)
 			if to == nil || !to.up || !n.up || w.cutZone != "" && (to.AvailabilityZone == w.cutZone) != (n.AvailabilityZone == w.cutZone) {
-				return wire.PermitsResult{}, errors.New("no answer")
+				return errors.New("no answer")
 			}
-			return to.limiter.Handle(ctx, p)
+			r, err := to.limiter.Handle(ctx, params.(wire.PermitsParams))
+			if result != nil {
+				*result.(*wire.PermitsResult) = r
+			}
+			return err
 		},
 	})
 	if !slices.ContainsFunc(w.announced, func(vm fleet.VM) bool { return vm.Name == n.Name }) {
