--- a/entry/endless_answer_test.go
+++ b/entry/endless_answer_test.go
@@ -15,30 +15,20 @@
 
 // startEndlessTarget registers a target that answers each request with a head and bytes without end, until the caller closes.
 func (d *deployment) startEndlessTarget(id, service, models string) {
-	l, err := net.Listen("tcp", loopback.Host()+":0")
+	chunk := bytes.Repeat([]byte("x"), 32<<10)
+	l, err := loopback.ServeConns(func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nWeight-Versions: 1\r\n\r\n", req.Header.Get("Request-Id"))
+		for ; err == nil; _, err = c.Write(chunk) {
+		}
+	})
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(func() { l.Close() })
-	chunk := bytes.Repeat([]byte("x"), 32<<10)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nWeight-Versions: 1\r\n\r\n", req.Header.Get("Request-Id"))
-				for ; err == nil; _, err = c.Write(chunk) {
-				}
-			}()
-		}
-	}()
 	d.store.Put("keyed.servers", id, fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":"a","Version":"v1","Slots":4,"State":"ready","Models":%s}`, service, l.Addr().String(), models))
 }
 
--- a/entry/software_version_test.go
+++ b/entry/software_version_test.go
@@ -125,6 +125,25 @@
 // streamRoute is a route for resumable streams.
 const streamRoute = `,{"Name":"r-stream","Host":"desk.example","PathPrefix":"/stream/","Kind":"streaming","Resumable":true,"TimeoutMs":8000,"TargetLatencyMs":500,"Priority":1,"Service":"drafting","MaxAttempts":3}`
 
+// Streams of a deployment for streams have streamEvents events and are reset after each streamBreak.
+const (
+	streamEvents = 20
+	streamBreak  = 7
+)
+
+// newStreamDeployment starts a deployment with a route for streams that break.
+func newStreamDeployment(t *testing.T, engines, vms int) *deployment {
+	t.Helper()
+	d := newDeployment(t, engines, 0, vms)
+	d.configure(streamRoute)
+	for _, e := range d.engines {
+		e.Set(func(e *errata.Target) {
+			e.Slots, e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = 20, streamEvents, streamBreak, 10*time.Millisecond
+		})
+	}
+	return d
+}
+
 // readStream sends a request for a stream and returns the ID of the last event received, whether the stream was complete, and the status; 0
 // without an answer.
 func (d *deployment) readStream(v *vm, id string, after int, origin string) (last int, complete bool, status int) {
@@ -217,16 +236,9 @@
 // TestStreamsGoOnAtTheSoftwareVersionThatBeganThem guards against streams with events from targets of two software versions, over a
 // client's tries at different VMs.
 func TestStreamsGoOnAtTheSoftwareVersionThatBeganThem(t *testing.T) {
-	const events = 20
-	d := newDeployment(t, 4, 0, 3)
-	d.configure(streamRoute)
-	for _, e := range d.engines {
-		e.Set(func(e *errata.Target) {
-			e.Slots, e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = 20, events, 7, 10*time.Millisecond
-		})
-	}
+	d := newStreamDeployment(t, 4, 3)
 	d.setSoftware(d.engines)
-	attempts, resumed, wentOn := d.readStreams(24, events)
+	attempts, resumed, wentOn := d.readStreams(24, streamEvents)
 	d.is.True(d.checkStreamsOfOneSoftware(attempts) >= 12)
 	if wentOn < resumed*9/10 {
 		t.Errorf("%d of %d attempts to take a stream up went on, want nearly all", wentOn, resumed)
@@ -236,17 +248,10 @@
 // TestStreamIsRefusedIfItsSoftwareVersionIsGone checks that a stream which no target can continue is refused at once with the reason, and that its
 // client can begin it anew.
 func TestStreamIsRefusedIfItsSoftwareVersionIsGone(t *testing.T) {
-	const events = 20
-	d := newDeployment(t, 2, 0, 2)
-	d.configure(streamRoute)
-	for _, e := range d.engines {
-		e.Set(func(e *errata.Target) {
-			e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = events, 7, 10*time.Millisecond
-		})
-	}
+	d := newStreamDeployment(t, 2, 2)
 	d.setSoftware(d.engines)
 	last, _, _ := d.readStream(d.vms[0], "s-0", 0, "")
-	d.is.Equal(last, 7)
+	d.is.Equal(last, streamBreak)
 	began := runsByID(d.engines)["s-0"][0].Software
 	for _, e := range d.engines {
 		if e.Software == began {
@@ -263,24 +268,17 @@
 	}
 	anew, complete, _ := d.readStream(d.vms[0], "s-anew", 0, "")
 	d.is.True(complete)
-	d.is.Equal(anew, events)
+	d.is.Equal(anew, streamEvents)
 }
 
 // TestStreamsGoOnAfterAllVMsRestart covers a pool whose targets all run one version: no VM needs to know where a stream began.
 func TestStreamsGoOnAfterAllVMsRestart(t *testing.T) {
-	const events = 20
-	d := newDeployment(t, 2, 0, 1)
-	d.configure(streamRoute)
-	for _, e := range d.engines {
-		e.Set(func(e *errata.Target) {
-			e.EventsPerStream, e.ResetStreamAfter, e.EventInterval = events, 7, 10*time.Millisecond
-		})
-	}
+	d := newStreamDeployment(t, 2, 1)
 	time.Sleep(time.Second)
 	last, _, _ := d.readStream(d.vms[0], "s-0", 0, "")
-	d.is.Equal(last, 7)
+	d.is.Equal(last, streamBreak)
 	d.kill(d.vms[0])
 	v := d.startVM("vm-1")
 	next, _, _ := d.readStream(v, "s-1", last, "s-0")
-	d.is.Equal(next, 14)
+	d.is.Equal(next, 2*streamBreak)
 }
