forward: sends that are unanswered when the request ends are logged, with their connection

Cause: the logs could not tell whether requests at a VM that lost its paths hang on connections that were open, or while new ones are opened: a send without an outcome left no line. Ruled out: the existing lines of failed sends, which exist only where the send ended in time. Before: no line. No change of logic.

--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ibistrail/ibistrail/crashes"
@@ -51,8 +52,17 @@
 	query     routing.Query
 	cancel    context.CancelFunc
 	startedAt time.Time
+	// connection is the connection of the send, as logged.
+	connection atomic.Value
 }
 
+// Connections of a send, as logged.
+const (
+	connectionNone = "none"
+	connectionNew  = "new"
+	connectionOpen = "open" // an earlier call used it
+)
+
 // outcome is the result of an attempt: an error, or an answer whose body has been read completely, unless it is
 // a stream or larger than maxBufferedBytes.
 type outcome struct {
@@ -131,6 +141,7 @@
 	for len(d.pending) > 0 {
 		select {
 		case <-ctx.Done():
+			d.logUnansweredSends()
 			d.cancelPending()
 			return d.timeoutReply(ctx)
 		case <-hedge.C:
@@ -284,7 +295,19 @@
 	default:
 		result = "answered " + strconv.Itoa(o.answer.Status)
 	}
-	d.f.log.Info("send_failed", "id", d.req.ID, "content", d.fingerprint, "target", o.attempt.instance.Name, "outcome", result, "ms", time.Since(o.attempt.startedAt).Milliseconds(), "err", o.err)
+	d.logSend(o.attempt, result, o.err)
+}
+
+// logUnansweredSends logs the sends that have neither an answer nor an error when the request ends.
+func (d *delivery) logUnansweredSends() {
+	for a := range d.pending {
+		d.logSend(a, "unanswered", nil)
+	}
+}
+
+func (d *delivery) logSend(a *attempt, result string, err error) {
+	d.f.log.Info("send_failed", "id", d.req.ID, "content", d.fingerprint, "target", a.instance.Name, "outcome", result, "connection", a.connection.Load(),
+		"ms", time.Since(a.startedAt).Milliseconds(), "err", err)
 }
 
 func (d *delivery) retryIf(ok bool) action {
@@ -380,6 +403,7 @@
 	f, now := d.f, time.Now()
 	attemptCtx, cancel := context.WithCancel(ctx)
 	a := &attempt{instance: in, query: q, cancel: cancel, startedAt: now}
+	a.connection.Store(connectionNone)
 	d.pending[a] = true
 	d.sends++
 	d.lastTarget = in.Name
@@ -390,6 +414,13 @@
 	call := &targets.Call{
 		Instance: in, Method: d.req.Method, Host: d.req.Host, URI: d.req.URI, Header: d.req.Header, Body: d.req.Body,
 		RequestID: d.req.ID, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
+		Connected: func(reused bool) {
+			if reused {
+				a.connection.Store(connectionOpen)
+			} else {
+				a.connection.Store(connectionNew)
+			}
+		},
 	}
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -32,6 +32,8 @@
 	ResumeAfter int64
 	// NewConnection sends the request on a new connection, so that the transport cannot send it twice.
 	NewConnection bool
+	// Connected, if set, is called when the call has a connection to the target, with whether an earlier call used it.
+	Connected func(reused bool)
 }
 
 // Load is the load that a target reported with a response, in requests.
