--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -74,7 +74,7 @@
 	log := process.NewLogger(logWriter, slog.LevelInfo, "entry", settings.VM)
 	metrics := process.NewMetrics()
 	metrics.Set("log_lines_dropped", expvar.Func(func() any { return logWriter.Dropped() }))
-	targets := platform.NewTargetClient()
+	targets := platform.NewTargetClient(platform.DialTarget)
 	transport := platform.NewStoreTransport(settings.StoreAddress, log)
 	store := platform.NewStoreClient(settings.StoreAddress, transport, platform.NewCallCounter(metrics))
 	var peers *relay.Directory
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -45,6 +45,7 @@
 type vm struct {
 	name, address, readyAddress string
 	storeAccess                 *storeAccess
+	targetPath                  *targetPath
 	process                     *entry.Process
 	stop                        chan struct{}
 	done                        chan error
@@ -112,8 +113,8 @@
 // startVMWithin starts a VM and waits for the given time until it is ready.
 func (d *deployment) startVMWithin(name string, within time.Duration) *vm {
 	d.t.Helper()
-	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), storeAccess: newStoreAccess(d.t, d.store), stop: make(chan struct{}), done: make(chan error, 1)}
-	targets := platform.NewTargetClient()
+	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), storeAccess: newStoreAccess(d.t, d.store), targetPath: newTargetPath(d.t), stop: make(chan struct{}), done: make(chan error, 1)}
+	targets := platform.NewTargetClient(v.targetPath.dial)
 	log := process.NewLogger(io.MultiWriter(d.t.Output(), &d.log), slog.LevelInfo, "entry", name)
 	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
 	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
--- /dev/null
+++ b/entry/stranded_test.go
@@ -0,0 +1,96 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// cutModes are the ways in which a VM loses its paths to the targets.
+var cutModes = map[string]pathMode{"silent": pathSilent, "reset": pathReset, "refused": pathRefuse}
+
+// vmsKnowEachOther is the time after which all VMs have read each other's announcements.
+const vmsKnowEachOther = 4 * time.Second
+
+// newStrandedDeployment starts four VMs and cuts the first three of them off from all targets.
+func newStrandedDeployment(t *testing.T, mode pathMode) (d *deployment, cut []*vm, other *vm) {
+	d = newDeployment(t, 2, 3, 4)
+	time.Sleep(vmsKnowEachOther)
+	for i, v := range d.vms {
+		for n := range 4 { // leaves connections open
+			d.is.Equal(d.call(v, http.MethodPost, "/desk/open", fmt.Sprintf("open-%d-%d", i, n), "x").status, http.StatusOK)
+		}
+	}
+	cut, other = d.vms[:3], d.vms[3]
+	for _, v := range cut {
+		v.targetPath.set(mode)
+	}
+	return d, cut, other
+}
+
+// servedFirstTries sends requests to a VM one after the other and returns how many are served.
+func (d *deployment) servedFirstTries(v *vm, path string, n int) (served int) {
+	for i := range n {
+		id := fmt.Sprintf("%s-%s-%d", v.name, path[1:5], i)
+		if d.call(v, http.MethodPost, path, id, "x", "Deadline-Ms", "800").status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// TestCallersOfStrandedVMsAreServed replays the day stranded: most VMs lose their paths to all targets, while clients, the store and
+// the other VMs reach them. Callers of such VMs were answered 503 or 504.
+func TestCallersOfStrandedVMsAreServed(t *testing.T) {
+	const (
+		tries     = 6
+		settledIn = 3 * time.Second // the rule's time for noticing a cut
+	)
+	for name, mode := range cutModes {
+		for kind, path := range map[string]string{"idempotent": "/desk/a", "at-most-once": "/file/a"} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				d, cut, other := newStrandedDeployment(t, mode)
+				time.Sleep(settledIn)
+				d.is.Equal(d.servedFirstTries(other, path, tries), tries)
+				served := 0
+				for _, v := range cut {
+					served += d.servedFirstTries(v, path, tries)
+				}
+				d.is.True(3*served >= 2*tries*len(cut)) // at least two thirds as often as at the other VM
+				d.checkRunsOnce("/file/a")
+			})
+		}
+	}
+}
+
+// checkRunsOnce checks that no request with this path ran twice.
+func (d *deployment) checkRunsOnce(path string) {
+	d.t.Helper()
+	runs := map[string]int{}
+	for _, s := range d.services {
+		for _, r := range s.ExecutedRequests() {
+			if r.URI == path {
+				runs[r.ID]++
+			}
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			d.t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
+
+// TestFirstRequestsAfterACutAreServed sends one request to each VM right after it has lost its paths: nothing has told it of the cut
+// yet.
+func TestFirstRequestsAfterACutAreServed(t *testing.T) {
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			d, cut, _ := newStrandedDeployment(t, mode)
+			for i, v := range cut {
+				d.is.Equal(d.call(v, http.MethodPost, "/desk/a", fmt.Sprintf("first-%d", i), "x", "Deadline-Ms", "1500").status, http.StatusOK)
+			}
+		})
+	}
+}
