detour: calls to targets go through another VM while this VM does not reach them

Cause: every send, hedge and retry of a VM left by the VM's own links; relay serves calls to the store alone. Each request found the cut out anew, one target after the other at 300 ms each, and on connections that were open no error came for 1.5 s. Ruled out: a choice of target or shorter timeouts (all sends of a cut VM fail, to whichever target); reporting not ready (open connections stay, and a zone whose VMs are all not ready keeps its callers). Change: a call that was not sent goes through another VM at once. If no target gives a sign for 250 ms while calls are open, the path in doubt is probed, then two others; if none is reached, all calls go through other VMs until a probe is answered, and silent calls that may be sent again are given up. A second send takes another path if no target has given a sign since the first. The VM in between sends directly only, so a call passes through one; it says whether anything was sent, so that only requests that may be repeated are sent again; deadline, cancellation, events, limits and what targets state pass through. Runs are counted by target, so that a send to the same target by another path is no further attempt.

--- /dev/null
+++ b/detour/detour_test.go
@@ -0,0 +1,372 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/targets"
+)
+
+// fakeTargets are the targets as one VM sees them.
+type fakeTargets struct {
+	targets.Client
+	mu sync.Mutex
+	// unreached makes all connections fail, silent makes calls that were sent wait for their end.
+	unreached, silent bool
+	respond           func(ctx context.Context, call *targets.Call) (*targets.Response, error)
+	calls             []*targets.Call
+}
+
+func (f *fakeTargets) Connect(context.Context, *fleet.Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreached || f.silent {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (f *fakeTargets) Do(ctx context.Context, call *targets.Call) (*targets.Response, error) {
+	f.mu.Lock()
+	unreached, silent, respond := f.unreached, f.silent, f.respond
+	if !unreached {
+		f.calls = append(f.calls, call)
+	}
+	f.mu.Unlock()
+	switch {
+	case unreached:
+		return nil, targets.NotSent(errors.New("no route"))
+	case silent:
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	case respond != nil:
+		return respond(ctx, call)
+	}
+	return answer("done"), nil
+}
+
+func (f *fakeTargets) sent() []*targets.Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// answer returns a successful response.
+func answer(body string) *targets.Response {
+	return &targets.Response{Status: http.StatusOK, Header: http.Header{"X": {"y"}}, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body)), Proof: "p", Version: 3, Load: &targets.Load{Running: 1, Slots: 4}}
+}
+
+// testVM is a VM of a test.
+type testVM struct {
+	fleet.VM
+	client  *Client
+	server  *Server
+	targets *fakeTargets
+}
+
+// newTestVMs starts VMs that know each other and a pool of targets.
+func newTestVMs(t *testing.T, n int) (vms []*testVM, in *fleet.Instance) {
+	t.Helper()
+	all := instances(3)
+	view := fleet.NewView()
+	view.Set(&fleet.Snapshot{Instances: all})
+	var announced []fleet.VM
+	for i := range n {
+		v := &testVM{VM: fleet.VM{Name: fmt.Sprint("vm-", i), AvailabilityZone: "a"}, targets: &fakeTargets{}}
+		v.client = New(Options{Self: v.VM, View: view, Targets: v.targets, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()})
+		t.Cleanup(v.client.Close)
+		v.server = &Server{Client: v.client, Direct: v.client.Direct(), Draining: func(*fleet.Instance) bool { return false }}
+		server := httptest.NewServer(v.server)
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		v.RelayAddress = strings.TrimPrefix(server.URL, "http://")
+		announced = append(announced, v.VM)
+		vms = append(vms, v)
+	}
+	for _, v := range vms {
+		v.client.SetVMs(announced)
+	}
+	return vms, all[0]
+}
+
+func newCall(in *fleet.Instance) *targets.Call {
+	return &targets.Call{Instance: in, Method: http.MethodPost, Host: "desk.example", URI: "/desk/a?b=c", Header: http.Header{"Model": {"m"}}, Body: []byte("x"),
+		RequestID: "r1", Budget: time.Second, Priority: targets.NoPriority}
+}
+
+func readBody(t *testing.T, r *targets.Response) string {
+	t.Helper()
+	defer r.Body.Close()
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestCallThatIsNotSentGoesThroughAnotherVM(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.unreached = true
+	limit := 2.5
+	vms[1].targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
+		r := answer("done")
+		r.RateLimit, r.Draining = &limit, true
+		return r, nil
+	}
+	call := newCall(in)
+	call.ResumeAfter, call.Priority, call.NewConnection = 4, 2, true
+	r, err := vms[0].client.Do(t.Context(), call)
+	is.NoErr(err)
+	is.Equal(readBody(t, r), "done")
+	r.Body = nil
+	is.Equal(r, &targets.Response{
+		Status: http.StatusOK, Header: http.Header{"X": {"y"}}, Length: 4, Proof: "p", Version: 3, Load: &targets.Load{Running: 1, Slots: 4}, RateLimit: &limit, Draining: true, Via: "vm-1",
+	}) // as the target sent it
+	got := vms[1].targets.sent()[0]
+	is.True(got.Budget > 0 && got.Budget <= call.Budget)
+	want := *call
+	want.Budget = got.Budget
+	is.Equal(*got, want)
+	is.Equal(len(vms[1].targets.sent()), 1)
+	is.True(!vms[0].client.paths.direct(in.Key()))
+	_, err = vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	is.Equal(len(vms[1].targets.sent()), 2) // without a try of the direct path
+}
+
+// TestCallPassesThroughOneVMOnly cuts all VMs off: each asks the others, and none passes a call on that it could only send through a third.
+func TestCallPassesThroughOneVMOnly(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 4)
+	for _, v := range vms {
+		v.targets.unreached = true
+	}
+	for range 3 {
+		begin := time.Now()
+		_, err := vms[0].client.Do(t.Context(), newCall(in))
+		is.True(err != nil && !targets.Sent(err)) // known not to have run
+		is.True(time.Since(begin) < time.Second)  // at once, not at the end of its time
+	}
+	for _, v := range vms[1:] {
+		asked := 0
+		if served := v.client.events.Get("served"); served != nil {
+			asked++
+		}
+		is.Equal(asked, 0)
+	}
+}
+
+// TestSentCallIsNotSentAgain breaks the connection to the VM in between after the call was sent: the target may have run it.
+func TestSentCallIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 3)
+	vms[0].targets.unreached = true
+	for _, v := range vms[1:] {
+		v.targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) { return nil, errors.New("reset") }
+	}
+	_, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.True(err != nil && targets.Sent(err))
+	is.Equal(len(vms[1].targets.sent())+len(vms[2].targets.sent()), 1)
+	// An answer that breaks off must not look complete.
+	for _, v := range vms[1:] {
+		v.targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
+			r := answer("")
+			r.Length, r.Body = -1, io.NopCloser(io.MultiReader(strings.NewReader("id: 1\n"), brokenReader{}))
+			return r, nil
+		}
+	}
+	r, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	_, err = io.ReadAll(r.Body)
+	is.True(err != nil)
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func TestCancellationReachesTheTargetThroughAnotherVM(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.unreached = true
+	began, ended := make(chan struct{}), make(chan struct{})
+	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
+		close(began)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, err := vms[0].client.Do(ctx, newCall(in))
+	is.True(err != nil)
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond): // the rule's time for work whose caller has left
+		t.Fatal("the target works on after the caller has left")
+	}
+}
+
+func TestStreamsPassEventByEvent(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.unreached = true
+	body, events := io.Pipe()
+	closed := make(chan struct{})
+	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
+		context.AfterFunc(ctx, func() { close(closed) })
+		r := answer("")
+		r.Length, r.Body = -1, body
+		return r, nil
+	}
+	r, err := vms[0].client.Do(t.Context(), newCall(in)) // before the first event
+	is.NoErr(err)
+	buf := make([]byte, 64)
+	for i := range 3 {
+		event := fmt.Sprintf("id: %d\n\n", i)
+		go func() { _, _ = events.Write([]byte(event)) }()
+		n, err := io.ReadFull(r.Body, buf[:len(event)])
+		is.NoErr(err)
+		is.Equal(string(buf[:n]), event) // each one before the next is sent
+	}
+	r.Body.Close()
+	events.Close()
+	<-closed
+}
+
+func TestVMDeclinesWhatItMustNotPassOn(t *testing.T) {
+	for name, prepare := range map[string]func(v *testVM, in *fleet.Instance) *fleet.Instance{
+		"busy":     func(v *testVM, in *fleet.Instance) *fleet.Instance { v.server.calls.Store(maxCalls); return in },
+		"stopping": func(v *testVM, in *fleet.Instance) *fleet.Instance { v.client.StopPassingOn(); return in },
+		"draining": func(v *testVM, in *fleet.Instance) *fleet.Instance {
+			v.server.Draining = func(*fleet.Instance) bool { return true }
+			return in
+		},
+		"unknown": func(_ *testVM, in *fleet.Instance) *fleet.Instance {
+			other := *in
+			other.StartedMs = 7 // another instance with the same ID
+			return &other
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			vms, in := newTestVMs(t, 3)
+			vms[0].targets.unreached = true
+			for _, v := range vms[2:] {
+				v.targets.unreached = true
+			}
+			in = prepare(vms[1], in)
+			_, err := vms[0].client.Do(t.Context(), newCall(in))
+			is.True(err != nil && !targets.Sent(err))
+			is.Equal(len(vms[1].targets.sent()), 0)
+			is.True(vms[1].client.events.Get("passed_on."+name) != nil)
+		})
+	}
+}
+
+// TestSilentCallsAreGivenUpWhenTheVMIsStranded lets calls hang on connections that were open when the path was lost. Those that must not be sent
+// twice go on waiting.
+func TestSilentCallsAreGivenUpWhenTheVMIsStranded(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.silent = true
+	begin := time.Now()
+	_, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.True(errors.Is(err, targets.ErrPathLost))
+	is.True(time.Since(begin) < 2*silenceLimit)
+	is.True(vms[0].client.Stranded())
+	r, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	is.Equal(r.Via, "vm-1")
+	vms[0].targets.mu.Lock()
+	vms[0].targets.silent = false
+	vms[0].targets.mu.Unlock()
+	for deadline := time.Now().Add(time.Second); vms[0].client.Stranded(); time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the direct path is used again within a second
+	}
+	r, err = vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	is.Equal(r.Via, "")
+
+	vms[0].targets.mu.Lock()
+	vms[0].targets.silent = true
+	vms[0].targets.mu.Unlock()
+	once := newCall(in)
+	once.NewConnection = true
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = vms[0].client.Do(ctx, once)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.Equal(len(vms[1].targets.sent()), 1) // nothing more than before
+}
+
+// TestSecondSendTakesAnotherPathInDoubt sends a copy of a request whose first send is unanswered.
+func TestSecondSendTakesAnotherPathInDoubt(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	r, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	is.Equal(r.Via, "")
+	again := newCall(in)
+	again.UnansweredSince = time.Now().Add(-time.Second) // a target has answered since
+	r, err = vms[0].client.Do(t.Context(), again)
+	is.NoErr(err)
+	is.Equal(r.Via, "")
+	time.Sleep(time.Millisecond)
+	again.UnansweredSince = time.Now()
+	r, err = vms[0].client.Do(t.Context(), again)
+	is.NoErr(err)
+	is.Equal(r.Via, "vm-1")
+}
+
+// TestMalformedMessagesHarmNothing sends bytes that are no message to a VM.
+func TestMalformedMessagesHarmNothing(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	for _, body := range []string{"", "x", "\x00\x00\x00\x02{", "\xff\xff\xff\xff{}", "\x00\x00\x00\x02[]", "\x00\x00\x00\x02{}"} {
+		resp, err := http.Post("http://"+vms[1].RelayAddress+Path, "", strings.NewReader(body))
+		is.NoErr(err)
+		resp.Body.Close()
+	}
+	is.Equal(len(vms[1].targets.sent()), 0)
+	vms[0].targets.unreached = true
+	_, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	// A VM that answers with bytes that are no message: the call may have run.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "\xff\xff\xff\xff") }))
+	}()
+	vms[0].client.SetVMs([]fleet.VM{{Name: "other", AvailabilityZone: "a", RelayAddress: l.Addr().String()}})
+	_, err = vms[0].client.Do(t.Context(), newCall(in))
+	is.True(err != nil && !targets.Sent(err)) // the VM was only asked whether it reaches targets
+	other := vms[0].client.peers.vms["other"]
+	other.avoidUntil = time.Time{}
+	other.served(time.Now(), in.Key())
+	_, err = vms[0].client.Do(t.Context(), newCall(in))
+	is.True(err != nil && targets.Sent(err)) // it may have passed the call on
+	is.True(!targets.Refused(err) && targets.Refused(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}))
+}
--- /dev/null
+++ b/detour/send.go
@@ -0,0 +1,149 @@
+package detour
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/targets"
+)
+
+// scoutTimeout bounds the question whether a VM reaches a target. It must cover the probe of a path.
+const scoutTimeout = 500 * time.Millisecond
+
+// scout asks several VMs at once whether they reach a target, and returns when one does or none is left: the VMs that are cut off as well
+// take long to notice.
+func (c *Client) scout(ctx context.Context, in *fleet.Instance) {
+	c.mu.Lock()
+	scouts := c.peers.scouts(time.Now(), in.Key())
+	c.mu.Unlock()
+	found := make(chan bool, len(scouts))
+	for _, p := range scouts {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), scoutTimeout)
+			defer cancel()
+			resp, reason, err := c.ask(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Scout: true}, nil)
+			if resp != nil {
+				resp.Body.Close()
+			}
+			c.recordAsked(ctx, p, in.Key(), reason, err)
+			found <- reason == "" && err == nil
+		}()
+	}
+	for range scouts {
+		select {
+		case ok := <-found:
+			if ok {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// recordAsked records how a VM answered.
+func (c *Client) recordAsked(ctx context.Context, p *peer, target fleet.Key, reason declineReason, err error) {
+	outcome := string(reason)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case reason != "":
+		p.declined(now, target, reason)
+	case err == nil:
+		outcome = "served"
+		p.served(now, target)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		outcome = "unanswered"
+		p.silent(now)
+	}
+	c.events.Add(outcome, 1)
+}
+
+// throughPeers sends a call through other VMs, one after the other, until one passes it on. The error is errNoPath if none did; another
+// error means that the target may have run the call. With scout, several VMs are asked first if none is known to reach targets.
+func (c *Client) throughPeers(ctx context.Context, call *targets.Call, begin time.Time, scout bool) (*targets.Response, error) {
+	target := call.Instance.Key()
+	c.mu.Lock()
+	scout = scout && !c.peers.good(time.Now(), target)
+	c.mu.Unlock()
+	if scout {
+		c.scout(ctx, call.Instance)
+	}
+	tried := map[string]bool{}
+	missed := 0
+	for len(tried) < maxPeerTries && missed < maxMissedTries && ctx.Err() == nil {
+		c.mu.Lock()
+		p := c.peers.pick(time.Now(), target, tried)
+		c.mu.Unlock()
+		if p == nil {
+			break
+		}
+		tried[p.Name] = true
+		resp, reason, err := c.ask(ctx, p, newCallHead(withBudget(call, begin)), call.Body)
+		c.recordAsked(ctx, p, target, reason, err)
+		switch {
+		case reason == pathLost:
+			return nil, errPathLost
+		case reason == declinedMissed:
+			missed++
+		case reason == "" && (err == nil || targets.Sent(err)):
+			return resp, err
+		}
+	}
+	return nil, errNoPath
+}
+
+// ask asks a VM to pass a call on. It returns the target's response, why the VM declined, or an error, which wraps targets.ErrNotSent
+// if the VM was not reached.
+func (c *Client) ask(ctx context.Context, p *peer, h *callHead, data []byte) (*targets.Response, declineReason, error) {
+	head, err := encodeHead(h)
+	if err != nil {
+		return nil, "", targets.NotSent(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.RelayAddress+Path, io.MultiReader(bytes.NewReader(head), bytes.NewReader(data)))
+	if err != nil {
+		return nil, "", targets.NotSent(err)
+	}
+	req.ContentLength = int64(len(head) + len(data))
+	transport := c.pooled
+	if h.Once {
+		transport = c.unpooled
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		if process.DialFailed(err) {
+			err = targets.NotSent(err)
+		}
+		c.pooled.CloseIdleConnections() // those that were open in an outage may stay silent for good
+		return nil, "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, declinedUnknown, nil // a VM of an earlier release
+	}
+	body := bufio.NewReader(resp.Body)
+	answer := &answerHead{}
+	if err := readHead(body, answer); err != nil {
+		resp.Body.Close()
+		return nil, "", err
+	}
+	if answer.Declined != "" {
+		resp.Body.Close()
+		return nil, answer.Declined, nil
+	}
+	return answer.response(p.Name, &peerBody{body, resp.Body}), "", nil
+}
+
+// peerBody is the body of a response that came through another VM.
+type peerBody struct {
+	io.Reader
+	io.Closer
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -10,8 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/crashes"
+	"github.com/ibistrail/ibistrail/detour"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/origins"
@@ -77,6 +80,7 @@
 	follower *topicFollower
 	crashes  *crashes.Register
 	targets  *targetstate.Register
+	detour   *detour.Client
 	limiter  *ratelimit.Limiter
 	origins  *origins.Register
 	rpcPool  *rpc.Pool
@@ -96,9 +100,11 @@
 		opts.Metrics = process.NewMetrics()
 	}
 	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
-	client := p.targets.Client(opts.Client)
+	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, RelayAddress: s.RelayAddress, Small: s.Small()}
+	p.detour = detour.New(detour.Options{Self: self, View: p.View, Targets: opts.Client, Dial: opts.Dial, Log: opts.Log, Metrics: opts.Metrics})
+	context.AfterFunc(p.ctx, p.detour.Close)
+	client := p.targets.Client(p.detour)
 	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
-	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, Small: s.Small()}
 	p.limiter = ratelimit.New(ratelimit.Options{
 		Self: self, Alone: opts.Peers == nil, Register: p.targets, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics,
 	})
@@ -107,10 +113,11 @@
 		opts.Peers.OnChange = func(vms []fleet.VM) {
 			p.limiter.SetVMs(vms)
 			p.origins.SetVMs(vms)
+			p.detour.SetVMs(vms)
 		}
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
-	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: opts.Client, Log: opts.Log, Metrics: opts.Metrics})
+	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
 	p.Forwarder = forward.New(forward.Options{
 		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
@@ -192,7 +199,8 @@
 	}()
 }
 
-// serveRelay starts the relay. A failure is only logged: this VM then serves as long as it reaches the store itself.
+// serveRelay starts to pass on the calls of other VMs to the store and to targets. A failure is only logged: this VM then serves as long as
+// it reaches both itself.
 func (p *Process) serveRelay() {
 	if p.opts.Relay == nil {
 		return
@@ -202,8 +210,13 @@
 		p.opts.Log.Error("relay_unserved", "address", p.opts.Settings.RelayAddress, "err", err)
 		return
 	}
+	r := mux.NewRouter()
+	r.Handle(detour.Path, &detour.Server{
+		Client: p.detour, Direct: p.targets.Client(p.detour.Direct()), Draining: p.targets.Draining, Small: p.opts.Settings.Small(),
+	}).Methods(http.MethodPost)
+	r.NotFoundHandler = p.opts.Relay
 	go func() {
-		if err := process.Serve(p.ctx, l, p.opts.Relay); err != nil {
+		if err := process.Serve(p.ctx, l, r); err != nil {
 			p.opts.Log.Error("relay_unserved", "address", p.opts.Settings.RelayAddress, "err", err)
 		}
 	}()
@@ -265,6 +278,7 @@
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	p.tenures.stop()
 	p.limiter.Stop()
+	p.detour.StopPassingOn()
 	if p.opts.Peers != nil {
 		p.opts.Peers.Withdraw()
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ibistrail/ibistrail/batch"
+	"github.com/ibistrail/ibistrail/detour"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/routing"
@@ -31,6 +32,8 @@
 	RateLimits map[string]float64 `json:"target_limits,omitempty"`
 	// DrainingTargets holds the targets that said in an answer that they leave.
 	DrainingTargets []string `json:"draining_targets,omitempty"`
+	// TargetPaths tells which targets this VM reaches itself.
+	TargetPaths detour.State `json:"target_paths"`
 }
 
 // State returns the current state for the state dump.
@@ -40,7 +43,7 @@
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
 		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
-		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(),
+		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(),
 	}
 	if snap.Tables != nil {
 		s.TablesVersion = snap.Tables.Version
--- a/entry/target_path_test.go
+++ b/entry/target_path_test.go
@@ -37,7 +37,6 @@
 	mode  pathMode
 	cut   []string // addresses that are cut off; nil means all
 	conns []*pathConn
-	dials int
 }
 
 func newTargetPath(t *testing.T) *targetPath {
@@ -75,17 +74,9 @@
 	return p.mode != pathOpen && (p.cut == nil || slices.Contains(p.cut, address))
 }
 
-// dialCount returns the number of connections that were opened or tried.
-func (p *targetPath) dialCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dials
-}
-
 // dial opens a connection to a target.
 func (p *targetPath) dial(ctx context.Context, address string) (net.Conn, error) {
 	p.mu.Lock()
-	p.dials++
 	mode, cut := p.mode, p.cuts(address)
 	p.mu.Unlock()
 	switch {
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -33,10 +33,14 @@
 	outcomes chan outcome
 	pending  map[*attempt]bool
 	tried    []string // addresses of the targets of ended attempts, which are avoided
-	// sends counts the targets to which the request was sent, possibleRuns those that may have run it.
-	sends, possibleRuns int
-	serverErrors        int
-	lastTarget          string
+	sends    int      // including those that the target has not run
+	// ran holds the addresses of the targets that may have run the request, pathLost those of them that may be sent it again because
+	// the path to them was lost before they answered.
+	ran, pathLost map[string]bool
+	serverErrors  int
+	lastTarget    string
+	// via is the VM through which the answer came; empty if it came directly.
+	via string
 	// atLimit are the addresses of targets that take no request now because of their rate limits, permitDelay is the time until the
 	// first of them may take one.
 	atLimit     []string
@@ -89,9 +93,12 @@
 
 // mayRunAgain reports whether the request may be sent to another target after a run that possibly took place.
 func (d *delivery) mayRunAgain() bool {
-	return d.retryable() && d.possibleRuns < d.route.MaxAttempts && !d.admission().Rejected
+	return d.retryable() && (len(d.ran) < d.route.MaxAttempts || len(d.pathLost) > 0) && !d.admission().Rejected
 }
 
+// maySend reports whether the request may have a further send at all.
+func (d *delivery) maySend() bool { return d.sends < d.route.MaxAttempts+maxExtraSends }
+
 // resume restricts a request that resumes a stream to the targets that can continue it. It returns a refusal if these are not known
 // or none is left.
 func (d *delivery) resume(ctx context.Context) *Reply {
@@ -123,7 +130,7 @@
 	if a := d.admission(); a.Rejected {
 		return refusal(http.StatusServiceUnavailable, a.Reason, a.RetryAfter)
 	}
-	d.pending = map[*attempt]bool{}
+	d.pending, d.ran, d.pathLost = map[*attempt]bool{}, map[string]bool{}, map[string]bool{}
 	ctx, cancel := context.WithDeadline(ctx, d.deadline)
 	keepContext := false
 	defer func() {
@@ -145,7 +152,7 @@
 			d.cancelPending()
 			return d.timeoutReply(ctx)
 		case <-hedge.C:
-			if d.retryable() && !d.route.Streaming && d.possibleRuns+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
+			if d.retryable() && !d.route.Streaming && len(d.ran)+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
 				d.startHedge(ctx)
 			}
 		case o := <-d.outcomes:
@@ -245,13 +252,18 @@
 	table := f.pools[d.poolName].table
 	address := o.attempt.instance.Address
 	table.End(now, address, o.attempt.query)
+	if errors.Is(o.err, targets.ErrPathLost) { // which is not the target's fault
+		d.ran[address], d.pathLost[address] = true, true
+		return d.retryIf(d.maySend() && d.mayRunAgain())
+	}
 	d.tried = append(d.tried, address)
+	delete(d.pathLost, address)
 	if o.err != nil {
 		if !targets.Sent(o.err) {
 			table.RecordUnreachable(now, address)
-			return d.retryIf(d.sends < d.route.MaxAttempts+maxExtraSends)
+			return d.retryIf(d.maySend())
 		}
-		d.possibleRuns++
+		d.ran[address] = true
 		table.RecordFailure(now, address)
 		return d.retryIf(d.mayRunAgain())
 	}
@@ -264,9 +276,9 @@
 		} else {
 			table.RecordOverload(now, address)
 		}
-		return d.retryIf(d.sends < d.route.MaxAttempts+maxExtraSends)
+		return d.retryIf(d.maySend())
 	}
-	d.possibleRuns++
+	d.ran[address] = true
 	if !d.route.Streaming || o.answer.Status >= http.StatusInternalServerError {
 		f.crashes.Answered(d.fingerprint)
 	}
@@ -286,6 +298,8 @@
 	switch {
 	case o.err != nil && !targets.Sent(o.err):
 		result = "not sent"
+	case errors.Is(o.err, targets.ErrPathLost):
+		result = "path lost"
 	case o.err != nil:
 		result = "broken off"
 	case o.answer.WrongInstance:
@@ -376,7 +390,8 @@
 		}
 	}
 	for address, in := range p.byAddr {
-		if d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
+		exhausted := len(d.ran) >= d.route.MaxAttempts && !d.pathLost[address]
+		if exhausted || d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
 			out = append(out, address)
 		}
 	}
@@ -414,6 +429,7 @@
 	call := &targets.Call{
 		Instance: in, Method: d.req.Method, Host: d.req.Host, URI: d.req.URI, Header: d.req.Header, Body: d.req.Body,
 		RequestID: d.req.ID, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
+		UnansweredSince: d.unansweredSince(),
 		Connected: func(reused bool) {
 			if reused {
 				a.connection.Store(connectionOpen)
@@ -438,10 +454,19 @@
 	}()
 }
 
+// unansweredSince returns when the request was first sent, if it was.
+func (d *delivery) unansweredSince() time.Time {
+	if d.sends <= 1 {
+		return time.Time{}
+	}
+	return d.startedAt
+}
+
 // targetReply cancels the other attempts and returns a target's answer as the reply. Closing its body calls
 // cancel.
 func (d *delivery) targetReply(answer *targets.Response, a *attempt, cancel context.CancelFunc) *Reply {
 	d.cancelPending()
+	d.via = answer.Via
 	body := answer.Body
 	if d.route.Streaming && answer.Status < http.StatusBadRequest {
 		body = d.f.client.WholeEvents(body)
@@ -475,7 +500,7 @@
 			ServerErrors: d.serverErrors, Body: &cancelingBody{ReadCloser: lastFailure.Body, onClose: cancel},
 		}
 	}
-	if d.possibleRuns == 0 {
+	if len(d.ran) == 0 {
 		return refusal(http.StatusServiceUnavailable, "no target had room for the request", max(noTargetRetryAfter, d.permitDelay))
 	}
 	return refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0)
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -198,7 +198,11 @@
 func failedSends(matched []*Line) string {
 	var out []string
 	for _, l := range matched {
-		if l.Event == "send_failed" {
+		switch {
+		case l.Event != "send_failed":
+		case l.Get("outcome") == "unanswered":
+			out = append(out, fmt.Sprintf("%s had not answered after %s ms", l.Get("target"), l.Get("ms")))
+		default:
 			out = append(out, fmt.Sprintf("%s: %s after %s ms", l.Get("target"), l.Get("outcome"), l.Get("ms")))
 		}
 	}
@@ -215,13 +219,13 @@
 	return err
 }
 
-// addVMState adds to the cause that the VM was stopping or without the store, unless the request succeeded.
+// addVMState adds to the cause that the VM was stopping, did not reach the targets or was without the store, unless the request succeeded.
 func (e *Explanation) addVMState(lines, matched []*Line) {
 	if strings.HasPrefix(e.Cause, "no failure") {
 		return
 	}
 	start, vm := matched[0].Time, matched[0].VM
-	var stopping, storeLost *Line
+	var stopping, pathsLost, storeLost *Line
 	for _, l := range lines {
 		if l.VM != vm || l.Time.After(matched[len(matched)-1].Time) {
 			continue
@@ -230,7 +234,12 @@
 		case "stopping":
 			stopping = l
 		case "started":
-			stopping, storeLost = nil, nil
+			stopping, pathsLost, storeLost = nil, nil, nil
+		case "target_paths":
+			pathsLost = nil
+			if l.Get("outcome") == "lost" {
+				pathsLost = l
+			}
 		case "store_lost":
 			storeLost = l
 		case "store_reached":
@@ -240,6 +249,8 @@
 	switch {
 	case stopping != nil:
 		e.Cause += fmt.Sprintf("; the VM had been stopping since %s", formatTime(stopping.Time))
+	case pathsLost != nil:
+		e.Cause += fmt.Sprintf("; the VM itself had reached no target since %s", formatTime(pathsLost.Time))
 	case storeLost != nil && start.Sub(storeLost.Time) > precedingWindow:
 		e.Cause += fmt.Sprintf("; the VM had been without the store since %s, so its targets may be out of date", formatTime(storeLost.Time))
 	}
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -78,6 +78,11 @@
 time=2026-12-04T07:00:10Z msg=request node=vm-a id=r2 route=desk tables=3 pool=desk status=503 sends=0 target="" ms=0 reason="the pool has no target"
 `
 
+const strandedVMLog = `time=2026-12-04T07:00:00Z msg=target_paths node=vm-a outcome=lost silent_ms=450 open_calls=2
+time=2026-12-04T07:00:01Z msg=send_failed node=vm-a id=r1 target=t1 outcome="not sent" ms=3 err="nothing was sent"
+time=2026-12-04T07:00:01Z msg=request node=vm-a id=r1 route=desk tables=3 pool=desk status=503 sends=1 target=t1 via="" ms=3 reason="no target had room for the request"
+`
+
 const lateBatchLog = skewedClocksLog + `time=2026-12-04T07:00:11Z msg=items_wait node=vm-a items=40 engines=9 cooling=0 loading=2 old_version=6 full=1
 time=2026-12-04T07:00:12Z msg=tenure_taken node=vm-c partition=2 token=8 orders_in_ms=1900
 time=2026-12-04T07:00:12.1Z msg=batch_open node=vm-c batch=b1 partition=2 step=4 model=m least_version=5 items=2 listed=0 reused=0 saved=1
@@ -97,6 +102,7 @@
 	}{
 		{"lost answer of a target", failingTargetsLog, "r1", "request", []string{"t1: broken off after 120 ms", "t2: answered 500"}},
 		{"refusal without targets", noTargetLog, "r2", "request", []string{"refused: the pool has no target", "without the store since 07:00:01.000"}},
+		{"VM without paths to targets", strandedVMLog, "r1", "request", []string{"the VM itself had reached no target since 07:00:00.000"}},
 		{"late batch", lateBatchLog, "b1", "batch", []string{"from 07:00:11.000 items waited as engines had versions older", "vm-c, took the partition over and could order versions 1900 ms later"}},
 		{"batch of limited engines", limitedBatchLog, "b1", "batch", []string{"items waited as engines were at the rate limits", "texts began anew"}},
 		{"item of a late batch", lateBatchLog, "i1", "item", []string{"one run made the text"}},
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -97,7 +97,7 @@
 func (d *Directory) vms() []fleet.VM {
 	out := make([]fleet.VM, 0, len(d.announced))
 	for name, a := range d.announced {
-		out = append(out, fleet.VM{Name: name, AvailabilityZone: a.AvailabilityZone, RPCAddress: a.RPCAddress, Small: a.Small})
+		out = append(out, fleet.VM{Name: name, AvailabilityZone: a.AvailabilityZone, RPCAddress: a.RPCAddress, RelayAddress: a.Address, Small: a.Small})
 	}
 	return out
 }
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -32,6 +33,9 @@
 	ResumeAfter int64
 	// NewConnection sends the request on a new connection, so that the transport cannot send it twice.
 	NewConnection bool
+	// UnansweredSince is when an earlier send of the request began that has no answer yet; zero for the first. A later send takes
+	// another path if the path of the earlier one is in doubt.
+	UnansweredSince time.Time
 	// Connected, if set, is called when the call has a connection to the target, with whether an earlier call used it.
 	Connected func(reused bool)
 }
@@ -62,6 +66,8 @@
 	RateLimit *float64
 	// Draining is set if the target says that it leaves and takes no new requests.
 	Draining bool
+	// Via is the VM through which the call went; empty for a direct call.
+	Via string
 }
 
 // Success reports whether the request was executed successfully: a 2xx status with a proof.
@@ -73,6 +79,13 @@
 // Sent reports whether a call that failed with err may have reached the target.
 func Sent(err error) bool { return !errors.Is(err, ErrNotSent) }
 
+// Refused reports whether err says that a connection was refused, and not only that nothing responded.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// ErrPathLost is wrapped by the error of a call that was sent and not answered before the path to its target was lost. The target may have
+// run it, and may be sent it again by another path.
+var ErrPathLost = errors.New("the path to the target was lost")
+
 // NotSent wraps err with ErrNotSent.
 func NotSent(err error) error { return fmt.Errorf("%w: %w", ErrNotSent, err) }
 
@@ -84,9 +97,8 @@
 	// WholeEvents returns a reader of an event stream that returns whole events only. It fails where the stream is no event stream or an event
 	// is too long.
 	WholeEvents(body io.ReadCloser) io.ReadCloser
-	// Gone reports whether the target has ended: nothing listens at its address. An address that does not respond, as behind
-	// a network partition, is not gone.
-	Gone(ctx context.Context, instance *fleet.Instance) bool
+	// Connect opens a connection to the target and closes it. The error satisfies Refused if nothing listens at the target's address.
+	Connect(ctx context.Context, instance *fleet.Instance) error
 }
 
 // Event is one event of a stream.
