detour: a target counts as dead only if a VM that reaches others is refused

What callers saw: nothing yet; requests that were at a target when its VM was cut off by resets and refusals were recorded as ones that crash their targets, at all VMs, and would have been refused after three cuts. Cause: a run that breaks off and a connection attempt that is refused were taken for the death of the target. A network partition refuses connections too. Ruled out: the rule that deaths of three targets within 100 ms do not count (runs at a cut VM break off one after the other). Change: Gone asks up to three other VMs whether a connection opens. One that reaches the target settles it; a refusal counts only from a VM that reaches another target.

--- a/detour/client.go
+++ b/detour/client.go
@@ -176,9 +176,31 @@
 }
 
 // Gone reports whether a target has ended: nothing listens at its address. An address that does not respond, as behind a network
-// partition, is not gone.
+// partition, is not gone. A partition may also refuse connections, so other VMs are asked to confirm it.
 func (c *Client) Gone(ctx context.Context, in *fleet.Instance) bool {
-	return targets.Refused(c.opts.Targets.Connect(ctx, in))
+	err := c.opts.Targets.Connect(ctx, in)
+	if !targets.Refused(err) {
+		return false
+	}
+	reached, refused := c.probeFromPeers(ctx, in)
+	if reached {
+		c.losePath(in, err)
+	}
+	return !reached && (refused || c.reachesAnother(ctx, in))
+}
+
+// reachesAnother reports whether a connection to a target other than in opens, or in is the only one.
+func (c *Client) reachesAnother(ctx context.Context, in *fleet.Instance) bool {
+	all := c.opts.View.Get().Instances
+	c.mu.Lock()
+	others := c.paths.others(in, all)
+	c.mu.Unlock()
+	for _, other := range others {
+		if c.opts.Targets.Connect(ctx, other) == nil {
+			return true
+		}
+	}
+	return len(others) == 0
 }
 
 // errNoPath is wrapped by the errors of calls for which no VM with a path to the target was found. Nothing was sent.
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -28,14 +28,19 @@
 	mu sync.Mutex
 	// unreached makes all connections fail, silent makes calls that were sent wait for their end.
 	unreached, silent bool
-	respond           func(ctx context.Context, call *targets.Call) (*targets.Response, error)
-	calls             []*targets.Call
+	// refused holds the targets that refuse connections.
+	refused map[string]bool
+	respond func(ctx context.Context, call *targets.Call) (*targets.Response, error)
+	calls   []*targets.Call
 }
 
-func (f *fakeTargets) Connect(context.Context, *fleet.Instance) error {
+func (f *fakeTargets) Connect(_ context.Context, in *fleet.Instance) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unreached || f.silent {
+	switch {
+	case f.refused[in.Name]:
+		return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case f.unreached || f.silent:
 		return errors.New("no answer")
 	}
 	return nil
@@ -370,3 +375,44 @@
 	is.True(err != nil && targets.Sent(err)) // it may have passed the call on
 	is.True(!targets.Refused(err) && targets.Refused(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}))
 }
+
+// TestTargetIsGoneOnlyIfOtherVMsAgree refuses connections to some VMs, as a partition or the end of a target does.
+func TestTargetIsGoneOnlyIfOtherVMsAgree(t *testing.T) {
+	const (
+		open      = iota // the VM reaches all targets
+		ended            // it is refused by one target and reaches the others
+		refused          // it is refused by all, as in a cut
+		unreached        // it gets no answer from any
+	)
+	for _, tc := range []struct {
+		name   string
+		access [3]int // of this VM and two others
+		gone   bool
+	}{
+		{"refused at all VMs", [3]int{ended, ended, ended}, true},
+		{"reached", [3]int{open, ended, ended}, false},
+		{"refused here only", [3]int{ended, open, open}, false},
+		{"reached by one VM", [3]int{ended, ended, open}, false},
+		{"others are cut off", [3]int{ended, unreached, refused}, true},
+		{"this VM is cut off, others reach it", [3]int{refused, open, refused}, false},
+		{"this VM is cut off, others are refused", [3]int{refused, ended, refused}, true},
+		{"all VMs are cut off", [3]int{refused, refused, refused}, false},
+		{"no VM gets an answer", [3]int{unreached, unreached, unreached}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			vms, in := newTestVMs(t, 3)
+			for i, v := range vms {
+				switch tc.access[i] {
+				case ended:
+					v.targets.refused = map[string]bool{in.Name: true}
+				case refused:
+					v.targets.refused = map[string]bool{"t0": true, "t1": true, "t2": true}
+				case unreached:
+					v.targets.unreached = true
+				}
+			}
+			is.Equal(vms[0].client.Gone(t.Context(), in), tc.gone)
+		})
+	}
+}
--- a/detour/message.go
+++ b/detour/message.go
@@ -35,8 +35,9 @@
 	BudgetMs    int64       `json:"budget_ms,omitempty"`
 	Priority    int         `json:"priority"`
 	ResumeAfter int64       `json:"resume_after,omitempty"`
-	// Scout asks only whether the VM would pass calls to the target on.
+	// Scout asks only whether the VM would pass calls to the target on, Probe only whether a connection to the target opens now.
 	Scout bool `json:"scout,omitempty"`
+	Probe bool `json:"probe,omitempty"`
 	// Once is set if the call must not be sent twice.
 	Once bool `json:"once,omitempty"`
 }
@@ -51,6 +52,8 @@
 	declinedStopping declineReason = "stopping"
 	declinedUnknown  declineReason = "unknown"  // it does not know the target, or not this instance
 	declinedDraining declineReason = "draining" // it was told that the target takes no new requests
+	// declinedRefused answers a probe: nothing listens at the target's address, while another target is reached.
+	declinedRefused declineReason = "refused"
 	// pathLost says that the VM has sent the call and lost its path to the target before the answer, so that the target may have run it.
 	pathLost declineReason = "path lost"
 )
--- a/detour/paths.go
+++ b/detour/paths.go
@@ -92,10 +92,9 @@
 	return []*fleet.Instance{suspect}
 }
 
-// otherProbes returns targets to probe after the suspect was not reached, in other availability zones if there are some: a zone is often cut
-// off as a whole.
-func (p *paths) otherProbes(all []*fleet.Instance) []*fleet.Instance {
-	suspect := p.check.suspect
+// others returns targets to probe after one was not reached, in other availability zones if there are some: a zone is often cut off as a
+// whole.
+func (p *paths) others(suspect *fleet.Instance, all []*fleet.Instance) []*fleet.Instance {
 	var probes []*fleet.Instance
 	for _, otherZone := range []bool{true, false} {
 		for i := 0; i < len(all) && len(probes) < otherProbes; i++ {
@@ -131,7 +130,7 @@
 	silent := !p.answeredAt.After(c.startedAt)
 	if silent && !c.askedOthers {
 		c.askedOthers = true
-		if probes := p.otherProbes(all); len(probes) > 0 {
+		if probes := p.others(c.suspect, all); len(probes) > 0 {
 			c.pending = len(probes)
 			return probes
 		}
--- a/detour/send.go
+++ b/detour/send.go
@@ -14,8 +14,12 @@
 	"github.com/ibistrail/ibistrail/targets"
 )
 
-// scoutTimeout bounds the question whether a VM reaches a target. It must cover the probe of a path.
-const scoutTimeout = 500 * time.Millisecond
+const (
+	// scoutTimeout bounds the question whether a VM reaches a target. It must cover the probe of a path.
+	scoutTimeout = 500 * time.Millisecond
+	// maxProbers is the number of VMs that are asked to confirm that a target has ended.
+	maxProbers = 3
+)
 
 // scout asks several VMs at once whether they reach a target, and returns when one does or none is left: the VMs that are cut off as well
 // take long to notice.
@@ -48,6 +52,39 @@
 	}
 }
 
+// probeFromPeers asks several VMs whether a connection to a target opens. It returns as soon as one has reached it; refused is set if one
+// was refused.
+func (c *Client) probeFromPeers(ctx context.Context, in *fleet.Instance) (reached, refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
+	defer cancel()
+	c.mu.Lock()
+	asked := c.peers.scouts(time.Now(), in.Key())
+	c.mu.Unlock()
+	asked = asked[:min(len(asked), maxProbers)]
+	answers := make(chan declineReason, len(asked))
+	for _, p := range asked {
+		go func() {
+			resp, reason, err := c.ask(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Probe: true}, nil)
+			if resp != nil {
+				resp.Body.Close()
+			}
+			if err != nil {
+				reason = declinedMissed
+			}
+			answers <- reason
+		}()
+	}
+	for range asked {
+		switch <-answers {
+		case "":
+			return true, refused
+		case declinedRefused:
+			refused = true
+		}
+	}
+	return false, refused
+}
+
 // recordAsked records how a VM answered.
 func (c *Client) recordAsked(ctx context.Context, p *peer, target fleet.Key, reason declineReason, err error) {
 	outcome := string(reason)
--- a/detour/server.go
+++ b/detour/server.go
@@ -80,6 +80,10 @@
 		s.decline(w, reason)
 		return
 	}
+	if head.Probe {
+		s.answerProbe(w, r, in)
+		return
+	}
 	fresh := s.Client.reachesTargets(time.Now())
 	if head.Scout {
 		if !fresh && s.Client.Connect(r.Context(), in) != nil {
@@ -135,6 +139,18 @@
 	s.writeHead(w, &answerHead{Declined: reason})
 }
 
+// answerProbe answers whether a connection to the target opens.
+func (s *Server) answerProbe(w http.ResponseWriter, r *http.Request, in *fleet.Instance) {
+	switch err := s.Client.Connect(r.Context(), in); {
+	case err == nil:
+		s.writeHead(w, &answerHead{Status: http.StatusOK})
+	case targets.Refused(err) && s.Client.reachesAnother(r.Context(), in):
+		s.decline(w, declinedRefused)
+	default:
+		s.decline(w, declinedMissed)
+	}
+}
+
 // declineMissed declines a call because its target was not reached. The paths are checked, so that the next call is declined at once if
 // this VM reaches no target.
 func (s *Server) declineMissed(w http.ResponseWriter, in *fleet.Instance) {
--- a/entry/stranded_test.go
+++ b/entry/stranded_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/ibistrail/ibistrail/fake/errata"
 )
 
 // cutModes are the ways in which a VM loses its paths to the targets.
-var cutModes = map[string]pathMode{"silent": pathSilent, "reset": pathReset, "refused": pathRefuse}
+var cutModes = map[string]pathMode{"silent": pathSilent, "reset": pathReset, "refused": pathRefuse, "rejected": pathReject}
 
 // vmsKnowEachOther is the time after which all VMs have read each other's announcements.
 const vmsKnowEachOther = 4 * time.Second
@@ -94,3 +97,25 @@
 		})
 	}
 }
+
+// TestCutPathIsNotTakenForACrashOfTheTarget cuts a VM off while it has a request at a target: the connection is reset and a new one refused, as if
+// the target had crashed. The request was then counted as one that crashes its targets, and refused at all VMs after three cuts.
+func TestCutPathIsNotTakenForACrashOfTheTarget(t *testing.T) {
+	d := newDeployment(t, 1, 3, 2)
+	time.Sleep(vmsKnowEachOther)
+	for _, s := range d.services {
+		s.Set(func(x *errata.Target) { x.RequestDuration = 150 * time.Millisecond })
+	}
+	for i := range 4 {
+		answer := make(chan response, 1)
+		go func() {
+			answer <- d.call(d.vms[0], http.MethodPost, "/desk/a", fmt.Sprint("cut-", i), "the same content")
+		}()
+		time.Sleep(60 * time.Millisecond) // before a second copy is sent
+		d.vms[0].targetPath.set(pathReject)
+		d.is.Equal((<-answer).status, http.StatusOK) // through the other VM
+		d.vms[0].targetPath.set(pathOpen)
+		d.eventually(3*time.Second, "the direct path is used again", func() bool { return !d.vms[0].process.State().TargetPaths.Stranded })
+	}
+	d.is.True(!strings.Contains(d.log.String(), "msg=target_died"))
+}
--- a/entry/target_path_test.go
+++ b/entry/target_path_test.go
@@ -21,6 +21,7 @@
 	pathSilent          // open connections go silent, and new ones are not established
 	pathReset           // open connections are reset, and new ones are not established
 	pathRefuse          // open connections live on, and new ones are refused
+	pathReject          // open connections are reset, and new ones are refused
 )
 
 // Times of a cut path, as the kernel has them with the options of the platform's dialer.
@@ -63,7 +64,7 @@
 		switch mode {
 		case pathSilent:
 			c.silence()
-		case pathReset:
+		case pathReset, pathReject:
 			c.reset()
 		}
 	}
@@ -80,7 +81,7 @@
 	mode, cut := p.mode, p.cuts(address)
 	p.mu.Unlock()
 	switch {
-	case cut && mode == pathRefuse:
+	case cut && (mode == pathRefuse || mode == pathReject):
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	case cut:
 		ctx, cancel := context.WithTimeout(ctx, pathDialTimeout)
