detour: a slow or broken target does not count against the VM in between

What callers saw: at a VM without paths, requests and items were not sent at all after a second, though VMs that reach the targets were at hand. Cause: a call that ran out of time, or that its target broke off, was taken for silence of the VM in between, which was then not asked for 3 s; soon none was left. Change: the end of the call's own time says nothing; the VM in between reports that the target broke the call off. detour_unanswered is logged.

TestSlowTargetDoesNotCountAgainstTheVMInBetween fails without the change. Conclusion: single requests hold; items of a cut holder still lose time elsewhere.

--- a/detour/client.go
+++ b/detour/client.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -203,8 +204,22 @@
 	return len(others) == 0
 }
 
-// errNoPath is wrapped by the errors of calls for which no VM with a path to the target was found. Nothing was sent.
-var errNoPath = targets.NotSent(errors.New("this VM does not reach the target, and no other VM is known that does"))
+// noPathError is the error of a call for which no VM with a path to the target was found. Nothing was sent.
+type noPathError struct {
+	// asked are the VMs that were asked, with their answers.
+	asked []string
+}
+
+func (e *noPathError) Error() string {
+	return fmt.Sprintf("this VM does not reach the target, and no other VM is known that does (asked: %s); retried automatically", strings.Join(e.asked, ", "))
+}
+
+func (e *noPathError) Unwrap() error { return targets.ErrNotSent }
+
+func isNoPath(err error) bool {
+	var e *noPathError
+	return errors.As(err, &e)
+}
 
 // Do implements targets.Client.
 func (c *Client) Do(ctx context.Context, call *targets.Call) (*targets.Response, error) {
@@ -219,7 +234,7 @@
 			return resp, err
 		}
 		resp, peerErr := c.throughPeers(ctx, call, begin, false)
-		if errors.Is(peerErr, errNoPath) {
+		if isNoPath(peerErr) {
 			return nil, err
 		}
 		if peerErr == nil {
@@ -228,7 +243,7 @@
 		return resp, peerErr
 	}
 	resp, err := c.throughPeers(ctx, call, begin, true)
-	if direct && errors.Is(err, errNoPath) && ctx.Err() == nil {
+	if direct && isNoPath(err) && ctx.Err() == nil {
 		return c.direct(ctx, withBudget(call, begin))
 	}
 	return resp, err
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -190,6 +190,7 @@
 	_, err := vms[0].client.Do(t.Context(), newCall(in))
 	is.True(err != nil && targets.Sent(err))
 	is.Equal(len(vms[1].targets.sent())+len(vms[2].targets.sent()), 1)
+	is.Equal(len(vms[0].client.State().Through), 1) // the VM is not to blame
 	// An answer that breaks off must not look complete.
 	for _, v := range vms[1:] {
 		v.targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
@@ -233,6 +234,28 @@
 	}
 }
 
+// TestSlowTargetDoesNotCountAgainstTheVMInBetween replays a cut of the holder of a pool: calls to slow targets ran out of time, the VMs in between were taken for silent, and
+// after a second none was left.
+func TestSlowTargetDoesNotCountAgainstTheVMInBetween(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.unreached = true
+	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := vms[0].client.Do(ctx, newCall(in))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	vms[1].targets.mu.Lock()
+	vms[1].targets.respond = nil
+	vms[1].targets.mu.Unlock()
+	r, err := vms[0].client.Do(t.Context(), newCall(in))
+	is.NoErr(err)
+	is.Equal(r.Via, "vm-1")
+}
+
 func TestStreamsPassEventByEvent(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
--- a/detour/message.go
+++ b/detour/message.go
@@ -42,7 +42,7 @@
 	Once bool `json:"once,omitempty"`
 }
 
-// declineReason is why a VM did not pass a call on. Nothing was sent to the target then, except for pathLost.
+// declineReason is why a VM did not pass a call on. Nothing was sent to the target then, except for pathLost and brokenOff.
 type declineReason string
 
 const (
@@ -56,6 +56,8 @@
 	declinedRefused declineReason = "refused"
 	// pathLost says that the VM has sent the call and lost its path to the target before the answer, so that the target may have run it.
 	pathLost declineReason = "path lost"
+	// brokenOff says that the target broke off a call that the VM had sent, and may have run it.
+	brokenOff declineReason = "broken off"
 )
 
 // answerHead is the response of a VM: that of the target, whose body follows, or a refusal.
--- a/detour/peers.go
+++ b/detour/peers.go
@@ -155,6 +155,8 @@
 		x.avoidUntil = now.Add(missedPause)
 	case declinedBusy:
 		x.avoidUntil = now.Add(busyPause)
+	case brokenOff: // the VM reaches the target
+		x.served(now, target)
 	case declinedStopping:
 		x.avoidUntil = now.Add(silentPause)
 	default:
--- a/detour/send.go
+++ b/detour/send.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -36,7 +36,7 @@
 			if resp != nil {
 				resp.Body.Close()
 			}
-			c.recordAsked(ctx, p, in.Key(), reason, err)
+			c.recordAsked(context.Background(), p, in.Key(), reason, err) // a VM that does not answer within scoutTimeout is no good
 			found <- reason == "" && err == nil
 		}()
 	}
@@ -85,7 +85,7 @@
 	return false, refused
 }
 
-// recordAsked records how a VM answered.
+// recordAsked records how a VM answered. If ctx has ended, the caller gave up, or the target was slow, which says nothing about the VM.
 func (c *Client) recordAsked(ctx context.Context, p *peer, target fleet.Key, reason declineReason, err error) {
 	outcome := string(reason)
 	c.mu.Lock()
@@ -97,14 +97,17 @@
 	case err == nil:
 		outcome = "served"
 		p.served(now, target)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() == nil:
 		outcome = "unanswered"
+		c.opts.Log.Warn("detour_unanswered", "vm", p.Name, "target", target.ID, "err", err)
 		p.silent(now)
 	}
-	c.events.Add(outcome, 1)
+	if outcome != "" {
+		c.events.Add(outcome, 1)
+	}
 }
 
-// throughPeers sends a call through other VMs, one after the other, until one passes it on. The error is errNoPath if none did; another
+// throughPeers sends a call through other VMs, one after the other, until one passes it on. The error is a noPathError if none did; another
 // error means that the target may have run the call. With scout, several VMs are asked first if none is known to reach targets.
 func (c *Client) throughPeers(ctx context.Context, call *targets.Call, begin time.Time, scout bool) (*targets.Response, error) {
 	target := call.Instance.Key()
@@ -115,6 +118,7 @@
 		c.scout(ctx, call.Instance)
 	}
 	tried := map[string]bool{}
+	noPath := &noPathError{}
 	missed := 0
 	for len(tried) < maxPeerTries && missed < maxMissedTries && ctx.Err() == nil {
 		c.mu.Lock()
@@ -126,16 +130,23 @@
 		tried[p.Name] = true
 		resp, reason, err := c.ask(ctx, p, newCallHead(withBudget(call, begin)), call.Body)
 		c.recordAsked(ctx, p, target, reason, err)
+		if err != nil {
+			noPath.asked = append(noPath.asked, fmt.Sprintf("%s: %v", p.Name, err))
+		} else {
+			noPath.asked = append(noPath.asked, fmt.Sprintf("%s: %s", p.Name, reason))
+		}
 		switch {
 		case reason == pathLost:
 			return nil, errPathLost
+		case reason == brokenOff:
+			return nil, fmt.Errorf("%s broke off the call that %s passed on", call.Instance.Name, p.Name)
 		case reason == declinedMissed:
 			missed++
 		case reason == "" && (err == nil || targets.Sent(err)):
 			return resp, err
 		}
 	}
-	return nil, errNoPath
+	return nil, noPath
 }
 
 // ask asks a VM to pass a call on. It returns the target's response, why the VM declined, or an error, which wraps targets.ErrNotSent
--- a/detour/server.go
+++ b/detour/server.go
@@ -105,8 +105,8 @@
 			s.decline(w, pathLost)
 			return
 		}
-		s.Client.events.Add("passed_on.broken", 1)
-		panic(http.ErrAbortHandler) // the target may have run the call
+		s.decline(w, brokenOff)
+		return
 	}
 	defer resp.Body.Close()
 	s.Client.events.Add("passed_on.served", 1)
