detour: calls without headers pass through other VMs

What callers saw: scoring calls of a cut holder failed at every VM in between; none of these was asked again for 3 s, so items and requests were not sent either. Cause: a call whose header is empty arrived with a nil map, and adding to it panicked in the handler (the connection ended with EOF). Ruled out: a deadline left on a kept connection, idle timeouts. Found by logging the VMs left without an answer, and the panic in the log of the VM in between. Change: the header of a call is never nil. The error of a call without a path names the direct failure as well.

The extended TestCallThatIsNotSentGoesThroughAnotherVM fails without the change.

--- a/detour/client.go
+++ b/detour/client.go
@@ -235,7 +235,7 @@
 		}
 		resp, peerErr := c.throughPeers(ctx, call, begin, false)
 		if isNoPath(peerErr) {
-			return nil, err
+			return nil, fmt.Errorf("%w; %w", err, peerErr)
 		}
 		if peerErr == nil {
 			c.losePath(call.Instance, err)
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -155,6 +155,10 @@
 	_, err = vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
 	is.Equal(len(vms[1].targets.sent()), 2) // without a try of the direct path
+	call.Header = http.Header{} // like that of a scoring call
+	_, err = vms[0].client.Do(t.Context(), call)
+	is.NoErr(err)
+	is.True(vms[1].targets.sent()[2].Header != nil) // the adapter adds to it
 }
 
 // TestCallPassesThroughOneVMOnly cuts all VMs off: each asks the others, and none passes a call on that it could only send through a third.
--- a/detour/message.go
+++ b/detour/message.go
@@ -88,6 +88,9 @@
 
 // call returns the call to pass on.
 func (h *callHead) call(in *fleet.Instance, body []byte) *targets.Call {
+	if h.Header == nil {
+		h.Header = http.Header{} // an empty one is not sent
+	}
 	return &targets.Call{
 		Instance: in, Method: h.Method, Host: h.Host, URI: h.URI, Header: h.Header, Body: body, RequestID: h.RequestID,
 		Budget: time.Duration(h.BudgetMs) * time.Millisecond, Priority: h.Priority, ResumeAfter: h.ResumeAfter, NewConnection: h.Once,
