tenure: a holder that reaches no target yields to a VM that does

What callers saw: steps whose pool's holder was cut off from all targets stood still until the cut ended, although its items could go through other VMs: no engine was ordered to load the version that the step needs (items_wait old_version=9 of 9), as an order from another VM would count as another holder's. Cause: a VM competes for tenures by its path to the store alone, and keeps them while it reaches that. Ruled out: sending orders through another VM (rule ONE), and giving up the tenure whenever engines fail (their own deaths would make it swing). Change: a stranded holder that finds a VM which reaches the engines saves its unfinished texts, also those that wait for an engine, and appends a release; it does not take its own tenure again. A candidate opens connections to the pool's engines before it takes over, unless a target has just given a sign; one that reaches none waits 4.5 s. A small VM succeeds after a release in 1 s instead of 3.

--- a/batch/job.go
+++ b/batch/job.go
@@ -68,6 +68,11 @@
 	return slices.Compact(versions)
 }
 
+// hasUnsavedText reports whether the item has an unfinished text with events that were not written to the log. It may wait for an engine.
+func (j *job) hasUnsavedText() bool {
+	return (j.state == jobRunning || j.state == jobWaiting) && len(j.events) > j.savedEvents
+}
+
 // dropTextIfNotAllowed drops the text if the submission doesn't accept its versions, so that the item starts over.
 func (j *job) dropTextIfNotAllowed(singleVersion bool) {
 	if !versionsAllowed(j.distinctVersions(), j.head.MinVersion, singleVersion) {
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -38,7 +38,7 @@
 	for id, jobs := range r.jobs {
 		u := unsavedParts{submissionID: id}
 		for _, j := range jobs {
-			if j.state == jobRunning && len(j.events) > j.savedEvents || j.state == jobScoring {
+			if j.hasUnsavedText() || j.state == jobScoring {
 				u.partition, u.parts = j.partition, append(u.parts, j.unsavedProgress(r.writer))
 				j.savedEvents = len(j.events)
 			}
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -119,7 +119,7 @@
 	}
 	var unsaved []*Progress
 	for item, j := range jobs {
-		if !done && j.state == jobRunning && len(j.events) > j.savedEvents {
+		if !done && j.hasUnsavedText() {
 			unsaved = append(unsaved, j.unsavedProgress(r.writer))
 		}
 		r.closeJob(j, now)
--- a/detour/client.go
+++ b/detour/client.go
@@ -45,6 +45,8 @@
 	View *fleet.View
 	// Targets sends calls directly.
 	Targets targets.Client
+	// OnStranded is called on a goroutine of its own when this VM no longer reaches any target; it may be nil.
+	OnStranded func()
 	// Dial opens connections to other VMs; nil means TCP.
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	Log     *slog.Logger
@@ -134,6 +136,42 @@
 	return c.paths.stranded
 }
 
+// Reaches reports whether this VM reaches any of the targets, according to a recent sign or by opening connections to some. Without targets,
+// or without other VMs that could reach them, it returns true.
+func (c *Client) Reaches(ctx context.Context, instances []*fleet.Instance) bool {
+	c.mu.Lock()
+	stranded, alone := c.paths.stranded, len(c.peers.vms) == 0
+	c.mu.Unlock()
+	if stranded || alone || len(instances) == 0 || c.reachesTargets(time.Now()) {
+		return !stranded || alone
+	}
+	first := rand.IntN(len(instances))
+	results := make(chan bool, otherProbes)
+	for i := range otherProbes {
+		in := instances[(first+i)%len(instances)]
+		go func() { results <- c.opts.Targets.Connect(ctx, in) == nil }()
+	}
+	for range otherProbes {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+// OthersReach reports whether another VM is known to reach a target, after asking some if necessary.
+func (c *Client) OthersReach(ctx context.Context, in *fleet.Instance) bool {
+	good := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.peers.good(time.Now(), in.Key())
+	}
+	if !good() {
+		c.scout(ctx, in)
+	}
+	return good()
+}
+
 // State is the state of the paths to the targets, for the state dump.
 type State struct {
 	// Stranded is set if this VM reaches no target itself.
@@ -435,6 +473,9 @@
 		c.events.Add("stranded", 1)
 		c.opts.Log.Warn("target_paths", "outcome", "lost", "silent_ms", now.Sub(c.paths.answeredAt).Milliseconds(), "open_calls", len(c.open))
 		c.giveUpSilent(now)
+		if c.opts.OnStranded != nil {
+			go c.opts.OnStranded()
+		}
 	}
 	c.mu.Unlock()
 	c.startProbing()
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -155,7 +155,7 @@
 	_, err = vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
 	is.Equal(len(vms[1].targets.sent()), 2) // without a try of the direct path
-	call.Header = http.Header{} // like that of a scoring call
+	call.Header = http.Header{}             // like that of a scoring call
 	_, err = vms[0].client.Do(t.Context(), call)
 	is.NoErr(err)
 	is.True(vms[1].targets.sent()[2].Header != nil) // the adapter adds to it
@@ -372,6 +372,23 @@
 	is.Equal(r.Via, "vm-1")
 }
 
+// TestVMReachesTargetsByARecentSignOrANewConnection checks what a candidate for a tenure knows of the targets.
+func TestVMReachesTargetsByARecentSignOrANewConnection(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	all := []*fleet.Instance{in}
+	is.True(vms[0].client.Reaches(t.Context(), all))
+	vms[0].targets.unreached = true
+	is.True(!vms[0].client.Reaches(t.Context(), all))
+	is.True(vms[0].client.Reaches(t.Context(), nil)) // there is nothing to reach
+	is.True(vms[0].client.OthersReach(t.Context(), in))
+	vms[1].targets.unreached = true
+	is.True(vms[0].client.OthersReach(t.Context(), in)) // as of late
+	is.True(!vms[1].client.OthersReach(t.Context(), in))
+	vms[0].client.SetVMs(nil)
+	is.True(vms[0].client.Reaches(t.Context(), all)) // no other VM could
+}
+
 // TestMalformedMessagesHarmNothing sends bytes that are no message to a VM.
 func TestMalformedMessagesHarmNothing(t *testing.T) {
 	is := is.New(t)
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -630,12 +630,20 @@
 	holder.done <- nil
 }
 
-// holder returns the VM that runs the batches and the other one, of two VMs.
+// holder returns the VM that runs the batches and orders the engines, and another one.
 func (d *deployment) holder() (holder, other *vm) {
-	if d.vms[0].process.HoldsPool("drafting") {
-		return d.vms[0], d.vms[1]
+	d.t.Helper()
+	for _, v := range d.vms {
+		if v.process.HoldsPool("drafting") {
+			holder = v
+		} else {
+			other = v
+		}
+	}
+	if holder == nil {
+		d.t.Fatal("no VM holds the pool")
 	}
-	return d.vms[1], d.vms[0]
+	return holder, other
 }
 
 func TestStoppingVMIsNotReadyButAnswersOpenRequests(t *testing.T) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -101,7 +101,8 @@
 	}
 	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
 	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, RelayAddress: s.RelayAddress, Small: s.Small()}
-	p.detour = detour.New(detour.Options{Self: self, View: p.View, Targets: opts.Client, Dial: opts.Dial, Log: opts.Log, Metrics: opts.Metrics})
+	p.detour = detour.New(detour.Options{Self: self, View: p.View, Targets: opts.Client, Dial: opts.Dial, Log: opts.Log, Metrics: opts.Metrics,
+		OnStranded: func() { p.tenures.handOn() }})
 	context.AfterFunc(p.ctx, p.detour.Close)
 	client := p.targets.Client(p.detour)
 	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -86,14 +86,7 @@
 			}
 			d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1", "i2", "i3")).status, http.StatusAccepted)
 			d.eventually(5*time.Second, "the items run", func() bool { return len(d.engines[0].ExecutedRequests())+len(d.engines[1].ExecutedRequests()) == 3 })
-			var holder, other *vm
-			for _, v := range d.vms {
-				if v.process.HoldsPool("drafting") {
-					holder = v
-				} else {
-					other = v
-				}
-			}
+			holder, other := d.holder()
 			holder.storeAccess.set(mode)
 			d.checkResults(d.readAll(other, "b1", 3, 8*time.Second), 100, "i1", "i2", "i3")
 			d.is.True(holder.process.HoldsPool("drafting"))
--- a/entry/stranded_test.go
+++ b/entry/stranded_test.go
@@ -119,3 +119,37 @@
 	}
 	d.is.True(!strings.Contains(d.log.String(), "msg=target_died"))
 }
+
+// TestWorkGoesOnWhenTheHolderLosesItsPaths cuts the VM that runs a pool's items and orders its engines off from all targets. It kept the tenure, as it
+// reached the store, and steps that needed a newer weight version waited until the cut ended.
+func TestWorkGoesOnWhenTheHolderLosesItsPaths(t *testing.T) {
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 2, 1, 3)
+			time.Sleep(vmsKnowEachOther)
+			for _, e := range d.engines {
+				e.Set(func(e *errata.Target) { e.EventsPerStream, e.EventInterval = 60, 25*time.Millisecond })
+			}
+			d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1", "i2", "i3")).status, http.StatusAccepted)
+			d.eventually(3*time.Second, "the items run", func() bool { return d.runs("i1") > 0 && d.runs("i2") > 0 && d.runs("i3") > 0 })
+			holder, other := d.holder()
+			holder.targetPath.set(mode)
+			d.nameVersion(2)
+			d.is.Equal(d.call(other, http.MethodPost, "/notes/b2", "b2", submission(2, 2, "i4", "i5")).status, http.StatusAccepted)
+			d.checkResults(d.readAll(other, "b1", 3, 8*time.Second), 60, "i1", "i2", "i3")
+			d.checkResults(d.readAll(other, "b2", 2, 8*time.Second), 60, "i4", "i5") // at version 2, which only a holder orders
+		})
+	}
+}
+
+// runs returns the number of runs of an item.
+func (d *deployment) runs(item string) (n int) {
+	for _, e := range d.engines {
+		for _, r := range e.ExecutedRequests() {
+			if r.ID == item {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/tenure"
 	"github.com/ibistrail/ibistrail/versions"
 )
@@ -71,7 +73,7 @@
 		if m.tenures[n] == nil {
 			t := tenure.New(tenure.Options{
 				Store: m.p.opts.Store, Partition: n, Machine: s.IP, Process: m.processID, HandoverDelay: s.OrderHandover,
-				Standby: m.p.standby(), Clock: m.p.opts.BootTime, Log: m.p.opts.Log, OnChange: func() { go m.syncTenures() },
+				Standby: m.p.standby(), Able: func() bool { return m.reachesEngines(n) }, Clock: m.p.opts.BootTime, Log: m.p.opts.Log, OnChange: func() { go m.syncTenures() },
 			})
 			m.tenures[n] = t
 			if t.FirstInLine() { // if all candidates read the index when all VMs start, the store is busy for a second
@@ -117,6 +119,55 @@
 	}
 }
 
+// partitionEngines returns the registered targets of the pools of a partition.
+func (m *tenureManager) partitionEngines(n int) []*fleet.Instance {
+	snap := m.p.View.Get()
+	var out []*fleet.Instance
+	for _, pool := range poolsByPartition(snap.Tables, m.p.opts.Settings.Partitions)[n] {
+		out = append(out, snap.Pool(pool)...)
+	}
+	return out
+}
+
+// reachesEngines reports whether this VM reaches engines of a partition's pools, so that it can run their work.
+func (m *tenureManager) reachesEngines(n int) bool {
+	return m.p.detour.Reaches(m.p.ctx, m.partitionEngines(n))
+}
+
+// handOnInterval is the time between two tries to hand tenures on.
+const handOnInterval = 500 * time.Millisecond
+
+// handOn hands the held tenures on to VMs that reach the targets, for as long as this VM reaches none. If no other VM does, it keeps them.
+func (m *tenureManager) handOn() {
+	for m.p.ctx.Err() == nil && m.p.detour.Stranded() && !m.p.ShuttingDown() {
+		m.handOnHeld()
+		process.Sleep(m.p.ctx, handOnInterval)
+	}
+}
+
+// handOnHeld saves the unfinished texts and yields the tenures whose engines another VM reaches.
+func (m *tenureManager) handOnHeld() {
+	var yielded []*tenure.Tenure
+	m.mu.Lock()
+	tenures := maps.Clone(m.tenures)
+	m.mu.Unlock()
+	for n, t := range tenures {
+		engines := m.partitionEngines(n)
+		if _, held := t.Held(); held && len(engines) > 0 && m.p.detour.OthersReach(m.p.ctx, engines[0]) {
+			yielded = append(yielded, t)
+		}
+	}
+	if len(yielded) == 0 {
+		return
+	}
+	m.p.Batches.Handover()
+	ctx, cancel := context.WithTimeout(m.p.ctx, releaseTimeout)
+	defer cancel()
+	for _, t := range yielded {
+		t.Yield(ctx)
+	}
+}
+
 // stop records unfinished batch work in the store, so that another VM can continue it, and releases the tenures.
 func (m *tenureManager) stop() {
 	m.p.Batches.Handover()
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -32,8 +32,11 @@
 	// rankDelay staggers the candidates: each rank waits that much longer than the previous one.
 	rankDelay = 100 * time.Millisecond
 	rankCount = 5
-	// standbyTimeout is the time without a record after which a standby VM takes over.
-	standbyTimeout = 3 * time.Second
+	// standbyTimeout is the time without a record after which a standby VM takes over, standbyReleaseTimeout that after a release.
+	standbyTimeout        = 3 * time.Second
+	standbyReleaseTimeout = time.Second
+	// unableTimeout is the time without a record after which a VM that can't do the work takes over: no other VM can either.
+	unableTimeout = 4500 * time.Millisecond
 	// standbyPollInterval is the time between two reads of a standby VM.
 	standbyPollInterval = 1200 * time.Millisecond
 	// orderWindow is the time after a wave's start during which its orders may be sent. It bounds how late a replaced
@@ -74,6 +77,8 @@
 	HandoverDelay time.Duration
 	// Standby makes this VM take over only if no other candidate does.
 	Standby bool
+	// Able reports whether this VM can do the work now: it reaches the targets. It may block for some time. Nil means that it can.
+	Able func() bool
 	// Clock is a monotonic clock that continues while the VM is suspended.
 	Clock func() time.Duration
 	Log   *slog.Logger
@@ -160,11 +165,18 @@
 		return 0, err
 	}
 	t.mu.Lock()
+	vacant := t.vacant()
+	t.mu.Unlock()
+	able := !vacant || t.opts.Able == nil || t.opts.Able()
+	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.released {
 		return 0, nil
 	}
-	if !t.vacant() {
+	if vacant && !able && t.opts.Clock()-t.lastRecordAt < unableTimeout {
+		return retryDelay, nil
+	}
+	if !vacant {
 		if t.opts.Standby {
 			return standbyPollInterval, nil
 		}
@@ -176,9 +188,12 @@
 // vacant reports whether this VM may take over the tenure. The caller holds mu.
 func (t *Tenure) vacant() bool {
 	elapsed := t.opts.Clock() - t.lastRecordAt
-	if t.lastRecord != nil && t.lastRecord.Machine == t.opts.Machine {
+	if r := t.lastRecord; r != nil && r.Machine == t.opts.Machine && !(r.Release && r.Process == t.opts.Process) {
 		return true // a record of this process, or of one that ended on this VM
 	}
+	if t.opts.Standby && t.lastRecord != nil && t.lastRecord.Release {
+		return elapsed >= standbyReleaseTimeout
+	}
 	if t.opts.Standby {
 		return elapsed >= standbyTimeout
 	}
@@ -372,6 +387,22 @@
 	t.opts.OnChange()
 }
 
+// Yield ends the tenure, if it is held, so that a VM that can do the work takes over. This VM remains a candidate.
+func (t *Tenure) Yield(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.held || t.released {
+		return
+	}
+	if err := t.append(ctx, record{Release: true}); err != nil {
+		t.opts.Log.Warn("tenure_kept", "partition", t.partition.Index, "err", err)
+		return
+	}
+	t.held, t.lastRecordAt = false, t.opts.Clock()
+	t.opts.Log.Info("tenure_yielded", "partition", t.partition.Index, "token", t.token)
+	t.opts.OnChange()
+}
+
 // State is a tenure's entry in the state dump.
 type State struct {
 	Held   bool   `json:"held"`
