--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,11 @@
 scenarios: ## run the scripted scenarios against the real programs
 	scripts/gotest.sh -count=1 -timeout 10m ./scenario
 
-lint: ## check format, vet and staticcheck
+lint: ## check format, vet, staticcheck and the texts of the mutants
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "format: run gofmt -w on these files"; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+	scripts/check_mutants.sh
 
 ci: ## run what CI runs
 	bash .ci/run
--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -47,7 +47,7 @@
 	if outcome == outcomeComplete {
 		r.durations.Observe(now.Sub(j.startedAt))
 	}
-	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "software", call.Instance.SoftwareVersion, "from_event", call.ResumeAfter, "events", len(j.events),
+	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "via", j.via, "software", call.Instance.SoftwareVersion, "from_event", call.ResumeAfter, "events", len(j.events),
 		"versions", j.distinctVersions(), "ms", now.Sub(j.startedAt).Milliseconds(), "first_ms", j.firstEventDelay().Milliseconds(),
 		"silent_ms", j.silence(now).Milliseconds(), "outcome", string(outcome), "err", err)
 	if j.state != jobRunning {
@@ -116,6 +116,7 @@
 	}
 	defer response.Body.Close()
 	r.mu.Lock()
+	j.via = response.Via
 	r.engines.observeLoad(time.Now(), call.Instance, response.Load)
 	r.engines.observeVersion(call.Instance, j.head.Model, response.Version)
 	r.mu.Unlock()
--- a/batch/job.go
+++ b/batch/job.go
@@ -39,11 +39,13 @@
 	// engineErrors counts the engines' responses with status 500, scorerErrors those of the scorer's targets.
 	engineErrors, scorerErrors int
 	instance                   *fleet.Instance
-	avoidInstance              string
-	notBefore                  time.Time
-	cancel                     func()
-	resubmittedGroup           bool
-	startedAt                  time.Time
+	// via is the VM through which the current run goes; empty if it goes directly.
+	via              string
+	avoidInstance    string
+	notBefore        time.Time
+	cancel           func()
+	resubmittedGroup bool
+	startedAt        time.Time
 	// firstEventAt and lastEventAt are the times of the first and the newest event of the current run, zero before.
 	firstEventAt, lastEventAt time.Time
 	// textCompleteAt and resultQueuedAt are the times at which the text was complete and its result was queued for the log.
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -215,7 +215,7 @@
 	j.suspect, e.isolated = t.suspect, t.suspect
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
-	j.firstEventAt, j.lastEventAt = time.Time{}, time.Time{}
+	j.firstEventAt, j.lastEventAt, j.via = time.Time{}, time.Time{}, ""
 	r.engines.requestStarted(e.instance)
 	header := make(http.Header, len(j.item.Header))
 	for name, value := range j.item.Header {
--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -151,10 +151,23 @@
 	return nil
 }
 
+// targetPath returns the path by which a VM sends calls to a target.
+func targetPath(s *entry.State, target string) string {
+	switch {
+	case !s.TargetPaths.Stranded && !slices.Contains(s.TargetPaths.Lost, target):
+		return "direct"
+	case len(s.TargetPaths.Through) == 0:
+		return "through other VMs"
+	}
+	return "through " + strings.Join(s.TargetPaths.Through, ",")
+}
+
 func vmCondition(s *entry.State) string {
 	switch {
 	case s.Stopping:
 		return "stopping"
+	case s.Ready && s.TargetPaths.Stranded:
+		return "ready, reaches no target itself"
 	case s.Ready:
 		return "ready"
 	}
@@ -169,7 +182,7 @@
 	"quarantine": {[]string{"CONTENT", "STATUS", "DEATHS", "UNTIL"}, quarantineRows},
 	"routes":     {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
 	"pools":      {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
-	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "SOFTWARE", "VERSIONS"}, targetRows},
+	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "PATH", "SOFTWARE", "VERSIONS"}, targetRows},
 	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
 	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
 	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
@@ -279,7 +292,7 @@
 			limit = strconv.FormatFloat(perSecond, 'g', -1, 64)
 		}
 		rows = append(rows, []string{t.Name, t.Pool, t.Address, t.AvailabilityZone, strconv.FormatBool(draining), orDash(limit), strconv.Itoa(n),
-			strconv.FormatBool(ejected[t.Name]), orDash(t.SoftwareVersion), orDash(versionsText(t))})
+			strconv.FormatBool(ejected[t.Name]), targetPath(s, t.Name), orDash(t.SoftwareVersion), orDash(versionsText(t))})
 	}
 	return rows
 }
--- a/ctl/vm_test.go
+++ b/ctl/vm_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/detour"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
@@ -34,6 +35,7 @@
 		},
 		NamedVersions: map[string]int64{"draft": 7},
 		RateLimits:    map[string]float64{"m1": 2.5},
+		TargetPaths:   detour.State{Lost: []string{"m2"}, Through: []string{"vm-7"}},
 		Quarantine:    quarantine.State{Suspects: []string{"fp-a"}, Quarantined: []wire.Quarantine{{Fingerprint: "fp-b", Deaths: 3, Until: time.Unix(1_800_000_000, 0)}}},
 		Tenures:       map[int]tenure.State{3: {Held: true, Token: 41, Holder: name}},
 		Batches: batch.State{
@@ -52,7 +54,7 @@
 	for what, want := range map[string][]string{
 		"routes":     {"desk", "magnolia.example", "/desk", "single, once"},
 		"pools":      {"models", "engines", "8"},
-		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true", "2.5", "v1.1"},
+		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true", "2.5", "v1.1", "direct", "through vm-7"},
 		"versions":   {"draft", "7:1 6:1"},
 		"batches":    {"b1", "64", "60"},
 		"tenures":    {"vm-1", "41"},
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -287,6 +287,46 @@
 	<-closed
 }
 
+// TestStoppingVMCompletesWhatItPassesOn stops a VM while the target works on a call that it has passed on.
+func TestStoppingVMCompletesWhatItPassesOn(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 2)
+	vms[0].targets.unreached = true
+	began, finish := make(chan struct{}), make(chan struct{})
+	vms[1].targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
+		close(began)
+		<-finish
+		return answer("done"), nil
+	}
+	result := make(chan error, 1)
+	go func() {
+		r, err := vms[0].client.Do(t.Context(), newCall(in))
+		if err == nil {
+			_, err = io.ReadAll(r.Body)
+		}
+		result <- err
+	}()
+	<-began
+	vms[1].client.StopPassingOn()
+	drained := make(chan struct{})
+	go func() {
+		vms[1].server.Drain(t.Context())
+		close(drained)
+	}()
+	select {
+	case <-drained:
+		t.Fatal("the call was not waited for")
+	case <-time.After(5 * drainPoll):
+	}
+	close(finish)
+	<-drained
+	is.NoErr(<-result)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	vms[1].server.calls.Store(1)
+	vms[1].server.Drain(ctx) // the grace period is over
+}
+
 func TestVMDeclinesWhatItMustNotPassOn(t *testing.T) {
 	for name, prepare := range map[string]func(v *testVM, in *fleet.Instance) *fleet.Instance{
 		"busy":     func(v *testVM, in *fleet.Instance) *fleet.Instance { v.server.calls.Store(maxCalls); return in },
@@ -324,7 +364,9 @@
 	vms, in := newTestVMs(t, 2)
 	vms[0].targets.silent = true
 	begin := time.Now()
-	_, err := vms[0].client.Do(t.Context(), newCall(in))
+	firstCtx, cancelFirst := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancelFirst()
+	_, err := vms[0].client.Do(firstCtx, newCall(in))
 	is.True(errors.Is(err, targets.ErrPathLost))
 	is.True(time.Since(begin) < 2*silenceLimit)
 	is.True(vms[0].client.Stranded())
@@ -402,21 +444,29 @@
 	vms[0].targets.unreached = true
 	_, err := vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
-	// A VM that answers with bytes that are no message: the call may have run.
+	// A VM that answers with bytes that are no message, or with the answer to another request: the call may have run.
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
+	another, err := encodeHead(newAnswerHead(&callHead{RequestID: "another"}, answer("")))
+	is.NoErr(err)
+	answers := make(chan []byte, 3)
+	answers <- []byte("\xff\xff\xff\xff") // to the scout
+	answers <- []byte("\xff\xff\xff\xff")
+	answers <- another
 	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "\xff\xff\xff\xff") }))
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(<-answers) }))
 	}()
 	vms[0].client.SetVMs([]fleet.VM{{Name: "other", AvailabilityZone: "a", RelayAddress: l.Addr().String()}})
 	_, err = vms[0].client.Do(t.Context(), newCall(in))
 	is.True(err != nil && !targets.Sent(err)) // the VM was only asked whether it reaches targets
 	other := vms[0].client.peers.vms["other"]
-	other.avoidUntil = time.Time{}
-	other.served(time.Now(), in.Key())
-	_, err = vms[0].client.Do(t.Context(), newCall(in))
-	is.True(err != nil && targets.Sent(err)) // it may have passed the call on
+	for range 2 {
+		other.avoidUntil = time.Time{}
+		other.served(time.Now(), in.Key())
+		_, err = vms[0].client.Do(t.Context(), newCall(in))
+		is.True(err != nil && targets.Sent(err)) // it may have passed the call on
+	}
 	is.True(!targets.Refused(err) && targets.Refused(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}))
 }
 
--- a/detour/message.go
+++ b/detour/message.go
@@ -62,6 +62,7 @@
 
 // answerHead is the response of a VM: that of the target, whose body follows, or a refusal.
 type answerHead struct {
+	RequestID     string        `json:"id,omitempty"` // that of the call
 	Declined      declineReason `json:"declined,omitempty"`
 	Status        int           `json:"status,omitempty"`
 	Header        http.Header   `json:"header,omitempty"`
@@ -97,9 +98,9 @@
 	}
 }
 
-func newAnswerHead(r *targets.Response) *answerHead {
+func newAnswerHead(h *callHead, r *targets.Response) *answerHead {
 	return &answerHead{
-		Status: r.Status, Header: r.Header, Length: r.Length, NotExecuted: r.NotExecuted, WrongInstance: r.WrongInstance, Proof: r.Proof,
+		RequestID: h.RequestID, Status: r.Status, Header: r.Header, Length: r.Length, NotExecuted: r.NotExecuted, WrongInstance: r.WrongInstance, Proof: r.Proof,
 		Version: r.Version, Load: r.Load, RateLimit: r.RateLimit, Draining: r.Draining,
 	}
 }
--- a/detour/send.go
+++ b/detour/send.go
@@ -183,6 +183,10 @@
 		resp.Body.Close()
 		return nil, "", err
 	}
+	if answer.RequestID != h.RequestID && answer.Declined != declinedBusy {
+		resp.Body.Close() // the body is unread, so this closes the connection too
+		return nil, "", fmt.Errorf("%s answered request %.40q in the place of %s", p.Name, answer.RequestID, h.RequestID)
+	}
 	if answer.Declined != "" {
 		resp.Body.Close()
 		return nil, answer.Declined, nil
--- a/detour/server.go
+++ b/detour/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
@@ -39,6 +40,16 @@
 	calls atomic.Int64
 }
 
+// drainPoll is the time between two looks whether the calls that are passed on have ended.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits until all calls that are passed on have ended, or ctx ends. Call it after StopPassingOn.
+func (s *Server) Drain(ctx context.Context) {
+	for s.calls.Load() > 0 && ctx.Err() == nil {
+		process.Sleep(ctx, drainPoll)
+	}
+}
+
 // directClient sends calls directly and records what they show of the paths.
 type directClient struct {
 	targets.Client
@@ -61,7 +72,7 @@
 	}
 	defer s.calls.Add(-1)
 	if s.calls.Add(1) > limit {
-		s.decline(w, declinedBusy)
+		s.decline(w, &callHead{}, declinedBusy) // without reading the call
 		return
 	}
 	body := bufio.NewReader(http.MaxBytesReader(w, r.Body, maxHeadBytes+maxBodyBytes))
@@ -77,20 +88,20 @@
 	}
 	in, reason := s.admit(head)
 	if reason != "" {
-		s.decline(w, reason)
+		s.decline(w, head, reason)
 		return
 	}
 	if head.Probe {
-		s.answerProbe(w, r, in)
+		s.answerProbe(w, r, head, in)
 		return
 	}
 	fresh := s.Client.reachesTargets(time.Now())
 	if head.Scout {
 		if !fresh && s.Client.Connect(r.Context(), in) != nil {
-			s.declineMissed(w, in)
+			s.declineMissed(w, head, in)
 			return
 		}
-		s.writeHead(w, &answerHead{Status: http.StatusOK})
+		s.writeHead(w, &answerHead{RequestID: head.RequestID, Status: http.StatusOK})
 		return
 	}
 	call := head.call(in, data)
@@ -98,19 +109,19 @@
 	resp, err := s.Direct.Do(r.Context(), call)
 	if err != nil {
 		if !targets.Sent(err) {
-			s.declineMissed(w, in)
+			s.declineMissed(w, head, in)
 			return
 		}
 		if errors.Is(err, targets.ErrPathLost) {
-			s.decline(w, pathLost)
+			s.decline(w, head, pathLost)
 			return
 		}
-		s.decline(w, brokenOff)
+		s.decline(w, head, brokenOff)
 		return
 	}
 	defer resp.Body.Close()
 	s.Client.events.Add("passed_on.served", 1)
-	s.passOn(w, resp)
+	s.passOn(w, head, resp)
 }
 
 // admit returns the target of a call, or why this VM does not pass the call on.
@@ -134,39 +145,39 @@
 	return in, ""
 }
 
-func (s *Server) decline(w http.ResponseWriter, reason declineReason) {
+func (s *Server) decline(w http.ResponseWriter, head *callHead, reason declineReason) {
 	s.Client.events.Add("passed_on."+string(reason), 1)
-	s.writeHead(w, &answerHead{Declined: reason})
+	s.writeHead(w, &answerHead{RequestID: head.RequestID, Declined: reason})
 }
 
 // answerProbe answers whether a connection to the target opens.
-func (s *Server) answerProbe(w http.ResponseWriter, r *http.Request, in *fleet.Instance) {
+func (s *Server) answerProbe(w http.ResponseWriter, r *http.Request, head *callHead, in *fleet.Instance) {
 	switch err := s.Client.Connect(r.Context(), in); {
 	case err == nil:
-		s.writeHead(w, &answerHead{Status: http.StatusOK})
+		s.writeHead(w, &answerHead{RequestID: head.RequestID, Status: http.StatusOK})
 	case targets.Refused(err) && s.Client.reachesAnother(r.Context(), in):
-		s.decline(w, declinedRefused)
+		s.decline(w, head, declinedRefused)
 	default:
-		s.decline(w, declinedMissed)
+		s.decline(w, head, declinedMissed)
 	}
 }
 
 // declineMissed declines a call because its target was not reached. The paths are checked, so that the next call is declined at once if
 // this VM reaches no target.
-func (s *Server) declineMissed(w http.ResponseWriter, in *fleet.Instance) {
+func (s *Server) declineMissed(w http.ResponseWriter, head *callHead, in *fleet.Instance) {
 	reason := declinedMissed
 	if !s.Client.reachesTargets(time.Now()) {
 		reason = declinedStranded
 	}
 	s.Client.checkPaths(in, true)
-	s.decline(w, reason)
+	s.decline(w, head, reason)
 }
 
 // passOn writes a target's response, event by event.
-func (s *Server) passOn(w http.ResponseWriter, resp *targets.Response) {
+func (s *Server) passOn(w http.ResponseWriter, head *callHead, resp *targets.Response) {
 	rc := http.NewResponseController(w)
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }() // an error ends the connection anyway
-	s.writeHead(w, newAnswerHead(resp))
+	s.writeHead(w, newAnswerHead(head, resp))
 	buf := make([]byte, streamBufferBytes)
 	for {
 		if resp.Length < 0 {
--- a/entry/process.go
+++ b/entry/process.go
@@ -81,6 +81,8 @@
 	crashes  *crashes.Register
 	targets  *targetstate.Register
 	detour   *detour.Client
+	// detours passes the calls of other VMs on to targets.
+	detours  *detour.Server
 	limiter  *ratelimit.Limiter
 	origins  *origins.Register
 	rpcPool  *rpc.Pool
@@ -104,6 +106,7 @@
 	p.detour = detour.New(detour.Options{Self: self, View: p.View, Targets: opts.Client, Dial: opts.Dial, Log: opts.Log, Metrics: opts.Metrics,
 		OnStranded: func() { p.tenures.handOn() }})
 	context.AfterFunc(p.ctx, p.detour.Close)
+	p.detours = &detour.Server{Client: p.detour, Direct: p.targets.Client(p.detour.Direct()), Draining: p.targets.Draining, Small: s.Small()}
 	client := p.targets.Client(p.detour)
 	p.rpcPool = rpc.NewPool(rpc.Options{Dial: opts.Dial, Log: opts.Log, ByteCounter: opts.Metrics.SubMap("rpc_bytes")})
 	p.limiter = ratelimit.New(ratelimit.Options{
@@ -212,9 +215,7 @@
 		return
 	}
 	r := mux.NewRouter()
-	r.Handle(detour.Path, &detour.Server{
-		Client: p.detour, Direct: p.targets.Client(p.detour.Direct()), Draining: p.targets.Draining, Small: p.opts.Settings.Small(),
-	}).Methods(http.MethodPost)
+	r.Handle(detour.Path, p.detours).Methods(http.MethodPost)
 	r.NotFoundHandler = p.opts.Relay
 	go func() {
 		if err := process.Serve(p.ctx, l, r); err != nil {
@@ -289,6 +290,7 @@
 	if err := server.Shutdown(ctx); err != nil {
 		p.opts.Log.Warn("stopped_early", "err", err)
 	}
+	p.detours.Drain(ctx)
 	p.cancel()
 	p.opts.Log.Info("stopped", "ms", time.Since(start).Milliseconds())
 }
--- a/entry/stranded_test.go
+++ b/entry/stranded_test.go
@@ -153,3 +153,23 @@
 	}
 	return n
 }
+
+// TestStrandedVMsDoNotPassCallsAround cuts all VMs off: their calls must neither wander from VM to VM nor wait until their time is up.
+func TestStrandedVMsDoNotPassCallsAround(t *testing.T) {
+	d := newDeployment(t, 0, 3, 3)
+	time.Sleep(vmsKnowEachOther)
+	for _, v := range d.vms {
+		v.targetPath.set(pathReject)
+	}
+	for i := range 3 {
+		begin := time.Now()
+		a := d.call(d.vms[0], http.MethodPost, "/desk/a", fmt.Sprint("r", i), "x", "Deadline-Ms", "1500")
+		d.is.Equal(a.status, http.StatusServiceUnavailable) // not run, and known at once
+		d.is.True(a.header.Get("Retry-After") != "")
+		d.is.True(time.Since(begin) < time.Second)
+	}
+	for _, v := range d.vms[1:] {
+		d.is.Equal(len(v.process.State().TargetPaths.Through), 0)
+		d.is.True(!strings.Contains(d.log.String(), "msg=detour_unanswered process=entry node="+v.name)) // it has asked no one
+	}
+}
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -156,6 +156,9 @@
 	}
 	status, pool, target := last.Get("status"), last.Get("pool"), last.Get("target")
 	e.Outcome = fmt.Sprintf("answered %s after %s ms and %s sends, last to %s", status, last.Get("ms"), last.Get("sends"), cmp.Or(target, "no target"))
+	if via := last.Get("via"); via != "" {
+		e.Outcome += " through " + via
+	}
 	failed := failedSends(matched)
 	switch {
 	case slices.ContainsFunc(matched, func(l *Line) bool { return l.Event == "answer_cut" }):
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -23,7 +23,7 @@
 		echo "broken: $mechanism: does not build"
 		cat "$work/vet.log"
 		bad=1
-	elif (cd "$work" && go test -count=1 -run "^($test)\$" "./$package") >"$work/test.log" 2>&1; then
+	elif (cd "$work" && go test -count=1 -timeout 2m -run "^($test)\$" "./$package") >"$work/test.log" 2>&1; then
 		grep -q 'no tests to run' "$work/test.log" && echo "broken: $mechanism: $package has no $test"
 		echo "NOT SEEN: $mechanism: $package $test passes without it"
 		bad=1
