--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -34,6 +34,13 @@
 	calls   []*targets.Call
 }
 
+// set changes the targets.
+func (f *fakeTargets) set(change func(f *fakeTargets)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
 func (f *fakeTargets) Connect(_ context.Context, in *fleet.Instance) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,7 +136,7 @@
 func TestCallThatIsNotSentGoesThroughAnotherVM(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	limit := 2.5
 	vms[1].targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
 		r := answer("done")
@@ -166,7 +173,7 @@
 	is := is.New(t)
 	vms, in := newTestVMs(t, 4)
 	for _, v := range vms {
-		v.targets.unreached = true
+		v.targets.set(func(f *fakeTargets) { f.unreached = true })
 	}
 	for range 3 {
 		begin := time.Now()
@@ -187,7 +194,7 @@
 func TestSentCallIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 3)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	for _, v := range vms[1:] {
 		v.targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) { return nil, errors.New("reset") }
 	}
@@ -216,7 +223,7 @@
 func TestCancellationReachesTheTargetThroughAnotherVM(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	began, ended := make(chan struct{}), make(chan struct{})
 	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
 		close(began)
@@ -243,7 +250,7 @@
 func TestSlowTargetDoesNotCountAgainstTheVMInBetween(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -252,9 +259,7 @@
 	defer cancel()
 	_, err := vms[0].client.Do(ctx, newCall(in))
 	is.True(errors.Is(err, context.DeadlineExceeded))
-	vms[1].targets.mu.Lock()
-	vms[1].targets.respond = nil
-	vms[1].targets.mu.Unlock()
+	vms[1].targets.set(func(f *fakeTargets) { f.respond = nil })
 	r, err := vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
 	is.Equal(r.Via, "vm-1")
@@ -263,7 +268,7 @@
 func TestStreamsPassEventByEvent(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	body, events := io.Pipe()
 	closed := make(chan struct{})
 	vms[1].targets.respond = func(ctx context.Context, _ *targets.Call) (*targets.Response, error) {
@@ -291,7 +296,7 @@
 func TestStoppingVMCompletesWhatItPassesOn(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	began, finish := make(chan struct{}), make(chan struct{})
 	vms[1].targets.respond = func(context.Context, *targets.Call) (*targets.Response, error) {
 		close(began)
@@ -344,9 +349,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			vms, in := newTestVMs(t, 3)
-			vms[0].targets.unreached = true
+			vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 			for _, v := range vms[2:] {
-				v.targets.unreached = true
+				v.targets.set(func(f *fakeTargets) { f.unreached = true })
 			}
 			in = prepare(vms[1], in)
 			_, err := vms[0].client.Do(t.Context(), newCall(in))
@@ -362,7 +367,7 @@
 func TestSilentCallsAreGivenUpWhenTheVMIsStranded(t *testing.T) {
 	is := is.New(t)
 	vms, in := newTestVMs(t, 2)
-	vms[0].targets.silent = true
+	vms[0].targets.set(func(f *fakeTargets) { f.silent = true })
 	begin := time.Now()
 	firstCtx, cancelFirst := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancelFirst()
@@ -373,9 +378,7 @@
 	r, err := vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
 	is.Equal(r.Via, "vm-1")
-	vms[0].targets.mu.Lock()
-	vms[0].targets.silent = false
-	vms[0].targets.mu.Unlock()
+	vms[0].targets.set(func(f *fakeTargets) { f.silent = false })
 	for deadline := time.Now().Add(time.Second); vms[0].client.Stranded(); time.Sleep(5 * time.Millisecond) {
 		is.True(time.Now().Before(deadline)) // the direct path is used again within a second
 	}
@@ -383,9 +386,7 @@
 	is.NoErr(err)
 	is.Equal(r.Via, "")
 
-	vms[0].targets.mu.Lock()
-	vms[0].targets.silent = true
-	vms[0].targets.mu.Unlock()
+	vms[0].targets.set(func(f *fakeTargets) { f.silent = true })
 	once := newCall(in)
 	once.NewConnection = true
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -420,11 +421,11 @@
 	vms, in := newTestVMs(t, 2)
 	all := []*fleet.Instance{in}
 	is.True(vms[0].client.Reaches(t.Context(), all))
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	is.True(!vms[0].client.Reaches(t.Context(), all))
 	is.True(vms[0].client.Reaches(t.Context(), nil)) // there is nothing to reach
 	is.True(vms[0].client.OthersReach(t.Context(), in))
-	vms[1].targets.unreached = true
+	vms[1].targets.set(func(f *fakeTargets) { f.unreached = true })
 	is.True(vms[0].client.OthersReach(t.Context(), in)) // as of late
 	is.True(!vms[1].client.OthersReach(t.Context(), in))
 	vms[0].client.SetVMs(nil)
@@ -441,7 +442,7 @@
 		resp.Body.Close()
 	}
 	is.Equal(len(vms[1].targets.sent()), 0)
-	vms[0].targets.unreached = true
+	vms[0].targets.set(func(f *fakeTargets) { f.unreached = true })
 	_, err := vms[0].client.Do(t.Context(), newCall(in))
 	is.NoErr(err)
 	// A VM that answers with bytes that are no message, or with the answer to another request: the call may have run.
@@ -499,11 +500,11 @@
 			for i, v := range vms {
 				switch tc.access[i] {
 				case ended:
-					v.targets.refused = map[string]bool{in.Name: true}
+					v.targets.set(func(f *fakeTargets) { f.refused = map[string]bool{in.Name: true} })
 				case refused:
-					v.targets.refused = map[string]bool{"t0": true, "t1": true, "t2": true}
+					v.targets.set(func(f *fakeTargets) { f.refused = map[string]bool{"t0": true, "t1": true, "t2": true} })
 				case unreached:
-					v.targets.unreached = true
+					v.targets.set(func(f *fakeTargets) { f.unreached = true })
 				}
 			}
 			is.Equal(vms[0].client.Gone(t.Context(), in), tc.gone)
