detour: other VMs are not asked for a dead target again and again

What callers saw: nothing yet; a call whose target had gone dark waited for two more connection attempts of 300 ms at other VMs before the next target was tried, each time. Cause: what other VMs had found was kept by VM, not by target, so that each call asked two further VMs. Change: a target that neither this VM nor two others reached is taken to have ended for a second; its path is not at fault. Before: TestOtherVMsAreNotAskedForADeadTargetAgainAndAgain sees 4 VMs asked in 5 calls (all there are).

--- a/detour/client.go
+++ b/detour/client.go
@@ -65,6 +65,8 @@
 	mu    sync.Mutex
 	paths *paths
 	peers *peers
+	// ended holds until when a target is taken to have ended, as neither this VM nor others that reach targets have reached it.
+	ended map[fleet.Key]time.Time
 	// open holds the direct calls in progress, oldest first.
 	open []*directCall
 	// silence fires when the paths may have to be checked; nil while no direct call is open.
@@ -100,7 +102,7 @@
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
 	return &Client{
-		opts: o, pooled: pooled, unpooled: unpooled, events: o.Metrics.SubMap("detours"), paths: newPaths(),
+		opts: o, pooled: pooled, unpooled: unpooled, events: o.Metrics.SubMap("detours"), paths: newPaths(), ended: map[fleet.Key]time.Time{},
 		peers: newPeers(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
@@ -268,7 +270,7 @@
 	c.mu.Unlock()
 	if direct && !doubtful {
 		resp, err := c.direct(ctx, call)
-		if err == nil || targets.Sent(err) || ctx.Err() != nil {
+		if err == nil || targets.Sent(err) || ctx.Err() != nil || c.hasEnded(call.Instance) {
 			return resp, err
 		}
 		resp, peerErr := c.throughPeers(ctx, call, begin, false)
@@ -287,6 +289,26 @@
 	return resp, err
 }
 
+// hasEnded reports whether a target is taken to have ended.
+func (c *Client) hasEnded(in *fleet.Instance) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.ended[in.Key()])
+}
+
+// recordEnded records that other VMs did not reach a target either.
+func (c *Client) recordEnded(target fleet.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for t, until := range c.ended {
+		if !now.Before(until) {
+			delete(c.ended, t)
+		}
+	}
+	c.ended[target] = now.Add(missedTTL)
+}
+
 // withBudget returns the call with the budget that is left since begin.
 func withBudget(call *targets.Call, begin time.Time) *targets.Call {
 	out := *call
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// TestOtherVMsAreNotAskedForADeadTargetAgainAndAgain ends one target: each call to it would cost two more connection attempts.
+func TestOtherVMsAreNotAskedForADeadTargetAgainAndAgain(t *testing.T) {
+	is := is.New(t)
+	vms, in := newTestVMs(t, 4)
+	for _, v := range vms {
+		v.targets.set(func(f *fakeTargets) { f.unreached = true })
+		v.client.paths.observe(time.Now().Add(time.Minute)) // other targets are reached
+	}
+	for range 5 {
+		_, err := vms[0].client.Do(t.Context(), newCall(in))
+		is.True(err != nil && !targets.Sent(err))
+	}
+	is.Equal(vms[0].client.events.Get("missed").String(), "2")
+	is.True(vms[0].client.paths.direct(in.Key())) // the path is not at fault
+}
+
 // TestSentCallIsNotSentAgain breaks the connection to the VM in between after the call was sent: the target may have run it.
 func TestSentCallIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
--- a/detour/send.go
+++ b/detour/send.go
@@ -146,6 +146,9 @@
 			return resp, err
 		}
 	}
+	if missed >= maxMissedTries {
+		c.recordEnded(target)
+	}
 	return nil, noPath
 }
 
