--- a/detour/paths.go
+++ b/detour/paths.go
@@ -1,6 +1,8 @@
 package detour
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -100,7 +102,7 @@
 		for i := 0; i < len(all) && len(probes) < otherProbes; i++ {
 			p.rotation++
 			in := all[p.rotation%len(all)]
-			if in.Key() != suspect.Key() && (in.AvailabilityZone != suspect.AvailabilityZone) == otherZone && !contains(probes, in) {
+			if in.Key() != suspect.Key() && (in.AvailabilityZone != suspect.AvailabilityZone) == otherZone && !contains(probes, in.Key()) {
 				probes = append(probes, in)
 			}
 		}
@@ -108,13 +110,8 @@
 	return probes
 }
 
-func contains(instances []*fleet.Instance, in *fleet.Instance) bool {
-	for _, x := range instances {
-		if x.Key() == in.Key() {
-			return true
-		}
-	}
-	return false
+func contains(instances []*fleet.Instance, target fleet.Key) bool {
+	return slices.ContainsFunc(instances, func(in *fleet.Instance) bool { return in.Key() == target })
 }
 
 // checked records the outcome of one probe of the check in progress, and returns the targets to probe next. If the suspect and others are not reached
@@ -158,15 +155,7 @@
 
 // prune forgets targets that are not registered any more.
 func (p *paths) prune(all []*fleet.Instance) {
-	for target := range p.lost {
-		registered := false
-		for _, in := range all {
-			registered = registered || in.Key() == target
-		}
-		if !registered {
-			delete(p.lost, target)
-		}
-	}
+	maps.DeleteFunc(p.lost, func(target fleet.Key, _ time.Time) bool { return !contains(all, target) })
 	if len(all) == 0 {
 		p.stranded = false
 	}
--- a/detour/peers.go
+++ b/detour/peers.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -146,11 +147,7 @@
 		x.strandedUntil = now.Add(strandedPause)
 		x.avoidUntil = x.strandedUntil
 	case declinedMissed:
-		for t, until := range x.missed {
-			if !now.Before(until) {
-				delete(x.missed, t)
-			}
-		}
+		removeExpired(now, x.missed)
 		x.missed[target] = now.Add(missedTTL)
 		x.avoidUntil = now.Add(missedPause)
 	case declinedBusy:
@@ -164,6 +161,11 @@
 	}
 }
 
+// removeExpired removes the targets whose time is over.
+func removeExpired(now time.Time, until map[fleet.Key]time.Time) {
+	maps.DeleteFunc(until, func(_ fleet.Key, end time.Time) bool { return !now.Before(end) })
+}
+
 // silent records that a VM did not answer.
 func (x *peer) silent(now time.Time) {
 	x.goodUntil, x.avoidUntil = time.Time{}, now.Add(silentPause)
--- a/detour/send.go
+++ b/detour/send.go
@@ -32,10 +32,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), scoutTimeout)
 			defer cancel()
-			resp, reason, err := c.ask(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Scout: true}, nil)
-			if resp != nil {
-				resp.Body.Close()
-			}
+			reason, err := c.question(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Scout: true})
 			c.recordAsked(context.Background(), p, in.Key(), reason, err) // a VM that does not answer within scoutTimeout is no good
 			found <- reason == "" && err == nil
 		}()
@@ -64,10 +61,7 @@
 	answers := make(chan declineReason, len(asked))
 	for _, p := range asked {
 		go func() {
-			resp, reason, err := c.ask(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Probe: true}, nil)
-			if resp != nil {
-				resp.Body.Close()
-			}
+			reason, err := c.question(ctx, p, &callHead{Target: in.Name, StartedMs: in.StartedMs, Probe: true})
 			if err != nil {
 				reason = declinedMissed
 			}
@@ -85,6 +79,15 @@
 	return false, refused
 }
 
+// question asks a VM without a call to pass on. The reason is empty if the answer is yes.
+func (c *Client) question(ctx context.Context, p *peer, h *callHead) (declineReason, error) {
+	resp, reason, err := c.ask(ctx, p, h, nil)
+	if resp != nil {
+		resp.Body.Close()
+	}
+	return reason, err
+}
+
 // recordAsked records how a VM answered. If ctx has ended, the caller gave up, or the target was slow, which says nothing about the VM.
 func (c *Client) recordAsked(ctx context.Context, p *peer, target fleet.Key, reason declineReason, err error) {
 	outcome := string(reason)
--- a/detour/server.go
+++ b/detour/server.go
@@ -211,13 +211,6 @@
 	}
 }
 
-// reachesTargets reports whether a target has given a sign lately, so that open connections can be trusted.
-func (c *Client) reachesTargets(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Sub(c.paths.answeredAt) < freshTTL
-}
-
 // find returns the registered instance of a call; nil if this VM does not know it.
 func find(view *fleet.View, h *callHead) *fleet.Instance {
 	for _, in := range view.Get().Instances {
