forward: a failing request ends after its route's attempts, also in a small pool

Ruled out: the scorer's own count across holders, which is saved with the text. Change: runs are counted, a resend after a lost path is the same run, and replies of the VM itself report the targets' errors. Before: TestFailingRequestEndsAfterMaxAttempts fails with 1 to 3 targets. After: passes with 1 to 5.

--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -34,10 +34,12 @@
 	pending  map[*attempt]bool
 	tried    []string // addresses of the targets of ended attempts, which are avoided
 	sends    int      // including those that the target has not run
-	// ran holds the addresses of the targets that may have run the request, pathLost those of them that may be sent it again because
-	// the path to them was lost before they answered.
-	ran, pathLost map[string]bool
-	serverErrors  int
+	// runs counts the sends that the target may have run, which MaxAttempts bounds: a pool may have fewer targets than that. A send that
+	// repeats one whose path was lost is the same run.
+	runs int
+	// pathLost holds the addresses of targets that may be sent the request again, because the path to them was lost before they answered.
+	pathLost     map[string]bool
+	serverErrors int
 	lastTarget    string
 	// via is the VM through which the answer came; empty if it came directly.
 	via string
@@ -93,7 +95,7 @@
 
 // mayRunAgain reports whether the request may be sent to another target after a run that possibly took place.
 func (d *delivery) mayRunAgain() bool {
-	return d.retryable() && (len(d.ran) < d.route.MaxAttempts || len(d.pathLost) > 0) && !d.admission().Rejected
+	return d.retryable() && d.maySend() && (d.runs < d.route.MaxAttempts || len(d.pathLost) > 0) && !d.admission().Rejected
 }
 
 // maySend reports whether the request may have a further send at all.
@@ -130,7 +132,7 @@
 	if a := d.admission(); a.Rejected {
 		return refusal(http.StatusServiceUnavailable, a.Reason, a.RetryAfter)
 	}
-	d.pending, d.ran, d.pathLost = map[*attempt]bool{}, map[string]bool{}, map[string]bool{}
+	d.pending, d.pathLost = map[*attempt]bool{}, map[string]bool{}
 	ctx, cancel := context.WithDeadline(ctx, d.deadline)
 	keepContext := false
 	defer func() {
@@ -152,7 +154,7 @@
 			d.cancelPending()
 			return d.timeoutReply(ctx)
 		case <-hedge.C:
-			if d.retryable() && !d.route.Streaming && len(d.ran)+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
+			if d.retryable() && !d.route.Streaming && d.runs+len(d.pending) < d.route.MaxAttempts && !d.suspect() {
 				d.startHedge(ctx)
 			}
 		case o := <-d.outcomes:
@@ -229,9 +231,9 @@
 // timeoutReply returns the reply to a request whose deadline has passed or whose caller has disconnected.
 func (d *delivery) timeoutReply(ctx context.Context) *Reply {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refusal(http.StatusGatewayTimeout, "no target answered in the request's time", 0)
+		return d.withServerErrors(refusal(http.StatusGatewayTimeout, "no target answered in the request's time", 0))
 	}
-	return refusal(http.StatusGatewayTimeout, "the caller has gone", 0)
+	return d.withServerErrors(refusal(http.StatusGatewayTimeout, "the caller has gone", 0))
 }
 
 // action is the next step after an outcome.
@@ -253,17 +255,17 @@
 	address := o.attempt.instance.Address
 	table.End(now, address, o.attempt.query)
 	if errors.Is(o.err, targets.ErrPathLost) { // which is not the target's fault
-		d.ran[address], d.pathLost[address] = true, true
-		return d.retryIf(d.maySend() && d.mayRunAgain())
+		d.countRun(address)
+		d.pathLost[address] = true
+		return d.retryIf(d.mayRunAgain())
 	}
 	d.tried = append(d.tried, address)
-	delete(d.pathLost, address)
 	if o.err != nil {
 		if !targets.Sent(o.err) {
 			table.RecordUnreachable(now, address)
 			return d.retryIf(d.maySend())
 		}
-		d.ran[address] = true
+		d.countRun(address)
 		table.RecordFailure(now, address)
 		return d.retryIf(d.mayRunAgain())
 	}
@@ -278,7 +280,7 @@
 		}
 		return d.retryIf(d.maySend())
 	}
-	d.ran[address] = true
+	d.countRun(address)
 	if !d.route.Streaming || o.answer.Status >= http.StatusInternalServerError {
 		f.crashes.Answered(d.fingerprint)
 	}
@@ -292,6 +294,14 @@
 	return actionReply
 }
 
+// countRun counts a send that the target may have run.
+func (d *delivery) countRun(address string) {
+	if !d.pathLost[address] {
+		d.runs++
+	}
+	delete(d.pathLost, address)
+}
+
 // logFailedSend logs an attempt that did not yield the answer.
 func (d *delivery) logFailedSend(o outcome) {
 	result := ""
@@ -390,7 +400,7 @@
 		}
 	}
 	for address, in := range p.byAddr {
-		exhausted := len(d.ran) >= d.route.MaxAttempts && !d.pathLost[address]
+		exhausted := d.runs >= d.route.MaxAttempts && !d.pathLost[address]
 		if exhausted || d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
 			out = append(out, address)
 		}
@@ -500,10 +510,17 @@
 			ServerErrors: d.serverErrors, Body: &cancelingBody{ReadCloser: lastFailure.Body, onClose: cancel},
 		}
 	}
-	if len(d.ran) == 0 {
+	if d.runs == 0 {
 		return refusal(http.StatusServiceUnavailable, "no target had room for the request", max(noTargetRetryAfter, d.permitDelay))
 	}
-	return refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0)
+	return d.withServerErrors(refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0))
+}
+
+// withServerErrors adds the number of errors that targets answered to a reply of the VM itself. A caller that repeats the request counts
+// them against the route's attempts.
+func (d *delivery) withServerErrors(r *Reply) *Reply {
+	r.ServerErrors = d.serverErrors
+	return r
 }
 
 // streamBody reports whether the target of a stream survived until the first event.
--- a/forward/delivery_test.go
+++ b/forward/delivery_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -55,16 +57,20 @@
 
 // newTestForwarder returns a forwarder for host h with two targets.
 func newTestForwarder(client targets.Client, route fleet.Route) *Forwarder {
+	return newPoolForwarder(client, route, 2)
+}
+
+// newPoolForwarder returns a forwarder for host h with a pool of the given size.
+func newPoolForwarder(client targets.Client, route fleet.Route, size int) *Forwarder {
 	view := fleet.NewView()
 	route.Host, route.PathPrefix, route.Pool = "h", "/", "p"
-	view.Set(&fleet.Snapshot{
-		Tables: &fleet.Tables{Routes: []fleet.Route{route}, Pools: []fleet.Pool{{Pool: config.Pool{Name: "p"}}}},
-		Instances: []*fleet.Instance{
-			{Target: config.Target{Name: "t1", Address: "1"}, Pool: "p", Slots: 4}, {Target: config.Target{Name: "t2", Address: "2"}, Pool: "p", Slots: 4},
-		},
-	})
+	snap := &fleet.Snapshot{Tables: &fleet.Tables{Routes: []fleet.Route{route}, Pools: []fleet.Pool{{Pool: config.Pool{Name: "p"}}}}}
+	for i := range size {
+		snap.Instances = append(snap.Instances, &fleet.Instance{Target: config.Target{Name: fmt.Sprintf("t%d", i+1), Address: strconv.Itoa(i + 1)}, Pool: "p", Slots: 4})
+	}
+	view.Set(snap)
 	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
-	return New(Options{View: view, Client: client, Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}), AvailabilityZone: "a", Log: log, Metrics: metrics})
+	return New(Options{View: view, Client: client, Crashes: crashes.New(crashes.Options{Targets: noneGone{}, Log: log, Metrics: metrics}), AvailabilityZone: "a", Log: log, Metrics: metrics})
 }
 
 // TestLastErrorOfAStreamingTargetIsPassedOnWhole guards against a cut answer: the bodies of streaming routes, and bodies too
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -99,7 +99,7 @@
 	RetryAfter time.Duration
 	// Reason is why the VM answered the request itself; empty for a target's answer.
 	Reason string
-	// ServerErrors is the number of targets that answered with status 500.
+	// ServerErrors is the number of runs that targets answered with status 500, also if the reply is the VM's own.
 	ServerErrors int
 }
 
