--- a/batch/batch.go
+++ b/batch/batch.go
@@ -25,6 +25,8 @@
 	// Host and Path are those of the submitting request; they select the route of the items.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Organisation is the name of the organisation that submitted the batch and owns its results; empty if it has none.
+	Organisation string `json:"organisation,omitempty"`
 	// Step is the number of the trainer's step.
 	Step  int64  `json:"step,omitempty"`
 	Model string `json:"model,omitempty"`
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -223,7 +223,7 @@
 	}
 	call := &targets.Call{
 		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
-		RequestID: j.item.ID, Priority: targets.NoPriority, ResumeAfter: int64(len(j.events)),
+		RequestID: j.item.ID, Organisation: j.head.Organisation, Priority: targets.NoPriority, ResumeAfter: int64(len(j.events)),
 	}
 	go r.attempt(ctx, runCtx, cancel, j, route, call)
 }
--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/process"
@@ -83,9 +84,13 @@
 		peers = &relay.Directory{Store: store, Topic: platform.TopicPeers, VM: settings.VM, AvailabilityZone: settings.AvailabilityZone, Address: settings.RelayAddress, RPCAddress: settings.RPCAddress, Small: settings.Small(), Transport: transport, Log: log}
 		relayHandler = platform.NewStoreRelay(settings.StoreAddress, settings.CallBytes, transport)
 	}
+	var dutyAPI duties.API
+	if settings.Duties.Address != "" {
+		dutyAPI = platform.NewCloudClient(settings.Duties.Address)
+	}
 	p := entry.New(entry.Options{
 		Settings: settings, Log: log, Store: store, Peers: peers, Relay: relayHandler, Isolated: transport.Isolated, Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
-		Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
+		DutyAPI: dutyAPI, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
 			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
--- a/detour/message.go
+++ b/detour/message.go
@@ -25,16 +25,18 @@
 
 // callHead is a call that another VM is asked to pass on to a target. The body of the call follows it.
 type callHead struct {
-	Target      string      `json:"target"`
-	StartedMs   int64       `json:"started_ms,omitempty"`
-	Method      string      `json:"method"`
-	Host        string      `json:"host"`
-	URI         string      `json:"uri"`
-	Header      http.Header `json:"header,omitempty"`
-	RequestID   string      `json:"id"`
-	BudgetMs    int64       `json:"budget_ms,omitempty"`
-	Priority    int         `json:"priority"`
-	ResumeAfter int64       `json:"resume_after,omitempty"`
+	Target    string      `json:"target"`
+	StartedMs int64       `json:"started_ms,omitempty"`
+	Method    string      `json:"method"`
+	Host      string      `json:"host"`
+	URI       string      `json:"uri"`
+	Header    http.Header `json:"header,omitempty"`
+	RequestID string      `json:"id"`
+	// Organisation is what the target is told; VMs of earlier builds ignore it.
+	Organisation string `json:"organisation,omitempty"`
+	BudgetMs     int64  `json:"budget_ms,omitempty"`
+	Priority     int    `json:"priority"`
+	ResumeAfter  int64  `json:"resume_after,omitempty"`
 	// Scout asks only whether the VM would pass calls to the target on, Probe only whether a connection to the target opens now.
 	Scout bool `json:"scout,omitempty"`
 	Probe bool `json:"probe,omitempty"`
@@ -79,7 +81,7 @@
 func newCallHead(c *targets.Call) *callHead {
 	h := &callHead{
 		Target: c.Instance.Name, StartedMs: c.Instance.StartedMs, Method: c.Method, Host: c.Host, URI: c.URI, Header: c.Header,
-		RequestID: c.RequestID, Priority: c.Priority, ResumeAfter: c.ResumeAfter, Once: c.NewConnection,
+		RequestID: c.RequestID, Organisation: c.Organisation, Priority: c.Priority, ResumeAfter: c.ResumeAfter, Once: c.NewConnection,
 	}
 	if c.Budget > 0 {
 		h.BudgetMs = max(1, c.Budget.Milliseconds())
@@ -93,7 +95,7 @@
 		h.Header = http.Header{} // an empty one is not sent
 	}
 	return &targets.Call{
-		Instance: in, Method: h.Method, Host: h.Host, URI: h.URI, Header: h.Header, Body: body, RequestID: h.RequestID,
+		Instance: in, Method: h.Method, Host: h.Host, URI: h.URI, Header: h.Header, Body: body, RequestID: h.RequestID, Organisation: h.Organisation,
 		Budget: time.Duration(h.BudgetMs) * time.Millisecond, Priority: h.Priority, ResumeAfter: h.ResumeAfter, NewConnection: h.Once,
 	}
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,6 +15,7 @@
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/detour"
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/origins"
@@ -55,6 +56,8 @@
 	Sources        []Source
 	// CrashTopic is the compacted topic in which VMs share which requests were running when targets crashed.
 	CrashTopic string
+	// DutyAPI is the platform's API for duties of one VM; nil if there is none.
+	DutyAPI duties.API
 	// Peers announces this VM's relay and finds those of other VMs, Relay serves it; both are nil without a relay.
 	Peers *relay.Directory
 	Relay http.Handler
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,23 @@
 	OrderHandover time.Duration
 	// BatchRetention is how long a batch can be read after its submission.
 	BatchRetention time.Duration
+	// FailClosed refuses requests that need an API key while the tables may be older than RevokeWithin, within which a removed key must
+	// end. Otherwise the VM goes on with the tables that it has.
+	FailClosed   bool
+	RevokeWithin time.Duration
+	Duties       DutySettings
+}
+
+// DutySettings are the settings of the duties that one VM has towards the platform's API.
+type DutySettings struct {
+	// Address is that of the API; empty if there is none.
+	Address string
+	// ReportUsage and OrderTargets tell which duties there are.
+	ReportUsage, OrderTargets bool
+	// CallsPerSecond limits the calls of all VMs together; 0 means no limit.
+	CallsPerSecond float64
+	// UsageWindow is the length of a usage window, UsageDue the time after its end by which it must be reported.
+	UsageWindow, UsageDue time.Duration
 }
 
 // Small reports whether the VM has too little CPU for work that another VM can do.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -16,6 +16,8 @@
 	Versions map[string]int64 `json:"versions,omitempty"`
 	// SoftwareVersion is the version of the target's software, not of its weights.
 	SoftwareVersion string `json:"software,omitempty"`
+	// Spot targets cost less and may be taken away, all of an availability zone at once.
+	Spot bool `json:"spot,omitempty"`
 	// StartedMs is the start time of the instance in Unix milliseconds; 0 if not reported.
 	StartedMs int64 `json:"born_ms,omitempty"`
 }
@@ -31,5 +33,5 @@
 
 // equal reports whether both records describe the same instance in the same state.
 func (i *Instance) equal(o *Instance) bool {
-	return i.Target == o.Target && i.Pool == o.Pool && i.Slots == o.Slots && i.SoftwareVersion == o.SoftwareVersion && i.StartedMs == o.StartedMs && maps.Equal(i.Versions, o.Versions)
+	return i.Target == o.Target && i.Pool == o.Pool && i.Slots == o.Slots && i.SoftwareVersion == o.SoftwareVersion && i.StartedMs == o.StartedMs && i.Spot == o.Spot && maps.Equal(i.Versions, o.Versions)
 }
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -40,7 +40,7 @@
 	// pathLost holds the addresses of targets that may be sent the request again, because the path to them was lost before they answered.
 	pathLost     map[string]bool
 	serverErrors int
-	lastTarget    string
+	lastTarget   string
 	// via is the VM through which the answer came; empty if it came directly.
 	via string
 	// atLimit are the addresses of targets that take no request now because of their rate limits, permitDelay is the time until the
@@ -438,7 +438,7 @@
 	}
 	call := &targets.Call{
 		Instance: in, Method: d.req.Method, Host: d.req.Host, URI: d.req.URI, Header: d.req.Header, Body: d.req.Body,
-		RequestID: d.req.ID, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
+		RequestID: d.req.ID, Organisation: d.req.Organisation, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
 		UnansweredSince: d.unansweredSince(),
 		Connected: func(reused bool) {
 			if reused {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -68,6 +68,8 @@
 	Path, URI string
 	Header    http.Header
 	Body      []byte
+	// Organisation is the name of the caller's organisation; empty if it has none.
+	Organisation string
 	// Budget is how long the caller waits for the answer; 0 if unknown.
 	Budget time.Duration
 	// Deadline is the time until which targets may work on the request, for requests that are sent again under the same ID
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -25,6 +25,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
+	// Organisation is the name of the organisation that the target is told; empty if it is told none.
+	Organisation string
 	// Budget is the time that the target may take; 0 sends no limit.
 	Budget time.Duration
 	// Priority is the request's rank from 0 (first) to 9 in the engine's queue, or NoPriority.
@@ -41,7 +43,11 @@
 }
 
 // Load is the load that a target reported with a response, in requests.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the target's machine now, in percent of the usual time; 0 if the target does not tell.
+	WorkPercent int `json:",omitempty"`
+}
 
 // Response is a target's response, with a body that is read by the caller.
 type Response struct {
