--- a/gate/gzip_test.go
+++ b/gate/gzip_test.go
@@ -97,7 +97,8 @@
 				got, _ := f.complete(0, prompt, 40)
 				is.Equal(got, expectedText(prompt, 1, 40))
 			}
-			is.Equal(cut.Load(), cuts) // the fault has occurred
+			// The gate completes a stream at its end marker, which may be before the server cuts the connection.
+			f.await("the fault has occurred", func() bool { return cut.Load() == cuts })
 		})
 	}
 }
