--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -425,6 +425,43 @@
 	d.is.True(runs() <= 9) // three times MaxAttempts of the route
 }
 
+// TestFailingScoringCallEndsInSmallPools guards against a scoring call that is sent without end where the scorers' pool has fewer targets
+// than its route allows attempts, also if its holder is lost: its item must be listed as abandoned.
+func TestFailingScoringCallEndsInSmallPools(t *testing.T) {
+	const maxAttempts = 2 // of the route
+	for services := 1; services <= 3; services++ {
+		for _, killHolder := range []bool{false, true} {
+			t.Run(fmt.Sprintf("services=%d/holder killed=%t", services, killHolder), func(t *testing.T) {
+				d := newDeployment(t, 2, services, 4)
+				for _, s := range d.services {
+					s.Set(func(s *errata.Target) { s.Fail = true })
+				}
+				runs := func() (n int) {
+					for _, s := range d.services {
+						n += len(s.ExecutedRequests())
+					}
+					return n
+				}
+				d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(0, 0, "i1")).status, http.StatusAccepted)
+				allowed := maxAttempts
+				if killHolder {
+					d.eventually(5*time.Second, "the scoring call runs", func() bool { return runs() > 0 })
+					for i, v := range d.vms {
+						if v.process.HoldsPool("drafting") {
+							d.kill(v)
+							d.vms = append(d.vms[:i], d.vms[i+1:]...)
+							allowed += maxAttempts
+							break
+						}
+					}
+				}
+				d.is.Equal(d.readAll(d.vms[0], "b1", 1, 8*time.Second)[0].State, "terminated")
+				d.is.True(runs() <= allowed)
+			})
+		}
+	}
+}
+
 func TestConfigurationAppliesWhenStoreDoesNotEndWait(t *testing.T) {
 	d := newDeployment(t, 1, 1, 1)
 	d.store.Set(func(s *errata.Store) { s.IgnoreLongPollWakeups = true })
