--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/BurntSushi/toml"
+
 	"github.com/ibistrail/ibistrail/fake/errata"
 )
 
@@ -58,7 +60,51 @@
 	}
 	first, seeds := soakNumber(soakSeedEnv, 1), soakNumber(soakSeedsEnv, 1)
 	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runProcessSoak(t, binary, uint64(seed)) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runProcessSoak(t, []string{binary}, uint64(seed)) })
+	}
+}
+
+// TestBuildsBeforeAndAfterServeTogether runs the soak on VMs of the build of the last landing and of this one, each of which changes to the
+// other build whenever it is restarted. It guards against records in the store, or messages between VMs, that one of the builds
+// can't read. The build before is that of the deploy file.
+func TestBuildsBeforeAndAfterServeTogether(t *testing.T) {
+	dir := t.TempDir()
+	before, after := filepath.Join(dir, "before"), filepath.Join(dir, "after")
+	buildProduction(t, filepath.Join(dir, "source"), before)
+	buildIbisentry(t, after)
+	first, seeds := soakNumber(soakSeedEnv, 1), soakNumber(soakSeedsEnv, 1)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runProcessSoak(t, []string{before, after}, uint64(seed)) })
+	}
+}
+
+// buildProduction builds the revision that the deploy file names as running in production, from its sources in dir.
+func buildProduction(t *testing.T, dir, binary string) {
+	t.Helper()
+	deploy, err := os.ReadFile("../deploy/system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var doc struct {
+		Production string `toml:"production"`
+	}
+	if _, err := toml.Decode(string(deploy), &doc); err != nil || doc.Production == "" {
+		t.Fatalf("deploy/system.toml names no production revision: %v", err)
+	}
+	if exec.Command("git", "cat-file", "-e", doc.Production+"^{commit}").Run() != nil {
+		t.Skipf("the history has no revision %s; clone it whole", doc.Production)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	archive := fmt.Sprintf("git -C .. archive %s | tar -x -C %s", doc.Production, dir)
+	if out, err := exec.Command("bash", "-o", "pipefail", "-c", archive).CombinedOutput(); err != nil {
+		t.Fatalf("read revision %s: %v\n%s", doc.Production, err, out)
+	}
+	build := exec.Command("go", "build", "-o", binary, "./cmd/ibisentry")
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build revision %s: %v\n%s", doc.Production, err, out)
 	}
 }
 
@@ -159,17 +205,19 @@
 	proxy             *faultProxy
 	mu                sync.Mutex
 	cmd               *exec.Cmd
+	starts            int
 }
 
 // processSoak is a run of the soak.
 type processSoak struct {
 	*deployment
-	binary string
-	nodes  []*soakVM
-	dir    string
-	start  time.Time
-	events *json.Encoder
-	mu     sync.Mutex
+	// binaries are the builds that a VM runs in turn, from one start to the next.
+	binaries []string
+	nodes    []*soakVM
+	dir      string
+	start    time.Time
+	events   *json.Encoder
+	mu       sync.Mutex
 	// attempts are the callers' attempts by ID.
 	attempts map[string]soakAttempt
 	ids      atomic.Int64
@@ -193,8 +241,8 @@
 	}
 }
 
-func runProcessSoak(t *testing.T, binary string, seed uint64) {
-	s := &processSoak{deployment: newSoakDeployment(t), binary: binary, start: time.Now(), attempts: map[string]soakAttempt{}, dir: os.Getenv(soakDirEnv)}
+func runProcessSoak(t *testing.T, binaries []string, seed uint64) {
+	s := &processSoak{deployment: newSoakDeployment(t), binaries: binaries, start: time.Now(), attempts: map[string]soakAttempt{}, dir: os.Getenv(soakDirEnv)}
 	if s.dir == "" {
 		s.dir = t.TempDir()
 	}
@@ -261,7 +309,7 @@
 		return l.Addr().(*net.TCPAddr).Port
 	}
 	name, internal := fmt.Sprintf("vm-%d", i), port()
-	n := &soakVM{ip: ip, proxy: newFaultProxy(s.t, s.store.Address()), log: filepath.Join(s.dir, name+".log"), settings: filepath.Join(s.dir, name+".toml")}
+	n := &soakVM{ip: ip, starts: i, proxy: newFaultProxy(s.t, s.store.Address()), log: filepath.Join(s.dir, name+".log"), settings: filepath.Join(s.dir, name+".toml")}
 	n.vm = &vm{name: name, address: fmt.Sprintf("%s:%d", ip, port()), readyAddress: fmt.Sprintf("%s:%d", ip, port())}
 	text := fmt.Sprintf(`NodeName = %q
 Zone = %q
@@ -296,7 +344,12 @@
 		s.t.Error(err)
 		return
 	}
-	cmd := exec.Command(s.binary, "run")
+	n.mu.Lock()
+	binary := s.binaries[n.starts%len(s.binaries)]
+	n.starts++
+	n.mu.Unlock()
+	s.note("start", map[string]any{"vm": n.name, "build": filepath.Base(binary)})
+	cmd := exec.Command(binary, "run")
 	cmd.Env = append(os.Environ(), "IBISTRAIL_BOOT="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
