--- /dev/null
+++ b/memory/memory_test.go
@@ -0,0 +1,112 @@
+package memory
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func noProgress() {}
+
+// TestLargeBodiesAreRefusedBeforeTheyAreRead guards against a VM that is killed at its memory limit by bodies that arrive together.
+func TestLargeBodiesAreRefusedBeforeTheyAreRead(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(10 << 20)
+	var holds []*Hold
+	for range 3 {
+		h := b.Hold()
+		data, err := h.Read(bytes.NewReader(make([]byte, 3<<20)), 3<<20, 1, noProgress)
+		is.NoErr(err)
+		is.Equal(len(data), 3<<20)
+		holds = append(holds, h)
+	}
+	unread := iotest.ErrReader(errors.New("the body must not be read"))
+	_, err := b.Hold().Read(unread, 3<<20, 1, noProgress)
+	is.True(errors.Is(err, ErrFull))
+	small, err := b.Hold().Read(strings.NewReader("small"), 5, 1, noProgress) // small requests are still served
+	is.NoErr(err)
+	is.Equal(string(small), "small")
+	holds[0].Release()
+	_, err = b.Hold().Read(bytes.NewReader(make([]byte, 3<<20)), 3<<20, 1, noProgress)
+	is.NoErr(err)
+	is.Equal(b.State().Refused, int64(1))
+}
+
+// TestBodiesWithoutLengthAreBounded covers chunked bodies, which are reserved while they are read.
+func TestBodiesWithoutLengthAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1 << 20)
+	h := b.Hold()
+	data, err := h.Read(iotest.HalfReader(strings.NewReader(strings.Repeat("x", 300_000))), -1, 1, noProgress)
+	is.NoErr(err)
+	is.Equal(len(data), 300_000)
+	is.True(b.State().Held >= 300_000)
+	endless := b.Hold()
+	_, err = endless.Read(zeros{}, -1, 1, noProgress)
+	is.True(errors.Is(err, ErrFull))
+	endless.Release()
+	h.Release()
+	is.Equal(b.State().Held, int64(0)) // nothing stays reserved
+	_, err = b.Hold().Read(strings.NewReader("short"), 10, 1, noProgress)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestSlowReadersAreKeptAndStalledOnesEnded guards against slow but sound callers that are cut, and callers that read nothing and hold their
+// answers for good.
+func TestSlowReadersAreKeptAndStalledOnesEnded(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	stalled := make(chan string, 1)
+	l := &Listener{Listener: inner, StallTimeout: 300 * time.Millisecond, Stalled: func(peer string) { stalled <- peer }}
+	defer l.Close()
+	answer := make([]byte, 8<<20)
+	write := func() error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		_, err = c.Write(answer)
+		return err
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		is.NoErr(c.(*net.TCPConn).SetReadBuffer(32 << 10))
+		return c
+	}
+	result := make(chan error, 1)
+
+	slow := dial()
+	defer slow.Close()
+	go func() { result <- write() }()
+	buf, got := make([]byte, 512<<10), 0
+	for start := time.Now(); got < len(answer); {
+		n, err := slow.Read(buf)
+		is.NoErr(err) // the connection of a slow reader ends
+		got += n
+		if time.Since(start) < 900*time.Millisecond {
+			time.Sleep(60 * time.Millisecond) // it takes several times StallTimeout
+		}
+	}
+	is.NoErr(<-result)
+
+	silent := dial()
+	defer silent.Close()
+	go func() { result <- write() }()
+	is.True(<-result != nil)
+	is.Equal(<-stalled, silent.LocalAddr().String())
+}
