organisation: API keys decide on requests and batch calls

Batches belong to the organisation in their head. Results and unfinished texts are reused within an organisation only: items were matched by ID alone. The age of the tables counts from the start of the last complete read of the operator's topic, on a clock that counts suspension.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -11,6 +11,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/ibistrail/ibistrail/config"
 )
 
 // Submission is a batch of items submitted by a caller.
@@ -27,6 +29,8 @@
 	Path string `json:"path"`
 	// Organisation is the name of the organisation that submitted the batch and owns its results; empty if it has none.
 	Organisation string `json:"organisation,omitempty"`
+	// Priority is that of the organisation when it submitted the batch; nil if the route's holds.
+	Priority *config.Priority `json:"priority,omitempty"`
 	// Step is the number of the trainer's step.
 	Step  int64  `json:"step,omitempty"`
 	Model string `json:"model,omitempty"`
--- a/batch/index.go
+++ b/batch/index.go
@@ -41,17 +41,25 @@
 	submissionID string
 }
 
+// ownedItem identifies an item for reuse in other submissions of the same organisation: texts of one organisation never go to another.
+type ownedItem struct {
+	organisation, id string
+}
+
+// owned returns the identity of an item of the submission.
+func (h *Head) owned(itemID string) ownedItem { return ownedItem{h.Organisation, itemID} }
+
 // indexState is the state of one partition's index after all records before offset next. It does no I/O.
 type indexState struct {
 	next        int64
 	submissions map[string]*submissionState
 	// order holds the IDs of the submissions in the order of acceptance.
 	order         []string
-	resultsByItem map[string]itemResult
+	resultsByItem map[ownedItem]itemResult
 }
 
 func newIndexState() *indexState {
-	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[string]itemResult{}}
+	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[ownedItem]itemResult{}}
 }
 
 // apply applies the record at offset and reports whether submissions or results changed. Records before next were
@@ -116,7 +124,7 @@
 	delete(sub.savedParts, result.ItemID)
 	sub.results = append(sub.results, *result)
 	if !result.Abandoned {
-		ix.resultsByItem[result.ItemID] = itemResult{resultMeta: *result, submissionID: sub.head.ID}
+		ix.resultsByItem[sub.head.owned(result.ItemID)] = itemResult{resultMeta: *result, submissionID: sub.head.ID}
 	}
 	if sub.done() {
 		sub.release()
@@ -130,9 +138,9 @@
 	s.savedParts = map[string][]span{}
 }
 
-// reusableResult returns the result of an item in another submission if it has the same scorer and accepted versions.
+// reusableResult returns the result of an item in another submission of the organisation if it has the same scorer and accepted versions.
 func (ix *indexState) reusableResult(h *Head, it *Item, singleVersion bool) (resultMeta, bool) {
-	result, ok := ix.resultsByItem[it.ID]
+	result, ok := ix.resultsByItem[h.owned(it.ID)]
 	if !ok || result.submissionID == h.ID || result.ScorerID != it.scorerID() || !versionsAllowed(result.Versions, h.MinVersion, singleVersion) {
 		return resultMeta{}, false
 	}
@@ -160,8 +168,8 @@
 		sub := ix.submissions[id]
 		if sub.done() && sub.head.AcceptedMs < before.UnixMilli() {
 			for item := range sub.hasResult {
-				if ix.resultsByItem[item].submissionID == id {
-					delete(ix.resultsByItem, item)
+				if key := sub.head.owned(item); ix.resultsByItem[key].submissionID == id {
+					delete(ix.resultsByItem, key)
 				}
 			}
 			delete(ix.submissions, id)
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -197,10 +197,10 @@
 	resubmittedGroups := map[string]bool{}
 	reused := 0
 	for _, it := range sub.itemList {
-		if _, ok := p.index.resultsByItem[it.ID]; ok {
+		if _, ok := p.index.resultsByItem[sub.head.owned(it.ID)]; ok {
 			resubmittedGroups[it.Group] = true
 		}
-		if _, ok := r.unfinishedTexts[it.ID]; ok {
+		if _, ok := r.unfinishedTexts[sub.head.owned(it.ID)]; ok {
 			resubmittedGroups[it.Group] = true
 		}
 	}
@@ -225,10 +225,10 @@
 			j.textComplete = saved.complete && len(j.events) > 0
 			j.engineErrors, j.scorerErrors = saved.engineErrors, saved.scorerErrors
 		}
-		if text, ok := r.unfinishedTexts[it.ID]; ok && len(text.events) > len(j.events) {
+		if text, ok := r.unfinishedTexts[sub.head.owned(it.ID)]; ok && len(text.events) > len(j.events) {
 			j.events, j.versions, j.software, j.textComplete = text.events, text.versions, text.software, false
 			j.dropTextIfNotAllowed(singleVersion)
-			delete(r.unfinishedTexts, it.ID)
+			delete(r.unfinishedTexts, sub.head.owned(it.ID))
 		}
 	}
 	r.jobs[sub.head.ID] = jobs
@@ -249,6 +249,6 @@
 func (r *runner) closeJob(j *job, now time.Time) {
 	r.cancelRun(j)
 	if j.state != jobResultQueued && len(j.events) > 0 {
-		r.unfinishedTexts[j.item.ID] = unfinishedText{events: j.events, versions: j.versions, software: j.software, closedAt: now}
+		r.unfinishedTexts[j.head.owned(j.item.ID)] = unfinishedText{events: j.events, versions: j.versions, software: j.software, closedAt: now}
 	}
 }
--- a/batch/results.go
+++ b/batch/results.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"github.com/ibistrail/ibistrail/organisation"
 )
 
-// find returns the partition that holds a submission. It returns ErrNotFound only after all partitions were read to
-// their end.
-func (s *Service) find(ctx context.Context, id string) (*partition, error) {
-	if p := s.findLocal(id); p != nil {
-		return p, nil
+// find returns the partition that holds a submission of the caller's organisation. It returns ErrNotFound for one of another
+// organisation; otherwise only after all partitions were read to their end.
+func (s *Service) find(ctx context.Context, c organisation.Caller, id string) (*partition, error) {
+	if p, owner := s.findLocal(id); p != nil {
+		return p, s.checkOwner(c, id, owner)
 	}
 	errs := make(chan error, len(s.partitions))
 	for _, p := range s.partitions {
@@ -21,8 +23,8 @@
 			syncErr = err
 		}
 	}
-	if p := s.findLocal(id); p != nil {
-		return p, nil
+	if p, owner := s.findLocal(id); p != nil {
+		return p, s.checkOwner(c, id, owner)
 	}
 	if syncErr != nil {
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: syncErr}
@@ -30,24 +32,34 @@
 	return nil, ErrNotFound
 }
 
-// findLocal returns the partition that holds a submission among the records read so far, or nil.
-func (s *Service) findLocal(id string) *partition {
+// checkOwner returns ErrNotFound if a submission belongs to another organisation than the caller's.
+func (s *Service) checkOwner(c organisation.Caller, id, owner string) error {
+	if c.OwnsBatch(owner) {
+		return nil
+	}
+	s.calls.Add("other_organisation", 1)
+	s.opts.Log.Info("batch_refused", "batch", id, "owner", owner, "caller", c.Organisation)
+	return ErrNotFound
+}
+
+// findLocal returns the partition that holds a submission among the records read so far, or nil, and the submission's organisation.
+func (s *Service) findLocal(id string) (p *partition, owner string) {
 	for _, p := range s.partitions {
 		p.mu.Lock()
 		sub := p.index.submissions[id]
 		p.mu.Unlock()
 		if sub != nil {
-			return p
+			return p, sub.head.Organisation
 		}
 	}
-	return nil
+	return nil, ""
 }
 
 // Results returns a page of results that begins at position after, with texts of about maxBytes. If there are no
 // results there yet, it waits up to wait for the first one.
-func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
+func (s *Service) Results(ctx context.Context, c organisation.Caller, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
 	start := time.Now()
-	p, err := s.find(ctx, id)
+	p, err := s.find(ctx, c, id)
 	found := time.Since(start)
 	var page *Page
 	if err == nil {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -69,7 +69,7 @@
 	engines  *engines
 	snapshot *fleet.Snapshot
 	// unfinishedTexts are texts of closed jobs by item, kept in case the item is submitted again.
-	unfinishedTexts map[string]unfinishedText
+	unfinishedTexts map[ownedItem]unfinishedText
 	// minVersions are the oldest versions that the newest submissions accept, by model.
 	minVersions map[string]int64
 	// waitingModels are the models with items that got no engine in the last scheduling pass.
@@ -150,7 +150,7 @@
 	r := &runner{
 		view: o.View, client: o.Client, forwarder: o.Forwarder, crashes: o.Crashes, limiter: o.Limiter, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, owned: map[*partition]bool{}, engines: newEngines(),
-		unfinishedTexts: map[string]unfinishedText{}, waitingModels: map[string]bool{}, minVersions: map[string]int64{},
+		unfinishedTexts: map[ownedItem]unfinishedText{}, waitingModels: map[string]bool{}, minVersions: map[string]int64{},
 		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration,
 		outcomes: o.Metrics.SubMap("item_runs"), durations: o.Metrics.Latency("item_run_seconds"),
 	}
--- a/batch/score.go
+++ b/batch/score.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/forward"
 	"github.com/ibistrail/ibistrail/process"
 )
@@ -48,10 +49,16 @@
 		if !open {
 			return "", false
 		}
+		attempts, priority := 1, config.PriorityHighest
+		if snap := r.view.Get(); snap.Tables != nil {
+			if route := snap.Tables.Match(s.Host, s.Path); route != nil {
+				attempts, priority = route.MaxAttempts, route.Priority
+			}
+		}
 		callCtx, cancel := context.WithTimeout(ctx, scoreTimeout)
 		reply := r.forwarder.Serve(callCtx, &forward.Request{
 			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreTimeout,
-			Deadline: deadline, Background: true,
+			Deadline: deadline, Background: true, Priority: priority,
 		})
 		if reply.Body != nil {
 			reply.Body.Close()
@@ -66,12 +73,6 @@
 			r.saveErrors(j)
 			r.mu.Unlock()
 		}
-		attempts := 1
-		if snap := r.view.Get(); snap.Tables != nil {
-			if route := snap.Tables.Match(s.Host, s.Path); route != nil {
-				attempts = route.MaxAttempts
-			}
-		}
 		if j.scorerErrors >= attempts {
 			return "", true
 		}
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/organisation"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/store"
@@ -155,7 +156,8 @@
 }
 
 // Submit stores a submission to a route. It returns nil once the submission is durable, also if it was accepted
-// before. Errors are *InvalidError, *UnavailableError or ErrOutcomeUnknown.
+// before. Errors are *InvalidError, *UnavailableError, ErrOutcomeUnknown, or ErrNotFound if another organisation has submitted a batch
+// with this ID.
 func (s *Service) Submit(ctx context.Context, route *fleet.Route, sub *Submission) error {
 	if err := sub.Validate(); err != nil {
 		return err
@@ -166,10 +168,10 @@
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
 	p.mu.Lock()
-	accepted := p.index.submissions[sub.ID] != nil
+	accepted := p.index.submissions[sub.ID]
 	p.mu.Unlock()
-	if accepted {
-		return nil
+	if accepted != nil {
+		return s.checkOwner(organisation.Caller{Organisation: sub.Organisation}, sub.ID, accepted.head.Organisation)
 	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
@@ -267,8 +269,8 @@
 const recordLengthBytes = 4
 
 // Item returns the body of an item of an open submission, or ErrNotFound.
-func (s *Service) Item(ctx context.Context, id, itemID string) ([]byte, error) {
-	p, err := s.find(ctx, id)
+func (s *Service) Item(ctx context.Context, c organisation.Caller, id, itemID string) ([]byte, error) {
+	p, err := s.find(ctx, c, id)
 	if err != nil {
 		return nil, err
 	}
@@ -299,8 +301,8 @@
 }
 
 // End ends a submission: no more of its items are started, and running ones are canceled.
-func (s *Service) End(ctx context.Context, id string) error {
-	p, err := s.find(ctx, id)
+func (s *Service) End(ctx context.Context, c organisation.Caller, id string) error {
+	p, err := s.find(ctx, c, id)
 	if err != nil {
 		return err
 	}
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -130,9 +130,10 @@
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, Keys: p.Keys, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
+	targets.View = v.process.View
 	go func() { v.done <- v.process.Run(v.stop) }()
 	d.vms = append(d.vms, v)
 	d.t.Cleanup(func() { d.kill(v) })
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -45,16 +46,22 @@
 // topicFollower follows the topics of the operator and of the targets, and publishes a new snapshot to the
 // view after each change. One goroutine per topic runs follow.
 type topicFollower struct {
-	store        store.Log
-	log          *slog.Logger
-	view         *fleet.View
+	store store.Log
+	log   *slog.Logger
+	view  *fleet.View
+	// bootTime is a clock that counts suspension. tablesReadAt is its time, in nanoseconds, when the last complete read of the operator's
+	// topic began.
+	bootTime     func() time.Duration
+	tablesReadAt atomic.Int64
+	// confirm makes sure that each record is soon followed by a complete read.
+	confirm      bool
 	mu           chan struct{} // a mutex with capacity 1; guards directory and failingSince
 	directory    *fleet.Directory
 	failingSince map[string]time.Time // by topic: the time of the first failed read
 }
 
-func newTopicFollower(st store.Log, log *slog.Logger, view *fleet.View) *topicFollower {
-	return &topicFollower{store: st, log: log, view: view, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{}}
+func newTopicFollower(st store.Log, log *slog.Logger, view *fleet.View, bootTime func() time.Duration, confirm bool) *topicFollower {
+	return &topicFollower{store: st, log: log, view: view, bootTime: bootTime, confirm: confirm, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{}}
 }
 
 // follow applies the records of a topic until ctx ends.
@@ -70,10 +77,20 @@
 	}
 	if src.Registrations {
 		reader.Wait, reader.Pause = targetsReadWait, targetsPollInterval
+	} else {
+		var began time.Duration
+		reader.Confirm = f.confirm
+		reader.Reading = func() { began = f.bootTime() }
+		reader.Complete = func() { f.tablesReadAt.Store(int64(began)) }
 	}
 	reader.Run(ctx)
 }
 
+// tablesAge returns the time since the last complete read of the operator's topic began.
+func (f *topicFollower) tablesAge() time.Duration {
+	return f.bootTime() - time.Duration(f.tablesReadAt.Load())
+}
+
 // applyListing applies the newest record of each key.
 func (f *topicFollower) applyListing(src Source, records []store.KeyedRecord, next int64) {
 	f.update(src, func(now time.Time) bool {
--- a/entry/process.go
+++ b/entry/process.go
@@ -18,6 +18,7 @@
 	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/organisation"
 	"github.com/ibistrail/ibistrail/origins"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
@@ -79,6 +80,8 @@
 	View      *fleet.View
 	Forwarder *forward.Forwarder
 	Batches   *batch.Service
+	// Keys decides on requests that need an API key.
+	Keys *organisation.Register
 
 	follower *topicFollower
 	crashes  *crashes.Register
@@ -123,7 +126,10 @@
 			p.detour.SetVMs(vms)
 		}
 	}
-	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
+	p.follower = newTopicFollower(opts.Store, opts.Log, p.View, opts.BootTime, s.FailClosed)
+	p.Keys = organisation.NewRegister(organisation.Options{
+		Rules: organisation.Rules{FailClosed: s.FailClosed, RevokeWithin: s.RevokeWithin}, TablesAge: p.follower.tablesAge, Metrics: opts.Metrics,
+	})
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
 	p.Forwarder = forward.New(forward.Options{
 		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,6 +70,8 @@
 	Body      []byte
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	Organisation string
+	// Priority is that of the caller's organisation, or that of the route if the organisation has none.
+	Priority config.Priority
 	// Budget is how long the caller waits for the answer; 0 if unknown.
 	Budget time.Duration
 	// Deadline is the time until which targets may work on the request, for requests that are sent again under the same ID
--- a/store/follow.go
+++ b/store/follow.go
@@ -21,6 +21,11 @@
 	Wait time.Duration
 	// Pause is the time between two reads.
 	Pause time.Duration
+	// Confirm makes a read that returned records be followed by one that does not wait, so that Complete is soon called.
+	Confirm bool
+	// Reading is called before each read or listing, Complete after one that came to the end of the topic and was applied: a listing, or a
+	// read without records. Both may be nil.
+	Reading, Complete func()
 	// Listed applies a listing; next is the offset of the first record that is not in it.
 	Listed func(records []KeyedRecord, next int64)
 	// Appended applies the records of one read, which may be none.
@@ -31,10 +36,19 @@
 	Failed func(err error)
 }
 
+func (f *Follower) complete() {
+	if f.Complete != nil {
+		f.Complete()
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	next, listed := int64(0), false
+	next, listed, confirm := int64(0), false, false
 	for ctx.Err() == nil {
+		if f.Reading != nil {
+			f.Reading()
+		}
 		var records []KeyedRecord
 		var err error
 		if !listed {
@@ -42,14 +56,20 @@
 			if records, from, err = f.Log.ReadNewest(ctx, f.Topic); err == nil {
 				next, listed = from, true
 				f.Listed(records, next)
+				f.complete()
 			}
 		} else {
-			from, start := next, time.Now()
-			if records, next, err = f.Log.ReadKeyed(ctx, f.Topic, from, f.Wait); err == nil {
+			from, start, wait := next, time.Now(), f.Wait
+			if confirm {
+				wait = 0
+			}
+			if records, next, err = f.Log.ReadKeyed(ctx, f.Topic, from, wait); err == nil {
 				f.Appended(records)
-				if len(records) == 0 {
-					process.Sleep(ctx, f.Wait-time.Since(start))
+				if next == from {
+					f.complete()
+					process.Sleep(ctx, wait-time.Since(start))
 				}
+				confirm = f.Confirm && next > from
 			}
 			var truncated *TruncatedError
 			if errors.As(err, &truncated) {
