ctl: vm get organisations; batches of other organisations with the same ID

A submission whose ID another organisation used before is answered with 404, also if this VM learns of it only after its append. The state dump shows the age of the tables, and digests in it can be decoded.

--- a/batch/results.go
+++ b/batch/results.go
@@ -7,11 +7,11 @@
 	"github.com/ibistrail/ibistrail/organisation"
 )
 
-// find returns the partition that holds a submission of the caller's organisation. It returns ErrNotFound for one of another
-// organisation; otherwise only after all partitions were read to their end.
+// find returns the partition that holds a submission of the caller's organisation. It returns ErrNotFound only after all partitions were read
+// to their end, also if another organisation has a submission with this ID.
 func (s *Service) find(ctx context.Context, c organisation.Caller, id string) (*partition, error) {
-	if p, owner := s.findLocal(id); p != nil {
-		return p, s.checkOwner(c, id, owner)
+	if p, _ := s.findLocal(c, id); p != nil {
+		return p, nil
 	}
 	errs := make(chan error, len(s.partitions))
 	for _, p := range s.partitions {
@@ -23,36 +23,40 @@
 			syncErr = err
 		}
 	}
-	if p, owner := s.findLocal(id); p != nil {
-		return p, s.checkOwner(c, id, owner)
-	}
-	if syncErr != nil {
+	p, owner := s.findLocal(c, id)
+	switch {
+	case p != nil:
+		return p, nil
+	case syncErr != nil:
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: syncErr}
+	case owner != "":
+		s.refuseOther(c, id, owner)
 	}
 	return nil, ErrNotFound
 }
 
-// checkOwner returns ErrNotFound if a submission belongs to another organisation than the caller's.
-func (s *Service) checkOwner(c organisation.Caller, id, owner string) error {
-	if c.OwnsBatch(owner) {
-		return nil
-	}
+// refuseOther logs and counts a call for the submission of another organisation.
+func (s *Service) refuseOther(c organisation.Caller, id, owner string) {
 	s.calls.Add("other_organisation", 1)
 	s.opts.Log.Info("batch_refused", "batch", id, "owner", owner, "caller", c.Organisation)
-	return ErrNotFound
 }
 
-// findLocal returns the partition that holds a submission among the records read so far, or nil, and the submission's organisation.
-func (s *Service) findLocal(id string) (p *partition, owner string) {
+// findLocal returns the partition that holds a submission of the caller's organisation among the records read so far, or nil. owner is then
+// the organisation of another submission with this ID, or "".
+func (s *Service) findLocal(c organisation.Caller, id string) (found *partition, owner string) {
 	for _, p := range s.partitions {
 		p.mu.Lock()
 		sub := p.index.submissions[id]
 		p.mu.Unlock()
-		if sub != nil {
-			return p, sub.head.Organisation
+		switch {
+		case sub == nil:
+		case c.OwnsBatch(sub.head.Organisation):
+			return p, ""
+		default:
+			owner = sub.head.Organisation
 		}
 	}
-	return nil, ""
+	return nil, owner
 }
 
 // Results returns a page of results that begins at position after, with texts of about maxBytes. If there are no
--- a/batch/service.go
+++ b/batch/service.go
@@ -167,11 +167,8 @@
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
-	p.mu.Lock()
-	accepted := p.index.submissions[sub.ID]
-	p.mu.Unlock()
-	if accepted != nil {
-		return s.checkOwner(organisation.Caller{Organisation: sub.Organisation}, sub.ID, accepted.head.Organisation)
+	if accepted, err := s.accepted(p, sub); accepted {
+		return err
 	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
@@ -181,12 +178,45 @@
 	defer cancel()
 	start := time.Now()
 	err = s.accept(ctx, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+	if err == nil && sub.Organisation != "" {
+		err = s.checkFirst(ctx, p, sub)
+	}
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
 	return err
 }
 
+// accepted reports whether a submission with this ID is among the records read so far. The error is ErrNotFound if it is another
+// organisation's.
+func (s *Service) accepted(p *partition, sub *Submission) (bool, error) {
+	p.mu.Lock()
+	first := p.index.submissions[sub.ID]
+	p.mu.Unlock()
+	caller := organisation.Caller{Organisation: sub.Organisation}
+	if first == nil || caller.OwnsBatch(first.head.Organisation) {
+		return first != nil, nil
+	}
+	s.refuseOther(caller, sub.ID, first.head.Organisation)
+	return true, ErrNotFound
+}
+
+// ownerCheckTimeout limits the time for reading back whose submission with an ID is the first.
+const ownerCheckTimeout = 300 * time.Millisecond
+
+// checkFirst returns ErrNotFound if another organisation submitted a batch with this ID before, as this VM may not have known. If the log
+// can't be read in time, it returns nil: the submission has no effect then, and its results are not found.
+func (s *Service) checkFirst(ctx context.Context, p *partition, sub *Submission) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerCheckTimeout)
+	defer cancel()
+	if err := p.sync(ctx); err != nil {
+		s.opts.Log.Warn("batch_owner_unread", "batch", sub.ID, "partition", p.id.Index, "err", err)
+		return nil
+	}
+	_, err := s.accepted(p, sub)
+	return err
+}
+
 // accept writes a submission's items and then its index record, which makes it valid.
 func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte) error {
 	var items []span
--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -179,13 +179,14 @@
 	header []string
 	rows   func(*entry.State) [][]string
 }{
-	"quarantine": {[]string{"CONTENT", "STATUS", "DEATHS", "UNTIL"}, quarantineRows},
-	"routes":     {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
-	"pools":      {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
-	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "PATH", "SOFTWARE", "VERSIONS"}, targetRows},
-	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
-	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
-	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
+	"quarantine":    {[]string{"CONTENT", "STATUS", "DEATHS", "UNTIL"}, quarantineRows},
+	"organisations": {[]string{"ORGANISATION", "KEYS", "PRIORITY"}, organisationRows},
+	"routes":        {[]string{"ROUTE", "HOST", "PREFIX", "POOL", "PRIORITY", "TIMEOUT_MS", "ATTEMPTS", "KIND"}, routeRows},
+	"pools":         {[]string{"POOL", "KIND", "TARGETS", "DRAINING", "SLOTS", "MODELS"}, poolRows},
+	"targets":       {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "PATH", "SOFTWARE", "VERSIONS"}, targetRows},
+	"versions":      {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
+	"batches":       {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
+	"tenures":       {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
 }
 
 func (a *app) vmGetCommand(vms *[]string) *cobra.Command {
@@ -245,11 +246,29 @@
 		if r.NonIdempotent {
 			kind += ", once"
 		}
+		if r.Public {
+			kind += ", public"
+		}
 		rows = append(rows, []string{r.Name, r.Host, r.PathPrefix, r.Pool, strconv.Itoa(int(r.Priority)), fmt.Sprint(r.TimeoutMs), strconv.Itoa(r.MaxAttempts), kind})
 	}
 	return rows
 }
 
+func organisationRows(s *entry.State) [][]string {
+	var rows [][]string
+	if s.Tables == nil {
+		return nil
+	}
+	for _, o := range s.Tables.Organisations {
+		priority := ""
+		if o.Priority != nil {
+			priority = strconv.Itoa(int(*o.Priority))
+		}
+		rows = append(rows, []string{o.Name, strconv.Itoa(len(o.Keys)), orDash(priority)})
+	}
+	return rows
+}
+
 func poolRows(s *entry.State) [][]string {
 	var rows [][]string
 	if s.Tables == nil {
--- a/ctl/vm_test.go
+++ b/ctl/vm_test.go
@@ -24,11 +24,13 @@
 // serveVMState serves the state of an entry VM at its metrics address, as ibisentry does.
 func serveVMState(t *testing.T, name string, version int64) string {
 	t.Helper()
+	priority := config.Priority(3)
 	s := entry.State{
 		VM: name, AvailabilityZone: "dixie-east-a", Ready: true, TablesVersion: version,
 		Tables: &fleet.Tables{Version: version,
-			Routes: []fleet.Route{{Route: config.Route{Name: "desk", Pool: "desk", PathPrefix: "/desk", TimeoutMs: 1000, NonIdempotent: true}, Host: "magnolia.example", MaxAttempts: 3}},
-			Pools:  []fleet.Pool{{Pool: config.Pool{Name: "models", Kind: config.PoolEngines}, Engine: &fleet.Engine{Slots: 8, Models: []string{"draft"}}}}},
+			Organisations: []fleet.Organisation{{Name: "hule", Keys: []fleet.KeyDigest{fleet.DigestOf("k1"), fleet.DigestOf("k2")}, Priority: &priority}, {Name: "ludo"}},
+			Routes:        []fleet.Route{{Route: config.Route{Name: "desk", Pool: "desk", PathPrefix: "/desk", TimeoutMs: 1000, NonIdempotent: true}, Host: "magnolia.example", MaxAttempts: 3}},
+			Pools:         []fleet.Pool{{Pool: config.Pool{Name: "models", Kind: config.PoolEngines}, Engine: &fleet.Engine{Slots: 8, Models: []string{"draft"}}}}},
 		Targets: []*fleet.Instance{
 			{Target: config.Target{Name: "m1", Address: "10.0.0.1:8000", AvailabilityZone: "dixie-east-a"}, Pool: "models", SoftwareVersion: "v1.1", Versions: map[string]int64{"draft": 7}},
 			{Target: config.Target{Name: "m2", Address: "10.0.0.2:8000", AvailabilityZone: "dixie-east-b", Draining: true}, Pool: "models", Versions: map[string]int64{"draft": 6}},
@@ -52,13 +54,14 @@
 func TestVMGetShowsEachPartOfState(t *testing.T) {
 	address := serveVMState(t, "vm-1", 17)
 	for what, want := range map[string][]string{
-		"routes":     {"desk", "magnolia.example", "/desk", "single, once"},
-		"pools":      {"models", "engines", "8"},
-		"targets":    {"m1", "10.0.0.1:8000", "draft=7", "true", "2.5", "v1.1", "direct", "through vm-7"},
-		"versions":   {"draft", "7:1 6:1"},
-		"batches":    {"b1", "64", "60"},
-		"tenures":    {"vm-1", "41"},
-		"quarantine": {"fp-a", "suspect", "fp-b", "quarantined", "2027-01-15T08:00:00Z"},
+		"organisations": {"hule", "2", "3", "ludo", "0", "-"},
+		"routes":        {"desk", "magnolia.example", "/desk", "single, once"},
+		"pools":         {"models", "engines", "8"},
+		"targets":       {"m1", "10.0.0.1:8000", "draft=7", "true", "2.5", "v1.1", "direct", "through vm-7"},
+		"versions":      {"draft", "7:1 6:1"},
+		"batches":       {"b1", "64", "60"},
+		"tenures":       {"vm-1", "41"},
+		"quarantine":    {"fp-a", "suspect", "fp-b", "quarantined", "2027-01-15T08:00:00Z"},
 	} {
 		t.Run(what, func(t *testing.T) {
 			is := is.New(t)
--- a/entry/state.go
+++ b/entry/state.go
@@ -16,9 +16,11 @@
 	Ready            bool   `json:"ready"`
 	Stopping         bool   `json:"stopping"`
 	// TablesVersion is the version of the current tables; 0 before the first ones.
-	TablesVersion int64             `json:"tables_version"`
-	Tables        *fleet.Tables     `json:"tables"`
-	Targets       []*fleet.Instance `json:"targets"`
+	TablesVersion int64 `json:"tables_version"`
+	// TablesAgeMs is the time since the last complete read of the operator's topic began, in milliseconds.
+	TablesAgeMs int64             `json:"tables_age_ms"`
+	Tables      *fleet.Tables     `json:"tables"`
+	Targets     []*fleet.Instance `json:"targets"`
 	// NamedVersions are the newest weight versions that trainers have named, by model.
 	NamedVersions map[string]int64 `json:"named_versions"`
 	// Tenures holds the tenures by partition.
@@ -46,7 +48,7 @@
 		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(),
 	}
 	if snap.Tables != nil {
-		s.TablesVersion = snap.Tables.Version
+		s.TablesVersion, s.TablesAgeMs = snap.Tables.Version, p.follower.tablesAge().Milliseconds()
 	}
 	return s
 }
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -105,8 +106,26 @@
 // DigestOf returns the digest of an API key.
 func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
-// MarshalText encodes the first bytes of the digest, for logs and the state dump.
-func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(d[:4])), nil }
+// shownDigestBytes is the number of bytes of a digest that logs and the state dump show.
+const shownDigestBytes = 4
+
+// String returns the first bytes of the digest in hexadecimal, for logs.
+func (d KeyDigest) String() string { return hex.EncodeToString(d[:shownDigestBytes]) }
+
+// MarshalText encodes the first bytes of the digest, for the state dump.
+func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText decodes what MarshalText encodes, for readers of the state dump. The result finds no key.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	*d = KeyDigest{}
+	if len(text) > hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest %.40q is too long", text)
+	}
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return fmt.Errorf("digest %.40q: %w", text, err)
+	}
+	return nil
+}
 
 // Organisation is a row of the organisations table: a customer's account, whose callers present one of its API keys.
 type Organisation struct {
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -5,7 +5,6 @@
 package organisation
 
 import (
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -44,14 +43,11 @@
 // String returns the first bytes of the key's digest for logs, or the form if there is no key.
 func (c Credentials) String() string {
 	if c.Form == FormKey {
-		return hex.EncodeToString(c.Digest[:loggedDigestBytes])
+		return c.Digest.String()
 	}
 	return string(c.Form)
 }
 
-// loggedDigestBytes is the number of bytes of a digest that logs show, as in the state dump.
-const loggedDigestBytes = 4
-
 // Caller is the organisation that a request belongs to. The zero value is none.
 type Caller struct {
 	// Organisation is its name; empty if the request belongs to none.
