--- a/batch/score.go
+++ b/batch/score.go
@@ -49,16 +49,19 @@
 		if !open {
 			return "", false
 		}
-		attempts, priority := 1, config.PriorityHighest
+		attempts, priority, organisation := 1, config.PriorityHighest, ""
 		if snap := r.view.Get(); snap.Tables != nil {
 			if route := snap.Tables.Match(s.Host, s.Path); route != nil {
 				attempts, priority = route.MaxAttempts, route.Priority
+				if !route.Public { // scorers' routes are public; a target on another one is told whose item it is
+					organisation = j.head.Organisation
+				}
 			}
 		}
 		callCtx, cancel := context.WithTimeout(ctx, scoreTimeout)
 		reply := r.forwarder.Serve(callCtx, &forward.Request{
 			ID: s.ID, Method: http.MethodPost, Host: s.Host, Path: s.Path, URI: s.Path, Header: http.Header{}, Body: s.Body, Budget: scoreTimeout,
-			Deadline: deadline, Background: true, Priority: priority,
+			Deadline: deadline, Background: true, Organisation: organisation, Priority: priority,
 		})
 		if reply.Body != nil {
 			reply.Body.Close()
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -38,7 +38,11 @@
 	services []*errata.Target
 	vms      []*vm
 	version  int
-	log      lockedBuffer // log lines of all VMs
+	// tenants is JSON of the organisations in the configuration, with a leading comma; key is the API key of calls, if not empty.
+	tenants, key string
+	// adjust changes the settings of VMs that are started after it was set; it may be nil.
+	adjust func(*entry.Settings)
+	log    lockedBuffer // log lines of all VMs
 }
 
 // vm is one entry VM.
@@ -86,7 +90,7 @@
 		{"Name":"r-notes","Host":%[2]q,"PathPrefix":"/notes/","Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Priority":0,"Service":"drafting","MaxAttempts":3}%[3]s],
 		"Services":[{"Name":"desk","HealthPath":"/healthz","MaxConns":100},
 		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"Models":[{"Name":%[4]q}]}}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, d.version, host, extra, model)))
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}%[5]s}`, d.version, host, extra, model, d.tenants)))
 }
 
 // nameVersion names a new weight version, as a trainer does.
@@ -112,6 +116,14 @@
 
 // startVMWithin starts a VM and waits for the given time until it is ready.
 func (d *deployment) startVMWithin(name string, within time.Duration) *vm {
+	d.t.Helper()
+	v := d.launchVM(name)
+	d.eventually(within, name+" is ready", v.process.Ready)
+	return v
+}
+
+// launchVM starts a VM.
+func (d *deployment) launchVM(name string) *vm {
 	d.t.Helper()
 	v := &vm{name: name, address: freeAddress(d.t), readyAddress: freeAddress(d.t), storeAccess: newStoreAccess(d.t, d.store), targetPath: newTargetPath(d.t), stop: make(chan struct{}), done: make(chan error, 1)}
 	targets := platform.NewTargetClient(v.targetPath.dial)
@@ -119,13 +131,16 @@
 	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
 	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
 	relayAddress, rpcAddress := freeAddress(d.t), freeAddress(d.t)
+	settings := entry.Settings{
+		VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
+		Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
+		OrderHandover: time.Second, BatchRetention: time.Minute,
+	}
+	if d.adjust != nil {
+		d.adjust(&settings)
+	}
 	v.process = entry.New(entry.Options{
-		Settings: entry.Settings{
-			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
-			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
-			OrderHandover: time.Second, BatchRetention: time.Minute,
-		},
-		Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
+		Settings: settings, Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
 		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, RPCAddress: rpcAddress, Transport: transport, Log: log},
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
@@ -137,7 +152,6 @@
 	go func() { v.done <- v.process.Run(v.stop) }()
 	d.vms = append(d.vms, v)
 	d.t.Cleanup(func() { d.kill(v) })
-	d.eventually(within, name+" is ready", v.process.Ready)
 	return v
 }
 
@@ -180,6 +194,9 @@
 		req.Header.Set("Request-Id", id)
 		req.Header.Set("Deadline-Ms", "3000")
 	}
+	if d.key != "" {
+		req.Header.Set("Authorization", "Token "+d.key)
+	}
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
