--- a/entry/organisation_test.go
+++ b/entry/organisation_test.go
@@ -21,6 +21,9 @@
 	publicRoute = `,{"Name":"r-score","Host":"desk.example","PathPrefix":"/score/","Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2,"Public":true}`
 )
 
+// refusalTime is the time within which a refusal must come that does not wait for the body.
+const refusalTime = 500 * time.Millisecond
+
 // configureTenants writes a configuration with organisations and waits until the VMs have it.
 func (d *deployment) configureTenants(tenants string) {
 	d.t.Helper()
@@ -143,7 +146,7 @@
 	defer c.Close()
 	_, err = fmt.Fprintf(c, "POST /desk/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token key-hule\r\nAuthorization: Token key-hule\r\nContent-Length: 5000\r\n\r\n", host)
 	d.is.NoErr(err)
-	d.is.NoErr(c.SetReadDeadline(time.Now().Add(2 * time.Second)))
+	d.is.NoErr(c.SetReadDeadline(time.Now().Add(refusalTime)))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	d.is.NoErr(err) // answered although the body has not been sent
 	d.is.Equal(resp.StatusCode, http.StatusUnauthorized)
@@ -180,7 +183,7 @@
 
 // Guards against an organisation that reads, ends or takes over the batch of another one, and against a batch that ends with its key.
 func TestBatchBelongsToOrganisation(t *testing.T) {
-	d := newDeployment(t, 1, 1, 2)
+	d := newDeployment(t, 1, 1, 4) // more than keep up with a partition
 	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b0", "b0", submission(1, 0, "i0")).status, http.StatusAccepted)
 	d.readAll(d.vms[0], "b0", 1, 5*time.Second)
 	d.configureTenants(twoTenants)
@@ -189,13 +192,13 @@
 	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1")).status, http.StatusAccepted)
 	d.configureTenants(strings.Replace(twoTenants, `,"spare-hule"`, "", 1))
 	calls := func(v *vm) (statuses []int) {
+		statuses = append(statuses, d.call(v, http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1")).status)
 		for _, c := range [][2]string{{http.MethodGet, "/v1/lots/b1"}, {http.MethodGet, "/v1/items/b1?Id=i1"}, {http.MethodDelete, "/v1/lots/b1"}} {
 			statuses = append(statuses, d.call(v, c[0], c[1], "", "").status)
 		}
-		return append(statuses, d.call(v, http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1")).status)
+		return statuses
 	}
-	for i := range d.vms {
-		v := d.vms[len(d.vms)-1-i] // at first the VM that has not read the batch
+	for _, v := range d.vms { // some have not read the batch
 		d.key = "key-ludo"
 		d.is.Equal(calls(v), []int{404, 404, 404, 404})
 		d.key = "spare-hule"
