--- a/batch/results.go
+++ b/batch/results.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"github.com/ibistrail/ibistrail/organisation"
 )
 
-// find returns the partition that holds a submission. It returns ErrNotFound only after all partitions were read to
-// their end.
-func (s *Service) find(ctx context.Context, id string) (*partition, error) {
-	if p := s.findLocal(id); p != nil {
+// find returns the partition that holds a submission of the caller's organisation. It returns ErrNotFound only after all partitions were read
+// to their end, also if another organisation has a submission with this ID.
+func (s *Service) find(ctx context.Context, c organisation.Caller, id string) (*partition, error) {
+	if p, _ := s.findLocal(c, id); p != nil {
 		return p, nil
 	}
 	errs := make(chan error, len(s.partitions))
@@ -21,33 +23,47 @@
 			syncErr = err
 		}
 	}
-	if p := s.findLocal(id); p != nil {
+	p, owner := s.findLocal(c, id)
+	switch {
+	case p != nil:
 		return p, nil
-	}
-	if syncErr != nil {
+	case syncErr != nil:
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: syncErr}
+	case owner != "":
+		s.refuseOther(c, id, owner)
 	}
 	return nil, ErrNotFound
 }
 
-// findLocal returns the partition that holds a submission among the records read so far, or nil.
-func (s *Service) findLocal(id string) *partition {
+// refuseOther logs and counts a call for the submission of another organisation.
+func (s *Service) refuseOther(c organisation.Caller, id, owner string) {
+	s.calls.Add("other_organisation", 1)
+	s.opts.Log.Info("batch_refused", "batch", id, "owner", owner, "caller", c.Organisation)
+}
+
+// findLocal returns the partition that holds a submission of the caller's organisation among the records read so far, or nil. owner is then
+// the organisation of another submission with this ID, or "".
+func (s *Service) findLocal(c organisation.Caller, id string) (found *partition, owner string) {
 	for _, p := range s.partitions {
 		p.mu.Lock()
 		sub := p.index.submissions[id]
 		p.mu.Unlock()
-		if sub != nil {
-			return p
+		switch {
+		case sub == nil:
+		case c.OwnsBatch(sub.head.Organisation):
+			return p, ""
+		default:
+			owner = sub.head.Organisation
 		}
 	}
-	return nil
+	return nil, owner
 }
 
 // Results returns a page of results that begins at position after, with texts of about maxBytes. If there are no
 // results there yet, it waits up to wait for the first one.
-func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
+func (s *Service) Results(ctx context.Context, c organisation.Caller, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
 	start := time.Now()
-	p, err := s.find(ctx, id)
+	p, err := s.find(ctx, c, id)
 	found := time.Since(start)
 	var page *Page
 	if err == nil {
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/organisation"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/store"
@@ -155,7 +156,8 @@
 }
 
 // Submit stores a submission to a route. It returns nil once the submission is durable, also if it was accepted
-// before. Errors are *InvalidError, *UnavailableError or ErrOutcomeUnknown.
+// before. Errors are *InvalidError, *UnavailableError, ErrOutcomeUnknown, or ErrNotFound if another organisation has submitted a batch
+// with this ID.
 func (s *Service) Submit(ctx context.Context, route *fleet.Route, sub *Submission) error {
 	if err := sub.Validate(); err != nil {
 		return err
@@ -165,11 +167,8 @@
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
-	p.mu.Lock()
-	accepted := p.index.submissions[sub.ID] != nil
-	p.mu.Unlock()
-	if accepted {
-		return nil
+	if accepted, err := s.accepted(p, sub); accepted {
+		return err
 	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
@@ -179,12 +178,45 @@
 	defer cancel()
 	start := time.Now()
 	err = s.accept(ctx, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+	if err == nil && sub.Organisation != "" {
+		err = s.checkFirst(ctx, p, sub)
+	}
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
 	return err
 }
 
+// accepted reports whether a submission with this ID is among the records read so far. The error is ErrNotFound if it is another
+// organisation's.
+func (s *Service) accepted(p *partition, sub *Submission) (bool, error) {
+	p.mu.Lock()
+	first := p.index.submissions[sub.ID]
+	p.mu.Unlock()
+	caller := organisation.Caller{Organisation: sub.Organisation}
+	if first == nil || caller.OwnsBatch(first.head.Organisation) {
+		return first != nil, nil
+	}
+	s.refuseOther(caller, sub.ID, first.head.Organisation)
+	return true, ErrNotFound
+}
+
+// ownerCheckTimeout limits the time for reading back whose submission with an ID is the first.
+const ownerCheckTimeout = 300 * time.Millisecond
+
+// checkFirst returns ErrNotFound if another organisation submitted a batch with this ID before, as this VM may not have known. If the log
+// can't be read in time, it returns nil: the submission has no effect then, and its results are not found.
+func (s *Service) checkFirst(ctx context.Context, p *partition, sub *Submission) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerCheckTimeout)
+	defer cancel()
+	if err := p.sync(ctx); err != nil {
+		s.opts.Log.Warn("batch_owner_unread", "batch", sub.ID, "partition", p.id.Index, "err", err)
+		return nil
+	}
+	_, err := s.accepted(p, sub)
+	return err
+}
+
 // accept writes a submission's items and then its index record, which makes it valid.
 func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte) error {
 	var items []span
@@ -267,8 +299,8 @@
 const recordLengthBytes = 4
 
 // Item returns the body of an item of an open submission, or ErrNotFound.
-func (s *Service) Item(ctx context.Context, id, itemID string) ([]byte, error) {
-	p, err := s.find(ctx, id)
+func (s *Service) Item(ctx context.Context, c organisation.Caller, id, itemID string) ([]byte, error) {
+	p, err := s.find(ctx, c, id)
 	if err != nil {
 		return nil, err
 	}
@@ -299,8 +331,8 @@
 }
 
 // End ends a submission: no more of its items are started, and running ones are canceled.
-func (s *Service) End(ctx context.Context, id string) error {
-	p, err := s.find(ctx, id)
+func (s *Service) End(ctx context.Context, c organisation.Caller, id string) error {
+	p, err := s.find(ctx, c, id)
 	if err != nil {
 		return err
 	}
