--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -185,15 +185,17 @@
 	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "PATH", "SOFTWARE", "VERSIONS"}, targetRows},
 	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
 	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
+	"scaling":    {[]string{"POOL", "AZ", "KIND", "OBSERVED", "WANTED", "ORDERED", "OUTCOME", "REASON"}, scalingRows},
 	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
 }
 
 func (a *app) vmGetCommand(vms *[]string) *cobra.Command {
 	kinds := slices.Sorted(maps.Keys(vmTables))
 	return &cobra.Command{
-		Use:       "get {" + strings.Join(kinds, "|") + "}",
-		Short:     "Print a part of the state of the first VM that answers",
-		Long:      "Print a part of the state of the first listed VM that answers. With -o json the whole state is printed.",
+		Use:   "get {" + strings.Join(kinds, "|") + "}",
+		Short: "Print a part of the state of the first VM that answers",
+		Long: `Print a part of the state of the first listed VM that answers. With -o json the whole state is printed.
+The part "scaling" is that of the first VM that orders targets.`,
 		Example:   "  ibisctl vm get targets --vm 10.0.1.7:9464",
 		Args:      cobra.ExactArgs(1),
 		ValidArgs: kinds,
@@ -207,6 +209,11 @@
 				return err
 			}
 			s := states[slices.IndexFunc(states, func(s vmState) bool { return s.State != nil })].State
+			if args[0] == "scaling" {
+				if i := slices.IndexFunc(states, func(s vmState) bool { return s.State != nil && len(s.State.Scaling) > 0 }); i >= 0 {
+					s = states[i].State
+				}
+			}
 			if a.format == formatJSON {
 				return a.printJSON(s)
 			}
@@ -334,6 +341,27 @@
 	return rows
 }
 
+func scalingRows(s *entry.State) [][]string {
+	var rows [][]string
+	for _, pool := range slices.Sorted(maps.Keys(s.Scaling)) {
+		p := s.Scaling[pool]
+		for _, c := range p.Subjects {
+			kind, ordered, reason := "ordinary", "-", c.Reason
+			if c.Spot {
+				kind = "spot"
+			}
+			if c.Ordered != nil {
+				ordered = strconv.Itoa(*c.Ordered)
+			}
+			if p.Held || reason == "" {
+				reason = p.Reason
+			}
+			rows = append(rows, []string{pool, c.Zone, kind, strconv.Itoa(c.Observed), strconv.Itoa(c.Wanted), ordered, orDash(string(c.LastOutcome)), reason})
+		}
+	}
+	return rows
+}
+
 func tenureRows(s *entry.State) [][]string {
 	var rows [][]string
 	for _, n := range slices.Sorted(maps.Keys(s.Tenures)) {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -48,13 +48,30 @@
 	store        store.Log
 	log          *slog.Logger
 	view         *fleet.View
-	mu           chan struct{} // a mutex with capacity 1; guards directory and failingSince
+	mu           chan struct{} // a mutex with capacity 1; guards directory, failingSince and readAt
 	directory    *fleet.Directory
 	failingSince map[string]time.Time // by topic: the time of the first failed read
+	clock        func() time.Duration
+	readAt       map[string]time.Duration // by topic: the time of the newest successful read, on clock
 }
 
-func newTopicFollower(st store.Log, log *slog.Logger, view *fleet.View) *topicFollower {
-	return &topicFollower{store: st, log: log, view: view, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{}}
+// newTopicFollower returns a follower that reads nothing yet. clock counts the time during which the VM was suspended.
+func newTopicFollower(st store.Log, log *slog.Logger, view *fleet.View, clock func() time.Duration) *topicFollower {
+	return &topicFollower{
+		store: st, log: log, view: view, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{},
+		clock: clock, readAt: map[string]time.Duration{},
+	}
+}
+
+// age returns the time since the last successful read of the topic whose last one is the oldest.
+func (f *topicFollower) age(sources []Source) time.Duration {
+	f.mu <- struct{}{}
+	defer func() { <-f.mu }()
+	oldest := time.Duration(0)
+	for _, src := range sources {
+		oldest = max(oldest, f.clock()-f.readAt[src.Topic])
+	}
+	return oldest
 }
 
 // follow applies the records of a topic until ctx ends.
@@ -105,6 +122,7 @@
 	f.mu <- struct{}{}
 	defer func() { <-f.mu }()
 	now := time.Now()
+	f.readAt[src.Topic] = f.clock()
 	if since, ok := f.failingSince[src.Topic]; ok {
 		delete(f.failingSince, src.Topic)
 		f.log.Info("store_reached", "topic", src.Topic, "out_ms", now.Sub(since).Milliseconds())
--- a/entry/process.go
+++ b/entry/process.go
@@ -123,7 +123,7 @@
 			p.detour.SetVMs(vms)
 		}
 	}
-	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
+	p.follower = newTopicFollower(opts.Store, opts.Log, p.View, opts.BootTime)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
 	p.Forwarder = forward.New(forward.Options{
 		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
--- a/entry/state.go
+++ b/entry/state.go
@@ -6,6 +6,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/scaling"
 	"github.com/ibistrail/ibistrail/tenure"
 )
 
@@ -24,6 +25,8 @@
 	// Tenures holds the tenures by partition.
 	Tenures map[int]tenure.State `json:"tenures"`
 	Batches batch.State          `json:"batches"`
+	// Scaling holds the pools whose targets this VM orders, by pool.
+	Scaling map[string]scaling.State `json:"scaling,omitempty"`
 	// Requests holds the routing state of the targets of single requests, by pool.
 	Requests map[string][]routing.TargetState `json:"requests"`
 	// Quarantine holds the requests that were running when targets crashed, by the fingerprint of their content.
@@ -42,7 +45,7 @@
 	s := State{
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
-		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
+		Tenures: p.tenures.states(), Batches: p.Batches.State(), Scaling: p.tenures.scalingStates(), Requests: p.Forwarder.State(),
 		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(),
 	}
 	if snap.Tables != nil {
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -10,12 +10,13 @@
 	"github.com/ibistrail/ibistrail/batch"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/scaling"
 	"github.com/ibistrail/ibistrail/tenure"
 	"github.com/ibistrail/ibistrail/versions"
 )
 
 // tenureManager competes for the tenures of partitions. While this VM holds one, it dispatches the batch items
-// and orders the weight versions of the pools in that partition.
+// and orders the weight versions and the targets of the pools in that partition.
 type tenureManager struct {
 	p         *Process
 	processID string
@@ -24,12 +25,19 @@
 	stopped     bool
 	tenures     map[int]*tenure.Tenure
 	controllers map[string]context.CancelFunc // stops the version controller of a pool, by pool
+	scalers     map[string]*scaler            // those that order targets, by pool
+}
+
+// scaler orders the targets of a pool until cancel is called.
+type scaler struct {
+	*scaling.Runner
+	cancel context.CancelFunc
 }
 
 func newTenureManager(p *Process) *tenureManager {
 	return &tenureManager{
 		p: p, processID: fmt.Sprintf("%s/%d", p.opts.Settings.VM, time.Now().UnixNano()),
-		tenures: map[int]*tenure.Tenure{}, controllers: map[string]context.CancelFunc{},
+		tenures: map[int]*tenure.Tenure{}, controllers: map[string]context.CancelFunc{}, scalers: map[string]*scaler{},
 	}
 }
 
@@ -39,15 +47,15 @@
 }
 
 // poolsByPartition returns, by partition, the pools that need a holder: those that run batches or have engines,
-// whose versions are ordered.
-func poolsByPartition(t *fleet.Tables, partitions int) map[int][]string {
+// whose versions are ordered. With ordersTargets, those whose targets are ordered need one, too.
+func poolsByPartition(t *fleet.Tables, partitions int, ordersTargets bool) map[int][]string {
 	out := map[int][]string{}
 	if t == nil {
 		return out
 	}
 	for i := range t.Pools {
 		pool := &t.Pools[i]
-		used := pool.Engine != nil
+		used := pool.Engine != nil || ordersTargets && pool.Scaling != nil
 		for j := range t.Routes {
 			used = used || t.Routes[j].Batch && t.Routes[j].UsesPool(pool.Name)
 		}
@@ -68,7 +76,7 @@
 		return
 	}
 	s := m.p.opts.Settings
-	pools := poolsByPartition(m.p.View.Get().Tables, s.Partitions)
+	pools := poolsByPartition(m.p.View.Get().Tables, s.Partitions, m.ordersTargets())
 	for n := range pools {
 		if m.tenures[n] == nil {
 			t := tenure.New(tenure.Options{
@@ -94,6 +102,7 @@
 	}
 	m.p.Batches.SetOwnedPartitions(held)
 	m.syncControllers(poolTenures)
+	m.syncScalers(poolTenures)
 }
 
 // syncControllers runs a version controller for each pool in poolTenures and stops the others.
@@ -119,11 +128,63 @@
 	}
 }
 
+// ordersTargets reports whether VMs order the targets of pools.
+func (m *tenureManager) ordersTargets() bool {
+	return m.p.opts.Settings.Duties.OrderTargets && m.p.opts.DutyAPI != nil
+}
+
+// syncScalers orders the targets of each pool in poolTenures whose number of targets is ours to choose, and of no other.
+func (m *tenureManager) syncScalers(poolTenures map[string]*tenure.Tenure) {
+	if !m.ordersTargets() {
+		return
+	}
+	scaled := map[string]bool{}
+	if t := m.p.View.Get().Tables; t != nil {
+		for i := range t.Pools {
+			scaled[t.Pools[i].Name] = t.Pools[i].Scaling != nil && poolTenures[t.Pools[i].Name] != nil
+		}
+	}
+	for name, s := range m.scalers {
+		if !scaled[name] {
+			s.cancel()
+			delete(m.scalers, name)
+		}
+	}
+	for name, ok := range scaled {
+		if !ok || m.scalers[name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(m.p.ctx)
+		s := &scaler{cancel: cancel, Runner: &scaling.Runner{
+			Pool: name, VM: m.p.opts.Settings.VM, View: m.p.View, API: m.p.opts.DutyAPI, Tenure: poolTenures[name],
+			Load:     func() scaling.Load { return m.p.Batches.OpenWork(name) },
+			Draining: m.p.targets.Draining, ViewAge: func() time.Duration { return m.p.follower.age(m.p.opts.Sources) },
+			CallsPerSecond: m.p.opts.Settings.Duties.CallsPerSecond, Log: m.p.opts.Log, Metrics: m.p.opts.Metrics,
+		}}
+		m.scalers[name] = s
+		go s.Run(ctx)
+	}
+}
+
+// scalingStates returns the state of the orders of targets by pool; nil if this VM orders none.
+func (m *tenureManager) scalingStates() map[string]scaling.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out map[string]scaling.State
+	for name, s := range m.scalers {
+		if out == nil {
+			out = map[string]scaling.State{}
+		}
+		out[name] = s.State()
+	}
+	return out
+}
+
 // partitionEngines returns the registered targets of the pools of a partition.
 func (m *tenureManager) partitionEngines(n int) []*fleet.Instance {
 	snap := m.p.View.Get()
 	var out []*fleet.Instance
-	for _, pool := range poolsByPartition(snap.Tables, m.p.opts.Settings.Partitions)[n] {
+	for _, pool := range poolsByPartition(snap.Tables, m.p.opts.Settings.Partitions, m.ordersTargets())[n] {
 		out = append(out, snap.Pool(pool)...)
 	}
 	return out
@@ -175,6 +236,7 @@
 	m.stopped = true
 	tenures := m.tenures
 	m.syncControllers(nil)
+	m.syncScalers(nil)
 	m.mu.Unlock()
 	m.p.Batches.SetOwnedPartitions(nil)
 	ctx, cancel := context.WithTimeout(m.p.ctx, releaseTimeout)
