platform: a call to the duty API is not sent once its guard forbids it

A VM that is suspended between the decision and the call no longer sends under a tenure that has ended.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -12,8 +12,24 @@
 	ErrNoneAvailable = errors.New("no target is to be had there now; try another availability zone, or later")
 	// ErrTooManyCalls is returned if the platform took no call because there were too many; repeat it later.
 	ErrTooManyCalls = errors.New("too many calls to the platform's API; repeat the call later")
+	// ErrNotAllowed is returned if the call did not leave because the guard of its context did not allow it any more.
+	ErrNotAllowed = errors.New("the call was not sent, because the duty may have another holder by now")
 )
 
+type guardKey struct{}
+
+// WithGuard returns the context of a call that is not sent if allowed returns false just before it would leave. A VM may be suspended
+// between the decision to send a call and its bytes, and have lost the duty meanwhile.
+func WithGuard(ctx context.Context, allowed func() bool) context.Context {
+	return context.WithValue(ctx, guardKey{}, allowed)
+}
+
+// Allowed reports whether a call with this context may still be sent. Adapters ask it last.
+func Allowed(ctx context.Context) bool {
+	allowed, ok := ctx.Value(guardKey{}).(func() bool)
+	return !ok || allowed()
+}
+
 // Holder identifies the VM that has a duty. Token is its fencing token, which rises when the holder changes.
 type Holder struct {
 	VM    string
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fake/errata"
 	"github.com/ibistrail/ibistrail/internal/loopback"
@@ -38,7 +39,8 @@
 	services []*errata.Target
 	vms      []*vm
 	version  int
-	log      lockedBuffer // log lines of all VMs
+	duties   entry.DutySettings // of the VMs that are started from now on
+	log      lockedBuffer       // log lines of all VMs
 }
 
 // vm is one entry VM.
@@ -119,13 +121,18 @@
 	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
 	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
 	relayAddress, rpcAddress := freeAddress(d.t), freeAddress(d.t)
+	var dutyAPI duties.API
+	if d.duties.Address != "" {
+		dutyAPI = platform.NewCloudClient(d.duties.Address)
+	}
 	v.process = entry.New(entry.Options{
 		Settings: entry.Settings{
 			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
 			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
-			OrderHandover: time.Second, BatchRetention: time.Minute,
+			OrderHandover: time.Second, BatchRetention: time.Minute, Duties: d.duties,
 		},
-		Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
+		DutyAPI: dutyAPI,
+		Log:     log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
 		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, RPCAddress: rpcAddress, Transport: transport, Log: log},
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
--- a/entry/process.go
+++ b/entry/process.go
@@ -98,12 +98,12 @@
 
 // New returns a process that serves nothing until Run.
 func New(opts Options) *Process {
-	p := &Process{opts: opts, View: fleet.NewView()}
-	p.ctx, p.cancel = context.WithCancel(context.Background())
-	s := opts.Settings
 	if opts.Metrics == nil {
 		opts.Metrics = process.NewMetrics()
 	}
+	p := &Process{opts: opts, View: fleet.NewView()}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	s := opts.Settings
 	p.targets = targetstate.NewRegister(opts.Log, opts.Metrics)
 	self := fleet.VM{Name: s.VM, AvailabilityZone: s.AvailabilityZone, RPCAddress: s.RPCAddress, RelayAddress: s.RelayAddress, Small: s.Small()}
 	p.detour = detour.New(detour.Options{Self: self, View: p.View, Targets: opts.Client, Dial: opts.Dial, Log: opts.Log, Metrics: opts.Metrics,
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -33,7 +33,7 @@
 	// bootSlack is added to the boot time until a new target is missed: its registration has to be read.
 	bootSlack = 2 * time.Second
 	// lossDelay is how long targets are missing from the registrations before they count as lost.
-	lossDelay = 2 * time.Second
+	lossDelay = 3 * time.Second
 	// absentGrace is how long a zone that had no target when the tenure was taken is left alone: it may be cut off, and an absolute
 	// count would remove the targets that it has.
 	absentGrace = 30 * time.Second
@@ -122,9 +122,6 @@
 	d.Total = targetsFor(float64(d.PeakSlots)*burstHeadroom*zoneHeadroom(len(zones)), o.Slots)
 	d.Total = min(d.Total, limits.MaxTargets*len(zones))
 	d.Ordinary = min(d.Ordinary, d.Total)
-	if o.Partial {
-		d.Total = max(d.Total, c.initialTotal)
-	}
 	for s, st := range c.subjects {
 		d.Wanted[s] = st.confirmed
 	}
@@ -137,8 +134,11 @@
 		return d
 	}
 	p := &plan{c: c, now: o.Now, limits: limits, zones: zones, d: &d}
+	if o.Partial {
+		p.floor = c.initialTotal
+	}
 	p.raise()
-	p.reduce(o.Partial)
+	p.reduce()
 	p.clamp()
 	c.finish(o.Now, limits, &d)
 	return d
@@ -304,8 +304,10 @@
 		st.unsure = true
 		fallthrough
 	case TooManyCalls:
-		c.pause(now, min(callPauseMin<<min(c.failures, 4), callPauseMax))
-		c.failures++
+		if !now.Before(c.pausedUntil) { // the first of a wave
+			c.pause(now, min(callPauseMin<<min(c.failures, 4), callPauseMax))
+			c.failures++
+		}
 	}
 }
 
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -16,7 +16,9 @@
 	now    time.Time
 	limits *fleet.Scaling
 	zones  []string
-	d      *Decision
+	// floor is the number of targets below which the pool is not reduced, whatever the load.
+	floor int
+	d     *Decision
 }
 
 // expected returns the number of targets that the subject will have once the wanted counts are met.
@@ -62,8 +64,8 @@
 		for p.expectedKind(false) < part(scaleUpTo, p.d.Ordinary) && p.add(false, reason) {
 		}
 	}
-	if p.total() < part(scaleUpBelow, p.d.Total) {
-		for p.total() < part(scaleUpTo, p.d.Total) && (p.add(true, reason) || p.add(false, reason)) {
+	if p.total() < part(scaleUpBelow, max(p.floor, p.d.Total)) {
+		for p.total() < max(p.floor, part(scaleUpTo, p.d.Total)) && (p.add(true, reason) || p.add(false, reason)) {
 		}
 	}
 	if p.d.Reason == "steady" && len(p.d.Reasons) > 0 {
@@ -96,7 +98,7 @@
 
 // add wants one more target of a kind in the zone that has the fewest, the cheapest of several. It returns false if there is none.
 func (p *plan) add(spot bool, reason string) bool {
-	share := int(math.Ceil(maxShareFactor * float64(p.d.Total) / float64(len(p.zones))))
+	share := int(math.Ceil(maxShareFactor * float64(max(p.floor, p.d.Total)) / float64(len(p.zones))))
 	for _, limit := range []int{min(share, p.limits.MaxTargets), p.limits.MaxTargets} { // a zone gets a larger share only if no other can take it
 		var free []Subject
 		for _, zone := range p.zones {
@@ -124,13 +126,9 @@
 }
 
 // reduce removes a few targets after a sustained surplus.
-func (p *plan) reduce(partial bool) {
+func (p *plan) reduce() {
 	c := p.c
-	floor := int(math.Ceil(surplusFactor * float64(p.d.Total)))
-	if partial {
-		floor = max(floor, c.initialTotal)
-	}
-	surplus := p.total() - max(floor, p.limits.MinTargets*len(p.zones))
+	surplus := p.total() - max(p.floor, int(math.Ceil(surplusFactor*float64(p.d.Total))), p.limits.MinTargets*len(p.zones))
 	if surplus <= 0 || len(p.d.Reasons) > 0 || p.unsettled() {
 		c.surplusSince = time.Time{}
 		return
--- a/scaling/runner.go
+++ b/scaling/runner.go
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	start := time.Now()
-	err := r.API.OrderTargets(ctx, duties.Holder{VM: r.VM, Token: r.token}, duties.TargetOrder{
+	err := r.API.OrderTargets(duties.WithGuard(ctx, r.maySend), duties.Holder{VM: r.VM, Token: r.token}, duties.TargetOrder{
 		Pool: r.Pool, AvailabilityZone: o.Zone, Count: o.Count, Spot: o.Spot,
 	})
 	outcome := Unknown
@@ -206,6 +206,8 @@
 		outcome = NoneAvailable
 	case errors.Is(err, duties.ErrTooManyCalls):
 		outcome = TooManyCalls
+	case errors.Is(err, duties.ErrNotAllowed):
+		outcome = Unsent
 	}
 	r.Log.Info("scaling_order", "pool", r.Pool, "zone", o.Zone, "kind", o.kind(), "count", o.Count, "reason", o.Reason, "token", r.token,
 		"outcome", string(outcome), "ms", time.Since(start).Milliseconds(), "err", err)
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -109,6 +109,39 @@
 	is.True(c.now-lastSend < handover+takeoverTimeout+orderWindow) // not much later than needed
 }
 
+// TestOverlappingWavesAreAllAllowedFor covers two senders of one holder that begin waves in turn, as weight versions and targets are
+// ordered under the same tenure: a wave extends the time in which orders of the other may be sent, and a successor waits for the end.
+func TestOverlappingWavesAreAllAllowedFor(t *testing.T) {
+	is := is.New(t)
+	m, c := &memoryLog{}, &clock{now: time.Hour}
+	a, b := newTenure(m, c, "a", false), newTenure(m, c, "b", false)
+	is.NoErr(step(a))
+	is.NoErr(step(b))
+	is.NoErr(a.BeginWave(t.Context()))
+	firstEnds := c.now + orderWindow
+	c.now += orderWindow / 2
+	is.NoErr(a.BeginWave(t.Context()))
+	c.now = firstEnds
+	is.True(a.MaySend())
+	m.unavailable = true
+	is.True(a.BeginWave(t.Context()) != nil) // a third wave that is not recorded allows nothing
+	m.unavailable = false
+	lastSend := c.now
+	for ; a.MaySend(); c.now += time.Millisecond {
+		lastSend = c.now
+	}
+	is.True(lastSend < firstEnds+orderWindow/2)
+	is.NoErr(step(b)) // reads the records of the waves
+	c.now += takeoverTimeout
+	is.NoErr(step(b))
+	is.True(held(b))
+	for b.BeginWave(t.Context()) != nil {
+		c.now += 10 * time.Millisecond
+	}
+	is.True(c.now-lastSend >= handover)
+	is.True(!a.MaySend())
+}
+
 func TestSuspendedHolderMayNotSendAfterOrderWindow(t *testing.T) {
 	is := is.New(t)
 	m, c := &memoryLog{}, &clock{now: time.Hour}
