--- a/ctl/vm_test.go
+++ b/ctl/vm_test.go
@@ -17,6 +17,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/quarantine"
+	"github.com/ibistrail/ibistrail/scaling"
 	"github.com/ibistrail/ibistrail/tenure"
 	"github.com/ibistrail/ibistrail/wire"
 )
@@ -24,6 +25,7 @@
 // serveVMState serves the state of an entry VM at its metrics address, as ibisentry does.
 func serveVMState(t *testing.T, name string, version int64) string {
 	t.Helper()
+	ordered := int(version)
 	s := entry.State{
 		VM: name, AvailabilityZone: "dixie-east-a", Ready: true, TablesVersion: version,
 		Tables: &fleet.Tables{Version: version,
@@ -38,6 +40,9 @@
 		TargetPaths:   detour.State{Lost: []string{"m2"}, Through: []string{"vm-7"}},
 		Quarantine:    quarantine.State{Suspects: []string{"fp-a"}, Quarantined: []wire.Quarantine{{Fingerprint: "fp-b", Deaths: 3, Until: time.Unix(1_800_000_000, 0)}}},
 		Tenures:       map[int]tenure.State{3: {Held: true, Token: 41, Holder: name}},
+		Scaling: map[string]scaling.State{"models": {Reason: "steady", Subjects: []scaling.SubjectState{
+			{Zone: "dixie-east-b", Spot: true, Observed: 2, Wanted: 5, Ordered: &ordered, LastOutcome: scaling.NoneAvailable, Reason: "120 slots needed"},
+		}}},
 		Batches: batch.State{
 			Partitions: map[int]batch.PartitionState{3: {Owned: true, Batches: []batch.BatchState{{ID: "b1", Step: 4, Total: 64, Listed: 60}}}},
 			Runner:     batch.RunnerState{Jobs: map[string]int{"running": 4}, Engines: map[string]batch.EngineState{"m1": {Running: 4}}},
@@ -58,6 +63,7 @@
 		"versions":   {"draft", "7:1 6:1"},
 		"batches":    {"b1", "64", "60"},
 		"tenures":    {"vm-1", "41"},
+		"scaling":    {"models", "dixie-east-b", "spot", "17", "none_available", "120 slots needed"},
 		"quarantine": {"fp-a", "suspect", "fp-b", "quarantined", "2027-01-15T08:00:00Z"},
 	} {
 		t.Run(what, func(t *testing.T) {
