--- a/fake/errata/cloud.go
+++ b/fake/errata/cloud.go
@@ -24,8 +24,8 @@
 // Cloud is the platform's API for duties. The fault switches among its fields may be set while it runs, under Lock.
 type Cloud struct {
 	sync.Mutex
-	// Down answers each call with status 503, Hang holds each call until the client cancels it.
-	Down, Hang bool
+	// Down answers each call with status 503, TooMany with 429, Hang holds each call until the client cancels it.
+	Down, TooMany, Hang bool
 	// LoseAnswers is how many of the next calls are accepted without an answer.
 	LoseAnswers int
 	// NoneIn holds the zones in which no targets are to be had.
@@ -80,6 +80,8 @@
 		call.Status = http.StatusBadRequest
 	case c.Down:
 		call.Status = http.StatusServiceUnavailable
+	case c.TooMany:
+		call.Status = http.StatusTooManyRequests
 	case slices.Contains(c.NoneIn, zone):
 		call.Status = http.StatusConflict
 	case c.LoseAnswers > 0:
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -111,7 +111,7 @@
 	}
 	c.observe(o, limits)
 	zones := c.zones()
-	if len(zones) == 0 || o.Slots <= 0 {
+	if len(zones) == 0 {
 		return c.hold("no availability zone is known")
 	}
 	d := Decision{Wanted: map[Subject]int{}, Reasons: map[Subject]string{}, Reason: "steady"}
--- a/scaling/controller_test.go
+++ b/scaling/controller_test.go
@@ -308,6 +308,26 @@
 	is.True(float64(w.all()) >= scaleUpBelow*float64(w.last.Total))
 }
 
+// TestSpotTargetsNeverOutnumberOrdinaryOnes guards against a zone that is nearly empty after a reclaim: the one with the fewest targets comes
+// first.
+func TestSpotTargetsNeverOutnumberOrdinaryOnes(t *testing.T) {
+	is := is.New(t)
+	c := NewController()
+	o := Observation{Now: start, Slots: slots, Load: Load{ArrivingSlots: 100}, Counts: map[Subject]int{
+		{"a", false}: 8, {"b", false}: 8, {"c", false}: 8, {"d", false}: 1,
+	}}
+	c.Decide(o, limits)
+	o.Now = start.Add(settleTime(limits))
+	d := c.Decide(o, limits)
+	spot := 0
+	for zone := range limits.ZonePrices {
+		is.Equal(d.Wanted[Subject{zone, false}], o.Counts[Subject{zone, false}]) // they carry the load
+		spot += d.Wanted[Subject{zone, true}]
+	}
+	is.True(spot >= 4)
+	is.Equal(d.Wanted[Subject{"d", true}], 1)
+}
+
 // TestLostZoneIsReplacedInOthers guards against orders into a zone that is gone, and against a count that would remove its targets when
 // it comes back.
 func TestLostZoneIsReplacedInOthers(t *testing.T) {
--- a/scaling/runner.go
+++ b/scaling/runner.go
@@ -112,13 +112,13 @@
 
 // observe returns what this VM knows about the pool.
 func (r *Runner) observe(snap *fleet.Snapshot, pool *fleet.Pool) Observation {
-	o := Observation{Now: time.Now(), Counts: map[Subject]int{}, Load: r.Load(), Partial: servesOthers(snap.Tables, pool)}
+	o := Observation{Now: time.Now(), Counts: map[Subject]int{}, Slots: 1, Load: r.Load(), Partial: servesOthers(snap.Tables, pool)}
 	o.ViewAge = max(r.ViewAge(), o.Load.Age)
 	if !o.Partial {
 		o.Load.OtherSlots = 0 // what the reports count besides are runs of this VM that just ended
 	}
 	if pool.Engine != nil {
-		o.Slots = pool.Engine.Slots
+		o.Slots = max(1, pool.Engine.Slots)
 	}
 	for _, in := range snap.Pool(r.Pool) {
 		if pool.Engine == nil {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -79,7 +79,7 @@
 	Now time.Time
 	// Counts are the registered targets that do not drain.
 	Counts map[Subject]int
-	// Slots is the number of slots of a target.
+	// Slots is the number of slots of a target, at least 1.
 	Slots int
 	Load  Load
 	// Partial is set if the pool also serves requests that are not part of Load. Then the number of targets is not reduced below that
