--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fake/errata"
 	"github.com/ibistrail/ibistrail/internal/loopback"
@@ -42,7 +43,8 @@
 	tenants, key string
 	// adjust changes the settings of VMs that are started after it was set; it may be nil.
 	adjust func(*entry.Settings)
-	log    lockedBuffer // log lines of all VMs
+	duties entry.DutySettings // of the VMs that are started from now on
+	log    lockedBuffer       // log lines of all VMs
 }
 
 // vm is one entry VM.
@@ -134,13 +136,17 @@
 	settings := entry.Settings{
 		VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
 		Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
-		OrderHandover: time.Second, BatchRetention: time.Minute,
+		OrderHandover: time.Second, BatchRetention: time.Minute, Duties: d.duties,
 	}
 	if d.adjust != nil {
 		d.adjust(&settings)
 	}
+	var dutyAPI duties.API
+	if d.duties.Address != "" {
+		dutyAPI = platform.NewCloudClient(d.duties.Address)
+	}
 	v.process = entry.New(entry.Options{
-		Settings: settings, Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
+		Settings: settings, DutyAPI: dutyAPI, Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
 		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, RPCAddress: rpcAddress, Transport: transport, Log: log},
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -55,13 +55,28 @@
 	tablesReadAt atomic.Int64
 	// confirm makes sure that each record is soon followed by a complete read.
 	confirm      bool
-	mu           chan struct{} // a mutex with capacity 1; guards directory and failingSince
+	mu           chan struct{} // a mutex with capacity 1; guards directory, failingSince and readAt
 	directory    *fleet.Directory
-	failingSince map[string]time.Time // by topic: the time of the first failed read
+	failingSince map[string]time.Time     // by topic: the time of the first failed read
+	readAt       map[string]time.Duration // by topic: the time of the newest successful read, on bootTime
 }
 
 func newTopicFollower(st store.Log, log *slog.Logger, view *fleet.View, bootTime func() time.Duration, confirm bool) *topicFollower {
-	return &topicFollower{store: st, log: log, view: view, bootTime: bootTime, confirm: confirm, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(), failingSince: map[string]time.Time{}}
+	return &topicFollower{
+		store: st, log: log, view: view, bootTime: bootTime, confirm: confirm, mu: make(chan struct{}, 1), directory: fleet.NewDirectory(),
+		failingSince: map[string]time.Time{}, readAt: map[string]time.Duration{},
+	}
+}
+
+// age returns the time since the last successful read of the topic whose last one is the oldest.
+func (f *topicFollower) age(sources []Source) time.Duration {
+	f.mu <- struct{}{}
+	defer func() { <-f.mu }()
+	oldest := time.Duration(0)
+	for _, src := range sources {
+		oldest = max(oldest, f.bootTime()-f.readAt[src.Topic])
+	}
+	return oldest
 }
 
 // follow applies the records of a topic until ctx ends.
@@ -122,6 +137,7 @@
 	f.mu <- struct{}{}
 	defer func() { <-f.mu }()
 	now := time.Now()
+	f.readAt[src.Topic] = f.bootTime()
 	if since, ok := f.failingSince[src.Topic]; ok {
 		delete(f.failingSince, src.Topic)
 		f.log.Info("store_reached", "topic", src.Topic, "out_ms", now.Sub(since).Milliseconds())
