--- a/batch/service.go
+++ b/batch/service.go
@@ -182,7 +182,7 @@
 		err = s.checkFirst(ctx, p, sub)
 	}
 	s.countCall("submit", err)
-	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "items", len(sub.Items),
+	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "organisation", sub.Organisation, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
 	return err
 }
--- a/entry/organisation_test.go
+++ b/entry/organisation_test.go
@@ -139,7 +139,7 @@
 		d.is.Equal(a.header.Get("Request-Id"), "r1")
 		d.is.Equal(d.call(v, http.MethodPost, "/notes/b1", "b1", submission(1, 0, "i1"), "Authorization", authorization).status, http.StatusUnauthorized)
 		d.is.Equal(d.call(v, http.MethodGet, "/v1/lots/b1", "r1", "", "Authorization", authorization).status, http.StatusUnauthorized)
-		d.is.Equal(d.call(v, http.MethodGet, "/nowhere", "r1", "", "Authorization", authorization[:min(len(authorization), 100)]).status, http.StatusNotFound)
+		d.is.Equal(d.call(v, http.MethodGet, "/nowhere", "r0", "", "Authorization", authorization[:min(len(authorization), 100)]).status, http.StatusNotFound)
 	}
 	c, err := net.Dial("tcp", v.address)
 	d.is.NoErr(err)
@@ -151,6 +151,8 @@
 	d.is.NoErr(err) // answered although the body has not been sent
 	d.is.Equal(resp.StatusCode, http.StatusUnauthorized)
 
+	d.is.Equal(d.explain("r1").Outcome, "refused 401")
+
 	d.key = "spare-hule"
 	d.is.Equal(d.call(v, http.MethodPost, "/desk/x", "r2", "").status, http.StatusOK)
 	d.is.Equal(len(d.services[0].ExecutedRequests()), runs+1) // only this one ran
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -233,7 +233,7 @@
 	}
 	f.requests.Add(strconv.Itoa(reply.Status), 1)
 	f.latency.Observe(time.Since(d.startedAt))
-	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
+	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "organisation", req.Organisation, "status", reply.Status,
 		"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason)
 	return reply
 }
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -152,6 +152,13 @@
 		e.Outcome = "refused " + last.Get("status")
 		e.Cause = last.Get("reason") + ", as the configuration in force says"
 		e.Advice = "send less, or raise the limit in the configuration"
+		switch last.Get("status") {
+		case "401":
+			e.Advice = "present an API key of an organisation; `ibisctl vm get organisations` lists them"
+		case "503":
+			e.Cause = last.Get("reason")
+			e.Advice = "look for store_lost on this VM; other VMs may accept the request"
+		}
 		return
 	}
 	status, pool, target := last.Get("status"), last.Get("pool"), last.Get("target")
