usage: counts of plain requests by window and organisation, reported by one VM

Each VM counts the requests that targets begin to run and appends the counts to topic usage at most a second later. The VM that holds the tenure fixes the counts of each window by a record in topic usage-reports and sends what is fixed, inside a wave. tenure: a topic and timing of its own; the defaults are unchanged. detour: a call through another VM tells when it has a connection, so that a request that was never sent is told from one without an answer. Without the duty in the settings nothing runs.

--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -185,6 +185,7 @@
 	"targets":    {[]string{"TARGET", "POOL", "ADDRESS", "AZ", "DRAINING", "LIMIT_PER_S", "RUNNING", "EJECTED", "PATH", "SOFTWARE", "VERSIONS"}, targetRows},
 	"versions":   {[]string{"MODEL", "NAMED", "TARGETS_BY_VERSION"}, versionRows},
 	"batches":    {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
+	"usage":      {[]string{"WINDOW", "START", "STATUS", "REQUESTS", "REASON"}, usageRows},
 	"tenures":    {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
 }
 
@@ -343,6 +344,27 @@
 	return rows
 }
 
+// usageRows returns the windows that the VM knows of, after a row that names the holder of the duty.
+func usageRows(s *entry.State) [][]string {
+	u := s.Usage
+	if u == nil {
+		return nil
+	}
+	status := "holder is " + orDash(u.Holder)
+	if u.Held {
+		status = "held, token " + strconv.FormatInt(u.Token, 10)
+	}
+	rows := [][]string{{"-", "-", status, fmt.Sprintf("%d pending", u.Pending), "-"}}
+	for _, w := range u.Windows {
+		var counts []string
+		for _, organisation := range slices.Sorted(maps.Keys(w.Counts)) {
+			counts = append(counts, fmt.Sprintf("%s:%d", organisation, w.Counts[organisation]))
+		}
+		rows = append(rows, []string{strconv.FormatInt(w.Window, 10), w.Start.UTC().Format(time.RFC3339), string(w.Status), orDash(strings.Join(counts, " ")), orDash(w.Reason)})
+	}
+	return rows
+}
+
 func (a *app) vmWatchCommand(vms *[]string) *cobra.Command {
 	var version int64
 	cmd := &cobra.Command{
--- a/detour/send.go
+++ b/detour/send.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
@@ -131,7 +132,11 @@
 			break
 		}
 		tried[p.Name] = true
-		resp, reason, err := c.ask(ctx, p, newCallHead(withBudget(call, begin)), call.Body)
+		callCtx := ctx
+		if call.Connected != nil {
+			callCtx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { call.Connected(i.Reused) }})
+		}
+		resp, reason, err := c.ask(callCtx, p, newCallHead(withBudget(call, begin)), call.Body)
 		c.recordAsked(ctx, p, target, reason, err)
 		if err != nil {
 			noPath.asked = append(noPath.asked, fmt.Sprintf("%s: %v", p.Name, err))
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fake/errata"
 	"github.com/ibistrail/ibistrail/internal/loopback"
@@ -39,6 +40,9 @@
 	vms      []*vm
 	version  int
 	log      lockedBuffer // log lines of all VMs
+	// cloud is the platform's API for duties, duties the settings of those; nil without.
+	cloud  *errata.Cloud
+	duties entry.DutySettings
 }
 
 // vm is one entry VM.
@@ -119,18 +123,22 @@
 	transport := platform.NewStoreTransport(v.storeAccess.address(), log)
 	st := platform.NewStoreClient(v.storeAccess.address(), transport, nil)
 	relayAddress, rpcAddress := freeAddress(d.t), freeAddress(d.t)
+	var dutyAPI duties.API
+	if d.cloud != nil {
+		dutyAPI = platform.NewCloudClient(d.cloud.Address())
+	}
 	v.process = entry.New(entry.Options{
 		Settings: entry.Settings{
 			VM: name, AvailabilityZone: "a", IP: name, ListenAddress: v.address, ReadyAddress: v.readyAddress, StoreAddress: v.storeAccess.address(), RelayAddress: relayAddress, RPCAddress: rpcAddress,
 			Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, StopGrace: 4 * time.Second,
-			OrderHandover: time.Second, BatchRetention: time.Minute,
+			OrderHandover: time.Second, BatchRetention: time.Minute, Duties: d.duties,
 		},
-		Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
+		DutyAPI: dutyAPI, Log: log, Store: st, Relay: platform.NewStoreRelay(v.storeAccess.address(), 1<<20, transport),
 		Peers:    &relay.Directory{Store: st, Topic: platform.TopicPeers, VM: name, AvailabilityZone: "a", Address: relayAddress, RPCAddress: rpcAddress, Transport: transport, Log: log},
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
 	go func() { v.done <- v.process.Run(v.stop) }()
--- a/entry/process.go
+++ b/entry/process.go
@@ -94,6 +94,7 @@
 	cancel   context.CancelFunc
 
 	tenures *tenureManager
+	usage   *usageDuty // nil without the duty
 }
 
 // New returns a process that serves nothing until Run.
@@ -125,14 +126,16 @@
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
+	processID := fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano())
+	p.usage = newUsageDuty(&opts, processID)
 	p.Forwarder = forward.New(forward.Options{
-		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
+		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, Usage: p.usage.counter(), AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter, States: p.targets,
 	})
-	p.tenures = newTenureManager(p)
+	p.tenures = newTenureManager(p, processID)
 	return p
 }
 
@@ -168,6 +171,7 @@
 	go p.origins.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
+	p.usage.start(p.ctx)
 	callerServer := p.newCallerServer()
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- callerServer.Serve(callerListener) }()
@@ -282,6 +286,7 @@
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	p.tenures.stop()
+	p.usage.release(p.ctx)
 	p.limiter.Stop()
 	p.detour.StopPassingOn()
 	if p.opts.Peers != nil {
@@ -294,6 +299,7 @@
 		p.opts.Log.Warn("stopped_early", "err", err)
 	}
 	p.detours.Drain(ctx)
+	p.usage.flush(p.ctx)
 	p.cancel()
 	p.opts.Log.Info("stopped", "ms", time.Since(start).Milliseconds())
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -7,6 +7,7 @@
 	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/routing"
 	"github.com/ibistrail/ibistrail/tenure"
+	"github.com/ibistrail/ibistrail/usage"
 )
 
 // State is the state dump of a process, which ibisctl reads.
@@ -34,6 +35,8 @@
 	DrainingTargets []string `json:"draining_targets,omitempty"`
 	// TargetPaths tells which targets this VM reaches itself.
 	TargetPaths detour.State `json:"target_paths"`
+	// Usage is the state of usage reports; nil without this duty.
+	Usage *usage.State `json:"usage,omitempty"`
 }
 
 // State returns the current state for the state dump.
@@ -43,7 +46,7 @@
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
 		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
-		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(),
+		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(), Usage: p.usage.state(),
 	}
 	if snap.Tables != nil {
 		s.TablesVersion = snap.Tables.Version
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -26,9 +25,10 @@
 	controllers map[string]context.CancelFunc // stops the version controller of a pool, by pool
 }
 
-func newTenureManager(p *Process) *tenureManager {
+// newTenureManager returns a manager whose tenures name the process by processID.
+func newTenureManager(p *Process, processID string) *tenureManager {
 	return &tenureManager{
-		p: p, processID: fmt.Sprintf("%s/%d", p.opts.Settings.VM, time.Now().UnixNano()),
+		p: p, processID: processID,
 		tenures: map[int]*tenure.Tenure{}, controllers: map[string]context.CancelFunc{},
 	}
 }
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -50,6 +50,7 @@
 	// continuing is set if the request resumes a stream that only targets of one software version can continue.
 	continuing bool
 	software   string
+	usage      usageEntry
 }
 
 // attempt is one send of the request to a target.
@@ -60,6 +61,8 @@
 	startedAt time.Time
 	// connection is the connection of the send, as logged.
 	connection atomic.Value
+	// connectedNs is when there was a connection, in Unix nanoseconds; 0 before.
+	connectedNs atomic.Int64
 }
 
 // Connections of a send, as logged.
@@ -145,11 +148,22 @@
 	}
 	hedge := time.NewTimer(d.hedgeAfter())
 	defer hedge.Stop()
+	var presume <-chan time.Time
+	if d.usage.enabled() {
+		t := time.NewTicker(presumeRunAfter) // repeated, as a later send may be the first that is sent
+		defer t.Stop()
+		presume = t.C
+	}
 	var lastFailure *targets.Response
 	var lastErr error
 	for len(d.pending) > 0 {
 		select {
+		case <-presume:
+			d.usage.presume(d.pending)
 		case <-ctx.Done():
+			if !d.usage.presume(d.pending) && d.runs == 0 {
+				d.usage.retract()
+			}
 			d.logUnansweredSends()
 			d.cancelPending()
 			return d.timeoutReply(ctx)
@@ -182,6 +196,9 @@
 			}
 		}
 	}
+	if d.runs == 0 {
+		d.usage.retract()
+	}
 	keepContext = lastFailure != nil // until its body was read
 	return d.failureReply(lastFailure, lastErr, cancel)
 }
@@ -255,7 +272,7 @@
 	address := o.attempt.instance.Address
 	table.End(now, address, o.attempt.query)
 	if errors.Is(o.err, targets.ErrPathLost) { // which is not the target's fault
-		d.countRun(address)
+		d.countRun(o)
 		d.pathLost[address] = true
 		return d.retryIf(d.mayRunAgain())
 	}
@@ -265,7 +282,7 @@
 			table.RecordUnreachable(now, address)
 			return d.retryIf(d.maySend())
 		}
-		d.countRun(address)
+		d.countRun(o)
 		table.RecordFailure(now, address)
 		return d.retryIf(d.mayRunAgain())
 	}
@@ -280,7 +297,7 @@
 		}
 		return d.retryIf(d.maySend())
 	}
-	d.countRun(address)
+	d.countRun(o)
 	if !d.route.Streaming || o.answer.Status >= http.StatusInternalServerError {
 		f.crashes.Answered(d.fingerprint)
 	}
@@ -295,7 +312,11 @@
 }
 
 // countRun counts a send that the target may have run.
-func (d *delivery) countRun(address string) {
+func (d *delivery) countRun(o outcome) {
+	if o.answer != nil || o.attempt.connected() { // the deadline may have passed before there was a connection
+		d.usage.began(o.attempt)
+	}
+	address := o.attempt.instance.Address
 	if !d.pathLost[address] {
 		d.runs++
 	}
@@ -441,6 +462,7 @@
 		RequestID: d.req.ID, Organisation: d.req.Organisation, Budget: deadline.Sub(now), Priority: targets.NoPriority, ResumeAfter: d.req.ResumeAfter, NewConnection: !d.retryable(),
 		UnansweredSince: d.unansweredSince(),
 		Connected: func(reused bool) {
+			a.connectedNs.CompareAndSwap(0, time.Now().UnixNano())
 			if reused {
 				a.connection.Store(connectionOpen)
 			} else {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -115,6 +115,7 @@
 	states  *targetstate.Register
 	log     *slog.Logger
 	az      string
+	usage   UsageCounter
 	buffer  bodyBuffer
 	// requests counts replies by status, latency is their latency distribution.
 	requests *expvar.Map
@@ -141,6 +142,8 @@
 	Limiter *ratelimit.Limiter
 	Origins *origins.Register
 	States  *targetstate.Register
+	// Usage counts the requests that targets begin to run; nil counts none.
+	Usage UsageCounter
 	// AvailabilityZone is that of the VM.
 	AvailabilityZone string
 	Log              *slog.Logger
@@ -150,7 +153,7 @@
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
 	return &Forwarder{
-		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, states: o.States, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
+		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, states: o.States, usage: o.Usage, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
 		requests: o.Metrics.SubMap("requests"), latency: o.Metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -225,6 +228,10 @@
 		outcomes: make(chan outcome, route.MaxAttempts+maxExtraSends+1),
 	}
 	d.deadline = d.startedAt.Add(timeout)
+	d.usage = usageEntry{counter: f.usage, organisation: req.Organisation}
+	if req.Background || req.ResumeAfter > 0 { // a resumed stream was counted when it began
+		d.usage.counter = nil
+	}
 	reply := d.resume(ctx)
 	if reply == nil {
 		reply = d.serve(ctx)
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -19,7 +19,7 @@
 	"github.com/ibistrail/ibistrail/store"
 )
 
-// Topic is the log topic of the records.
+// Topic is the log topic of the records of the tenures of batch partitions.
 const Topic = "tenures"
 
 // Timing and limits of a tenure.
@@ -52,6 +52,31 @@
 	maxReadBytes = 256 << 10
 )
 
+// Timing holds the intervals of a tenure, for duties that need no takeover within a second. A zero field means the default.
+type Timing struct {
+	// Renew is the time between two records of a holder.
+	Renew time.Duration
+	// Takeover is the time without a record after which a candidate takes over. It must exceed Renew and the time of two store calls.
+	Takeover time.Duration
+	// Watch is how long one read of a candidate waits for a record. A wait ends when a takeover would be due.
+	Watch time.Duration
+	// Standby is the time without a record after which a standby VM takes over; it must exceed Takeover and the delay of the last rank.
+	Standby time.Duration
+}
+
+func (t Timing) withDefaults() Timing {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&t.Renew, renewInterval)
+	set(&t.Takeover, takeoverTimeout)
+	set(&t.Watch, renewInterval)
+	set(&t.Standby, standbyTimeout)
+	return t
+}
+
 // ErrNotHeld is returned if this VM doesn't hold the tenure, or must not send orders yet.
 var ErrNotHeld = errors.New("orders not allowed: another VM holds the tenure, or its last orders are too recent; retried automatically")
 
@@ -69,10 +94,13 @@
 
 // Options configure a Tenure.
 type Options struct {
-	Store     store.Log
+	Store store.Log
+	// Topic is the log topic of the records; empty means Topic.
+	Topic     string
 	Partition int
 	Machine   string
 	Process   string
+	Timing    Timing
 	// HandoverDelay is the minimum time between the orders of two holders.
 	HandoverDelay time.Duration
 	// Standby makes this VM take over only if no other candidate does.
@@ -111,8 +139,12 @@
 
 // New returns a tenure that is not held.
 func New(opts Options) *Tenure {
+	if opts.Topic == "" {
+		opts.Topic = Topic
+	}
+	opts.Timing = opts.Timing.withDefaults()
 	return &Tenure{
-		opts: opts, partition: store.Partition{Topic: Topic, Index: opts.Partition},
+		opts: opts, partition: store.Partition{Topic: opts.Topic, Index: opts.Partition},
 		takeoverDelay: time.Duration(xxhash.Sum64String(opts.Process)%rankCount) * rankDelay,
 	}
 }
@@ -159,7 +191,7 @@
 	if _, held := t.Held(); held {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		return renewInterval, t.append(ctx, record{})
+		return t.opts.Timing.Renew, t.append(ctx, record{})
 	}
 	if err := t.watch(ctx); err != nil {
 		return 0, err
@@ -180,6 +212,9 @@
 		if t.opts.Standby {
 			return standbyPollInterval, nil
 		}
+		if t.nextOffset == 0 && t.opts.Timing.Watch > renewInterval {
+			return rankDelay, nil // the store does not wait in a topic that has no record yet
+		}
 		return 0, nil
 	}
 	return 0, t.acquire(ctx)
@@ -195,18 +230,18 @@
 		return elapsed >= standbyReleaseTimeout
 	}
 	if t.opts.Standby {
-		return elapsed >= standbyTimeout
+		return elapsed >= t.opts.Timing.Standby
 	}
 	if t.lastRecord == nil || t.lastRecord.Release {
 		return elapsed >= t.takeoverDelay
 	}
-	return elapsed >= takeoverTimeout+t.takeoverDelay
+	return elapsed >= t.opts.Timing.Takeover+t.takeoverDelay
 }
 
 // watch reads new records and applies them.
 func (t *Tenure) watch(ctx context.Context) error {
 	t.mu.Lock()
-	from, wait := t.nextOffset, renewInterval
+	from, wait := t.nextOffset, t.watchTime()
 	if !t.caughtUp || t.opts.Standby {
 		wait = 0
 	}
@@ -220,7 +255,7 @@
 	}
 	now := t.opts.Clock()
 	// A holder can't renew its tenure in an outage of the store, so its silence counts from the end of the outage.
-	if t.readFailed && t.caughtUp && now-t.lastReadAt >= takeoverTimeout {
+	if t.readFailed && t.caughtUp && now-t.lastReadAt >= t.opts.Timing.Takeover {
 		t.lastRecordAt = now
 	}
 	t.lastReadAt, t.readFailed = now, false
@@ -231,6 +266,12 @@
 	return nil
 }
 
+// watchTime returns how long a read waits for the next record: no longer than until a takeover is due. The caller holds mu.
+func (t *Tenure) watchTime() time.Duration {
+	due := t.lastRecordAt + t.opts.Timing.Takeover + t.takeoverDelay - t.opts.Clock()
+	return min(t.opts.Timing.Watch, max(renewInterval, due))
+}
+
 // applyRecords updates the state with the records of a read. The caller holds mu.
 func (t *Tenure) applyRecords(b store.Batch) {
 	for i, data := range b.Records {
@@ -239,7 +280,7 @@
 		}
 		r := &record{}
 		if err := json.Unmarshal(data, r); err != nil {
-			t.opts.Log.Error("record_ignored", "topic", Topic, "partition", t.partition.Index, "err", err)
+			t.opts.Log.Error("record_ignored", "topic", t.opts.Topic, "partition", t.partition.Index, "err", err)
 			r = &record{} // treated as a record of another holder
 		}
 		t.lastRecord, t.lastRecordAt = r, t.opts.Clock()
