usage: a holder that is cut off from the platform's API gives the duty to a VM that reaches it

Cause: a holder without a path to the API kept the tenure, and each window of the cut was missed. While no VM has one, it keeps the duty, as a change costs the handover delay. Before: TestHolderCutOffFromTheAPIHandsOn fails. After: passes.

--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -50,6 +50,7 @@
 	name, address, readyAddress string
 	storeAccess                 *storeAccess
 	targetPath                  *targetPath
+	cloudAccess                 *cloudAccess // nil without duties
 	process                     *entry.Process
 	stop                        chan struct{}
 	done                        chan error
@@ -125,7 +126,8 @@
 	relayAddress, rpcAddress := freeAddress(d.t), freeAddress(d.t)
 	var dutyAPI duties.API
 	if d.cloud != nil {
-		dutyAPI = platform.NewCloudClient(d.cloud.Address())
+		v.cloudAccess = &cloudAccess{CloudClient: platform.NewCloudClient(d.cloud.Address())}
+		dutyAPI = v.cloudAccess
 	}
 	v.process = entry.New(entry.Options{
 		Settings: entry.Settings{
--- a/entry/process.go
+++ b/entry/process.go
@@ -122,12 +122,13 @@
 			p.limiter.SetVMs(vms)
 			p.origins.SetVMs(vms)
 			p.detour.SetVMs(vms)
+			p.usage.setVMs(vms)
 		}
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View)
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
 	processID := fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano())
-	p.usage = newUsageDuty(&opts, processID)
+	p.usage = newUsageDuty(&opts, processID, p.rpcPool.Call)
 	p.Forwarder = forward.New(forward.Options{
 		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, Usage: p.usage.counter(), AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
@@ -245,7 +246,7 @@
 	}
 	server := rpc.NewServer(rpc.Options{TrustPeers: true, Log: p.opts.Log}, map[string]rpc.Handler{
 		wire.MethodPermits: rpc.NewHandler(p.limiter.Handle), wire.MethodRecordOrigins: rpc.NewHandler(p.origins.HandleRecord),
-		wire.MethodFindOrigin: rpc.NewHandler(p.origins.HandleFind),
+		wire.MethodFindOrigin: rpc.NewHandler(p.origins.HandleFind), wire.MethodReachDuties: rpc.NewHandler(p.usage.handleReach),
 	})
 	go func() {
 		defer p.rpcPool.Close()
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/entry"
 	"github.com/ibistrail/ibistrail/fake/errata"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/platform"
 	"github.com/ibistrail/ibistrail/usage"
 )
 
@@ -25,6 +29,26 @@
 	return h.Forwarder.Serve(ctx, req)
 }
 
+// cloudAccess is the way of one VM to the platform's API for duties.
+type cloudAccess struct {
+	*platform.CloudClient
+	cut atomic.Bool
+}
+
+func (a *cloudAccess) ReportUsage(ctx context.Context, h duties.Holder, u duties.Usage) error {
+	if a.cut.Load() {
+		return errors.New("the path is cut")
+	}
+	return a.CloudClient.ReportUsage(ctx, h, u)
+}
+
+func (a *cloudAccess) Reach(ctx context.Context) error {
+	if a.cut.Load() {
+		return errors.New("the path is cut")
+	}
+	return a.CloudClient.Reach(ctx)
+}
+
 // usageWindow is short, so that a test sees many windows.
 const usageWindow = time.Second
 
@@ -151,6 +175,24 @@
 	d.is.True(strings.Count(d.log.String(), "msg=usage_sent") >= 10)
 }
 
+// TestUsageMovesToAVMThatReachesTheAPI cuts the VM that has the duty off from the API: another VM must go on.
+func TestUsageMovesToAVMThatReachesTheAPI(t *testing.T) {
+	d := newUsageDeployment(t, 3)
+	d.eventually(8*time.Second, "a window is reported", func() bool { return len(d.reportedUsage()) > 0 })
+	time.Sleep(vmsKnowEachOther)
+	holder := d.usageHolder()
+	holder.cloudAccess.cut.Store(true)
+	n := len(d.reportedUsage())
+	d.eventually(12*time.Second, "another VM reports", func() bool { return len(d.reportedUsage()) > n+3 })
+	first := time.Now().Add(-12 * time.Second)
+	last := time.Now().UnixNano()/int64(usageWindow) - 5
+	reported := d.reportedUsage()
+	for w := first.UnixNano()/int64(usageWindow) + 1; w < last; w++ {
+		d.is.True(reported[w] != nil) // no window is missed
+	}
+	d.is.True(d.usageHolder() != holder)
+}
+
 // TestPlannedStopAppendsCounts stops a VM right after a request: its counts were lost with the process.
 func TestPlannedStopAppendsCounts(t *testing.T) {
 	d := newUsageDeployment(t, 2)
--- a/usage/service.go
+++ b/usage/service.go
@@ -28,6 +28,8 @@
 	// sendTimeout bounds a call to the platform's API. It must be below the order window of a tenure, so that no call of a replaced holder
 	// arrives later than its successor allows for.
 	sendTimeout = 400 * time.Millisecond
+	// cutOffDelay is how long reports fail before the holder checks whether it is cut off from the API, and the time between two checks.
+	cutOffDelay = time.Second
 	// maxReadBytes is the approximate maximum size of a read.
 	maxReadBytes = 256 << 10
 	// tailRecords is the number of records of TopicReports that a new holder reads. The windows in time need two or three.
@@ -45,6 +47,8 @@
 	// BeginWave records a wave of reports, which may be sent while MaySend returns true.
 	BeginWave(ctx context.Context) error
 	MaySend() bool
+	// Yield gives the tenure to another VM that can do the work.
+	Yield(ctx context.Context)
 }
 
 // Options are the dependencies of a Service.
@@ -57,6 +61,9 @@
 	Partitions, MaxRecordBytes int
 	Store                      store.Log
 	API                        duties.API
+	// CutOff reports whether this VM opens no connection to the API while another VM does. It may block for some time; nil means that it is
+	// not known.
+	CutOff func(ctx context.Context) bool
 	// Wall is the time of day, BootTime the time since boot including suspensions.
 	Wall     func() time.Time
 	BootTime func() time.Duration
--- a/usage/service_test.go
+++ b/usage/service_test.go
@@ -40,6 +40,7 @@
 	// anyWave lets replaced holders send.
 	anyWave    bool
 	apiDown    bool
+	cutOff     map[string]bool // VMs that do not reach the API while others do
 	loseAnswer bool
 	calls      []call
 	vms        []*simVM
@@ -75,6 +76,7 @@
 func (t *simTenure) Held() (int64, bool)               { return t.token, t.held }
 func (t *simTenure) OrderDelay() (time.Duration, bool) { return 0, t.held }
 func (t *simTenure) MaySend() bool                     { return t.held && t.v.w.now < t.sendUntil }
+func (t *simTenure) Yield(context.Context)             { t.held = false }
 func (t *simTenure) BeginWave(context.Context) error {
 	for _, other := range t.v.w.vms {
 		if other.tenure.token > t.token && !t.v.w.anyWave {
@@ -122,7 +124,7 @@
 }
 
 func (w *world) ReportUsage(_ context.Context, h duties.Holder, u duties.Usage) error {
-	if w.apiDown {
+	if w.apiDown || w.cutOff[h.VM] {
 		return errLost
 	}
 	w.calls = append(w.calls, call{h, u, w.wall()})
@@ -149,7 +151,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{is: is.New(t), t: t, now: time.Hour, records: map[store.Partition][][]byte{}, first: map[store.Partition]int64{}, loseAppend: map[string]bool{}}
+	w := &world{is: is.New(t), t: t, now: time.Hour, records: map[store.Partition][][]byte{}, first: map[store.Partition]int64{}, loseAppend: map[string]bool{}, cutOff: map[string]bool{}}
 	for i := range vms {
 		w.addVM(fmt.Sprintf("vm-%d", i))
 	}
@@ -162,7 +164,7 @@
 	v.tenure = &simTenure{v: v}
 	v.service = New(Options{
 		VM: name, Process: fmt.Sprintf("%s/%d", name, w.now), Window: window, Due: due, Partitions: 4, MaxRecordBytes: 4096, Store: simLog{w: w}, API: w,
-		Wall: func() time.Time { return w.wall().Add(v.clock) }, BootTime: func() time.Duration { return w.now }, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics(),
+		CutOff: func(context.Context) bool { return w.cutOff[name] }, Wall: func() time.Time { return w.wall().Add(v.clock) }, BootTime: func() time.Duration { return w.now }, Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics(),
 	})
 	w.vms = append(w.vms, v)
 	return v
@@ -379,6 +381,23 @@
 	w.checkWindows(0, perWindow)
 }
 
+// TestHolderCutOffFromTheAPIHandsOn cuts the holder off from the API: it kept the duty, and all windows of the cut were missed.
+func TestHolderCutOffFromTheAPIHandsOn(t *testing.T) {
+	w := newWorld(t)
+	w.run(21*time.Second, true)
+	w.apiDown = true
+	w.run(5*time.Second, true)
+	w.is.True(w.vms[0].tenure.held) // no other VM reaches the API either
+	w.apiDown = false
+	w.run(8*time.Second, true)
+	w.cutOff["vm-0"] = true
+	w.run(7*time.Second, true)
+	w.is.True(!w.vms[0].tenure.held)
+	w.grant(1)
+	w.run(20*time.Second, true)
+	w.checkWindows(0, perWindow)
+}
+
 // TestClocksOff lets the holder's or another VM's clock be off: the counts must be right, as late records must be waited for.
 func TestClocksOff(t *testing.T) {
 	for _, off := range []time.Duration{-2 * time.Second, 2 * time.Second} {
--- a/usage/session.go
+++ b/usage/session.go
@@ -34,10 +34,13 @@
 	storeLost   bool
 	storeBackAt time.Time
 	// pauseUntil ends the pause after a report that was not taken, by the time since boot.
-	pauseUntil             time.Duration
-	lastReason             string
-	storeOutage, apiOutage process.Outage
-	late, copies, ignored  int64 // as last added to the metrics
+	pauseUntil time.Duration
+	// failingSince is when the first report since the last success failed, by the time since boot; 0 if none did. cutOffCheckedAt is when it
+	// was last checked whether this VM is cut off from the API.
+	failingSince, cutOffCheckedAt time.Duration
+	lastReason                    string
+	storeOutage, apiOutage        process.Outage
+	late, copies, ignored         int64 // as last added to the metrics
 }
 
 func newSession(s *Service, t Tenure) *session {
@@ -62,6 +65,7 @@
 	}
 	if x.loaded {
 		x.send(ctx)
+		x.handOn(ctx)
 		x.logMissed()
 	}
 	x.updateMetrics()
@@ -260,11 +264,15 @@
 	defer cancel()
 	err := x.s.opts.API.ReportUsage(callCtx, duties.Holder{VM: x.s.opts.VM, Token: token}, duties.Usage{Window: r.Window, Counts: r.Counts})
 	if err != nil {
+		if x.failingSince == 0 {
+			x.failingSince = begin
+		}
 		x.lastReason = reasonAPI
 		x.s.metrics.Add("send_failed", 1)
 		x.apiOutage.Failed(x.s.opts.Log, "usage_api", err, "window", r.Window)
 		return err
 	}
+	x.failingSince = 0
 	x.apiOutage.Recovered(x.s.opts.Log, "usage_api")
 	x.ledger.Sent(r.Window)
 	x.lastReason = reasonNoHolder
@@ -274,6 +282,23 @@
 	return nil
 }
 
+// handOn gives the duty to another VM if this one is cut off from the API. While the API takes no calls from any VM, the holder keeps the
+// duty, as each change of the holder costs the handover delay.
+func (x *session) handOn(ctx context.Context) {
+	boot := x.s.opts.BootTime()
+	if x.s.opts.CutOff == nil || x.failingSince == 0 || boot-max(x.failingSince, x.cutOffCheckedAt) < cutOffDelay {
+		return
+	}
+	x.cutOffCheckedAt = boot
+	if !x.s.opts.CutOff(ctx) {
+		return
+	}
+	x.s.opts.Log.Warn("usage_handed_on", "failing_ms", (boot - x.failingSince).Milliseconds(), "reason", "this VM does not reach the platform's API, another one does")
+	yieldCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	x.tenure.Yield(yieldCtx)
+}
+
 // logMissed logs the windows whose time has passed without a report.
 func (x *session) logMissed() {
 	for _, m := range x.ledger.Miss(x.now(), x.lastReason) {
