--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -165,7 +165,7 @@
 	}
 	r.seq = c.Seq
 	for w, counts := range c.Counts {
-		if windowEnd(w, l.Window).Sub(now).Abs() > maxWindowDistance+l.Due {
+		if current, limit := windowAt(now, l.Window), int64((maxWindowDistance+l.Due)/l.Window)+1; w < current-limit || w > current+limit {
 			for _, n := range counts {
 				l.Ignored += n
 			}
@@ -229,11 +229,12 @@
 	return true
 }
 
-// From returns the offsets in the partitions of counts from which a successor reads, according to a report's record.
-func (l *Ledger) From() []int64 {
+// From returns the offsets in the partitions of counts from which a successor reads, according to the record of the newest window that has
+// begun.
+func (l *Ledger) From(now time.Time) []int64 {
 	var newest *windowEntry
 	for _, w := range l.windows {
-		if w.report != nil && (newest == nil || w.report.Window > newest.report.Window) {
+		if w.report != nil && w.report.Window <= windowAt(now, l.Window) && (newest == nil || w.report.Window > newest.report.Window) {
 			newest = w
 		}
 	}
@@ -247,6 +248,9 @@
 // storeBackAt the end of the store's last outage.
 func (l *Ledger) ToFix(now, readAt, storeBackAt time.Time) []int64 {
 	var out []int64
+	if readAt.After(now) {
+		return nil // the clock was set back since
+	}
 	for w := max(l.first, l.oldestInTime(now)); ; w++ {
 		end := windowEnd(w, l.Window)
 		if readAt.Before(end.Add(l.lateWait())) {
--- a/usage/service_test.go
+++ b/usage/service_test.go
@@ -412,6 +412,31 @@
 	}
 }
 
+// TestHolderWhoseClockSteps sets the holder's clock forth and back: a window must not be fixed by a reading that came before its end.
+func TestHolderWhoseClockSteps(t *testing.T) {
+	w := newWorld(t)
+	w.vms = w.vms[:2] // fewer than three VMs count, so that the holder goes by its own clock
+	begin := windowAt(w.wall(), window)
+	for _, clock := range []time.Duration{2 * time.Second, 0, -2 * time.Second, 2 * time.Second, -time.Second, 0} {
+		w.run(17*time.Second, true)
+		w.vms[0].clock = clock
+	}
+	w.run(17*time.Second, true)
+	counts := w.check()
+	for k := begin; k < windowAt(w.wall(), window)-1; k++ {
+		w.is.True(counts[k] >= 25) // all requests of the other VM
+	}
+	w.vms[0].clock = 12 * time.Second
+	w.run(17*time.Second, true)
+	w.vms[0].clock = 0
+	w.run(30*time.Second, true)
+	counts = w.check()
+	now := windowAt(w.wall(), window)
+	for k := now - 3; k < now-1; k++ { // those before may have been fixed ahead, and have requests counted ahead
+		w.is.Equal(counts[k], int64(50))
+	}
+}
+
 // TestHolderWithAClockFarAhead covers a clock that steps by an hour: the holder took all windows for missed, and fixed windows to come.
 func TestHolderWithAClockFarAhead(t *testing.T) {
 	w := newWorld(t)
--- a/usage/session.go
+++ b/usage/session.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	x.ledger.Start(x.s.startedAt, x.now(), b.End > 0)
-	for i, offset := range x.ledger.From() {
+	for i, offset := range x.ledger.From(x.now()) {
 		if i < x.s.partitions() {
 			x.ledger.Seek(i, offset)
 		}
