--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -210,7 +210,7 @@
 	d.is.True(d.store.Appended(usage.TopicCounts) > 0)
 }
 
-// TestNoUsageWithoutTheDuty covers deployments without the duty: they must make no store call and run no goroutine for it.
+// TestNoUsageWithoutTheDuty covers deployments without the duty: they must append nothing and compete for no tenure.
 func TestNoUsageWithoutTheDuty(t *testing.T) {
 	d := newDeployment(t, 0, 1, 1)
 	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/desk/a", "r1", "x", headerTestOrganisation, "hule930").status, http.StatusOK)
