--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -188,6 +188,7 @@
 	"batches":       {[]string{"PARTITION", "HELD", "BATCH", "STEP", "ITEMS", "LISTED", "ENDED"}, batchRows},
 	"tenures":       {[]string{"PARTITION", "HELD", "HOLDER", "TOKEN", "OFFSET"}, tenureRows},
 	"scaling":       {[]string{"POOL", "AZ", "KIND", "OBSERVED", "WANTED", "ORDERED", "OUTCOME", "REASON"}, scalingRows},
+	"usage":         {[]string{"WINDOW", "START", "STATUS", "REQUESTS", "REASON"}, usageRows},
 }
 
 func (a *app) vmGetCommand(vms *[]string) *cobra.Command {
@@ -390,6 +391,27 @@
 	return rows
 }
 
+// usageRows returns the windows that the VM knows of, after a row that names the holder of the duty.
+func usageRows(s *entry.State) [][]string {
+	u := s.Usage
+	if u == nil {
+		return nil
+	}
+	status := "holder is " + orDash(u.Holder)
+	if u.Held {
+		status = "held, token " + strconv.FormatInt(u.Token, 10)
+	}
+	rows := [][]string{{"-", "-", status, fmt.Sprintf("%d pending", u.Pending), "-"}}
+	for _, w := range u.Windows {
+		var counts []string
+		for _, organisation := range slices.Sorted(maps.Keys(w.Counts)) {
+			counts = append(counts, fmt.Sprintf("%s:%d", organisation, w.Counts[organisation]))
+		}
+		rows = append(rows, []string{strconv.FormatInt(w.Window, 10), w.Start.UTC().Format(time.RFC3339), string(w.Status), orDash(strings.Join(counts, " ")), orDash(w.Reason)})
+	}
+	return rows
+}
+
 func (a *app) vmWatchCommand(vms *[]string) *cobra.Command {
 	var version int64
 	cmd := &cobra.Command{
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -43,8 +43,10 @@
 	tenants, key string
 	// adjust changes the settings of VMs that are started after it was set; it may be nil.
 	adjust func(*entry.Settings)
-	duties entry.DutySettings // of the VMs that are started from now on
-	log    lockedBuffer       // log lines of all VMs
+	// cloud is the platform's API for duties, if its faults are set by VM; duties are the settings of VMs that are started after it was set.
+	cloud  *errata.Cloud
+	duties entry.DutySettings
+	log    lockedBuffer // log lines of all VMs
 }
 
 // vm is one entry VM.
@@ -52,6 +54,7 @@
 	name, address, readyAddress string
 	storeAccess                 *storeAccess
 	targetPath                  *targetPath
+	cloudAccess                 *cloudAccess // nil without duties
 	process                     *entry.Process
 	stop                        chan struct{}
 	done                        chan error
@@ -142,7 +145,10 @@
 		d.adjust(&settings)
 	}
 	var dutyAPI duties.API
-	if d.duties.Address != "" {
+	if d.cloud != nil {
+		v.cloudAccess = &cloudAccess{CloudClient: platform.NewCloudClient(d.cloud.Address())}
+		dutyAPI = v.cloudAccess
+	} else if d.duties.Address != "" {
 		dutyAPI = platform.NewCloudClient(d.duties.Address)
 	}
 	v.process = entry.New(entry.Options{
@@ -151,7 +157,7 @@
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, Keys: p.Keys, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, Keys: p.Keys, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
 	targets.View = v.process.View
--- a/entry/process.go
+++ b/entry/process.go
@@ -97,6 +97,7 @@
 	cancel   context.CancelFunc
 
 	tenures *tenureManager
+	usage   *usageDuty // nil without the duty
 }
 
 // New returns a process that serves nothing until Run.
@@ -124,6 +125,7 @@
 			p.limiter.SetVMs(vms)
 			p.origins.SetVMs(vms)
 			p.detour.SetVMs(vms)
+			p.usage.setVMs(vms)
 		}
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View, opts.BootTime, s.FailClosed)
@@ -131,14 +133,16 @@
 		Rules: organisation.Rules{FailClosed: s.FailClosed, RevokeWithin: s.RevokeWithin}, TablesAge: p.follower.tablesAge, Metrics: opts.Metrics,
 	})
 	p.crashes = crashes.New(crashes.Options{Store: opts.Store, Topic: opts.CrashTopic, Targets: p.detour, Log: opts.Log, Metrics: opts.Metrics})
+	processID := fmt.Sprintf("%s/%d", s.VM, time.Now().UnixNano())
+	p.usage = newUsageDuty(&opts, processID, p.rpcPool.Call)
 	p.Forwarder = forward.New(forward.Options{
-		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
+		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, Usage: p.usage.counter(), AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes,
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter, States: p.targets,
 	})
-	p.tenures = newTenureManager(p)
+	p.tenures = newTenureManager(p, processID)
 	return p
 }
 
@@ -174,6 +178,7 @@
 	go p.origins.Run(p.ctx)
 	go p.Batches.Run()
 	go p.tenures.run()
+	p.usage.start(p.ctx)
 	callerServer := p.newCallerServer()
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- callerServer.Serve(callerListener) }()
@@ -247,7 +252,7 @@
 	}
 	server := rpc.NewServer(rpc.Options{TrustPeers: true, Log: p.opts.Log}, map[string]rpc.Handler{
 		wire.MethodPermits: rpc.NewHandler(p.limiter.Handle), wire.MethodRecordOrigins: rpc.NewHandler(p.origins.HandleRecord),
-		wire.MethodFindOrigin: rpc.NewHandler(p.origins.HandleFind),
+		wire.MethodFindOrigin: rpc.NewHandler(p.origins.HandleFind), wire.MethodReachDuties: rpc.NewHandler(p.usage.handleReach),
 	})
 	go func() {
 		defer p.rpcPool.Close()
@@ -287,6 +292,7 @@
 	start := time.Now()
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
+	go p.usage.release(p.ctx) // beside the other tenures, as a store that does not answer takes up the grace period
 	p.tenures.stop()
 	p.limiter.Stop()
 	p.detour.StopPassingOn()
@@ -300,6 +306,7 @@
 		p.opts.Log.Warn("stopped_early", "err", err)
 	}
 	p.detours.Drain(ctx)
+	p.usage.flush(p.ctx)
 	p.cancel()
 	p.opts.Log.Info("stopped", "ms", time.Since(start).Milliseconds())
 }
