entry: bodies within a budget of the VM's memory; callers that read nothing are ended

Cause: bodies were read whole without a bound over all requests, and an answer that nobody reads held its request for good. Change: package memory on the way of callers' bodies and answers.

--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -157,7 +157,7 @@
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, Keys: p.Keys, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, Keys: p.Keys, Memory: p.Memory, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
 	targets.View = v.process.View
--- a/entry/process.go
+++ b/entry/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/ibistrail/ibistrail/duties"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
+	"github.com/ibistrail/ibistrail/memory"
 	"github.com/ibistrail/ibistrail/organisation"
 	"github.com/ibistrail/ibistrail/origins"
 	"github.com/ibistrail/ibistrail/process"
@@ -42,6 +44,12 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period that is kept in reserve after the last answers.
 	shutdownMargin = 1500 * time.Millisecond
+	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
+	// process itself takes up to a third.
+	bodyMemoryFraction = 0.25
+	// readerStallTimeout is how long a caller may read nothing of an answer. Callers wait for at most 12 s and a little more for results, so that
+	// none that reads at all is ended.
+	readerStallTimeout = 20 * time.Second
 )
 
 // Options are the dependencies and settings of a Process.
@@ -80,6 +88,8 @@
 	View      *fleet.View
 	Forwarder *forward.Forwarder
 	Batches   *batch.Service
+	// Memory bounds what is held for callers.
+	Memory *memory.Budget
 	// Keys decides on requests that need an API key.
 	Keys *organisation.Register
 
@@ -129,6 +139,8 @@
 		}
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View, opts.BootTime, s.FailClosed)
+	p.Memory = memory.NewBudget(int64(bodyMemoryFraction * float64(s.MemoryBytes)))
+	opts.Metrics.Set("caller_memory", expvar.Func(func() any { return p.Memory.State() }))
 	p.Keys = organisation.NewRegister(organisation.Options{
 		Rules: organisation.Rules{FailClosed: s.FailClosed, RevokeWithin: s.RevokeWithin}, TablesAge: p.follower.tablesAge, Metrics: opts.Metrics,
 	})
@@ -161,10 +173,13 @@
 // Run serves until stop is closed and then shuts down gracefully. It returns an error if a listener fails.
 func (p *Process) Run(stop <-chan struct{}) error {
 	s := p.opts.Settings
-	callerListener, err := net.Listen("tcp", s.ListenAddress)
+	l, err := net.Listen("tcp", s.ListenAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	callerListener := &memory.Listener{Listener: l, StallTimeout: readerStallTimeout, Stalled: func(peer string) {
+		p.opts.Log.Warn("caller_stalled", "peer", peer, "after_ms", readerStallTimeout.Milliseconds())
+	}}
 	readyListener, err := net.Listen("tcp", s.ReadyAddress)
 	if err != nil {
 		return fmt.Errorf("listen for the balancer's readiness checks: %w", err)
