--- a/memory/listener.go
+++ b/memory/listener.go
@@ -6,14 +6,9 @@
 	"time"
 )
 
-// Sizes of writes, in bytes.
-const (
-	// writeStep is the size of the pieces in which an answer is written, each with a time limit of its own.
-	writeStep = 16 << 10
-	// sendBuffer is the kernel's buffer of a connection. The kernel reports progress only after a third of it was read, so that with its
-	// usual size of megabytes a slow reader could not be told from a stalled one.
-	sendBuffer = 128 << 10
-)
+// sendBuffer is the kernel's buffer of a connection, in bytes. The kernel reports progress only after a third of it was read, so that with
+// its usual size of megabytes a slow reader could not be told from a stalled one.
+const sendBuffer = 128 << 10
 
 // Listener ends connections whose peer reads nothing for a time while an answer waits for it. A peer that reads slowly is kept.
 type Listener struct {
@@ -42,21 +37,8 @@
 	listener *Listener
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It has as many time limits as the peer reads parts of p.
 func (c *stallConn) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		step := p[written:min(len(p), written+writeStep)]
-		n, err := c.writeStep(step)
-		written += n
-		if err != nil || written >= len(p) {
-			return written, err
-		}
-	}
-}
-
-// writeStep writes p, with as many time limits as the peer reads parts of it.
-func (c *stallConn) writeStep(p []byte) (int, error) {
 	written := 0
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(c.listener.StallTimeout)); err != nil {
