batch: engines are chosen by the prompts that they hold

Change: where the parts of a prompt and the engines' memory are known, an item with time to spare follows its prompt while the engine that holds it has slots and memory and is not slower; near the deadline load and speed decide as before. Without these data the choice is unchanged. The load figure of an engine scales the expected event interval, with decay to what was measured, and the time that a slow engine gets for an event. Prompt tokens sent and expected held, and the time to the first event by held or not, are in the metrics.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -41,6 +41,7 @@
 	}
 	j.moving = false
 	r.endIsolation(j, call.Instance)
+	held := r.endPrompt(now, j)
 	r.engines.requestEnded(call.Instance)
 	j.instance, j.cancel = nil, nil
 	r.outcomes.Add(string(outcome), 1)
@@ -49,7 +50,7 @@
 	}
 	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "via", j.via, "software", call.Instance.SoftwareVersion, "from_event", call.ResumeAfter, "events", len(j.events),
 		"versions", j.distinctVersions(), "ms", now.Sub(j.startedAt).Milliseconds(), "first_ms", j.firstEventDelay().Milliseconds(),
-		"silent_ms", j.silence(now).Milliseconds(), "outcome", string(outcome), "err", err)
+		"silent_ms", j.silence(now).Milliseconds(), "held_tokens", held, "outcome", string(outcome), "err", err)
 	if j.state != jobRunning {
 		r.mu.Unlock()
 		return // canceled in the meantime
@@ -95,7 +96,8 @@
 // have crashed the engine; an event shows that it has not.
 func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call) (runOutcome, error) {
 	var timedOut atomic.Bool
-	watchdog := time.AfterFunc(firstEventTimeout, func() {
+	slowdown := r.slowdown(call.Instance)
+	watchdog := time.AfterFunc(time.Duration(slowdown*float64(firstEventTimeout)), func() {
 		timedOut.Store(true)
 		cancel()
 	})
@@ -120,6 +122,7 @@
 	r.engines.observeLoad(time.Now(), call.Instance, response.Load)
 	r.engines.observeVersion(call.Instance, j.head.Model, response.Version)
 	r.mu.Unlock()
+	slowdown = r.slowdown(call.Instance)
 	if response.Status >= http.StatusBadRequest && !response.NotExecuted {
 		r.crashes.Answered(j.fingerprint)
 	}
@@ -149,7 +152,7 @@
 			return interrupted(err)
 		}
 		now := time.Now()
-		watchdog.Reset(eventTimeout)
+		watchdog.Reset(time.Duration(slowdown * float64(eventTimeout)))
 		if ev.Version > 0 {
 			version = ev.Version
 		}
@@ -173,6 +176,7 @@
 		j.versions = append(j.versions, version)
 		if j.firstEventAt.IsZero() {
 			j.firstEventAt = now
+			r.observeFirstEvent(j, call)
 		}
 		j.lastEventAt = now
 		if ev.ID > call.ResumeAfter+1 {
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -11,6 +11,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/ibistrail/ibistrail/promptcache"
 )
 
 // Submission is a batch of items submitted by a caller.
@@ -60,6 +62,8 @@
 	Tokens int `json:"tokens,omitempty"`
 	// ExpectedTokens is the caller's estimate of the output in tokens; 0 if there is none.
 	ExpectedTokens int `json:"expected_tokens,omitempty"`
+	// Prompt is the item's prompt by its parts, of which other items may share all but the last; nil if unknown.
+	Prompt []promptcache.Part `json:"prompt,omitempty"`
 	// Group names the items that share a prompt.
 	Group  string  `json:"group,omitempty"`
 	Scorer *Scorer `json:"scorer,omitempty"`
--- a/batch/dump.go
+++ b/batch/dump.go
@@ -38,6 +38,8 @@
 	FreeSlots       int              `json:"room"`
 	EventIntervalMs int64            `json:"pace_ms"`
 	Versions        map[string]int64 `json:"versions"`
+	// PromptTokens is the number of tokens of prompts and outputs that the engine is expected to hold.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
 }
 
 // State returns the partitions that are owned or were read, the open jobs and the engines for the state dump.
--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/promptcache"
 )
 
-// Weights in the cost of an engine, as fractions of its slots.
+// Weights in the cost of an engine, as fractions of its slots: a full engine costs as much as a run that takes twice as long.
 const (
-	// groupBonus is subtracted for an engine that has already processed the group's shared prompt.
+	// groupBonus is subtracted for an engine that runs items of the group, if the parts of the prompt or the engine's memory are
+	// unknown.
 	groupBonus = 0.3
 	// zoneCost is added for an engine in another availability zone, where traffic is charged by the byte.
 	zoneCost = 0.1
@@ -34,6 +36,8 @@
 	estimate, repeatTime time.Duration
 	// resubmittedGroup is set if an earlier submission had items of the group: the trainer waits for these in any case.
 	resubmittedGroup bool
+	// tokensPerEvent is that of the pool.
+	tokensPerEvent int
 	// suspect is set if an engine crashed while it ran the item. Suspects run apart from each other, so that the next crash
 	// shows which of them is the cause.
 	suspect bool
@@ -81,13 +85,21 @@
 	software   string
 	// withoutRateLimit excludes engines that have named a rate limit.
 	withoutRateLimit bool
+	// prompt is the item's prompt; nil if its parts are unknown. Then the fields below are not used.
+	prompt *promptcache.Prompt
+	// outputTokens is the expected output, remainingEvents the expected number of events.
+	outputTokens, remainingEvents int
+	// timeLeft is the time until the item's deadline.
+	timeLeft time.Duration
 }
 
 // candidates holds the engines of a pool that have free slots, for one pass over the waiting items.
 type candidates struct {
 	now              time.Time
 	shortestInterval time.Duration // of all engines of the pool
-	free             []*engine
+	// tokensPerMs is the rate at which the engines read prompts.
+	tokensPerMs float64
+	free        []*engine
 	// minVersions are the oldest versions that the newest open steps accept, by model.
 	minVersions map[string]int64
 	// rateLimited holds the free engines that have named a rate limit.
@@ -98,7 +110,7 @@
 
 // candidates returns the engines of a pool to which a request may be sent now.
 func (s *engines) candidates(now time.Time, pool string) *candidates {
-	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool)}
+	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool), tokensPerMs: s.readingRate(pool).TokensPerMs()}
 	for _, e := range s.byKey {
 		if e.instance.Pool == pool && !s.states.Draining(e.instance) && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
 			c.free = append(c.free, e)
@@ -116,7 +128,7 @@
 		if e.instance.Name == req.avoidInstance || c.now.Before(e.blockedUntil[req.model]) || !e.runs(req) {
 			continue
 		}
-		cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model)
+		cost := e.cost(c.now, req, c.shortestInterval, c.tokensPerMs) + sharedCost*c.shareOfOtherModels(e, req.model)
 		if c.rateLimited[e] {
 			if req.withoutRateLimit {
 				continue
@@ -165,12 +177,17 @@
 }
 
 // cost returns the cost of running an item on the engine; choose takes the lowest.
-func (e *engine) cost(now time.Time, req requirements, shortestInterval time.Duration) float64 {
-	cost := 1 - float64(e.freeSlots(now))/float64(max(1, e.instance.Slots))
+func (e *engine) cost(now time.Time, req requirements, shortestInterval time.Duration, tokensPerMs float64) float64 {
+	load, speed := 1-float64(e.freeSlots(now))/float64(max(1, e.instance.Slots)), 0.0
 	if shortestInterval > 0 {
-		cost += float64(e.expectedInterval(now, shortestInterval))/float64(shortestInterval) - 1
+		speed = float64(e.expectedInterval(now, shortestInterval))/float64(shortestInterval) - 1
 	}
-	if req.groupEngines[e.instance.Name] > 0 {
+	cost := load + speed
+	if req.prompt != nil && e.memoryTokens > 0 {
+		in := e.promptInputs(now, req, shortestInterval, tokensPerMs)
+		in.LoadCost, in.SpeedCost = load, speed
+		cost = in.Cost()
+	} else if req.groupEngines[e.instance.Name] > 0 {
 		cost -= groupBonus
 	}
 	if e.instance.AvailabilityZone != req.az {
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/promptcache"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/targetstate"
 )
@@ -44,6 +45,11 @@
 	blockedUntil  map[string]time.Time
 	failures      int
 	cooldownUntil time.Time // no requests are sent before
+	workFigure    workFigure
+	// memoryTokens is the size of the engine's memory for prompts and outputs; 0 if unknown.
+	memoryTokens int
+	// prompts is the estimate of the prompts that the engine holds; nil until one with known parts was sent to it.
+	prompts *promptcache.Cache
 }
 
 // freeSlots returns the number of requests that this VM may still send; negative if the engine is overloaded. An engine
@@ -65,9 +71,15 @@
 	byKey map[fleet.Key]*engine
 	// states is what the engines say about themselves; it may be nil.
 	states *targetstate.Register
+	// readingRates holds the rates at which the engines of a pool read prompts, by pool.
+	readingRates map[string]*promptcache.Rate
+	// partsPerEngine bounds the estimate of the prompts that an engine holds.
+	partsPerEngine int
 }
 
-func newEngines() *engines { return &engines{byKey: map[fleet.Key]*engine{}} }
+func newEngines() *engines {
+	return &engines{byKey: map[fleet.Key]*engine{}, readingRates: map[string]*promptcache.Rate{}}
+}
 
 // update replaces the set of registered instances. State of instances that stay registered is kept.
 func (s *engines) update(instances []*fleet.Instance) {
@@ -81,6 +93,9 @@
 		}
 		e.instance = in
 		for m, v := range in.Versions {
+			if v > e.versions[m] {
+				e.setPromptVersion(m, v)
+			}
 			e.versions[m] = max(e.versions[m], v)
 		}
 	}
@@ -133,6 +148,7 @@
 func (s *engines) observeLoad(now time.Time, in *fleet.Instance, l *targets.Load) {
 	if e := s.get(in); e != nil && l != nil {
 		e.otherLoad, e.otherLoadAt = max(0, l.Running+l.Waiting-e.inflight), now
+		e.workFigure.report(now, l.WorkPercent, !e.intervalAt.IsZero())
 	}
 }
 
@@ -140,6 +156,7 @@
 func (s *engines) observeVersion(in *fleet.Instance, model string, v int64) {
 	if e := s.get(in); e != nil && v > 0 {
 		e.versions[model] = max(e.versions[model], v)
+		e.setPromptVersion(model, v)
 	}
 }
 
@@ -148,12 +165,18 @@
 	if e := s.get(in); e != nil {
 		e.failures, e.intervalAt = 0, now
 		e.eventInterval += time.Duration(intervalGain * float64(d-e.eventInterval))
+		e.workFigure.observed()
 	}
 }
 
-// expectedInterval returns the engine's event interval. Without new measurements a slow engine's interval falls
-// linearly to the shortest one within slowIntervalDecay.
+// expectedInterval returns the engine's event interval, scaled by its latest load figure. Without new measurements a slow engine's
+// interval falls linearly to the shortest one within slowIntervalDecay.
 func (e *engine) expectedInterval(now time.Time, shortest time.Duration) time.Duration {
+	return e.workFigure.scale(now, e.observedInterval(now, shortest))
+}
+
+// observedInterval returns the event interval that was measured, with the decay of old measurements.
+func (e *engine) observedInterval(now time.Time, shortest time.Duration) time.Duration {
 	age := now.Sub(e.intervalAt)
 	if e.intervalAt.IsZero() || e.eventInterval <= shortest || age <= 0 {
 		return e.eventInterval
@@ -173,6 +196,7 @@
 func (s *engines) resetVersion(in *fleet.Instance, model string, v int64) {
 	if e := s.get(in); e != nil {
 		e.versions[model] = v
+		e.setPromptVersion(model, v)
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/promptcache"
 )
 
 // jobState is the state of an item of an open submission on the VM that runs it.
@@ -56,6 +57,10 @@
 	heldLogged bool
 	// moving is set when the run was canceled to continue on a faster engine.
 	moving bool
+	// prompt is the item's prompt; nil if its parts are unknown.
+	prompt *promptcache.Prompt
+	// promptRun is the current run in the estimate of the engine's memory; nil if there is none.
+	promptRun *promptRun
 	// textComplete is set if the text that was read from the log is complete and only needs its score.
 	textComplete bool
 	// savedEvents is the number of events that were written to the log, the last of them at savedAt.
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -56,7 +56,7 @@
 			tasks = append(tasks, &task{
 				suspect: admission.Suspect, job: j, route: route, deadline: time.UnixMilli(j.head.AcceptedMs).Add(route.RunDeadline),
 				estimate: time.Duration(j.remainingEvents(tokensPerEvent(pool))) * interval, repeatTime: time.Duration(len(j.events)) * interval,
-				resubmittedGroup: j.resubmittedGroup,
+				resubmittedGroup: j.resubmittedGroup, tokensPerEvent: tokensPerEvent(pool),
 			})
 		}
 	}
@@ -132,6 +132,7 @@
 			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
 			continuing: len(j.events) > 0, software: j.software,
 		}
+		r.setPrompt(&req, now, t)
 		if req.continuing && !r.engines.canContinue(now, req, t.repeatTime) {
 			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software)
 			r.outcomes.Add("restarted", 1)
@@ -216,6 +217,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
 	j.firstEventAt, j.lastEventAt, j.via = time.Time{}, time.Time{}, ""
+	r.startPrompt(j, e, j.startedAt, t.tokensPerEvent)
 	r.engines.requestStarted(e.instance)
 	header := make(http.Header, len(j.item.Header))
 	for name, value := range j.item.Header {
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -10,6 +10,7 @@
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/promptcache"
 )
 
 // unfinishedText holds the events of an item that were received before its job was closed.
@@ -211,6 +212,7 @@
 		j := &job{
 			submission: sub, head: sub.head, item: it, partition: p, resubmittedGroup: resubmittedGroups[it.Group],
 			fingerprint: crashes.Fingerprint(http.MethodPost, sub.head.Host, it.Path, nil, it.Body),
+			prompt:      promptcache.NewPrompt(sub.head.Model, it.Prompt),
 		}
 		jobs[it.ID] = j
 		if result, ok := p.index.reusableResult(sub.head, it, singleVersion); ok {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -82,6 +82,9 @@
 	// outcomes counts runs by outcome, durations measures the complete ones.
 	outcomes  *expvar.Map
 	durations *process.Latency
+	// ignorePrompts is set if the choice of engines does not consider the prompts that they hold.
+	ignorePrompts bool
+	promptMetrics promptMetrics
 }
 
 // wake requests a scheduling pass. It does not block.
@@ -136,6 +139,7 @@
 	if snap != r.snapshot {
 		r.snapshot = snap
 		r.engines.update(snap.Instances)
+		r.engines.setMemory(snap.Tables)
 	}
 	r.reconcile(ctx, snap)
 	if len(r.jobs) == 0 {
@@ -155,6 +159,7 @@
 		outcomes: o.Metrics.SubMap("item_runs"), durations: o.Metrics.Latency("item_run_seconds"),
 	}
 	r.engines.states = o.States
+	r.ignorePrompts, r.promptMetrics = o.IgnorePrompts, newPromptMetrics(o.Metrics)
 	o.Limiter.OnPermit(r.wake)
 	return r
 }
@@ -172,7 +177,7 @@
 	}
 	engines := map[string]EngineState{}
 	for _, e := range r.engines.byKey {
-		engines[e.instance.Name] = EngineState{e.inflight, e.freeSlots(time.Now()), e.eventInterval.Milliseconds(), maps.Clone(e.versions)}
+		engines[e.instance.Name] = EngineState{e.inflight, e.freeSlots(time.Now()), e.eventInterval.Milliseconds(), maps.Clone(e.versions), e.storedPrompts()}
 	}
 	return RunnerState{jobs, engines}
 }
--- a/batch/service.go
+++ b/batch/service.go
@@ -47,6 +47,9 @@
 	Crashes   *crashes.Register
 	Limiter   *ratelimit.Limiter
 	States    *targetstate.Register
+	// IgnorePrompts chooses engines without regard to the prompts that they hold, for a comparison. The estimates and their
+	// counters are kept.
+	IgnorePrompts bool
 }
 
 // Service accepts, stores and runs batch submissions and returns their results.
--- a/batch/weight_loads.go
+++ b/batch/weight_loads.go
@@ -15,6 +15,7 @@
 	// Record the new version already. If the load takes longer, the engine's response shows the old version and
 	// resets it.
 	r.engines.observeVersion(intent.Instance, intent.Model, intent.Version)
+	r.engines.forgetPrompts(intent.Instance, intent.Model)
 	time.AfterFunc(r.loadDuration+time.Millisecond, r.wake)
 }
 
@@ -25,6 +26,7 @@
 	r.loadDuration += time.Duration(loadGain * float64(took-r.loadDuration))
 	r.engines.block(intent.Instance, intent.Model, time.Time{})
 	r.engines.observeVersion(intent.Instance, intent.Model, intent.Version)
+	r.engines.forgetPrompts(intent.Instance, intent.Model)
 	r.wake()
 }
 
