ctl: ibisctl where explains where a request or an item would go now

Change: the debug server of ibisentry answers /debug/where with the candidates, the inputs of the choice, the decision and the refusal. It calls the code of the request path: delivery.choose, which is delivery.pick without the count of the request, and candidates.choose, whose conditions now have names. Nothing is sent or counted. The parser of prompt parts moves to promptcache, since the command takes them too.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -112,7 +112,7 @@
 func (s *engines) candidates(now time.Time, pool string) *candidates {
 	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool), tokensPerMs: s.readingRate(pool).TokensPerMs()}
 	for _, e := range s.byKey {
-		if e.instance.Pool == pool && !s.states.Draining(e.instance) && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
+		if e.instance.Pool == pool && s.unavailable(now, e) == "" {
 			c.free = append(c.free, e)
 		}
 	}
@@ -120,31 +120,65 @@
 	return c
 }
 
+// unavailable returns why no request may be sent to an engine now; it is empty if one may.
+func (s *engines) unavailable(now time.Time, e *engine) string {
+	switch {
+	case s.states.Draining(e.instance):
+		return "it leaves"
+	case e.isolated:
+		return "it runs a suspect alone"
+	case now.Before(e.cooldownUntil):
+		return "it has failed and is given a pause"
+	case e.freeSlots(now) <= 0:
+		return "it has no free slot"
+	}
+	return ""
+}
+
 // choose returns the engine with the lowest cost that meets the requirements, or nil if there is none.
 func (c *candidates) choose(req requirements) *engine {
 	var best *engine
 	var bestCost float64
 	for _, e := range c.free {
-		if e.instance.Name == req.avoidInstance || c.now.Before(e.blockedUntil[req.model]) || !e.runs(req) {
+		if c.excluded(e, req) != "" {
 			continue
 		}
-		cost := e.cost(c.now, req, c.shortestInterval, c.tokensPerMs) + sharedCost*c.shareOfOtherModels(e, req.model)
-		if c.rateLimited[e] {
-			if req.withoutRateLimit {
-				continue
-			}
-			cost += rateLimitCost
-		}
-		if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
-			cost += newerStepCost
-		}
-		if best == nil || cost < bestCost {
+		if cost := c.cost(e, req); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
+// excluded returns why a free engine does not run an item with these requirements; it is empty if it may.
+func (c *candidates) excluded(e *engine, req requirements) string {
+	switch {
+	case e.instance.Name == req.avoidInstance:
+		return "the item's last run there failed"
+	case c.now.Before(e.blockedUntil[req.model]):
+		return "it loads weights or has just refused a request"
+	case !e.hasWeights(req):
+		return "its weights are too old"
+	case !e.runs(req):
+		return "another software version began the text"
+	case req.withoutRateLimit && c.rateLimited[e]:
+		return "it has named a rate limit"
+	}
+	return ""
+}
+
+// cost returns the cost of running an item on an engine, with regard to the other items that wait.
+func (c *candidates) cost(e *engine, req requirements) float64 {
+	cost := e.cost(c.now, req, c.shortestInterval, c.tokensPerMs) + sharedCost*c.shareOfOtherModels(e, req.model)
+	if c.rateLimited[e] {
+		cost += rateLimitCost
+	}
+	if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
+		cost += newerStepCost
+	}
+	return cost
+}
+
 // shareOfOtherModels returns the fraction of the other models whose newest steps the engine could run. If only few
 // engines run the versions that those steps accept, an item should use an engine that the others can't use.
 func (c *candidates) shareOfOtherModels(e *engine, model string) float64 {
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -80,7 +80,7 @@
 	f.StringVarP(&a.format, "output", "o", formatText, "output format: text or json")
 	f.DurationVar(&a.timeout, "timeout", DefaultTimeout, "time limit for the whole command, such as 30s")
 	root.AddCommand(a.checkCommand(), a.applyCommand(), a.getCommand(), a.diffCommand(), a.historyCommand(),
-		a.watchCommand(), a.nodesCommand(), a.drainCommand(), a.dumpCommand(), a.explainCommand(), a.vmCommand(), a.versionCommand())
+		a.watchCommand(), a.nodesCommand(), a.drainCommand(), a.dumpCommand(), a.explainCommand(), a.vmCommand(), a.whereCommand(), a.versionCommand())
 	return root
 }
 
--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -16,7 +16,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/ibistrail/ibistrail/entry"
-	"github.com/ibistrail/ibistrail/fleet"
 )
 
 // EnvVM is the environment variable that gives the default of --vm.
@@ -292,19 +291,11 @@
 			limit = strconv.FormatFloat(perSecond, 'g', -1, 64)
 		}
 		rows = append(rows, []string{t.Name, t.Pool, t.Address, t.AvailabilityZone, strconv.FormatBool(draining), orDash(limit), strconv.Itoa(n),
-			strconv.FormatBool(ejected[t.Name]), targetPath(s, t.Name), orDash(t.SoftwareVersion), orDash(versionsText(t))})
+			strconv.FormatBool(ejected[t.Name]), targetPath(s, t.Name), orDash(t.SoftwareVersion), orDash(modelVersions(t.Versions))})
 	}
 	return rows
 }
 
-func versionsText(t *fleet.Instance) string {
-	var out []string
-	for _, model := range slices.Sorted(maps.Keys(t.Versions)) {
-		out = append(out, fmt.Sprintf("%s=%d", model, t.Versions[model]))
-	}
-	return strings.Join(out, ",")
-}
-
 func versionRows(s *entry.State) [][]string {
 	var rows [][]string
 	for _, model := range slices.Sorted(maps.Keys(s.NamedVersions)) {
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -38,7 +38,9 @@
 	services []*errata.Target
 	vms      []*vm
 	version  int
-	log      lockedBuffer // log lines of all VMs
+	// memoryTokens is the size of the engines' memory in the next configuration; 0 if unknown.
+	memoryTokens int
+	log          lockedBuffer // log lines of all VMs
 }
 
 // vm is one entry VM.
@@ -85,8 +87,8 @@
 		{"Name":"r-file","Host":%[2]q,"PathPrefix":"/file/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,"Service":"desk","MaxAttempts":2},
 		{"Name":"r-notes","Host":%[2]q,"PathPrefix":"/notes/","Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Priority":0,"Service":"drafting","MaxAttempts":3}%[3]s],
 		"Services":[{"Name":"desk","HealthPath":"/healthz","MaxConns":100},
-		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"Models":[{"Name":%[4]q}]}}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, d.version, host, extra, model)))
+		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"KvCapacity":%[5]d,"Models":[{"Name":%[4]q}]}}],
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, d.version, host, extra, model, d.memoryTokens)))
 }
 
 // nameVersion names a new weight version, as a trainer does.
--- a/entry/process.go
+++ b/entry/process.go
@@ -198,14 +198,19 @@
 		p.opts.Log.Error("metrics_unserved", "address", p.opts.MetricsAddress, "err", err)
 		return
 	}
-	d := process.DebugServer{Metrics: p.opts.Metrics, State: func() any { return p.State() }, Ready: p.checkReady}
 	go func() {
-		if err := process.Serve(p.ctx, l, d.Handler()); err != nil {
+		if err := process.Serve(p.ctx, l, p.DebugHandler()); err != nil {
 			p.opts.Log.Error("metrics_unserved", "address", p.opts.MetricsAddress, "err", err)
 		}
 	}()
 }
 
+// DebugHandler returns the handler of the metrics, the state dump and the explanations of choices.
+func (p *Process) DebugHandler() http.Handler {
+	d := process.DebugServer{Metrics: p.opts.Metrics, State: func() any { return p.State() }, Ready: p.checkReady, Routes: p.debugRoutes}
+	return d.Handler()
+}
+
 // serveRelay starts to pass on the calls of other VMs to the store and to targets. A failure is only logged: this VM then serves as long as
 // it reaches both itself.
 func (p *Process) serveRelay() {
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -371,6 +371,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
+	in, q, ok := d.choose(now, p, suspect, hedge)
+	if ok {
+		p.table.Start(now, in.Address, q)
+	}
+	return in, q, ok
+}
+
+// choose chooses a target and changes nothing. The caller holds the forwarder's lock.
+func (d *delivery) choose(now time.Time, p *poolState, suspect, hedge bool) (*fleet.Instance, routing.Query, bool) {
 	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
 	q := routing.Query{Avoid: d.tried, Exclude: d.excluded(p, hedge), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
 	address, ok := p.table.Pick(now, q)
@@ -384,11 +393,7 @@
 		address, ok = p.table.Pick(now, q)
 	}
 	in := p.byAddr[address]
-	if !ok || in == nil {
-		return nil, q, false
-	}
-	p.table.Start(now, address, q)
-	return in, q, true
+	return in, q, ok && in != nil
 }
 
 // excluded returns the addresses of the targets that must not get the request, or a copy of it.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -199,12 +199,17 @@
 	return &Reply{Status: status, RetryAfter: retryAfter, Reason: reason}
 }
 
+// noTablesReply returns the refusal of a request while no tables are known.
+func noTablesReply() *Reply {
+	return refusal(http.StatusServiceUnavailable, "no configuration is known yet", configRetryAfter)
+}
+
 // Serve forwards a request and returns the answer. It refuses a request at once if there is no configuration,
 // no matching route or no target, or if the request crashes the targets that run it.
 func (f *Forwarder) Serve(ctx context.Context, req *Request) *Reply {
 	snap := f.view.Get()
 	if snap.Tables == nil {
-		return f.recordUnrouted(req, 0, refusal(http.StatusServiceUnavailable, "no configuration is known yet", configRetryAfter))
+		return f.recordUnrouted(req, 0, noTablesReply())
 	}
 	route := snap.Tables.Match(req.Host, req.Path)
 	if route == nil {
--- a/promptcache/prompt.go
+++ b/promptcache/prompt.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/binary"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,6 +25,31 @@
 	MaxPartTokens = 1 << 20
 )
 
+// ParseParts parses the parts of a prompt in order, written as ID:TOKENS,... with hexadecimal IDs. It returns nil if they are malformed
+// or exceed the limits.
+func ParseParts(s string) []Part {
+	if s == "" || len(s) > MaxParts*(MaxIDBytes+maxTokenDigits) {
+		return nil
+	}
+	var parts []Part
+	for field := range strings.SplitSeq(s, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
+		n, err := strconv.Atoi(tokens)
+		if err != nil || n <= 0 || n > MaxPartTokens || len(parts) == MaxParts || !isHexID(id) {
+			return nil
+		}
+		parts = append(parts, Part{ID: strings.ToLower(id), Tokens: n})
+	}
+	return parts
+}
+
+// maxTokenDigits is the longest number of tokens with separators and spaces, in bytes.
+const maxTokenDigits = 16
+
+func isHexID(s string) bool {
+	return s != "" && len(s) <= MaxIDBytes && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
 // Prompt is a sequence of parts that is looked up in caches. The last part is the request's own.
 type Prompt struct {
 	model string
--- a/promptcache/promptcache_test.go
+++ b/promptcache/promptcache_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,17 @@
 	return NewPrompt("m", append(parts, Part{fmt.Sprintf("own%d", own), 10}))
 }
 
+// TestMalformedPromptPartsMeanNone guards against parts that a caller made up, and against an item refused for a header that only
+// speeds it up.
+func TestMalformedPromptPartsMeanNone(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ParseParts("0aF1:300, 77:41"), []Part{{ID: "0af1", Tokens: 300}, {ID: "77", Tokens: 41}})
+	for _, bad := range []string{"", ",", "a", "a:", "a:0", "a:-3", "a:x", "g:3", ":3", "a:3,", "a:3,,b:4", "a:3:4", "a:99999999999",
+		strings.Repeat("a", MaxIDBytes+1) + ":3", strings.Repeat("a:3,", MaxParts) + "a:3", strings.Repeat("a", 1<<20)} {
+		is.Equal(ParseParts(bad), nil)
+	}
+}
+
 func TestPartCountsOnlyIfAllBeforeItAreHeld(t *testing.T) {
 	is := is.New(t)
 	c := New(1000, 50)
