batch: a freed slot goes to an item whose prompt its engine holds

The order of the waiting items decides. Change: an item with time to spare lets another one go first whose prompt the free engine holds, if their latest starts differ by at most 100 ms. Suspects do not follow their prompts: a crash would end the runs of their group.

--- a/batch/placement.go
+++ b/batch/placement.go
@@ -122,17 +122,15 @@
 	}
 	sortTasks(now, tasks)
 	var unplaced *task
-	for i, t := range tasks {
+	for i := range tasks {
+		r.bringFollower(now, byPool[tasks[i].route.Pool], tasks[i:])
+		t := tasks[i]
 		j, c := t.job, byPool[t.route.Pool]
 		if t.suspect && runningSuspects[j.fingerprint] {
 			continue // items with equal content are tried one after the other
 		}
 		j.dropTextIfNotAllowed(t.route.SingleVersion)
-		req := requirements{
-			pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines[groupKey(j)], avoidInstance: j.avoidInstance,
-			continuing: len(j.events) > 0, software: j.software,
-		}
-		r.setPrompt(&req, now, t)
+		req := r.requirements(now, t, groupEngines[groupKey(j)])
 		if req.continuing && !r.engines.canContinue(now, req, t.repeatTime) {
 			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software)
 			r.outcomes.Add("restarted", 1)
@@ -163,6 +161,17 @@
 	}
 }
 
+// requirements returns the requirements of an item. groupEngines counts the running items of its group by engine.
+func (r *runner) requirements(now time.Time, t *task, groupEngines map[string]int) requirements {
+	j := t.job
+	req := requirements{
+		pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines, avoidInstance: j.avoidInstance,
+		continuing: len(j.events) > 0, software: j.software,
+	}
+	r.setPrompt(&req, now, t)
+	return req
+}
+
 // chooseWithPermit chooses an engine and, if that has named a rate limit, takes a permit for one request to it. Engines without a
 // permit are left out for the rest of the pass. waiting is the number of items that wait.
 func (r *runner) chooseWithPermit(c *candidates, req requirements, waiting int) *engine {
--- a/batch/prompts.go
+++ b/batch/prompts.go
@@ -112,16 +112,66 @@
 // noDeadline is the time left of items of a route without a deadline.
 const noDeadline = time.Hour
 
-// setPrompt completes the requirements of an item whose prompt's parts are known.
+// setPrompt completes the requirements of an item whose prompt's parts are known. Suspects don't follow their prompts, since a crash would
+// end the runs of their group.
 func (r *runner) setPrompt(req *requirements, now time.Time, t *task) {
-	if r.ignorePrompts || t.job.prompt == nil {
+	if r.ignorePrompts || t.suspect || t.job.prompt == nil {
 		return
 	}
-	req.prompt, req.timeLeft = t.job.prompt, t.deadline.Sub(now)
+	req.prompt, req.timeLeft = t.job.prompt, t.timeLeft(now)
+	req.remainingEvents, req.outputTokens = t.job.remainingEvents(t.tokensPerEvent), t.job.outputTokens(t.tokensPerEvent)
+}
+
+// timeLeft returns the time until the item's deadline.
+func (t *task) timeLeft(now time.Time) time.Duration {
 	if t.route.RunDeadline <= 0 {
-		req.timeLeft = noDeadline
+		return noDeadline
 	}
-	req.remainingEvents, req.outputTokens = t.job.remainingEvents(t.tokensPerEvent), t.job.outputTokens(t.tokensPerEvent)
+	return t.deadline.Sub(now)
+}
+
+// Limits of the items that another one lets go first.
+const (
+	// overtakeWindow is the largest difference between the latest starts of an item and one that goes before it. The long items of a
+	// step decide when it ends; estimates are whole events of some 40 ms, and rarely as exact.
+	overtakeWindow = 100 * time.Millisecond
+	// maxOvertakeScan is the number of items among which one is looked for.
+	maxOvertakeScan = 128
+)
+
+// bringFollower moves an item to the front of the sorted tasks whose prompt is held by the engine that the first one would get, if the
+// first one's is not and it has time to spare. While all slots are occupied, each slot that becomes free goes to the next item whatever
+// its engine holds; so the order decides what is read again.
+func (r *runner) bringFollower(now time.Time, c *candidates, tasks []*task) {
+	first := tasks[0]
+	if r.ignorePrompts || len(tasks) == 1 || !first.mayFollow(now) {
+		return
+	}
+	e := c.choose(r.requirements(now, first, nil))
+	if e == nil || e.prompts == nil || e.holds(now, first.job.prompt) {
+		return
+	}
+	for i, t := range tasks[1:min(len(tasks), maxOvertakeScan)] {
+		if t.latestStart().Sub(first.latestStart()) > overtakeWindow {
+			return
+		}
+		if t.route.Pool == first.route.Pool && t.resubmittedGroup == first.resubmittedGroup && t.mayFollow(now) && e.holds(now, t.job.prompt) &&
+			c.excluded(e, r.requirements(now, t, nil)) == "" {
+			copy(tasks[1:i+2], tasks[:i+1])
+			tasks[0] = t
+			return
+		}
+	}
+}
+
+// mayFollow reports whether the item has a prompt with shared parts, time to spare and no text to continue.
+func (t *task) mayFollow(now time.Time) bool {
+	return t.job.prompt != nil && t.job.prompt.SharedTokens() > 0 && !t.suspect && len(t.job.events) == 0 && promptcache.Patience(t.estimate, t.timeLeft(now)) == 1
+}
+
+// holds reports whether the engine is expected to hold all shared parts of a prompt.
+func (e *engine) holds(now time.Time, p *promptcache.Prompt) bool {
+	return e.heldTokens(now, p) >= p.SharedTokens()
 }
 
 // outputTokens returns the expected output of the item.
--- a/batch/prompts_test.go
+++ b/batch/prompts_test.go
@@ -26,10 +26,12 @@
 	now       time.Time
 	sent      map[string]int // items by engine
 	jobs      []*job
+	items     int
+	suspect   bool // of the items placed next
 }
 
 func newPromptBench(engines, memoryTokens int) *promptBench {
-	b := &promptBench{runner: newRunner(Options{View: fleet.NewView(), Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()}), now: testStart, sent: map[string]int{}}
+	b := &promptBench{runner: newRunner(Options{AvailabilityZone: "a", View: fleet.NewView(), Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics()}), now: testStart, sent: map[string]int{}}
 	b.engines, b.instances = newTestEngines(engines, 6, 3)
 	b.setMemory(memoryTokens)
 	return b
@@ -42,20 +44,29 @@
 // place sends an item of a group with a shared part of 600 tokens, 25 events of an expected output of 250 tokens, and the given time
 // left. It returns the engine.
 func (b *promptBench) place(group string, left time.Duration) *engine {
+	return b.placeTask(b.task(group, left, time.Second))
+}
+
+func (b *promptBench) task(group string, left, estimate time.Duration) *task {
+	b.items++
 	j := &job{
-		head: &Head{ID: "b", Model: "m"}, item: &Item{ID: fmt.Sprint(len(b.jobs)), Group: group, ExpectedTokens: 250}, state: jobRunning,
-		prompt: promptcache.NewPrompt("m", []promptcache.Part{{ID: group, Tokens: 600}, {ID: fmt.Sprint("own", len(b.jobs)), Tokens: 200}}),
+		head: &Head{ID: "b", Model: "m", MinVersion: 3}, item: &Item{ID: fmt.Sprint(b.items), Group: group, ExpectedTokens: 250}, state: jobRunning,
+		prompt: promptcache.NewPrompt("m", []promptcache.Part{{ID: group, Tokens: 600}, {ID: fmt.Sprint("own", b.items), Tokens: 200}}),
 	}
-	t := &task{job: j, route: &fleet.Route{RunDeadline: time.Minute}, deadline: b.now.Add(left), tokensPerEvent: 10}
+	route := &fleet.Route{Route: config.Route{Pool: "p"}, RunDeadline: time.Minute}
+	return &task{job: j, route: route, deadline: b.now.Add(left), estimate: estimate, tokensPerEvent: 10, suspect: b.suspect}
+}
+
+// placeTask sends an item to the engine of the choice, or returns nil if there is none.
+func (b *promptBench) placeTask(t *task) *engine {
+	j := t.job
 	groupEngines := map[string]map[string]int{}
 	for _, other := range b.jobs {
 		if other.instance != nil {
 			countGroupEngine(groupEngines, other)
 		}
 	}
-	req := requirements{pool: "p", model: "m", minVersion: 3, az: "a", groupEngines: groupEngines[groupKey(j)]}
-	b.setPrompt(&req, b.now, t)
-	e := b.engines.candidates(b.now, "p").choose(req)
+	e := b.engines.candidates(b.now, "p").choose(b.requirements(b.now, t, groupEngines[groupKey(j)]))
 	if e == nil {
 		return nil
 	}
@@ -198,6 +209,54 @@
 	}
 }
 
+// TestFreedSlotGoesToAnItemWhosePromptTheEngineHolds covers a deployment whose slots are all occupied: the order of the waiting items
+// decides what is read again. It guards against an item that is overtaken although its time is short or its run is long.
+func TestFreedSlotGoesToAnItemWhosePromptTheEngineHolds(t *testing.T) {
+	is := is.New(t)
+	first := func(change func(b *promptBench, tasks []*task)) *task {
+		b := newPromptBench(1, 20_000)
+		b.place("a", muchTime)
+		tasks := []*task{b.task("b", muchTime, time.Second), b.task("c", muchTime, time.Second), b.task("a", muchTime, time.Second), b.task("a", muchTime, time.Second)}
+		change(b, tasks)
+		order := append([]*task(nil), tasks...)
+		b.bringFollower(b.now, b.engines.candidates(b.now, "p"), tasks)
+		if tasks[0] == order[0] {
+			is.Equal(tasks, order)
+			return nil
+		}
+		is.Equal(tasks[1:], append(order[:2:2], order[3])) // the others keep their order
+		return tasks[0]
+	}
+	is.Equal(first(func(*promptBench, []*task) {}).job.item.Group, "a")
+	for _, change := range []func(b *promptBench, tasks []*task){
+		func(b *promptBench, _ []*task) { b.ignorePrompts = true },
+		func(b *promptBench, _ []*task) { b.setMemory(0) },
+		func(b *promptBench, tasks []*task) {
+			for _, t := range tasks {
+				t.deadline = b.now.Add(1500 * time.Millisecond)
+			}
+		},
+		func(_ *promptBench, tasks []*task) { tasks[2].job.avoidInstance, tasks[3].job.avoidInstance = "e0", "e0" },
+		func(_ *promptBench, tasks []*task) { tasks[0].estimate += 2 * overtakeWindow },
+		func(_ *promptBench, tasks []*task) { tasks[0].resubmittedGroup = true },
+		func(_ *promptBench, tasks []*task) { tasks[2].suspect, tasks[3].suspect = true, true },
+		func(b *promptBench, _ []*task) { b.engines.resetVersion(b.instances[0], "m", 2) },
+	} {
+		is.Equal(first(change), nil)
+	}
+}
+
+// TestSuspectDoesNotFollowItsPrompt guards against an item that crashes an engine full of its group.
+func TestSuspectDoesNotFollowItsPrompt(t *testing.T) {
+	is := is.New(t)
+	b := newPromptBench(2, 20_000)
+	for range 3 {
+		b.place("a", muchTime)
+	}
+	b.suspect = true
+	is.Equal(b.place("a", muchTime).instance.Name, "e1")
+}
+
 // TestWithoutPromptDataTheChoiceIsAsBefore compares with the constant bonus for a group's engines.
 func TestWithoutPromptDataTheChoiceIsAsBefore(t *testing.T) {
 	is := is.New(t)
--- a/promptcache/weigh.go
+++ b/promptcache/weigh.go
@@ -39,10 +39,15 @@
 
 // patience returns how far an item may prefer an engine that holds its prompt, from 0 (time is short) to 1.
 func (in *Inputs) patience() float64 {
-	if in.TimeLeft <= 0 {
+	return Patience(in.RunTimeHere, in.TimeLeft)
+}
+
+// Patience returns how far an item with a run time and a time left has time to spare, from 0 to 1.
+func Patience(runTime, timeLeft time.Duration) float64 {
+	if timeLeft <= 0 {
 		return 0
 	}
-	share := float64(in.RunTimeHere) / float64(in.TimeLeft)
+	share := float64(runTime) / float64(timeLeft)
 	return min(1, max(0, (noPatienceShare-share)/(noPatienceShare-fullPatienceShare)))
 }
 
