--- a/batch/prompts.go
+++ b/batch/prompts.go
@@ -144,7 +144,7 @@
 // its engine holds; so the order decides what is read again.
 func (r *runner) bringFollower(now time.Time, c *candidates, tasks []*task) {
 	first := tasks[0]
-	if r.ignorePrompts || len(tasks) == 1 || !first.mayFollow(now) {
+	if r.ignorePrompts || len(tasks) == 1 || len(c.free) == 0 || c.free[0].memoryTokens == 0 || !first.mayFollow(now) {
 		return
 	}
 	e := c.choose(r.requirements(now, first, nil))
--- a/batch/prompts_test.go
+++ b/batch/prompts_test.go
@@ -236,7 +236,9 @@
 				t.deadline = b.now.Add(1500 * time.Millisecond)
 			}
 		},
-		func(_ *promptBench, tasks []*task) { tasks[2].job.avoidInstance, tasks[3].job.avoidInstance = "e0", "e0" },
+		func(_ *promptBench, tasks []*task) {
+			tasks[2].job.avoidInstance, tasks[3].job.avoidInstance = "e0", "e0"
+		},
 		func(_ *promptBench, tasks []*task) { tasks[0].estimate += 2 * overtakeWindow },
 		func(_ *promptBench, tasks []*task) { tasks[0].resubmittedGroup = true },
 		func(_ *promptBench, tasks []*task) { tasks[2].suspect, tasks[3].suspect = true, true },
