--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/promptcache"
 )
 
-// Weights in the cost of an engine, as fractions of its slots.
+// Weights in the cost of an engine, as fractions of its slots: a full engine costs as much as a run that takes twice as long.
 const (
-	// groupBonus is subtracted for an engine that has already processed the group's shared prompt.
+	// groupBonus is subtracted for an engine that runs items of the group, if the parts of the prompt or the engine's memory are
+	// unknown.
 	groupBonus = 0.3
 	// zoneCost is added for an engine in another availability zone, where traffic is charged by the byte.
 	zoneCost = 0.1
@@ -34,6 +36,8 @@
 	estimate, repeatTime time.Duration
 	// resubmittedGroup is set if an earlier submission had items of the group: the trainer waits for these in any case.
 	resubmittedGroup bool
+	// tokensPerEvent is that of the pool.
+	tokensPerEvent int
 	// suspect is set if an engine crashed while it ran the item. Suspects run apart from each other, so that the next crash
 	// shows which of them is the cause.
 	suspect bool
@@ -81,13 +85,21 @@
 	software   string
 	// withoutRateLimit excludes engines that have named a rate limit.
 	withoutRateLimit bool
+	// prompt is the item's prompt; nil if its parts are unknown. Then the fields below are not used.
+	prompt *promptcache.Prompt
+	// outputTokens is the expected output, remainingEvents the expected number of events.
+	outputTokens, remainingEvents int
+	// timeLeft is the time until the item's deadline.
+	timeLeft time.Duration
 }
 
 // candidates holds the engines of a pool that have free slots, for one pass over the waiting items.
 type candidates struct {
 	now              time.Time
 	shortestInterval time.Duration // of all engines of the pool
-	free             []*engine
+	// tokensPerMs is the rate at which the engines read prompts.
+	tokensPerMs float64
+	free        []*engine
 	// minVersions are the oldest versions that the newest open steps accept, by model.
 	minVersions map[string]int64
 	// rateLimited holds the free engines that have named a rate limit.
@@ -98,9 +110,9 @@
 
 // candidates returns the engines of a pool to which a request may be sent now.
 func (s *engines) candidates(now time.Time, pool string) *candidates {
-	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool)}
+	c := &candidates{now: now, shortestInterval: s.shortestInterval(pool), tokensPerMs: s.readingRate(pool).TokensPerMs()}
 	for _, e := range s.byKey {
-		if e.instance.Pool == pool && !s.states.Draining(e.instance) && !e.isolated && !now.Before(e.cooldownUntil) && e.freeSlots(now) > 0 {
+		if e.instance.Pool == pool && s.unavailable(now, e) == "" {
 			c.free = append(c.free, e)
 		}
 	}
@@ -108,31 +120,65 @@
 	return c
 }
 
+// unavailable returns why no request may be sent to an engine now; it is empty if one may.
+func (s *engines) unavailable(now time.Time, e *engine) string {
+	switch {
+	case s.states.Draining(e.instance):
+		return "it leaves"
+	case e.isolated:
+		return "it runs a suspect alone"
+	case now.Before(e.cooldownUntil):
+		return "it has failed and is given a pause"
+	case e.freeSlots(now) <= 0:
+		return "it has no free slot"
+	}
+	return ""
+}
+
 // choose returns the engine with the lowest cost that meets the requirements, or nil if there is none.
 func (c *candidates) choose(req requirements) *engine {
 	var best *engine
 	var bestCost float64
 	for _, e := range c.free {
-		if e.instance.Name == req.avoidInstance || c.now.Before(e.blockedUntil[req.model]) || !e.runs(req) {
+		if c.excluded(e, req) != "" {
 			continue
 		}
-		cost := e.cost(c.now, req, c.shortestInterval) + sharedCost*c.shareOfOtherModels(e, req.model)
-		if c.rateLimited[e] {
-			if req.withoutRateLimit {
-				continue
-			}
-			cost += rateLimitCost
-		}
-		if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
-			cost += newerStepCost
-		}
-		if best == nil || cost < bestCost {
+		if cost := c.cost(e, req); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
+// excluded returns why a free engine does not run an item with these requirements; it is empty if it may.
+func (c *candidates) excluded(e *engine, req requirements) string {
+	switch {
+	case e.instance.Name == req.avoidInstance:
+		return "the item's last run there failed"
+	case c.now.Before(e.blockedUntil[req.model]):
+		return "it loads weights or has just refused a request"
+	case !e.hasWeights(req):
+		return "its weights are too old"
+	case !e.runs(req):
+		return "another software version began the text"
+	case req.withoutRateLimit && c.rateLimited[e]:
+		return "it has named a rate limit"
+	}
+	return ""
+}
+
+// cost returns the cost of running an item on an engine, with regard to the other items that wait.
+func (c *candidates) cost(e *engine, req requirements) float64 {
+	cost := e.cost(c.now, req, c.shortestInterval, c.tokensPerMs) + sharedCost*c.shareOfOtherModels(e, req.model)
+	if c.rateLimited[e] {
+		cost += rateLimitCost
+	}
+	if newest := c.minVersions[req.model]; req.minVersion < newest && e.versions[req.model] >= newest {
+		cost += newerStepCost
+	}
+	return cost
+}
+
 // shareOfOtherModels returns the fraction of the other models whose newest steps the engine could run. If only few
 // engines run the versions that those steps accept, an item should use an engine that the others can't use.
 func (c *candidates) shareOfOtherModels(e *engine, model string) float64 {
@@ -165,12 +211,17 @@
 }
 
 // cost returns the cost of running an item on the engine; choose takes the lowest.
-func (e *engine) cost(now time.Time, req requirements, shortestInterval time.Duration) float64 {
-	cost := 1 - float64(e.freeSlots(now))/float64(max(1, e.instance.Slots))
+func (e *engine) cost(now time.Time, req requirements, shortestInterval time.Duration, tokensPerMs float64) float64 {
+	load, speed := 1-float64(e.freeSlots(now))/float64(max(1, e.instance.Slots)), 0.0
 	if shortestInterval > 0 {
-		cost += float64(e.expectedInterval(now, shortestInterval))/float64(shortestInterval) - 1
+		speed = float64(e.expectedInterval(now, shortestInterval))/float64(shortestInterval) - 1
 	}
-	if req.groupEngines[e.instance.Name] > 0 {
+	cost := load + speed
+	if req.prompt != nil && e.memoryTokens > 0 {
+		in := e.promptInputs(now, req, shortestInterval, tokensPerMs)
+		in.LoadCost, in.SpeedCost = load, speed
+		cost = in.Cost()
+	} else if req.groupEngines[e.instance.Name] > 0 {
 		cost -= groupBonus
 	}
 	if e.instance.AvailabilityZone != req.az {
