forward: requests that find no room wait their turn or are refused with the time until room frees; targets are chosen by expected time

Cause: a request that found all targets at their limits was sent to one of them all the same, up to seven times, and then refused with a fixed Retry-After of 200 ms; a scoring call was as urgent as a caller's request; the load report counted in full for 5 s. Change: package shedding decides for each pool of a VM which requests wait, are refused, or get the next place. Package routing weighs the queue and running work of a target by its work figure, which decays with its age to the answer times; slow targets are not ejected; a target that refused a request as full pauses; another zone's target is taken if the request ends earlier there. Hedges are sent only where a slot is free and no request waits. Load headers are checked, and invalid ones counted.

--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -76,6 +76,7 @@
 	metrics := process.NewMetrics()
 	metrics.Set("log_lines_dropped", expvar.Func(func() any { return logWriter.Dropped() }))
 	targets := platform.NewTargetClient(platform.DialTarget)
+	metrics.Set("invalid_load_headers", &targets.InvalidLoads)
 	transport := platform.NewStoreTransport(settings.StoreAddress, log)
 	store := platform.NewStoreClient(settings.StoreAddress, transport, platform.NewCallCounter(metrics))
 	var peers *relay.Directory
--- a/entry/state.go
+++ b/entry/state.go
@@ -6,6 +6,7 @@
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/shedding"
 	"github.com/ibistrail/ibistrail/tenure"
 )
 
@@ -26,6 +27,8 @@
 	Batches batch.State          `json:"batches"`
 	// Requests holds the routing state of the targets of single requests, by pool.
 	Requests map[string][]routing.TargetState `json:"requests"`
+	// Waiting holds the requests that wait for room in pools of plain services, by pool.
+	Waiting map[string]shedding.State `json:"waiting,omitempty"`
 	// Quarantine holds the requests that were running when targets crashed, by the fingerprint of their content.
 	Quarantine quarantine.State `json:"quarantine"`
 	// RateLimits holds the limits that targets have named, in requests a second, by target.
@@ -42,7 +45,7 @@
 	s := State{
 		VM: p.opts.Settings.VM, AvailabilityZone: p.opts.Settings.AvailabilityZone, Ready: p.Ready(), Stopping: p.ShuttingDown(),
 		Tables: snap.Tables, Targets: snap.Instances, NamedVersions: snap.NamedVersions,
-		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(),
+		Tenures: p.tenures.states(), Batches: p.Batches.State(), Requests: p.Forwarder.State(), Waiting: p.Forwarder.Waiting(),
 		Quarantine: p.crashes.State(), RateLimits: p.targets.RateLimits(), DrainingTargets: p.targets.DrainingTargets(), TargetPaths: p.detour.State(),
 	}
 	if snap.Tables != nil {
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -50,6 +50,12 @@
 	// continuing is set if the request resumes a stream that only targets of one software version can continue.
 	continuing bool
 	software   string
+	// refused is set if the request is refused because no target has room for it in time.
+	refused *Reply
+	// queueFactor is the expected time at the last picked target, as a multiple of that without a queue.
+	queueFactor float64
+	// choice holds the log fields of the last choice of a target by its expected time.
+	choice []any
 }
 
 // attempt is one send of the request to a target.
@@ -59,7 +65,8 @@
 	cancel    context.CancelFunc
 	startedAt time.Time
 	// connection is the connection of the send, as logged.
-	connection atomic.Value
+	connection  atomic.Value
+	queueFactor float64 // as in delivery, when the send began
 }
 
 // Connections of a send, as logged.
@@ -141,6 +148,9 @@
 		}
 	}()
 	if !d.startWhenPermitted(ctx) {
+		if ctx.Err() != nil {
+			return d.timeoutReply(ctx)
+		}
 		return d.unsentReply()
 	}
 	hedge := time.NewTimer(d.hedgeAfter())
@@ -214,6 +224,9 @@
 
 // unsentReply returns the reply to a request that was sent to no target.
 func (d *delivery) unsentReply() *Reply {
+	if d.refused != nil {
+		return d.refused
+	}
 	if len(d.atLimit) > 0 {
 		return refusal(http.StatusServiceUnavailable, "the targets are at the rate limits that they named", max(minLimitRetryAfter, d.permitDelay))
 	}
@@ -251,8 +264,13 @@
 	f, now := d.f, time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	table := f.pools[d.poolName].table
+	p := f.pools[d.poolName]
+	table := p.table
 	address := o.attempt.instance.Address
+	if p.queue != nil {
+		defer f.placeWaiting(now, d.poolName, p)
+		d.recordPlace(now, p, o)
+	}
 	table.End(now, address, o.attempt.query)
 	if errors.Is(o.err, targets.ErrPathLost) { // which is not the target's fault
 		d.countRun(address)
@@ -269,7 +287,7 @@
 		table.RecordFailure(now, address)
 		return d.retryIf(d.mayRunAgain())
 	}
-	if l := o.answer.Load; l != nil {
+	if l := o.answer.Load; l != nil && p.queue == nil {
 		table.RecordLoad(now, address, trial.Load{Running: l.Running, Waiting: l.Waiting, BatchLimit: l.Slots})
 	}
 	if o.answer.NotExecuted {
@@ -290,7 +308,11 @@
 		}
 		return d.retryIf(d.mayRunAgain())
 	}
-	table.RecordSuccess(now, address, now.Sub(o.attempt.startedAt).Seconds())
+	if p.queue != nil {
+		table.RecordAnswer(now, address, d.route.Name, now.Sub(o.attempt.startedAt), o.attempt.queueFactor)
+	} else {
+		table.RecordSuccess(now, address, now.Sub(o.attempt.startedAt).Seconds())
+	}
 	return actionReply
 }
 
@@ -344,7 +366,7 @@
 // startAttempt sends the request to one more target. It returns false if no target is left.
 func (d *delivery) startAttempt(ctx context.Context) bool {
 	for {
-		in, q, ok := d.pick(false)
+		in, q, ok := d.pickOrWait(ctx)
 		if !ok {
 			return false
 		}
@@ -371,14 +393,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
+	if hedge && p.queue != nil && p.queue.Waiting() > 0 {
+		return nil, routing.Query{}, false // a copy would take the place of another request
+	}
 	// A suspect keeps its target for itself if there are others for the remaining requests. A stream would keep it too long.
-	q := routing.Query{Avoid: d.tried, Exclude: d.excluded(p, hedge), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
+	q := routing.Query{Kind: d.route.Name, Budget: d.deadline.Sub(now), Avoid: d.tried, Exclude: d.excluded(p, hedge), Exclusive: suspect && !d.route.Streaming && len(p.byAddr) >= minTargetsToIsolate}
+	q.LeaveFree = hedge && p.queue != nil // a copy must not delay other requests
 	address, ok := p.table.Pick(now, q)
 	if !ok && q.Exclusive {
 		q.Exclusive = false
 		address, ok = p.table.Pick(now, q)
 	}
-	if !ok && !d.waitsForPermit() {
+	if !ok && !d.waitsForPermit() && !(hedge && p.queue != nil) {
 		// All are at their limits. Targets queue requests themselves and refuse them when the queue is full.
 		q.IgnoreLimits = true
 		address, ok = p.table.Pick(now, q)
@@ -387,7 +413,7 @@
 	if !ok || in == nil {
 		return nil, q, false
 	}
-	p.table.Start(now, address, q)
+	d.startAt(now, p, address, q)
 	return in, q, true
 }
 
@@ -415,7 +441,12 @@
 // unpick takes back the pick of a target that is at its rate limit for some time.
 func (d *delivery) unpick(in *fleet.Instance, q routing.Query, retryAfter time.Duration) {
 	d.f.mu.Lock()
-	d.f.pools[d.poolName].table.End(time.Now(), in.Address, q)
+	p, now := d.f.pools[d.poolName], time.Now()
+	p.table.End(now, in.Address, q)
+	if p.queue != nil {
+		p.queue.Unsent(d.req.Background)
+		d.f.placeWaiting(now, d.poolName, p)
+	}
 	d.f.mu.Unlock()
 	if len(d.atLimit) == 0 || retryAfter < d.permitDelay {
 		d.permitDelay = retryAfter
@@ -427,7 +458,7 @@
 func (d *delivery) send(ctx context.Context, in *fleet.Instance, q routing.Query) {
 	f, now := d.f, time.Now()
 	attemptCtx, cancel := context.WithCancel(ctx)
-	a := &attempt{instance: in, query: q, cancel: cancel, startedAt: now}
+	a := &attempt{instance: in, query: q, cancel: cancel, startedAt: now, queueFactor: d.queueFactor}
 	a.connection.Store(connectionNone)
 	d.pending[a] = true
 	d.sends++
@@ -495,9 +526,16 @@
 	}
 	d.f.mu.Lock()
 	defer d.f.mu.Unlock()
+	p, now := d.f.pools[d.poolName], time.Now()
 	for a := range d.pending {
 		a.cancel()
-		d.f.pools[d.poolName].table.End(time.Now(), a.instance.Address, a.query)
+		p.table.End(now, a.instance.Address, a.query)
+		if p.queue != nil {
+			p.queue.Unsent(d.req.Background)
+		}
+	}
+	if p.queue != nil {
+		d.f.placeWaiting(now, d.poolName, p)
 	}
 }
 
@@ -511,6 +549,9 @@
 		}
 	}
 	if d.runs == 0 {
+		if r := d.noRoom(); r != nil {
+			return r
+		}
 		return refusal(http.StatusServiceUnavailable, "no target had room for the request", max(noTargetRetryAfter, d.permitDelay))
 	}
 	return d.withServerErrors(refusal(http.StatusBadGateway, fmt.Sprintf("the targets failed: %v", err), 0))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/ratelimit"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/shedding"
 	"github.com/ibistrail/ibistrail/targets"
 	"github.com/ibistrail/ibistrail/targetstate"
 	"github.com/ibistrail/ibistrail/trial"
@@ -118,7 +119,9 @@
 	buffer  bodyBuffer
 	// requests counts replies by status, latency is their latency distribution.
 	requests *expvar.Map
-	latency  *process.Latency
+	// roomWaits counts what became of requests that found no room.
+	roomWaits *expvar.Map
+	latency   *process.Latency
 
 	mu    sync.Mutex
 	rand  *rand.Rand
@@ -130,6 +133,10 @@
 	table    *routing.Table
 	snapshot *fleet.Snapshot // the snapshot that table and byAddr reflect
 	byAddr   map[string]*fleet.Instance
+	// queue orders the requests that wait for room; nil for engines, whose queues order the requests themselves. checking is set while a
+	// check of the queue is due.
+	queue    *shedding.Queue
+	checking bool
 }
 
 // Options are the dependencies of a Forwarder.
@@ -151,7 +158,7 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		view: o.View, client: o.Client, crashes: o.Crashes, limiter: o.Limiter, origins: o.Origins, states: o.States, log: o.Log, az: o.AvailabilityZone, pools: map[string]*poolState{},
-		requests: o.Metrics.SubMap("requests"), latency: o.Metrics.Latency("request_seconds"),
+		requests: o.Metrics.SubMap("requests"), roomWaits: o.Metrics.SubMap("room_waits"), latency: o.Metrics.Latency("request_seconds"),
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -172,6 +179,10 @@
 	p := f.pools[name]
 	if p == nil {
 		p = &poolState{table: routing.NewTable(routing.Options{AvailabilityZone: f.az, Rand: f.rand})}
+		if row := snap.Tables.Pool(name); row != nil && row.Engine == nil {
+			p.queue = shedding.New()
+			p.table.SetByTime(true)
+		}
 		f.pools[name] = p
 	}
 	if p.snapshot == snap {
@@ -188,9 +199,14 @@
 		byAddr[in.Address] = in
 	}
 	p.byAddr = byAddr
+	p.setSlots()
 	p.table.Update(now, &poolConfig, nil)
 	for _, in := range byAddr {
-		p.table.RecordLoad(now, in.Address, trial.Load{BatchLimit: in.Slots})
+		if p.queue != nil {
+			p.table.SetSlots(now, in.Address, in.Slots)
+		} else {
+			p.table.RecordLoad(now, in.Address, trial.Load{BatchLimit: in.Slots})
+		}
 	}
 	return p
 }
@@ -231,8 +247,8 @@
 	}
 	f.requests.Add(strconv.Itoa(reply.Status), 1)
 	f.latency.Observe(time.Since(d.startedAt))
-	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
-		"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason)
+	f.log.Info("request", append([]any{"id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
+		"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason}, d.choice...)...)
 	return reply
 }
 
--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -70,6 +70,10 @@
 func (t *Table) RecordOverload(now time.Time, address string) {
 	if x := t.byAddr[address]; x != nil {
 		x.limit.RecordOverload(now)
+		if t.byTime {
+			x.pace.fullUntil = now.Add(t.fullPause(now, x))
+			x.pace.refusals++
+		}
 	}
 }
 
@@ -118,17 +122,28 @@
 	Prefixes  int     `json:"prefixes"`
 	Latency   float64 `json:"latency_seconds"`
 	Version   int64   `json:"version,omitempty"`
+	// Work is the expected time of work there as a multiple of the usual one, WorkToldMs the age of the target's own figure; tables with
+	// ByTime only.
+	Work       float64 `json:"work,omitempty"`
+	WorkToldMs int64   `json:"work_told_ms,omitempty"`
 }
 
 // State returns the targets' state for /debug/state.
 func (t *Table) State(now time.Time) []TargetState {
 	out := make([]TargetState, 0, len(t.targets))
 	for _, x := range t.targets {
-		out = append(out, TargetState{
+		s := TargetState{
 			Name: x.Name, Address: x.Address, Blocked: x.blocked, Ejected: x.ejected(now), Exclusive: x.exclusive,
 			InFlight: x.inflight, Load: x.load(now), Limit: x.capacity(now), Prefixes: len(x.prefixes.sent.hashes),
 			Latency: x.health.latency, Version: x.version,
-		})
+		}
+		if t.byTime {
+			s.Work = x.paceAt(now)
+			if x.pace.told > 0 {
+				s.WorkToldMs = now.Sub(x.pace.toldAt).Milliseconds()
+			}
+		}
+		out = append(out, s)
 	}
 	return out
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -26,6 +26,9 @@
 	if x := t.pickByPrefix(now, targets, q.Prefixes); x != nil {
 		return x.Address, true
 	}
+	if t.byTime {
+		return t.pickByTime(now, targets, q).Address, true
+	}
 	return t.pickLessLoaded(now, t.nearest(now, targets)), true
 }
 
@@ -66,7 +69,7 @@
 		if isPreferred {
 			preferredCount++
 		}
-		if !q.IgnoreLimits && !x.hasSlot(now, classOf(q), t.gates) {
+		if !q.IgnoreLimits && (!x.hasSlot(now, classOf(q), t.gates) || q.LeaveFree && !x.leavesFree(now)) {
 			continue
 		}
 		if isPreferred {
@@ -103,19 +106,24 @@
 
 // pickLessLoaded returns the less utilized of two random targets.
 func (t *Table) pickLessLoaded(now time.Time, targets []*target) string {
-	a := targets[t.opts.Rand.IntN(len(targets))]
+	a, b := t.twoRandom(targets)
+	if b.utilization(now) < a.utilization(now) {
+		a = b
+	}
+	return a.Address
+}
+
+// twoRandom returns two random targets, the same twice if there is only one.
+func (t *Table) twoRandom(targets []*target) (a, b *target) {
+	a = targets[t.opts.Rand.IntN(len(targets))]
 	if len(targets) == 1 {
-		return a.Address
+		return a, a
 	}
-	i := t.opts.Rand.IntN(len(targets) - 1)
-	b := targets[i]
+	b = targets[t.opts.Rand.IntN(len(targets)-1)]
 	if b == a {
 		b = targets[len(targets)-1]
 	}
-	if b.utilization(now) < a.utilization(now) {
-		a = b
-	}
-	return a.Address
+	return a, b
 }
 
 // pickByPrefix selects the target for a prompt with a shared prefix by rendezvous hashing: all gates rank the targets
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,7 +1,7 @@
 // Package routing picks the target of a request. It combines this gate's in-flight counts with the targets' delayed load
 // reports, takes the less loaded of two random targets, and supports prefix affinity with a load bound, preference for
 // the gate's own availability zone, ejection of slow and failing targets up to a share of the pool, and ramp-up of new
-// ones. It does no I/O; the time and the random source are arguments.
+// ones. Tables with ByTime choose by the expected time of a request instead: queue and running work times the target's work figure. It does no I/O; the time and the random source are arguments.
 package routing
 
 import (
@@ -62,6 +62,12 @@
 	IgnoreLimits bool
 	// Class is the request's priority; a lower number is served first.
 	Class int
+	// Kind, Objective and Budget are the kind of request whose usual time applies, the time in which it should be answered and that in
+	// which it must be; 0 means none. They matter in tables with ByTime only.
+	Kind              string
+	Objective, Budget time.Duration
+	// LeaveFree leaves some slots of each target free for other requests.
+	LeaveFree bool
 }
 
 // Options configure a Table.
@@ -84,11 +90,14 @@
 	frequency prefixFrequency
 	// gates is the number of gates that share the targets.
 	gates int
+	// byTime is set if targets are chosen by the expected time of the request; usual holds the usual times by kind of request.
+	byTime bool
+	usual  map[string]*usual
 }
 
 // NewTable returns a table without targets.
 func NewTable(opts Options) *Table {
-	return &Table{opts: opts, byAddr: map[string]*target{}, gates: 1}
+	return &Table{opts: opts, byAddr: map[string]*target{}, gates: 1, usual: map[string]*usual{}}
 }
 
 // Update sets the pool's targets. blocked maps the addresses of targets that get no new requests to the reason. A target
@@ -102,7 +111,7 @@
 		if x == nil {
 			x = &target{limit: admission.NewLimit(pool.ConcurrencyPerTarget), rampStart: now, ramping: t.populated}
 		}
-		x.Target = row
+		x.Target, x.byTime = row, t.byTime
 		x.limit.SetFixed(pool.ConcurrencyPerTarget)
 		x.setBlocked(now, blockReason(row, blocked))
 		t.targets = append(t.targets, x)
@@ -181,6 +190,9 @@
 	if x == nil {
 		return
 	}
+	if x.byTime && x.inflight >= x.capacity(now) {
+		x.pace.probedAt = now
+	}
 	x.setInflight(now, x.inflight+1)
 	x.byClass[classOf(q)]++
 	if q.Exclusive {
@@ -216,6 +228,9 @@
 	x.reportedLoad = load.Running + load.Waiting
 	x.reportedAt = now.Add(-time.Duration(load.AgeMs) * time.Millisecond)
 	x.limit.SetLoad(load.BatchLimit, x.externalLoad(now))
+	if x.byTime {
+		x.recordExternal(now)
+	}
 }
 
 // CacheSince returns the sequence number after which to read the target's cache events.
--- a/routing/target.go
+++ b/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/ibistrail/ibistrail/admission"
@@ -43,9 +44,11 @@
 	health       health
 	rampStart    time.Time
 	ramping      bool
+	byTime       bool // as in the table
 	version      int64
 	// unversionedUntil is the time until which requests that need a weight version avoid the target.
 	unversionedUntil time.Time
+	pace             pace
 }
 
 // health is the state that decides on a target's ejection. The latency is a moving average in seconds.
@@ -88,6 +91,14 @@
 // in-flight count.
 func (x *target) load(now time.Time) int { return x.externalLoad(now) + x.inflight }
 
+// loadAt is load, with the report decayed by its age if byTime is set.
+func (x *target) loadAt(now time.Time, byTime bool) float64 {
+	if byTime {
+		return x.decayedExternal(now) + float64(x.inflight)
+	}
+	return float64(x.load(now))
+}
+
 // capacity returns this gate's limit of in-flight requests, reduced while the target ramps up.
 func (x *target) capacity(now time.Time) int {
 	n := x.limit.Value()
@@ -110,7 +121,7 @@
 	if size == 0 {
 		size = max(1, x.limit.Value())
 	}
-	u := float64(x.load(now)+1) / float64(size)
+	u := (x.loadAt(now, x.byTime) + 1) / float64(size)
 	if x.ramping {
 		return u / max(rampMinShare, float64(x.capacity(now))/float64(max(1, x.limit.Value())))
 	}
@@ -122,6 +133,14 @@
 // allows up to overcommitFactor times the limit or the batch, because the target's queue is ordered by priority: the
 // request gets the next free slot there, before this gate could learn that a slot is free.
 func (x *target) hasSlot(now time.Time, class, gates int) bool {
+	if x.byTime {
+		if now.Before(x.pace.fullUntil) {
+			return false
+		}
+		// The queues of plain services do not order requests by class, so there is no quota beyond the limit.
+		x.limit.SetLoad(x.limit.BatchCapacity(), int(math.Round(x.decayedExternal(now))))
+		return x.inflight < x.capacity(now) || x.mayProbe(now)
+	}
 	limit := x.capacity(now)
 	if x.inflight < limit {
 		return true
