--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -54,8 +54,8 @@
 	refused *Reply
 	// queueFactor is the expected time at the last picked target, as a multiple of that without a queue.
 	queueFactor float64
-	// choice holds the log fields of the last choice of a target by its expected time.
-	choice []any
+	// choice is the last choice of a target by its expected time.
+	choice choice
 }
 
 // attempt is one send of the request to a target.
@@ -268,7 +268,7 @@
 	table := p.table
 	address := o.attempt.instance.Address
 	if p.queue != nil {
-		defer f.placeWaiting(now, d.poolName, p)
+		defer f.placeWaiting(now, p)
 		d.recordPlace(now, p, o)
 	}
 	table.End(now, address, o.attempt.query)
@@ -381,6 +381,7 @@
 
 // startHedge sends a copy of the request to another target. Targets that have named a rate limit get no copies.
 func (d *delivery) startHedge(ctx context.Context) {
+	d.recordUnfinished()
 	if in, q, ok := d.pick(true); ok {
 		d.send(ctx, in, q)
 	}
@@ -445,7 +446,7 @@
 	p.table.End(now, in.Address, q)
 	if p.queue != nil {
 		p.queue.Unsent(d.req.Background)
-		d.f.placeWaiting(now, d.poolName, p)
+		d.f.placeWaiting(now, p)
 	}
 	d.f.mu.Unlock()
 	if len(d.atLimit) == 0 || retryAfter < d.permitDelay {
@@ -531,11 +532,12 @@
 		a.cancel()
 		p.table.End(now, a.instance.Address, a.query)
 		if p.queue != nil {
+			p.table.RecordUnfinished(now, a.instance.Address, d.route.Name, now.Sub(a.startedAt), a.queueFactor)
 			p.queue.Unsent(d.req.Background)
 		}
 	}
 	if p.queue != nil {
-		d.f.placeWaiting(now, d.poolName, p)
+		d.f.placeWaiting(now, p)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -247,8 +247,14 @@
 	}
 	f.requests.Add(strconv.Itoa(reply.Status), 1)
 	f.latency.Observe(time.Since(d.startedAt))
-	f.log.Info("request", append([]any{"id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
-		"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason}, d.choice...)...)
+	if c := d.choice; c.expected > 0 {
+		f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
+			"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason,
+			"expected_ms", c.expected.Milliseconds(), "work_percent", c.workPercent, "work_age_ms", c.workAge.Milliseconds())
+		return reply
+	}
+	f.log.Info("request", "id", req.ID, "route", route.Name, "tables", snap.Tables.Version, "pool", d.poolName, "status", reply.Status,
+		"sends", d.sends, "target", d.lastTarget, "via", d.via, "ms", time.Since(d.startedAt).Milliseconds(), "reason", reply.Reason)
 	return reply
 }
 
--- a/forward/load_test.go
+++ b/forward/load_test.go
@@ -35,10 +35,12 @@
 	by map[string]*simTarget
 	// untold is set if the targets do not tell how long work takes.
 	untold bool
+	// ran holds the IDs of the requests that began to run.
+	ran map[string]bool
 }
 
 func newSimTargets(n int) *simTargets {
-	s := &simTargets{by: map[string]*simTarget{}}
+	s := &simTargets{by: map[string]*simTarget{}, ran: map[string]bool{}}
 	for i := range n {
 		s.by[strconv.Itoa(i+1)] = &simTarget{slots: 6, queue: 12, freed: make(chan struct{}), percent: 100}
 	}
@@ -70,6 +72,7 @@
 		x.refusals++
 		return answer(http.StatusServiceUnavailable, true), nil
 	}
+	s.ran[call.RequestID] = true
 	speed := x.percent
 	if percent = x.percent; s.untold {
 		percent = 0
@@ -93,6 +96,7 @@
 	mu                                     sync.Mutex
 	asked, served, inTime, quick, refusals map[string]int
 	last                                   time.Duration // when the last background request was served
+	refused                                []string      // IDs
 }
 
 // simulation replays load on VMs that share targets, in the time of a synctest bubble.
@@ -137,6 +141,7 @@
 		time.Sleep(after)
 		s.mu.Lock()
 		s.asked[name]++
+		call := fmt.Sprint(name, " ", s.asked[name])
 		s.mu.Unlock()
 		begun := time.Now()
 		for k := 0; ; k++ {
@@ -148,7 +153,7 @@
 			if left <= 0 {
 				return
 			}
-			req := &Request{ID: fmt.Sprint(name, after, k, work), Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Body: []byte(strconv.Itoa(work)), Budget: left, Background: background}
+			req := &Request{ID: fmt.Sprint(call, " ", k), Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Body: []byte(strconv.Itoa(work)), Budget: left, Background: background}
 			if !background {
 				req.Organisation = name
 			}
@@ -174,16 +179,25 @@
 				return
 			}
 			s.refusals[name]++
+			if reply.Status == http.StatusServiceUnavailable {
+				s.refused = append(s.refused, req.ID)
+			}
 			s.mu.Unlock()
 			time.Sleep(max(5*time.Millisecond, reply.RetryAfter))
 		}
 	}()
 }
 
+// report ends a simulation and checks that no refused request has run.
 func (s *simulation) report(t *testing.T) {
 	t.Helper()
 	s.wg.Wait()
 	time.Sleep(10 * time.Second) // for the targets' runs of requests that were given up
+	for _, id := range s.refused {
+		if s.targets.ran[id] {
+			t.Errorf("request %q was refused and has run", id)
+		}
+	}
 	runs, refusals := []int{}, 0
 	for i := range s.targets.by {
 		x := s.targets.by[i]
--- a/forward/room.go
+++ b/forward/room.go
@@ -25,6 +25,13 @@
 	retryAfter time.Duration
 }
 
+// choice is what a target was chosen by, for the log: the expected time of the request there, and the target's work figure with its age.
+type choice struct {
+	expected    time.Duration
+	workPercent int
+	workAge     time.Duration
+}
+
 // setSlots tells the queue how many slots the pool's targets have.
 func (p *poolState) setSlots() {
 	if p.queue == nil {
@@ -77,7 +84,7 @@
 	}
 	decision := p.queue.Arrive(now, r)
 	if decision.Action == shedding.Refuse {
-		state := p.queue.State(now)
+		state := p.queue.Counts(now)
 		f.mu.Unlock()
 		d.refused = refusal(http.StatusServiceUnavailable, decision.Reason, decision.RetryAfter)
 		d.logRoom("refused", 0, decision, state, decision.RetryAfter)
@@ -90,7 +97,7 @@
 	return d.awaitRoom(ctx, p, w, decision)
 }
 
-// awaitRoom waits until the request has a place or is refused. The queue ends the wait in time.
+// awaitRoom waits until the request has a place or is refused. endWaits ends the wait in time.
 func (d *delivery) awaitRoom(ctx context.Context, p *poolState, w *roomWait, decision shedding.Decision) (*fleet.Instance, routing.Query, bool) {
 	select {
 	case <-w.done:
@@ -102,9 +109,9 @@
 	if left && w.instance != nil {
 		p.table.End(now, w.instance.Address, w.query)
 		p.queue.Unsent(d.req.Background)
-		f.placeWaiting(now, d.poolName, p)
+		f.placeWaiting(now, p)
 	}
-	state := p.queue.State(now)
+	state := p.queue.Counts(now)
 	f.mu.Unlock()
 	outcome := "placed"
 	switch {
@@ -172,13 +179,13 @@
 		}
 	}
 	percent, age := p.table.WorkFigure(now, address)
-	d.choice = []any{"expected_ms", expected.Milliseconds(), "work_percent", percent, "work_age_ms", age.Milliseconds()}
+	d.choice = choice{expected, percent, age}
 	d.startAt(now, p, address, q)
 	return in, q
 }
 
-// placeWaiting gives room to the requests that wait, and ends those waits that are in vain. The caller holds mu.
-func (f *Forwarder) placeWaiting(now time.Time, pool string, p *poolState) {
+// placeWaiting gives room to the requests that wait. The caller holds mu.
+func (f *Forwarder) placeWaiting(now time.Time, p *poolState) {
 	if p.queue.Waiting() == 0 {
 		return
 	}
@@ -190,6 +197,10 @@
 	for _, w := range placed {
 		close(w.Value.(*roomWait).done)
 	}
+}
+
+// endWaits refuses the requests that wait in vain. The caller holds mu.
+func (f *Forwarder) endWaits(now time.Time, p *poolState) {
 	refused := p.queue.Expire(now)
 	if p.table.Usable() == 0 {
 		refused = append(refused, p.queue.Clear()...)
@@ -199,7 +210,6 @@
 		x.retryAfter = p.queue.RefuseWaiter(now, w)
 		close(x.done)
 	}
-	f.checkLater(pool, p)
 }
 
 // checkLater looks for room again after roomCheckInterval, if requests wait. The caller holds mu.
@@ -214,7 +224,9 @@
 		p.checking = false
 		now := time.Now()
 		f.poolState(now, f.view.Get(), pool)
-		f.placeWaiting(now, pool, p)
+		f.placeWaiting(now, p)
+		f.endWaits(now, p)
+		f.checkLater(pool, p)
 	})
 }
 
@@ -234,6 +246,19 @@
 	p.table.RecordWork(now, address, l.WorkPercent)
 }
 
+// recordUnfinished records how long the pending sends have taken, from which targets that became slow are known before they answer.
+func (d *delivery) recordUnfinished() {
+	d.f.mu.Lock()
+	defer d.f.mu.Unlock()
+	p, now := d.f.pools[d.poolName], time.Now()
+	if p.queue == nil {
+		return
+	}
+	for a := range d.pending {
+		p.table.RecordUnfinished(now, a.instance.Address, d.route.Name, now.Sub(a.startedAt), a.queueFactor)
+	}
+}
+
 // noRoom returns the refusal of a request that targets have not run, with a Retry-After from the rate at which room frees; nil if the pool
 // has no queue.
 func (d *delivery) noRoom() *Reply {
--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -71,8 +71,7 @@
 	if x := t.byAddr[address]; x != nil {
 		x.limit.RecordOverload(now)
 		if t.byTime {
-			x.pace.fullUntil = now.Add(t.fullPause(now, x))
-			x.pace.refusals++
+			t.recordFull(now, x)
 		}
 	}
 }
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -51,12 +51,15 @@
 	toldAt     time.Time
 	observed   float64 // moving average of the answer times
 	observedAt time.Time
-	// external is a moving average of the other VMs' load as of the reports.
-	external float64
+	// reported is the other VMs' load as of the last report, external a moving average of it.
+	reported, external float64
 	// fullUntil is the time until which a target that refused a request as full gets no other.
 	fullUntil time.Time
 	// refusals counts the requests refused as full since the last one that was run.
 	refusals int
+	// fullAt is the load at which the target last refused a request as full, at fullSeen; 0 if unknown.
+	fullAt   int
+	fullSeen time.Time
 	// probedAt is when a request was last sent beyond the limit.
 	probedAt time.Time
 }
@@ -86,6 +89,7 @@
 func (t *Table) RecordWork(now time.Time, address string, percent int) {
 	if x := t.byAddr[address]; x != nil && percent > 0 {
 		x.pace.told, x.pace.toldAt = float64(percent)/100, now
+		x.now = momentary{}
 	}
 }
 
@@ -96,6 +100,9 @@
 		return
 	}
 	x.health.failures, x.pace.refusals = 0, 0
+	if x.health.samples == 0 {
+		x.health.latency = latency.Seconds()
+	}
 	x.health.samples++
 	x.health.latency += latencyGain * (latency.Seconds() - x.health.latency)
 	x.limit.RecordLatency(now, latency.Seconds())
@@ -112,8 +119,7 @@
 	if u.samples > 0 {
 		ratio = min(paceClamp, max(1/paceClamp, work/u.seconds))
 	}
-	x.pace.observed = 1 + x.observedExcess(now)*(1-paceGain) + paceGain*(ratio-1)
-	x.pace.observedAt = now
+	x.observe(now, ratio)
 	if x.pace.told > 0 { // the usual time is that at 100 percent
 		ratio /= x.paceAt(now)
 	}
@@ -125,18 +131,42 @@
 	u.seconds *= 1 + max(usualGain, 1/float64(min(u.samples, usualSamples)))*(min(ratio, paceClamp)-1)
 }
 
+// RecordUnfinished records that a request of a kind has no answer yet after a time, for a copy was sent or it was cancelled. It matters if it
+// has taken longer than the target seemed to take.
+func (t *Table) RecordUnfinished(now time.Time, address, kind string, elapsed time.Duration, queue float64) {
+	x, u := t.byAddr[address], t.usual[kind]
+	if x == nil || u == nil || u.samples < usualSamples {
+		return
+	}
+	if ratio := min(paceClamp, elapsed.Seconds()/max(1, queue)/u.seconds); ratio > max(paceTolerance, 1+x.observedExcess(now)) {
+		x.observe(now, ratio)
+	}
+}
+
+// observe adds the ratio of an answer's time to the usual one to the observed pace.
+func (x *target) observe(now time.Time, ratio float64) {
+	x.pace.observed = 1 + x.observedExcess(now)*(1-paceGain) + paceGain*(ratio-1)
+	x.pace.observedAt = now
+	x.now = momentary{}
+}
+
 // observedExcess returns by how much the observed pace exceeds 1, decayed to now.
 func (x *target) observedExcess(now time.Time) float64 {
-	if x.pace.observedAt.IsZero() {
+	if x.pace.observedAt.IsZero() || x.pace.observed == 1 {
 		return 0
 	}
 	return (x.pace.observed - 1) * decay(now.Sub(x.pace.observedAt), observedHalfLife)
 }
 
 // paceAt returns the expected pace of a target: what it reported, decaying with its age to what was observed.
-func (x *target) paceAt(now time.Time) float64 {
-	observed := 1 + x.observedExcess(now)
-	if observed < paceTolerance && observed > 1/paceTolerance {
+func (x *target) paceAt(now time.Time) float64 { return x.at(now).pace }
+
+func (x *target) computePace(now time.Time) float64 {
+	observed := x.pace.observed
+	if observed >= paceTolerance || observed > 0 && observed <= 1/paceTolerance {
+		observed = 1 + x.observedExcess(now)
+	}
+	if observed < paceTolerance && observed > 1/paceTolerance || observed == 0 {
 		observed = 1
 	}
 	if x.pace.told == 0 {
@@ -152,17 +182,37 @@
 
 // recordExternal adds a load report to the average that it decays to.
 func (x *target) recordExternal(now time.Time) {
-	x.pace.external += latencyGain * (float64(x.externalLoad(now)) - x.pace.external)
+	x.pace.reported = float64(x.externalLoad(now))
+	x.pace.external += latencyGain * (x.pace.reported - x.pace.external)
+	x.now = momentary{}
 }
 
 // decayedExternal returns the expected number of other VMs' requests at the target.
-func (x *target) decayedExternal(now time.Time) float64 {
+func (x *target) decayedExternal(now time.Time) float64 { return x.at(now).external }
+
+// momentary holds what one choice of a target needs several times, as of a time.
+type momentary struct {
+	at             time.Time
+	external, pace float64
+}
+
+func (x *target) at(now time.Time) *momentary {
+	if x.now.at != now {
+		x.now = momentary{now, x.computeExternal(now), x.computePace(now)}
+	}
+	return &x.now
+}
+
+func (x *target) computeExternal(now time.Time) float64 {
 	age := now.Sub(x.reportedAt)
 	if x.reportedAt.IsZero() || age > reportTTL {
 		return 0
 	}
+	if x.pace.reported == x.pace.external {
+		return x.pace.reported
+	}
 	w := decay(age, figureHalfLife)
-	return float64(x.externalLoad(now))*w + x.pace.external*(1-w)
+	return x.pace.reported*w + x.pace.external*(1-w)
 }
 
 // queueFactor returns the utilization with one more request, at least 1: the time there as a multiple of that without a queue.
@@ -218,19 +268,27 @@
 // pickByTime picks the less costly of two random targets in the own zone, or one of another zone if the request takes less time there with
 // the way. Targets that cannot serve the request within its objective, or else its time, are left out while others can.
 func (t *Table) pickByTime(now time.Time, usable []*target, q Query) *target {
+	t.ready = t.ready[:0]
+	for _, x := range usable {
+		if x.AvailabilityZone == t.opts.AvailabilityZone && x.ready(now) {
+			t.ready = append(t.ready, x)
+		}
+	}
+	var best *target
+	if len(t.ready) > 0 {
+		best = t.lessCostly(now, t.ready)
+		if best.paceAt(now) <= 1 {
+			return best
+		}
+	}
 	for _, limit := range []time.Duration{q.Objective, q.Budget} {
 		if in := t.within(now, usable, q.Kind, limit); len(in) > 0 {
 			usable = in
 			break
 		}
 	}
-	near := readyOrAll(now, inZone(usable, t.opts.AvailabilityZone))
-	var best *target
-	if len(near) > 0 {
+	if near := inZone(usable, t.opts.AvailabilityZone); best == nil && len(near) > 0 {
 		best = t.lessCostly(now, near)
-		if t.expected(now, best, q.Kind) <= t.usualWork(q.Kind) {
-			return best
-		}
 	}
 	var far []*target
 	for _, x := range usable {
@@ -247,12 +305,17 @@
 	return best
 }
 
+// ready reports whether the target can start a request at once at the usual pace.
+func (x *target) ready(now time.Time) bool {
+	return x.utilization(now) <= 1 && x.paceAt(now) <= paceTolerance
+}
+
 // readyOrAll returns the targets that can start a request at once at the usual pace, or all if none can: among the others, a short queue at
 // a fast target may be better than a slow target without one.
 func readyOrAll(now time.Time, targets []*target) []*target {
 	var out []*target
 	for _, x := range targets {
-		if x.utilization(now) <= 1 && x.paceAt(now) <= paceTolerance {
+		if x.ready(now) {
 			out = append(out, x)
 		}
 	}
@@ -295,6 +358,20 @@
 	return !x.reportedAt.IsZero() && now.Sub(x.reportedAt) > freshReport
 }
 
+// withinFull reports whether one more request leaves the target below the load at which it refused one lately.
+func (x *target) withinFull(now time.Time) bool {
+	return x.pace.fullAt == 0 || now.Sub(x.pace.fullSeen) > reportTTL || x.loadAt(now, true)+1 <= float64(x.pace.fullAt)
+}
+
+// recordFull records that the target refused a request as full, with the load that it reported if it did so with the refusal.
+func (t *Table) recordFull(now time.Time, x *target) {
+	x.pace.fullUntil = now.Add(t.fullPause(now, x))
+	x.pace.refusals++
+	if x.reportedAt.Equal(now) {
+		x.pace.fullAt, x.pace.fullSeen = max(x.reportedLoad, x.limit.BatchCapacity()), now
+	}
+}
+
 // mayProbe reports whether a request may be sent beyond the limit, for a fair part of the places that other VMs use.
 func (x *target) mayProbe(now time.Time) bool {
 	return now.Sub(x.pace.probedAt) >= probeInterval && x.loadAt(now, true)+1 <= float64(overcommitFactor*x.limit.BatchCapacity())
--- a/routing/table.go
+++ b/routing/table.go
@@ -93,6 +93,7 @@
 	// byTime is set if targets are chosen by the expected time of the request; usual holds the usual times by kind of request.
 	byTime bool
 	usual  map[string]*usual
+	ready  []*target // scratch space of pickByTime
 }
 
 // NewTable returns a table without targets.
--- a/routing/target.go
+++ b/routing/target.go
@@ -49,6 +49,7 @@
 	// unversionedUntil is the time until which requests that need a weight version avoid the target.
 	unversionedUntil time.Time
 	pace             pace
+	now              momentary
 }
 
 // health is the state that decides on a target's ejection. The latency is a moving average in seconds.
@@ -137,9 +138,12 @@
 		if now.Before(x.pace.fullUntil) {
 			return false
 		}
+		if x.inflight == 0 {
+			return true
+		}
 		// The queues of plain services do not order requests by class, so there is no quota beyond the limit.
 		x.limit.SetLoad(x.limit.BatchCapacity(), int(math.Round(x.decayedExternal(now))))
-		return x.inflight < x.capacity(now) || x.mayProbe(now)
+		return (x.inflight < x.capacity(now) || x.mayProbe(now)) && x.withinFull(now)
 	}
 	limit := x.capacity(now)
 	if x.inflight < limit {
--- a/shedding/rate.go
+++ b/shedding/rate.go
@@ -6,8 +6,9 @@
 const (
 	rateBuckets = 20
 	bucketTime  = 50 * time.Millisecond
-	// minRateTime and minDepartures are the least time and number of places from which a rate is taken.
-	minRateTime   = 100 * time.Millisecond
+	// minRateTime and minDepartures are the least time and number of places from which a rate is taken. Scoring calls take up to 200 ms: over
+	// 100 ms the rate of a burst of them was seen too low, and calls were refused that had time enough.
+	minRateTime   = 250 * time.Millisecond
 	minDepartures = 3
 )
 
--- a/shedding/shares.go
+++ b/shedding/shares.go
@@ -16,6 +16,8 @@
 	equalPart = 0.6
 	// demandHalfLife is the time in which the count of an organisation's requests halves.
 	demandHalfLife = 10 * time.Second
+	// pruneInterval is the least time between two searches for states that can be dropped.
+	pruneInterval = time.Second
 	// minDemand is the count below which the state of an organisation may be dropped.
 	minDemand = 0.01
 )
@@ -26,6 +28,8 @@
 	// virtual is the start tag of the last request served.
 	virtual       float64
 	organisations map[string]*share
+	// prunedAt is when unused states were dropped last.
+	prunedAt time.Time
 }
 
 // share is the state of one organisation.
@@ -48,7 +52,8 @@
 }
 
 func (s *shares) get(now time.Time, organisation string) *share {
-	if s.organisations[organisation] == nil && len(s.organisations) >= maxOrganisations {
+	if s.organisations[organisation] == nil && len(s.organisations) >= maxOrganisations && now.Sub(s.prunedAt) >= pruneInterval {
+		s.prunedAt = now
 		for name, o := range s.organisations {
 			if o.finish <= s.virtual && o.demandNow(now) < minDemand {
 				delete(s.organisations, name)
@@ -75,20 +80,13 @@
 }
 
 // startTag returns the tag by which an organisation's next request is ordered.
-func (s *shares) startTag(organisation string) float64 {
-	o := s.organisations[s.key(organisation)]
-	if o == nil {
-		return s.virtual
-	}
-	return max(s.virtual, o.finish)
-}
+func (s *shares) startTag(o *share) float64 { return max(s.virtual, o.finish) }
 
 // served records that an organisation got a place while these organisations were waiting, itself included.
-func (s *shares) served(now time.Time, organisation string, waiting map[string]bool) {
-	o := s.get(now, organisation)
+func (s *shares) served(now time.Time, o *share, waiting map[*share]bool) {
 	total := 0.0
-	for name := range waiting {
-		total += s.get(now, name).demandNow(now)
+	for x := range waiting {
+		total += x.demandNow(now)
 	}
 	n := float64(max(1, len(waiting)))
 	weight := equalPart
--- a/shedding/shedding.go
+++ b/shedding/shedding.go
@@ -27,8 +27,8 @@
 	waitShare = 0.5
 	// certainty is how much longer than the time left the estimated wait must be for a refusal: the rate varies.
 	certainty = 1.25
-	// sweepInterval is the time between two estimates for the requests that wait.
-	sweepInterval = 100 * time.Millisecond
+	// sweepTime is the time in which all requests that wait are estimated again.
+	sweepTime = 200 * time.Millisecond
 	// backgroundShare is the share of the pool's slots that background requests get in any case and that limits them while callers'
 	// requests wait.
 	backgroundShare = 0.25
@@ -82,6 +82,8 @@
 	// giveUp is the end of the wait.
 	giveUp time.Time
 	gone   bool
+	// share is the state of the organisation; nil for background requests.
+	share *share
 }
 
 // Arrived returns when the request began to wait.
@@ -141,6 +143,8 @@
 	away    []away
 	refused map[string]time.Time
 	sweptAt time.Time
+	// sweepFrom moves the sample of the requests that are estimated.
+	sweepFrom int
 	// lead is a moving average of the expected times from a place to the answer.
 	lead time.Duration
 	// shortAt is when room was short last: a request waited or was refused.
@@ -239,6 +243,7 @@
 		if r.Background {
 			q.background = append(q.background, w)
 		} else {
+			w.share = q.shares.get(now, r.Organisation)
 			q.callers = append(q.callers, w)
 		}
 		return d
@@ -248,30 +253,40 @@
 	return d
 }
 
-// Expire removes the requests that need not wait any longer: their wait is over, or there will be no place for them in time.
+// Expire removes the requests that need not wait any longer: their wait is over, or there will be no place for them in time. As an estimate
+// costs a pass over all that wait, each call estimates only some, so that all are estimated about each sweepTime.
 func (q *Queue) Expire(now time.Time) []*Waiter {
-	if q.Waiting() > 0 {
-		q.shortAt = now
-	}
-	sweep := now.Sub(q.sweptAt) >= sweepInterval
-	if sweep {
-		q.sweptAt = now
+	if q.Waiting() == 0 {
+		return nil
 	}
+	elapsed := min(sweepTime, now.Sub(q.sweptAt))
+	q.sweptAt = now
+	share := float64(elapsed) / float64(sweepTime)
 	var out []*Waiter
-	for _, w := range slices.Concat(q.callers, q.background) {
-		hopeless := false
-		if sweep {
-			rate, _ := q.currentRate(now, w.Work)
-			hopeless = float64(estimate(q.ahead(now, w)+1, rate)) > certainty*float64(w.latest.Sub(now))
-		}
-		if hopeless || !now.Before(w.giveUp) {
-			out = append(out, w)
-			q.remove(w)
+	for _, list := range [][]*Waiter{q.callers, q.background} {
+		estimates := int(math.Ceil(share * float64(len(list))))
+		q.sweepFrom++
+		for i, w := range list {
+			// The sampled ones differ from call to call, also while the list does not change.
+			sampled := estimates > 0 && (i+q.sweepFrom)%max(1, len(list)/estimates) == 0
+			if !now.Before(w.giveUp) || sampled && q.inVain(now, w) {
+				out = append(out, w)
+			}
 		}
 	}
+	q.shortAt = now
+	for _, w := range out {
+		q.remove(w)
+	}
 	return out
 }
 
+// inVain reports whether a request that waits will get no place in its time.
+func (q *Queue) inVain(now time.Time, w *Waiter) bool {
+	rate, _ := q.currentRate(now, w.Work)
+	return float64(estimate(q.ahead(now, w)+1, rate)) > certainty*float64(w.latest.Sub(now))
+}
+
 // RefuseWaiter returns the Retry-After for a request that Expire or Leave has removed.
 func (q *Queue) RefuseWaiter(now time.Time, w *Waiter) time.Duration {
 	rate, _ := q.currentRate(now, w.Work)
@@ -319,7 +334,7 @@
 		}
 		if !w.Background {
 			q.lead += time.Duration(leadGain * float64(w.Expected-q.lead))
-			q.shares.served(now, w.Organisation, q.waitingOrganisations())
+			q.shares.served(now, w.share, q.waitingShares())
 		}
 		q.remove(w)
 		placed = append(placed, w)
@@ -358,7 +373,7 @@
 	if la, lb := q.late(now, a), q.late(now, b); la != lb {
 		return lb
 	}
-	if c := cmp.Compare(q.shares.startTag(a.Organisation), q.shares.startTag(b.Organisation)); c != 0 {
+	if c := cmp.Compare(q.shares.startTag(a.share), q.shares.startTag(b.share)); c != 0 {
 		return c < 0
 	}
 	return a.order.Before(b.order)
@@ -402,10 +417,11 @@
 	return n
 }
 
-func (q *Queue) waitingOrganisations() map[string]bool {
-	out := map[string]bool{}
+// waitingShares returns the states of the organisations of which requests wait.
+func (q *Queue) waitingShares() map[*share]bool {
+	out := map[*share]bool{}
 	for _, w := range q.callers {
-		out[q.shares.key(w.Organisation)] = true
+		out[w.share] = true
 	}
 	return out
 }
@@ -542,12 +558,7 @@
 
 // State returns the state of the queue.
 func (q *Queue) State(now time.Time) State {
-	q.dropAway(now)
-	rate, over := q.currentRate(now, 0)
-	s := State{
-		Callers: len(q.callers), Background: len(q.background), InFlight: q.inFlight, InFlightBackground: q.inFlightBackground, Slots: q.slots,
-		Away: len(q.away), RatePerSecond: rate, RateMs: over.Milliseconds(),
-	}
+	s := q.Counts(now)
 	for _, w := range q.callers {
 		if s.Organisations == nil {
 			s.Organisations = map[string]int{}
@@ -556,3 +567,13 @@
 	}
 	return s
 }
+
+// Counts returns the state of the queue without the organisations.
+func (q *Queue) Counts(now time.Time) State {
+	q.dropAway(now)
+	rate, over := q.currentRate(now, 0)
+	return State{
+		Callers: len(q.callers), Background: len(q.background), InFlight: q.inFlight, InFlightBackground: q.inFlightBackground, Slots: q.slots,
+		Away: len(q.away), RatePerSecond: rate, RateMs: over.Milliseconds(),
+	}
+}
