routing: a request waits for a full target rather than use up its sends on dead ones

Change: targets that refused a connection pause for 100 ms; avoided targets come before ejected ones. If all refuse connections, no request waits.

--- a/forward/load_test.go
+++ b/forward/load_test.go
@@ -193,7 +193,7 @@
 	t.Helper()
 	s.wg.Wait()
 	time.Sleep(10 * time.Second) // for the targets' runs of requests that were given up
-	s.targets.mu.Lock() // runs of requests that were given up end by themselves
+	s.targets.mu.Lock()          // runs of requests that were given up end by themselves
 	defer s.targets.mu.Unlock()
 	for _, id := range s.refused {
 		if s.targets.ran[id] {
--- a/forward/room.go
+++ b/forward/room.go
@@ -62,7 +62,7 @@
 	f, now := d.f, time.Now()
 	f.mu.Lock()
 	p := f.poolState(now, f.view.Get(), d.poolName)
-	if p.queue == nil {
+	if p.queue == nil || p.table.NoneReachable(now) {
 		f.mu.Unlock()
 		return d.pick(false)
 	}
@@ -202,7 +202,7 @@
 // endWaits refuses the requests that wait in vain. The caller holds mu.
 func (f *Forwarder) endWaits(now time.Time, p *poolState) {
 	refused := p.queue.Expire(now)
-	if p.table.Usable() == 0 {
+	if p.table.NoneReachable(now) {
 		refused = append(refused, p.queue.Clear()...)
 	}
 	for _, w := range refused {
--- a/routing/ejection.go
+++ b/routing/ejection.go
@@ -63,6 +63,9 @@
 		return
 	}
 	x.prefixes.clear()
+	if t.byTime {
+		x.pace.unreachableUntil = now.Add(unreachablePause)
+	}
 	t.eject(now, x)
 }
 
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -41,6 +41,8 @@
 	// minFullPause and maxFullPause bound the time for which a target that refused a request as full gets no other.
 	minFullPause = 4 * time.Millisecond
 	maxFullPause = 100 * time.Millisecond
+	// unreachablePause is the time for which a target that refused a connection gets no request.
+	unreachablePause = 100 * time.Millisecond
 	// maxFullDoublings bounds how often that time is doubled while the target refuses each request.
 	maxFullDoublings = 2
 )
@@ -57,6 +59,9 @@
 	fullUntil time.Time
 	// refusals counts the requests refused as full since the last one that was run.
 	refusals int
+	// unreachableUntil is the time until which a target that refused a connection gets no request, also if it cannot be ejected because
+	// too many others are.
+	unreachableUntil time.Time
 	// fullAt is the load at which the target last refused a request as full, at fullSeen; 0 if unknown.
 	fullAt   int
 	fullSeen time.Time
@@ -358,6 +363,16 @@
 	return !x.reportedAt.IsZero() && now.Sub(x.reportedAt) > freshReport
 }
 
+// NoneReachable reports whether all targets that might get requests have lately refused connections.
+func (t *Table) NoneReachable(now time.Time) bool {
+	for _, x := range t.targets {
+		if x.blocked == "" && !now.Before(x.pace.unreachableUntil) {
+			return false
+		}
+	}
+	return true
+}
+
 // withinFull reports whether one more request leaves the target below the load at which it refused one lately.
 func (x *target) withinFull(now time.Time) bool {
 	return x.pace.fullAt == 0 || now.Sub(x.pace.fullSeen) > reportTTL || x.loadAt(now, true)+1 <= float64(x.pace.fullAt)
--- a/routing/expected_test.go
+++ b/routing/expected_test.go
@@ -121,3 +121,24 @@
 	_, ok = tb.Pick(start.Add(maxFullPause), Query{Kind: kind})
 	is.True(ok)
 }
+
+// TestFullTargetIsAwaitedRatherThanADeadOneTried guards against a request that uses up its sends on targets that refuse connections, while the
+// only live one is full for a moment.
+func TestFullTargetIsAwaitedRatherThanADeadOneTried(t *testing.T) {
+	is := is.New(t)
+	tb := newTimedTable(3)
+	tb.RecordUnreachable(start, "t0")
+	tb.RecordUnreachable(start, "t1") // no more than half of the pool is ejected
+	tb.RecordOverload(start, "t2")
+	q := Query{Kind: kind, Avoid: []string{"t0", "t1", "t2"}}
+	_, ok := tb.Pick(start, q)
+	is.Equal(ok, false)
+	is.True(!tb.NoneReachable(start))
+	for range 20 {
+		a, ok := tb.Pick(start.Add(50*time.Millisecond), q)
+		is.True(ok)
+		is.Equal(a, "t2")
+	}
+	tb.RecordUnreachable(start, "t2")
+	is.True(tb.NoneReachable(start))
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -56,10 +56,10 @@
 }
 
 // eligible returns the targets that may receive the request now. Ejected targets, those in Query.Avoid and those that a
-// versioned query avoids are a fallback for the case that the pool has no other.
+// versioned query avoids are a fallback for the case that the pool has no other. Tables with ByTime use ejected ones last.
 func (t *Table) eligible(now time.Time, q Query) []*target {
-	var preferred, fallback []*target
-	preferredCount := 0
+	var preferred, avoided, fallback []*target
+	preferredCount, avoidedCount := 0, 0
 	for _, x := range t.targets {
 		if x.blocked != "" || x.exclusive || x.reserved || slices.Contains(q.Exclude, x.Address) || q.MinVersion > 0 && x.version > 0 && x.version < q.MinVersion {
 			continue
@@ -69,17 +69,27 @@
 		if isPreferred {
 			preferredCount++
 		}
+		isAvoided := !isPreferred && t.byTime && !x.ejected(now) // such as one that was full
+		if isAvoided {
+			avoidedCount++
+		}
 		if !q.IgnoreLimits && (!x.hasSlot(now, classOf(q), t.gates) || q.LeaveFree && !x.leavesFree(now)) {
 			continue
 		}
-		if isPreferred {
+		switch {
+		case isPreferred:
 			preferred = append(preferred, x)
-		} else {
+		case isAvoided:
+			avoided = append(avoided, x)
+		default:
 			fallback = append(fallback, x)
 		}
 	}
-	if preferredCount > 0 {
+	switch {
+	case preferredCount > 0:
 		return preferred
+	case avoidedCount > 0:
+		return avoided
 	}
 	return fallback
 }
--- a/routing/target.go
+++ b/routing/target.go
@@ -135,7 +135,7 @@
 // request gets the next free slot there, before this gate could learn that a slot is free.
 func (x *target) hasSlot(now time.Time, class, gates int) bool {
 	if x.byTime {
-		if now.Before(x.pace.fullUntil) {
+		if now.Before(x.pace.fullUntil) || now.Before(x.pace.unreachableUntil) {
 			return false
 		}
 		if x.inflight == 0 {
