--- a/routing/pick.go
+++ b/routing/pick.go
@@ -26,6 +26,9 @@
 	if x := t.pickByPrefix(now, targets, q.Prefixes); x != nil {
 		return x.Address, true
 	}
+	if t.byTime {
+		return t.pickByTime(now, targets, q).Address, true
+	}
 	return t.pickLessLoaded(now, t.nearest(now, targets)), true
 }
 
@@ -53,10 +56,10 @@
 }
 
 // eligible returns the targets that may receive the request now. Ejected targets, those in Query.Avoid and those that a
-// versioned query avoids are a fallback for the case that the pool has no other.
+// versioned query avoids are a fallback for the case that the pool has no other. Tables with ByTime use ejected ones last.
 func (t *Table) eligible(now time.Time, q Query) []*target {
-	var preferred, fallback []*target
-	preferredCount := 0
+	var preferred, avoided, fallback []*target
+	preferredCount, avoidedCount := 0, 0
 	for _, x := range t.targets {
 		if x.blocked != "" || x.exclusive || x.reserved || slices.Contains(q.Exclude, x.Address) || q.MinVersion > 0 && x.version > 0 && x.version < q.MinVersion {
 			continue
@@ -66,17 +69,27 @@
 		if isPreferred {
 			preferredCount++
 		}
-		if !q.IgnoreLimits && !x.hasSlot(now, classOf(q), t.gates) {
+		isAvoided := !isPreferred && t.byTime && !x.ejected(now) // such as one that was full
+		if isAvoided {
+			avoidedCount++
+		}
+		if !q.IgnoreLimits && (!x.hasSlot(now, classOf(q), t.gates) || q.LeaveFree && !x.leavesFree(now)) {
 			continue
 		}
-		if isPreferred {
+		switch {
+		case isPreferred:
 			preferred = append(preferred, x)
-		} else {
+		case isAvoided:
+			avoided = append(avoided, x)
+		default:
 			fallback = append(fallback, x)
 		}
 	}
-	if preferredCount > 0 {
+	switch {
+	case preferredCount > 0:
 		return preferred
+	case avoidedCount > 0:
+		return avoided
 	}
 	return fallback
 }
@@ -103,19 +116,24 @@
 
 // pickLessLoaded returns the less utilized of two random targets.
 func (t *Table) pickLessLoaded(now time.Time, targets []*target) string {
-	a := targets[t.opts.Rand.IntN(len(targets))]
+	a, b := t.twoRandom(targets)
+	if b.utilization(now) < a.utilization(now) {
+		a = b
+	}
+	return a.Address
+}
+
+// twoRandom returns two random targets, the same twice if there is only one.
+func (t *Table) twoRandom(targets []*target) (a, b *target) {
+	a = targets[t.opts.Rand.IntN(len(targets))]
 	if len(targets) == 1 {
-		return a.Address
+		return a, a
 	}
-	i := t.opts.Rand.IntN(len(targets) - 1)
-	b := targets[i]
+	b = targets[t.opts.Rand.IntN(len(targets)-1)]
 	if b == a {
 		b = targets[len(targets)-1]
 	}
-	if b.utilization(now) < a.utilization(now) {
-		a = b
-	}
-	return a.Address
+	return a, b
 }
 
 // pickByPrefix selects the target for a prompt with a shared prefix by rendezvous hashing: all gates rank the targets
