--- a/ctl/where.go
+++ b/ctl/where.go
@@ -163,6 +163,8 @@
 	}
 	a.printTable([]string{"TARGET", "ADDRESS", "AZ", "SENT", "LOAD", "LIMIT", "LATENCY", "EJECTED", "LEAVING", "LIMITED", "VERSIONS", "BLOCKED"}, rows)
 	switch {
+	case p.Waiting != nil:
+		fmt.Fprintf(a.out, "waits for room, or is refused: no target has room, %d callers and %d scoring calls wait\n", p.Waiting.Callers, p.Waiting.Background)
 	case p.Target != "" && p.AllAtLimits:
 		fmt.Fprintf(a.out, "goes to %s, to wait in its queue: all targets are at their limits\n", p.Target)
 	case p.Target != "":
--- a/forward/where.go
+++ b/forward/where.go
@@ -5,6 +5,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/routing"
+	"github.com/ibistrail/ibistrail/shedding"
 )
 
 // Placement explains where a request that arrived now would be sent.
@@ -15,7 +16,9 @@
 	// AllAtLimits is set if no target is below its limit, so that the request waits in the target's queue.
 	AllAtLimits bool              `json:"all_at_limits,omitempty"`
 	Targets     []TargetCandidate `json:"targets"`
-	// Refusal is nil if the request would be sent.
+	// Waiting is set if no target has room: the request would wait behind these, or be refused.
+	Waiting *shedding.State `json:"waiting,omitempty"`
+	// Refusal is nil if the request would be sent or wait.
 	Refusal *Refusal `json:"refusal,omitempty"`
 }
 
@@ -47,13 +50,26 @@
 func (f *Forwarder) Where(now time.Time, snap *fleet.Snapshot, route *fleet.Route) Placement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := &delivery{f: f, req: &Request{}, route: route, poolName: route.PoolFor(f.rand.Float64()), startedAt: now}
+	d := &delivery{f: f, req: &Request{}, route: route, poolName: route.PoolFor(f.rand.Float64()), startedAt: now, deadline: now.Add(defaultTimeout)}
+	if t := route.Timeout(); t > 0 {
+		d.deadline = now.Add(t)
+	}
 	p := f.poolState(now, snap, d.poolName)
 	out := Placement{Pool: d.poolName, Targets: []TargetCandidate{}}
-	if in, q, ok := d.choose(now, p, false, false); ok {
-		out.Target, out.AllAtLimits = in.Name, q.IgnoreLimits
-	} else {
+	in, q, ok := d.choose(now, p, false, false)
+	if ok && p.queue != nil && !p.table.NoneReachable(now) {
+		q = d.roomQuery(now, p)
+		address, hasRoom := p.table.Pick(now, q)
+		if in = p.byAddr[address]; !hasRoom || in == nil {
+			state := p.queue.Counts(now)
+			out.Waiting = &state
+		}
+	}
+	switch {
+	case !ok:
 		out.Refusal = newRefusal(d.unsentReply())
+	case out.Waiting == nil:
+		out.Target, out.AllAtLimits = in.Name, q.IgnoreLimits
 	}
 	for _, state := range p.table.State(now) {
 		c := TargetCandidate{TargetState: state}
