--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/targets"
@@ -490,6 +491,17 @@
 }
 
 // TestTargetIsGoneOnlyIfOtherVMsAgree refuses connections to some VMs, as a partition or the end of a target does.
+// TestTargetIsGoneBesideOthersThatEnded guards against deaths that are not counted in a burst of crashes: the VM still reaches one target.
+func TestTargetIsGoneBesideOthersThatEnded(t *testing.T) {
+	is := is.New(t)
+	p := newPaths()
+	var all []*fleet.Instance
+	for i := range 6 {
+		all = append(all, &fleet.Instance{Target: config.Target{Name: fmt.Sprintf("t%d", i), AvailabilityZone: "a"}})
+	}
+	is.Equal(len(p.others(all[0], all, confirmProbes)), len(all)-1) // each of them is tried, until one is reached
+}
+
 func TestTargetIsGoneOnlyIfOtherVMsAgree(t *testing.T) {
 	const (
 		open      = iota // the VM reaches all targets
--- a/detour/paths.go
+++ b/detour/paths.go
@@ -14,6 +14,9 @@
 	silenceLimit = 250 * time.Millisecond
 	// otherProbes is the number of targets that a check probes after the one in doubt. If none of them is reached, no target is taken to be.
 	otherProbes = 2
+	// confirmProbes is the number of other targets that are tried until one is reached, to tell the end of a target from a cut of this VM.
+	// In a burst of crashes several of them have ended too; with two probes, deaths beside two others were not counted.
+	confirmProbes = 6
 	// checkPause is the time between two checks, and between two probes for a lost path that may be back.
 	checkPause = 400 * time.Millisecond
 )
@@ -94,12 +97,12 @@
 	return []*fleet.Instance{suspect}
 }
 
-// others returns targets to probe after one was not reached, in other availability zones if there are some: a zone is often cut off as a
+// others returns up to most targets to probe after one was not reached, in other availability zones if there are some: a zone is often cut off as a
 // whole.
-func (p *paths) others(suspect *fleet.Instance, all []*fleet.Instance) []*fleet.Instance {
+func (p *paths) others(suspect *fleet.Instance, all []*fleet.Instance, most int) []*fleet.Instance {
 	var probes []*fleet.Instance
 	for _, otherZone := range []bool{true, false} {
-		for i := 0; i < len(all) && len(probes) < otherProbes; i++ {
+		for i := 0; i < len(all) && len(probes) < most; i++ {
 			p.rotation++
 			in := all[p.rotation%len(all)]
 			if in.Key() != suspect.Key() && (in.AvailabilityZone != suspect.AvailabilityZone) == otherZone && !contains(probes, in.Key()) {
@@ -127,7 +130,7 @@
 	silent := !p.answeredAt.After(c.startedAt)
 	if silent && !c.askedOthers {
 		c.askedOthers = true
-		if probes := p.others(c.suspect, all); len(probes) > 0 {
+		if probes := p.others(c.suspect, all, otherProbes); len(probes) > 0 {
 			c.pending = len(probes)
 			return probes
 		}
--- a/detour/reach.go
+++ b/detour/reach.go
@@ -100,7 +100,7 @@
 func (c *Client) reachesAnother(ctx context.Context, in *fleet.Instance) bool {
 	all := c.opts.View.Get().Instances
 	c.mu.Lock()
-	others := c.paths.others(in, all)
+	others := c.paths.others(in, all, confirmProbes)
 	c.mu.Unlock()
 	for _, other := range others {
 		if c.opts.Targets.Connect(ctx, other) == nil {
