ctl: one HTTP call of debug servers for dumps and ibisctl where

Cause: where repeated the call of fetch. Change: both use get; texts of dumps stay, those of where, new in this change, name the same remedy.

--- a/ctl/vm.go
+++ b/ctl/vm.go
@@ -91,20 +91,29 @@
 	return nil
 }
 
-// fetch returns the JSON document at a URL of a debug server.
-func fetch(ctx context.Context, url string) ([]byte, error) {
+// get returns the response of a debug server, whose body it has read. what names the expected document in errors.
+func get(ctx context.Context, url, what string) (*http.Response, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, usageErrorf("write IP:PORT of a debug or metrics address", "%v", err)
+		return nil, nil, usageErrorf("write IP:PORT of a debug or metrics address", "%v", err)
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, &Error{Exit: ExitUnavailable, Message: "no dump", Err: err, Remedy: "check that the address is the debug or metrics address of a running process"}
+		return nil, nil, &Error{Exit: ExitUnavailable, Message: "no " + what, Err: err, Remedy: "check that the address is the debug or metrics address of a running process"}
 	}
 	defer res.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(res.Body, maxDumpBytes))
 	if err != nil {
-		return nil, &Error{Exit: ExitUnavailable, Message: "dump ended early", Err: err, Remedy: "try again"}
+		return nil, nil, &Error{Exit: ExitUnavailable, Message: what + " ended early", Err: err, Remedy: "try again"}
+	}
+	return res, raw, nil
+}
+
+// fetch returns the JSON document at a URL of a debug server.
+func fetch(ctx context.Context, url string) ([]byte, error) {
+	res, raw, err := get(ctx, url, "dump")
+	if err != nil {
+		return nil, err
 	}
 	if res.StatusCode != http.StatusOK || !json.Valid(raw) {
 		return nil, &Error{Exit: ExitFailure, Message: fmt.Sprintf("%s answered %s", url, res.Status), Remedy: "check that the address is the debug or metrics address of a process of ibistrail"}
--- a/ctl/where.go
+++ b/ctl/where.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"net/url"
@@ -88,18 +87,9 @@
 func (a *app) fetchWhere(ctx context.Context, address string) (*entry.Where, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(a.timeout, vmTimeout))
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	res, raw, err := get(ctx, address, "answer")
 	if err != nil {
-		return nil, usageErrorf("write IP:PORT of a metrics address", "%v", err)
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, &Error{Exit: ExitUnavailable, Message: "no answer", Err: err, Remedy: "check that --vm names metrics addresses of running processes"}
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxDumpBytes))
-	if err != nil {
-		return nil, &Error{Exit: ExitUnavailable, Message: "the answer ended early", Err: err, Remedy: "try again"}
+		return nil, err
 	}
 	var problem entry.WhereError
 	if res.StatusCode != http.StatusOK {
