origins: what may have begun streams is recorded in the store, and outlives all VMs

Cause: a VM with an empty memory took a pool for uniform by the median start of the targets registered then, so a version that had just left went unseen, and streams begun there were continued at another one. Origins of streams in mixed pools were lost with all VMs. Ruled out: partial first listings (applied whole); texts of items (their saved parts carry the version). Change: a record of each pool's versions in a compacted topic, relied on only while it was read lately; a new version gets streams once all VMs that rely on the record know it; origins are appended to a log and looked up there. Nothing is read or written without a route for resumable streams. AppendKeyedAt for conditional removal. item_run tells the version of the text.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -48,7 +48,7 @@
 	if outcome == outcomeComplete {
 		r.durations.Observe(now.Sub(j.startedAt))
 	}
-	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "via", j.via, "software", call.Instance.SoftwareVersion, "from_event", call.ResumeAfter, "events", len(j.events),
+	r.log.Info("item_run", "id", j.item.ID, "batch", j.head.ID, "target", call.Instance.Name, "via", j.via, "software", call.Instance.SoftwareVersion, "text_software", j.software, "from_event", call.ResumeAfter, "events", len(j.events),
 		"versions", j.distinctVersions(), "ms", now.Sub(j.startedAt).Milliseconds(), "first_ms", j.firstEventDelay().Milliseconds(),
 		"silent_ms", j.silence(now).Milliseconds(), "held_tokens", held, "outcome", string(outcome), "err", err)
 	if j.state != jobRunning {
--- a/entry/process.go
+++ b/entry/process.go
@@ -65,6 +65,8 @@
 	Sources        []Source
 	// CrashTopic is the compacted topic in which VMs share which requests were running when targets crashed.
 	CrashTopic string
+	// SoftwareTopic is the compacted topic that holds the software versions of pools.
+	SoftwareTopic string
 	// DutyAPI is the platform's API for duties of one VM; nil if there is none.
 	DutyAPI duties.API
 	// Peers announces this VM's relay and finds those of other VMs, Relay serves it; both are nil without a relay.
@@ -129,7 +131,7 @@
 	p.limiter = ratelimit.New(ratelimit.Options{
 		Self: self, Alone: opts.Peers == nil, Register: p.targets, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics,
 	})
-	p.origins = origins.New(origins.Options{Self: self, View: p.View, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics})
+	p.origins = origins.New(origins.Options{Self: self, View: p.View, Store: opts.Store, SoftwareTopic: opts.SoftwareTopic, FirstStart: s.FirstStart, BootTime: opts.BootTime, Call: p.rpcPool.Call, Log: opts.Log, Metrics: opts.Metrics})
 	if opts.Peers != nil {
 		opts.Peers.OnChange = func(vms []fleet.VM) {
 			p.limiter.SetVMs(vms)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,6 +40,8 @@
 	FailClosed   bool
 	RevokeWithin time.Duration
 	Duties       DutySettings
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
 }
 
 // DutySettings are the settings of the duties that one VM has towards the platform's API.
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -127,8 +127,8 @@
 		return refusal(http.StatusServiceUnavailable, "the stream began in a pool that its route does not use any more; send the request anew", noOriginRetryAfter)
 	}
 	d.poolName = origin.Pool
-	if origin.ID == "" {
-		return nil // all targets run the version that began it
+	if origin.Software == "" {
+		return nil // any target can continue it
 	}
 	d.continuing, d.software = true, origin.Software
 	if !slices.ContainsFunc(d.f.view.Get().Pool(origin.Pool), func(in *fleet.Instance) bool {
@@ -455,6 +455,11 @@
 	return in, q, ok && in != nil
 }
 
+// beginsResumable reports whether the request begins a stream that can be taken up.
+func (d *delivery) beginsResumable() bool {
+	return d.route.Streaming && d.route.Resumable && d.req.ResumeAfter == 0
+}
+
 // excluded returns the addresses of the targets that must not get the request, or a copy of it.
 func (d *delivery) excluded(p *poolState, hedge bool) []string {
 	out := slices.Clone(d.atLimit)
@@ -465,7 +470,8 @@
 	}
 	for address, in := range p.byAddr {
 		exhausted := d.runs >= d.route.MaxAttempts && !d.pathLost[address]
-		if exhausted || d.continuing && in.SoftwareVersion != d.software || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
+		wrongVersion := d.continuing && in.SoftwareVersion != d.software || d.beginsResumable() && !d.f.origins.MayBegin(in)
+		if exhausted || wrongVersion || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
 			out = append(out, address)
 		}
 	}
@@ -620,7 +626,7 @@
 	case n > 0 || err == io.EOF:
 		b.reported = true
 		b.d.f.crashes.Answered(b.d.fingerprint)
-		if n > 0 && b.d.route.Resumable && b.d.req.ResumeAfter == 0 {
+		if n > 0 && b.d.beginsResumable() {
 			b.d.f.origins.Begin(b.d.req.ID, b.instance)
 		}
 	case err != nil && !errors.Is(err, context.Canceled):
--- a/logs/explain.go
+++ b/logs/explain.go
@@ -24,7 +24,7 @@
 	"store_lost": true, "store_reached": true, "tables_in_force": true, "targets_lapsed": true,
 	"tenure_taken": true, "tenure_lost": true, "tenure_store": true, "order_tenure": true, "version_named": true,
 	"partition_read": true, "partition_unread": true, "results_append": true, "items_wait": true,
-	"target_limit": true, "target_limit_lifted": true, "target_draining": true, "software_mixed": true, "limit_coordinator": true,
+	"target_limit": true, "target_limit_lifted": true, "target_draining": true, "software_mixed": true, "software_recorded": true, "software_record_read": true, "limit_coordinator": true,
 	"record_ignored": true, "topic_truncated": true, "partition_truncated": true, "log_lines_dropped": true,
 }
 
--- a/origins/register.go
+++ b/origins/register.go
@@ -1,6 +1,7 @@
 // Package origins tells, at each VM, which software version of a pool's targets began a stream, so that the stream is
-// continued at that version only. While all targets of a pool run one version, nothing needs to be exchanged. Otherwise the VM at
-// which a stream begins hands its origin over to a few VMs, which follow from the ID of the client's attempt.
+// continued at that version only. A record in the store holds the versions of each pool that may have begun streams. While that is
+// one version, nothing else needs to be exchanged. Otherwise the VM at which a stream begins hands its origin over to a few VMs,
+// which follow from the ID of the client's attempt, and appends it to the store, so that it outlives all VMs.
 package origins
 
 import (
@@ -16,6 +17,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/wire"
 )
 
@@ -40,6 +42,14 @@
 type Options struct {
 	Self fleet.VM
 	View *fleet.View
+	// Store holds the record of the pools' software versions, in the compacted topic SoftwareTopic, and the origins of streams of pools with
+	// several versions.
+	Store         store.Log
+	SoftwareTopic string
+	// FirstStart is set if the deployment starts for the first time, so that no stream can have begun before.
+	FirstStart bool
+	// BootTime returns the time since boot, including time during which the VM was suspended.
+	BootTime func() time.Duration
 	// Call calls a method of another VM.
 	Call    func(ctx context.Context, address, method string, params, result any) error
 	Log     *slog.Logger
@@ -54,7 +64,16 @@
 	mu    sync.Mutex
 	table *table
 	vms   []fleet.VM // including this one
+	// pools are those with routes for resumable streams.
 	pools map[string]*poolSoftware
+	// readAt is the boot time at which the newest complete read of the record began; next is the offset after it. following is
+	// set once the record is read at all.
+	readAt    time.Duration
+	next      int64
+	following bool
+	complete  bool
+	changed   chan struct{} // the record or the targets have changed
+	saved     savedOrigins
 	// unrecorded are origins to be handed over, by the address of the VM; flushing is set while a flush is pending.
 	unrecorded map[string][]wire.Origin
 	flushing   bool
@@ -64,36 +83,102 @@
 func New(o Options) *Register {
 	return &Register{
 		opts: o, events: o.Metrics.SubMap("stream_origins"), table: newTable(), vms: []fleet.VM{o.Self}, pools: map[string]*poolSoftware{},
-		unrecorded: map[string][]wire.Origin{},
+		unrecorded: map[string][]wire.Origin{}, changed: make(chan struct{}, 1),
 	}
 }
 
 // Run follows the registered targets until ctx ends.
 func (r *Register) Run(ctx context.Context) {
-	r.opts.View.Follow(ctx, func(snap *fleet.Snapshot) { r.update(time.Now(), snap) })
+	r.opts.View.Follow(ctx, func(snap *fleet.Snapshot) {
+		if r.update(time.Now(), snap) {
+			go r.followRecord(ctx)
+			go r.maintainRecord(ctx)
+		}
+	})
 }
 
-// update applies a new view. When a pool gets a second version, the origins of its streams are handed over.
-func (r *Register) update(now time.Time, snap *fleet.Snapshot) {
+// update applies a new view. It returns true for the first view with a route for resumable streams.
+func (r *Register) update(now time.Time, snap *fleet.Snapshot) (first bool) {
 	if snap.Tables == nil {
-		return
+		return false
 	}
+	streamTimes := streamTimesByPool(snap.Tables)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i := range snap.Tables.Pools {
-		name := snap.Tables.Pools[i].Name
-		p := r.pools[name]
-		if p == nil {
-			p = &poolSoftware{}
-			r.pools[name] = p
+	for name, streamTime := range streamTimes {
+		p := r.pool(name)
+		p.streamTime = streamTime
+		if p.observe(now, snap.Pool(name)) {
+			if len(p.registered) > 1 {
+				r.opts.Log.Info("software_mixed", "pool", name, "versions", p.registered)
+			}
+			r.handOver(now, name, p)
 		}
-		if p.update(now, snap.Pool(name)) {
-			r.opts.Log.Info("software_mixed", "pool", name, "versions", p.versions)
-			for _, o := range r.table.ofPool(now, name) {
-				r.queue(o)
+	}
+	notify(r.changed)
+	first = len(streamTimes) > 0 && !r.following
+	r.following = r.following || first
+	return first
+}
+
+// pool returns the state of a pool. The caller holds the lock.
+func (r *Register) pool(name string) *poolSoftware {
+	p := r.pools[name]
+	if p == nil {
+		p = newPoolSoftware()
+		r.pools[name] = p
+	}
+	return p
+}
+
+// streamTimesByPool returns how long streams may be taken up, by pool, for the pools with routes for resumable streams.
+func streamTimesByPool(t *fleet.Tables) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for i := range t.Routes {
+		route := &t.Routes[i]
+		if !route.Streaming || !route.Resumable {
+			continue
+		}
+		for j := range t.Pools {
+			if name := t.Pools[j].Name; route.UsesPool(name) {
+				out[name] = max(out[name], streamTime(route))
 			}
 		}
 	}
+	return out
+}
+
+// reliable reports whether the record of a pool's versions tells which of them may have begun streams. The caller holds the lock.
+func (r *Register) reliable() bool {
+	return r.complete && r.opts.BootTime()-r.readAt <= freshness
+}
+
+// uniform reports whether all streams of a pool that may be taken up began at the one version of its targets. The caller holds the lock.
+func (r *Register) uniform(pool string) bool {
+	p := r.pools[pool]
+	return p != nil && r.reliable() && p.uniform(pool)
+}
+
+// handOver hands the origins of this VM's streams in a pool over once other VMs may need them. The caller holds the lock.
+func (r *Register) handOver(now time.Time, name string, p *poolSoftware) {
+	wasHandedOver := p.handedOver
+	if p.handedOver = !r.uniform(name); wasHandedOver || !p.handedOver {
+		return
+	}
+	for _, o := range r.table.ownOfPool(now, name) {
+		r.queue(o)
+	}
+}
+
+// MayBegin reports whether a resumable stream may begin at a target. If not, a target of the pool with another version may be used.
+func (r *Register) MayBegin(in *fleet.Instance) bool {
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[in.Pool]
+	return p == nil || p.mayBegin(time.Now(), r.reliable(), in.Pool, in.SoftwareVersion)
 }
 
 // SetVMs replaces the announced VMs.
@@ -116,14 +201,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := wire.Origin{ID: id, Pool: in.Pool, Software: in.SoftwareVersion}
-	r.table.add(time.Now(), o)
-	if p := r.pools[in.Pool]; p == nil || len(p.versions) > 1 {
+	r.table.addOwn(time.Now(), o)
+	if !r.uniform(in.Pool) {
 		r.queue(o)
 	}
 }
 
-// Find returns the origin of a stream on a route. If it is not known but all targets of the route have run one version for as long
-// as clients take streams up, the origin has no version, and any target may continue the stream; otherwise ok is false.
+// Find returns the origin of a stream on a route. If it is not known but all streams of the route began at the version that its targets have,
+// that is the origin; otherwise ok is false. An origin without a version means that any target may continue the stream.
 func (r *Register) Find(ctx context.Context, route *fleet.Route, id string) (origin wire.Origin, ok bool) {
 	if r == nil {
 		return wire.Origin{Pool: route.Pool}, true
@@ -131,26 +216,52 @@
 	now := time.Now()
 	r.mu.Lock()
 	o, known := r.table.find(now, id)
-	p := r.pools[route.Pool]
-	uniform := len(route.Split) <= 1 && p != nil && p.uniform(now, streamTime(route))
+	uniform := len(route.Split) <= 1 && r.uniform(route.Pool)
+	if uniform && !known {
+		o = wire.Origin{ID: id, Pool: route.Pool, Software: r.pools[route.Pool].registered[0]}
+	}
 	holders := r.holders(id)
 	r.mu.Unlock()
 	switch {
-	case known:
+	case known || uniform:
 		return o, true
-	case uniform:
-		return wire.Origin{Pool: route.Pool}, true
 	case id == "":
 		return wire.Origin{}, false
 	}
-	if o, known = r.askHolders(ctx, holders, id); known {
-		r.events.Add("found", 1)
+	if o, known = r.lookUp(ctx, holders, id); known {
 		return o, true
 	}
 	r.events.Add("unknown", 1)
 	return wire.Origin{}, false
 }
 
+// lookUp asks other VMs and the store for an origin, all at once.
+func (r *Register) lookUp(ctx context.Context, holders []fleet.VM, id string) (wire.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	type answer struct {
+		origin wire.Origin
+		known  bool
+		source string
+	}
+	answers := make(chan answer, 2)
+	go func() {
+		o, known := r.askHolders(ctx, holders, id)
+		answers <- answer{o, known, "found"}
+	}()
+	go func() {
+		o, known := r.findSaved(ctx, id)
+		answers <- answer{o, known, "found_in_store"}
+	}()
+	for range cap(answers) {
+		if a := <-answers; a.known {
+			r.events.Add(a.source, 1)
+			return a.origin, true
+		}
+	}
+	return wire.Origin{}, false
+}
+
 // streamTime returns how long after its first event a client may take a stream up.
 func streamTime(route *fleet.Route) time.Duration {
 	if t := route.Timeout(); t > 0 {
@@ -161,8 +272,6 @@
 
 // askHolders asks the holders of an origin and returns the first answer.
 func (r *Register) askHolders(ctx context.Context, holders []fleet.VM, id string) (wire.Origin, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	found := make(chan *wire.Origin, len(holders))
 	for _, vm := range holders {
 		go func() {
@@ -205,8 +314,9 @@
 	return out
 }
 
-// queue queues an origin for its holders. The caller holds the lock.
+// queue queues an origin for its holders and for the store. The caller holds the lock.
 func (r *Register) queue(o wire.Origin) {
+	r.save(o)
 	for _, vm := range r.holders(o.ID) {
 		if len(r.unrecorded[vm.RPCAddress]) >= maxUnrecorded {
 			r.events.Add("dropped", 1)
--- a/origins/table.go
+++ b/origins/table.go
@@ -21,19 +21,25 @@
 
 type entry struct {
 	wire.Origin
-	at time.Time
+	at  time.Time
+	own bool // the stream began at this VM
 }
 
 func newTable() *table { return &table{entries: map[string]entry{}} }
 
-// add records an origin. The first record of an ID holds.
-func (t *table) add(now time.Time, o wire.Origin) {
-	if _, ok := t.entries[o.ID]; ok || o.ID == "" {
+// add records an origin of another VM. The first record of an ID holds.
+func (t *table) add(now time.Time, o wire.Origin) { t.insert(entry{o, now, false}) }
+
+// addOwn records an origin of this VM.
+func (t *table) addOwn(now time.Time, o wire.Origin) { t.insert(entry{o, now, true}) }
+
+func (t *table) insert(e entry) {
+	if _, ok := t.entries[e.ID]; ok || e.ID == "" {
 		return
 	}
-	t.entries[o.ID] = entry{o, now}
-	t.order = append(t.order, o.ID)
-	for len(t.order) > 0 && (len(t.order) > maxOrigins || now.Sub(t.entries[t.order[0]].at) > originTTL) {
+	t.entries[e.ID] = e
+	t.order = append(t.order, e.ID)
+	for len(t.order) > 0 && (len(t.order) > maxOrigins || e.at.Sub(t.entries[t.order[0]].at) > originTTL) {
 		delete(t.entries, t.order[0])
 		t.order = t.order[1:]
 	}
@@ -45,11 +51,11 @@
 	return e.Origin, ok && now.Sub(e.at) <= originTTL
 }
 
-// ofPool returns the origins of a pool.
-func (t *table) ofPool(now time.Time, pool string) []wire.Origin {
+// ownOfPool returns the origins of this VM's streams in a pool.
+func (t *table) ownOfPool(now time.Time, pool string) []wire.Origin {
 	var out []wire.Origin
 	for _, e := range t.entries {
-		if e.Pool == pool && now.Sub(e.at) <= originTTL {
+		if e.own && e.Pool == pool && now.Sub(e.at) <= originTTL {
 			out = append(out, e.Origin)
 		}
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -70,6 +70,8 @@
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration, maxBytes int) (Batch, error)
 	// AppendKeyed atomically appends records to a compacted topic; their offsets are ignored.
 	AppendKeyed(ctx context.Context, topic string, records []KeyedRecord) error
+	// AppendKeyedAt is like AppendKeyed if the topic ends at offset end. Otherwise it returns a *ConflictError.
+	AppendKeyedAt(ctx context.Context, topic string, end int64, records []KeyedRecord) error
 	// ReadNewest returns the newest record of each key of a compacted topic, and the offset from which
 	// ReadKeyed returns the records that follow.
 	ReadNewest(ctx context.Context, topic string) ([]KeyedRecord, int64, error)
