batch: a handover waits for its own records only

Cause: at a planned stop the holder waited until its writer was idle. Results of the items that go on kept it busy, so each handover took its whole timeout of 0.8 s, and what was generated meanwhile was made again. Ruled out: a slow store (appends took 5 to 10 ms). Change: it waits until the records that were queued at its beginning are appended. Conclusion: kept for the time that it saves; TestHandoverDoesNotWaitForLaterResults fails without it.

--- a/batch/service.go
+++ b/batch/service.go
@@ -259,22 +259,30 @@
 	return newest
 }
 
-// Handover saves all unfinished texts, so that another VM can continue them. It blocks for at most handoverTimeout.
-func (s *Service) Handover() {
+// Handover saves all unfinished texts, so that another VM can continue them. It blocks until they are saved, with all results before them, but
+// for at most handoverTimeout. It reports whether they are saved. Items go on meanwhile.
+func (s *Service) Handover() bool {
 	for _, u := range s.runner.takeUnsaved() {
 		s.appendProgress(u.partition, u.submissionID, u.parts)
 	}
 	deadline := time.Now().Add(handoverTimeout)
+	saved := true
 	for _, w := range s.writers {
-		for !w.idle() && time.Now().Before(deadline) {
-			time.Sleep(appendDelay)
+		n := w.queued()
+		for !w.hasWritten(n) && time.Now().Before(deadline) {
+			time.Sleep(handoverPollInterval)
 		}
+		saved = saved && w.hasWritten(n)
 	}
+	return saved
 }
 
 // handoverTimeout limits the time for saving unfinished texts at a planned shutdown.
 const handoverTimeout = 800 * time.Millisecond
 
+// handoverPollInterval is how often a handover checks whether its texts are saved.
+const handoverPollInterval = 5 * time.Millisecond
+
 // appendAll appends records with consecutive offsets and returns the offset of the first. It retries calls with an
 // unknown outcome until ctx ends: a second copy of a record has no effect. The error is an *UnavailableError if the
 // records were certainly not written, and ErrOutcomeUnknown otherwise.
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -49,6 +49,8 @@
 	mu      sync.Mutex
 	queue   []pending
 	running bool
+	// added and written are the numbers of records that were queued and appended.
+	added, written int
 }
 
 // add queues a record and starts the writer if it is idle.
@@ -56,17 +58,25 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queue = append(w.queue, p)
+	w.added++
 	if !w.running {
 		w.running = true
 		go w.run(ctx)
 	}
 }
 
-// idle reports whether all queued records have been appended.
-func (w *writer) idle() bool {
+// queued returns the number of records that were queued so far.
+func (w *writer) queued() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.running
+	return w.added
+}
+
+// hasWritten reports whether the first n records were appended.
+func (w *writer) hasWritten(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written >= n
 }
 
 func (w *writer) run(ctx context.Context) {
@@ -77,6 +87,9 @@
 			return
 		}
 		w.write(ctx, batch)
+		w.mu.Lock()
+		w.written += len(batch)
+		w.mu.Unlock()
 	}
 }
 
