entry: a holder that stops goes on with its items while the store is away

Cause: at a planned stop in an outage all runs were ended at once, though no other VM could continue them: neither texts nor the release of the tenure reach the store. Change: the tenure ends once the store has taken the texts and the release, at the latest 3 s before the end of the grace period. Yield tells whether the store took it.

--- a/entry/process.go
+++ b/entry/process.go
@@ -44,6 +44,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period that is kept in reserve after the last answers.
 	shutdownMargin = 1500 * time.Millisecond
+	// handoverMargin is how long before that the work of tenures ends at the latest: a last try to save and to release them takes time.
+	handoverMargin = 1500 * time.Millisecond
 	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
 	// process itself takes up to a third.
 	bodyMemoryFraction = 0.25
@@ -315,19 +317,21 @@
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	go p.usage.release(p.ctx) // beside the other tenures, as a store that does not answer takes up the grace period
-	p.tenures.stop()
+	drained := start.Add(p.opts.Settings.StopGrace - shutdownMargin)
+	released := p.tenures.stop(drained.Add(-handoverMargin))
 	p.limiter.Stop()
 	p.detour.StopPassingOn()
 	if p.opts.Peers != nil {
 		p.opts.Peers.Withdraw()
 	}
 	time.Sleep(min(balancerDelay, p.opts.Settings.StopGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.opts.Settings.StopGrace-shutdownMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), drained)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		p.opts.Log.Warn("stopped_early", "err", err)
 	}
 	p.detours.Drain(ctx)
+	<-released
 	p.usage.flush(p.ctx)
 	p.cancel()
 	p.opts.Log.Info("stopped", "ms", time.Since(start).Milliseconds())
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -229,9 +229,48 @@
 	}
 }
 
-// stop records unfinished batch work in the store, so that another VM can continue it, and releases the tenures.
-func (m *tenureManager) stop() {
-	m.p.Batches.Handover()
+// stop records unfinished batch work in the store and ends the tenures, so that another VM continues at once. While the store does not take
+// that, no other VM could continue, so this VM goes on with the work, until a deadline. The returned channel is closed when all work has ended.
+func (m *tenureManager) stop(deadline time.Time) (ended <-chan struct{}) {
+	done := make(chan struct{})
+	if m.handOver() {
+		m.release()
+		close(done)
+		return done
+	}
+	m.p.opts.Log.Info("handover_waits", "until_ms", time.Until(deadline).Milliseconds())
+	go func() {
+		defer close(done)
+		for time.Now().Before(deadline) && !m.handOver() {
+			process.Sleep(m.p.ctx, handOverRetryDelay)
+		}
+		m.release()
+	}()
+	return done
+}
+
+// handOverRetryDelay is the pause after a handover that the store did not take.
+const handOverRetryDelay = 100 * time.Millisecond
+
+// handOver saves the unfinished texts and ends the tenures in the store. It reports whether the store took both.
+func (m *tenureManager) handOver() bool {
+	if !m.p.Batches.Handover() {
+		return false
+	}
+	m.mu.Lock()
+	tenures := maps.Clone(m.tenures)
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(m.p.ctx, releaseTimeout)
+	defer cancel()
+	ended := true
+	for _, t := range tenures {
+		ended = t.Yield(ctx) && ended
+	}
+	return ended
+}
+
+// release ends all work of this VM for partitions and releases their tenures.
+func (m *tenureManager) release() {
 	m.mu.Lock()
 	m.stopped = true
 	tenures := m.tenures
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -428,20 +428,22 @@
 	t.opts.OnChange()
 }
 
-// Yield ends the tenure, if it is held, so that a VM that can do the work takes over. This VM remains a candidate.
-func (t *Tenure) Yield(ctx context.Context) {
+// Yield ends the tenure, if it is held, so that a VM that can do the work takes over. This VM remains a candidate. If the store does not take
+// the record, the tenure stays held and Yield returns false.
+func (t *Tenure) Yield(ctx context.Context) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.held || t.released {
-		return
+		return true
 	}
 	if err := t.append(ctx, record{Release: true}); err != nil {
 		t.opts.Log.Warn("tenure_kept", "partition", t.partition.Index, "err", err)
-		return
+		return false
 	}
 	t.held, t.lastRecordAt = false, t.opts.Clock()
 	t.opts.Log.Info("tenure_yielded", "partition", t.partition.Index, "token", t.token)
 	t.opts.OnChange()
+	return true
 }
 
 // State is a tenure's entry in the state dump.
--- a/usage/service.go
+++ b/usage/service.go
@@ -48,7 +48,7 @@
 	BeginWave(ctx context.Context) error
 	MaySend() bool
 	// Yield gives the tenure to another VM that can do the work.
-	Yield(ctx context.Context)
+	Yield(ctx context.Context) bool
 }
 
 // Options are the dependencies of a Service.
--- a/usage/service_test.go
+++ b/usage/service_test.go
@@ -76,7 +76,10 @@
 func (t *simTenure) Held() (int64, bool)               { return t.token, t.held }
 func (t *simTenure) OrderDelay() (time.Duration, bool) { return 0, t.held }
 func (t *simTenure) MaySend() bool                     { return t.held && t.v.w.now < t.sendUntil }
-func (t *simTenure) Yield(context.Context)             { t.held = false }
+func (t *simTenure) Yield(context.Context) bool {
+	t.held = false
+	return true
+}
 func (t *simTenure) BeginWave(context.Context) error {
 	for _, other := range t.v.w.vms {
 		if other.tenure.token > t.token && !t.v.w.anyWave {
