--- a/batch/engine_choice_test.go
+++ b/batch/engine_choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,6 +52,43 @@
 	is.Equal(tasks[0], long)
 }
 
+// TestItemsStayOnEnginesOfEqualSpeed replays a burst: nine engines run a dozen items each, whose events arrive in bunches. A move has the item's
+// prompt and text read again. An engine that slows down to a quarter must still be left within half a second.
+func TestItemsStayOnEnginesOfEqualSpeed(t *testing.T) {
+	const requests, remaining = 12, 100
+	is := is.New(t)
+	s, in := newTestEngines(9, 16, 1)
+	rng := rand.New(rand.NewPCG(1, 2))
+	interval := 38 * time.Millisecond
+	now, moves := testStart, 0
+	observe := func(i int, mean time.Duration) {
+		for range requests {
+			s.observeInterval(now, in[i], time.Duration(rng.Int64N(int64(2*mean))))
+		}
+	}
+	shouldMove := func(i int) bool {
+		req := requirements{pool: "p", model: "m", avoidInstance: in[i].Name}
+		return s.candidates(now, "p").shouldMove(s.get(in[i]), remaining, req)
+	}
+	for range 200 {
+		now = now.Add(interval)
+		for i := range in {
+			observe(i, interval)
+			if shouldMove(i) {
+				moves++
+			}
+		}
+	}
+	t.Logf("%d moves in %d checks", moves, 200*len(in))
+	is.True(moves < 200*len(in)/100) // fewer than one in a hundred
+	slow := 4 * interval
+	for range 3 {
+		now = now.Add(slow)
+		observe(0, slow)
+	}
+	is.True(shouldMove(0))
+}
+
 func TestChooseRespectsSlotsAndOtherLoad(t *testing.T) {
 	is := is.New(t)
 	s, in := newTestEngines(2, 4, 3)
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -13,8 +13,9 @@
 const (
 	// loadReportTTL is how long a load that an engine reported is used.
 	loadReportTTL = 1500 * time.Millisecond
-	// intervalGain is the weight of a new measurement in the moving average of event intervals.
-	intervalGain = 0.2
+	// intervalGain is the weight of a new measurement in the moving average of event intervals. Events arrive in bunches, so single
+	// intervals say little; an engine that runs a dozen requests is measured hundreds of times a second.
+	intervalGain = 0.05
 	// initialInterval is the assumed event interval while no engine of the pool has a measured one.
 	initialInterval = 40 * time.Millisecond
 	// cooldownMin and cooldownMax bound the pause after a failure; it doubles with each consecutive failure.
