--- a/origins/software.go
+++ b/origins/software.go
@@ -70,7 +70,7 @@
 // which is kept in the store and outlives all VMs. It is free of I/O and of clocks.
 type poolSoftware struct {
 	registered []string // sorted
-	// open are those of registered that have targets which take new requests.
+	// open are the versions of the targets that take new requests.
 	open     []string
 	recorded map[string]*recordedVersion // by key
 	// streamTime is how long after its first event a client may take a stream of the pool up.
@@ -206,7 +206,11 @@
 
 // uniform reports whether streams that clients may still take up can only have begun at the one version that the targets have.
 func (p *poolSoftware) uniform(pool string) bool {
-	return len(p.registered) == 1 && len(p.recorded) == 1 && p.recorded[versionKey(pool, p.registered[0])] != nil
+	if len(p.registered) != 1 || len(p.recorded) != 1 {
+		return false
+	}
+	r := p.recorded[versionKey(pool, p.registered[0])]
+	return r != nil && r.readable
 }
 
 // mayBegin reports whether a stream may begin at a version: each VM that takes the pool for uniform must know that version. While that is
--- a/origins/software_test.go
+++ b/origins/software_test.go
@@ -200,6 +200,10 @@
 	is.NoErr(s.AppendKeyed(t.Context(), "software", []store.KeyedRecord{{Key: "p|77", Value: []byte{0xff, 0}}}))
 	now = v.run(now, time.Minute, "v1")
 	is.True(!v.uniform("p")) // a build that can read it removes it
+	is.NoErr(s.AppendKeyed(t.Context(), "software", []store.KeyedRecord{{Key: "p|77"}, {Key: versionKey("p", "v1"), Value: []byte("{")}}))
+	v.read(now)
+	is.True(!v.uniform("p")) // until the version is recorded again
+	is.NoErr(s.AppendKeyed(t.Context(), "software", []store.KeyedRecord{{Key: "p|77", Value: []byte{0xff}}}))
 	is.True(!startRecordVM(t, s, now, "v1").uniform("p"))
 }
 
