origins, crashes, batch: one Notify; the versions that take requests are kept once each

Cause: read-through of the change. notify stood in crashes, origins and as the runner's wake; a pick of a target in a pool with resumable streams looked at the version of each target for each target, under the register's lock; the tests waited for software versions in two loops. Change: process.Notify; open versions are distinct, and whether a request begins a resumable stream is asked once a pick; setSoftware uses awaitSoftware, which is stricter (no further targets). Comments of the register's fields and of Yield's result. Behaviour stays.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -88,12 +88,7 @@
 }
 
 // wake requests a scheduling pass. It does not block.
-func (r *runner) wake() {
-	select {
-	case r.wakeups <- struct{}{}:
-	default: // a pass is pending already
-	}
-}
+func (r *runner) wake() { process.Notify(r.wakeups) }
 
 // run schedules items until ctx ends.
 func (r *runner) run(ctx context.Context) {
--- a/crashes/register.go
+++ b/crashes/register.go
@@ -122,19 +122,11 @@
 	if r.add(now, d, &deathState{at: now, expires: now.Add(quarantine.SuspectTTL), own: true}) {
 		r.save(d, put)
 		if len(r.deaths[fingerprint]) > 1 {
-			notify(r.urgent)
+			process.Notify(r.urgent)
 		}
 	}
 }
 
-// notify signals a channel that holds one signal at most.
-func notify(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default: // a signal is pending already
-	}
-}
-
 // bootOf returns the incarnation of a target; empty if it did not report its start.
 func bootOf(instance *fleet.Instance) string {
 	if instance.StartedMs == 0 {
--- a/crashes/share.go
+++ b/crashes/share.go
@@ -131,7 +131,7 @@
 		return
 	}
 	r.unsaved[d] = c
-	notify(r.changed)
+	process.Notify(r.changed)
 }
 
 // saveLoop appends queued changes and removes expired wire.Deaths until ctx ends.
--- a/entry/software_version_test.go
+++ b/entry/software_version_test.go
@@ -20,20 +20,7 @@
 		x.Set(func(x *errata.Target) { x.Software = fmt.Sprintf("v%d", i%2+1) })
 		x.Register(d.store, "ready")
 	}
-	d.eventually(5*time.Second, "the VMs know the software versions", func() bool {
-		for _, v := range d.vms {
-			known := map[string]string{}
-			for _, in := range v.process.View.Get().Instances {
-				known[in.Name] = in.SoftwareVersion
-			}
-			for _, x := range targets {
-				if known[x.ID] != x.Software {
-					return false
-				}
-			}
-		}
-		return true
-	})
+	d.awaitSoftware(targets)
 }
 
 // runsByID returns the runs of requests at targets by ID, the oldest first.
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -468,9 +468,10 @@
 			out = append(out, a.instance.Address)
 		}
 	}
+	begins := d.beginsResumable()
 	for address, in := range p.byAddr {
 		exhausted := d.runs >= d.route.MaxAttempts && !d.pathLost[address]
-		wrongVersion := d.continuing && in.SoftwareVersion != d.software || d.beginsResumable() && !d.f.origins.MayBegin(in)
+		wrongVersion := d.continuing && in.SoftwareVersion != d.software || begins && !d.f.origins.MayBegin(in)
 		if exhausted || wrongVersion || d.f.states.Draining(in) || hedge && d.f.limiter.Limited(in) {
 			out = append(out, address)
 		}
--- a/origins/record.go
+++ b/origins/record.go
@@ -21,13 +21,6 @@
 	removalSpread = 2 * time.Second
 )
 
-func notify(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
-
 // followRecord follows the record of the pools' software versions until ctx ends.
 func (r *Register) followRecord(ctx context.Context) {
 	var outage process.Outage
@@ -99,7 +92,7 @@
 	for name := range changed {
 		r.handOver(now, name, r.pools[name])
 	}
-	notify(r.changed)
+	process.Notify(r.changed)
 }
 
 // recordRead notes that a read which began at a boot time came to the end of the record.
@@ -107,7 +100,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.complete {
-		notify(r.changed)
+		process.Notify(r.changed)
 	}
 	r.readAt, r.complete = began, true
 	r.handOverAll()
--- a/origins/register.go
+++ b/origins/register.go
@@ -66,14 +66,13 @@
 	vms   []fleet.VM // including this one
 	// pools are those with routes for resumable streams.
 	pools map[string]*poolSoftware
-	// readAt is the boot time at which the newest complete read of the record began; next is the offset after it. following is
-	// set once the record is read at all.
-	readAt    time.Duration
-	next      int64
-	following bool
-	complete  bool
-	changed   chan struct{} // the record or the targets have changed
-	saved     savedOrigins
+	// following is set once this VM follows the record, complete once it has read it to its end.
+	following, complete bool
+	// readAt is the boot time at which the newest complete read of the record began; next is the offset after the records that were read.
+	readAt  time.Duration
+	next    int64
+	changed chan struct{} // the record or the targets have changed
+	saved   savedOrigins
 	// unrecorded are origins to be handed over, by the address of the VM; flushing is set while a flush is pending.
 	unrecorded map[string][]wire.Origin
 	flushing   bool
@@ -115,7 +114,7 @@
 			r.handOver(now, name, p)
 		}
 	}
-	notify(r.changed)
+	process.Notify(r.changed)
 	first = len(streamTimes) > 0 && !r.following
 	r.following = r.following || first
 	return first
--- a/origins/software.go
+++ b/origins/software.go
@@ -69,10 +69,9 @@
 // poolSoftware is what a VM knows about the software versions of a pool's targets: those of the registered targets, and those in the record,
 // which is kept in the store and outlives all VMs. It is free of I/O and of clocks.
 type poolSoftware struct {
-	registered []string // sorted
-	// open are the versions of the targets that take new requests.
-	open     []string
-	recorded map[string]*recordedVersion // by key
+	// registered are the versions of the registered targets, open those of the targets that take new requests.
+	registered, open []string
+	recorded         map[string]*recordedVersion // by key
 	// streamTime is how long after its first event a client may take a stream of the pool up.
 	streamTime time.Duration
 	// handedOver is set while the origins of all streams are handed over.
@@ -92,16 +91,21 @@
 			open = append(open, in.SoftwareVersion)
 		}
 	}
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
+	versions = distinct(versions)
 	changed = !slices.Equal(versions, p.registered)
-	p.registered, p.open = versions, open
+	p.registered, p.open = versions, distinct(open)
 	for _, r := range p.recorded {
 		p.recordAbsence(now, r)
 	}
 	return changed
 }
 
+// distinct returns the versions in order, each once.
+func distinct(versions []string) []string {
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // recordAbsence notes since when a recorded version has had no target.
 func (p *poolSoftware) recordAbsence(now time.Time, r *recordedVersion) {
 	switch {
--- a/usage/service.go
+++ b/usage/service.go
@@ -47,7 +47,7 @@
 	// BeginWave records a wave of reports, which may be sent while MaySend returns true.
 	BeginWave(ctx context.Context) error
 	MaySend() bool
-	// Yield gives the tenure to another VM that can do the work.
+	// Yield gives the tenure to another VM that can do the work. It returns false if the store did not take that.
 	Yield(ctx context.Context) bool
 }
 
