--- a/review/_standin/case_stop.go
+++ b/review/_standin/case_stop.go
@@ -68,17 +68,15 @@
 	wg.Wait()
 }
 
-// wouldEnd returns when the sampler would have answered a request, had its channel not been closed; ok is false if none has run it.
+// wouldEnd returns when the first sampler to do so would have answered a request, had its channel not been closed; ok is false if none has run it.
 func (c *cluster) wouldEnd(id string, work map[string]time.Duration, mu *sync.Mutex) (end time.Time, ok bool) {
-	for tries := 0; tries < 50; tries++ { // the sampler may notice the end of the channel a little later
-		for _, r := range c.allRuns() {
-			if r.ID == id {
-				mu.Lock()
-				defer mu.Unlock()
-				return r.Started.Add(work[r.Path]), true
-			}
+	time.Sleep(500 * time.Millisecond) // a sampler may notice the end of the channel a little later
+	mu.Lock()
+	defer mu.Unlock()
+	for _, r := range c.allRuns() {
+		if done := r.Started.Add(work[r.Path]); r.ID == id && (!ok || done.Before(end)) {
+			end, ok = done, true
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	return time.Time{}, false
+	return end, ok
 }
