--- a/review/_standin/sampler_test.go
+++ b/review/_standin/sampler_test.go
@@ -20,15 +20,17 @@
 
 // run is one run of a request at a sampler, as the sampler saw it.
 type run struct {
-	ID, Path         string
-	From             int // events before the run, by Last-Event-Id
-	Events           int // events that were made
-	Versions         []int64
-	Started, Ended   time.Time
-	Complete, Reward bool
-	Impossible       bool // answered 422
-	Crashed          bool // the run crashed the sampler
-	Sampler, Service string
+	ID, Path string // the request target as it stood in the request line
+	// Method, Host, URLPath and Body are the request as a server reads it: of a target with a host, the path and query follow that host.
+	Method, Host, URLPath, Body string
+	From                        int // events before the run, by Last-Event-Id
+	Events                      int // events that were made
+	Versions                    []int64
+	Started, Ended              time.Time
+	Complete, Reward            bool
+	Impossible                  bool // answered 422
+	Crashed                     bool // the run crashed the sampler
+	Sampler, Service            string
 }
 
 // sampler is a stand-in of a model sampler (with models) or a plain service.
@@ -250,7 +252,7 @@
 	stamp := fmt.Sprintf("%s.%d.%s", x.id, x.stamps, id)
 	version, starts := x.versions[model], x.starts
 	x.mu.Unlock()
-	n := run{ID: id, Path: r.RequestURI, Started: time.Now(), Sampler: x.id, Service: x.service, Reward: model == ""}
+	n := run{ID: id, Path: r.RequestURI, Method: r.Method, Host: r.Host, URLPath: r.URL.RequestURI(), Body: string(body), Started: time.Now(), Sampler: x.id, Service: x.service, Reward: model == ""}
 	defer func() {
 		x.mu.Lock()
 		if x.starts == starts {
