--- a/review/_standin/case_version_test.go
+++ b/review/_standin/case_version_test.go
@@ -13,11 +13,12 @@
 	const (
 		groups, size = 8, 4
 		tokensOut    = 90 * 72
-		steps        = 5
+		steps        = 6
+		slots        = 6
 		downTime     = 4500 * time.Millisecond
 	)
 	for i := range 6 {
-		x := c.startSampler("drafting-models", "zone-"+string(rune('a'+i%3)), 8, model)
+		x := c.startSampler("drafting-models", "zone-"+string(rune('a'+i%3)), slots, model)
 		x.events = outputOf
 	}
 	for i := range 3 {
@@ -26,7 +27,7 @@
 	c.configure([]map[string]any{
 		{"Name": "r-rollout", "Host": host, "PathPrefix": "/pule252/", "Kind": "rollout", "TargetLatencyMs": 500, "RunDeadlineMs": 7500, "RetentionS": 40, "Priority": 0, "Service": "drafting-models", "MaxAttempts": 3, "SingleVersion": true},
 		{"Name": "r-score", "Host": host, "PathPrefix": "/pufi791/", "Kind": "idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 800, "Priority": 2, "Service": "errata-desk", "MaxAttempts": 4},
-	}, []map[string]any{engineService("drafting-models", 8), plainService("errata-desk")})
+	}, []map[string]any{engineService("drafting-models", slots), plainService("errata-desk")})
 	c.startVMs(3)
 	for step := range steps {
 		least := int64(max(1, step)) // versions are counted from 1, before the first that is named
@@ -48,38 +49,40 @@
 	}
 }
 
-// outputOf returns the number of events of an item: half of the groups have long outputs, the others short ones.
+// outputOf returns the number of events of an item: six of eight groups have long outputs, the others short ones.
 func outputOf(id string) int {
 	const long, short = 90, 20
-	if id[len(id)-3]%2 == 0 {
+	if id[len(id)-3]%4 != 0 {
 		return long
 	}
 	return short
 }
 
-// crashAnOlder crashes the busiest sampler of those with the older version, once another one with the newer version has free slots. If there
-// is none within three seconds, it crashes none.
+// crashAnOlder crashes the busiest sampler of those with the older version, once another one with the newer version has free slots, and the
+// others with the older version have fewer than the crash needs. If that does not come about within three seconds, it crashes none.
 func (c *cluster) crashAnOlder(downTime time.Duration) {
-	const minRuns, minFree = 4, 4
+	const minRuns = 4
 	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		newest, free := int64(0), 0
-		var older *sampler
-		most := 0
+		newerFree, olderFree, most, freeOfBusiest := 0, 0, 0, 0
+		var busiest *sampler
 		for _, x := range c.samplers {
 			x.mu.Lock()
-			if v := x.versions[model]; len(x.versions) > 0 && !x.down && x.loading == "" {
-				if n := x.slots - x.total(); v == c.named(model) && n >= minFree {
-					newest, free = v, n
-				}
-				if n := x.running[model]; v < c.named(model) && n >= minRuns && n > most && x.eventsMade > 10*n {
-					older, most = x, n
+			n, free := x.running[model], x.slots-x.total()
+			switch {
+			case len(x.versions) == 0 || x.down || x.loading != "":
+			case x.versions[model] == c.named(model):
+				newerFree += free
+			default:
+				olderFree += free
+				if n >= minRuns && n > most && x.eventsMade > 10*n {
+					busiest, most, freeOfBusiest = x, n, free
 				}
 			}
 			x.mu.Unlock()
 		}
-		if older != nil && newest > 0 {
-			c.note("a sampler with version %d has %d free slots", newest, free)
-			older.crash(downTime)
+		if busiest != nil && newerFree >= minRuns && olderFree-freeOfBusiest < most {
+			c.note("%d runs at a sampler with the older version; free slots: %d at others with it, %d with the newer one", most, olderFree-freeOfBusiest, newerFree)
+			busiest.crash(downTime)
 			return
 		}
 	}
