--- a/review/_standin/store_test.go
+++ b/review/_standin/store_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +19,8 @@
 	storeParts       = 12
 	storeRecordBytes = 262144
 	storeCallBytes   = 2097152
+	storePartBytes   = 200 << 20
+	storeBytes       = 400 << 20
 	storeAnswerTime  = 4 * time.Millisecond
 )
 
@@ -30,8 +33,30 @@
 	changed chan struct{}
 }
 
-// logPart is one partition; nothing expires within the two minutes of a case.
-type logPart struct{ records [][]byte }
+// logPart is one partition. Its oldest records expire when it holds more than storePartBytes; none is RetentionS old within the two minutes
+// of a case.
+type logPart struct {
+	records [][]byte
+	first   int64 // offset of the first record that is retained
+	bytes   int
+	// expiredAt is when the first record expired.
+	expiredAt time.Time
+}
+
+func (p *logPart) end() int64 { return p.first + int64(len(p.records)) }
+
+// expire drops the oldest records until the partition holds no more than n bytes.
+func (p *logPart) expire(n int) {
+	if p.bytes > n && p.expiredAt.IsZero() {
+		p.expiredAt = time.Now()
+	}
+	for p.bytes > n {
+		p.bytes -= len(p.records[0])
+		p.records[0] = nil
+		p.records = p.records[1:]
+		p.first++
+	}
+}
 
 func startStore(ip string) *store {
 	s := &store{topics: map[string][]*logPart{}, changed: make(chan struct{})}
@@ -59,9 +84,23 @@
 	return s.topics[topic][n]
 }
 
+// bytes returns how much is stored. The caller holds the lock.
+func (s *store) bytes() int {
+	n := 0
+	for _, parts := range s.topics {
+		for _, p := range parts {
+			n += p.bytes
+		}
+	}
+	return n
+}
+
 // add appends records and ends the waits of reads. The caller holds the lock.
 func (s *store) add(p *logPart, records [][]byte) {
 	p.records = append(p.records, records...)
+	for _, r := range records {
+		p.bytes += len(r)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -112,12 +151,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part(q.Get("Topic"), n)
-	end := int64(len(p.records))
+	end := p.end()
 	if at := q.Get("At"); at != "" && at != strconv.FormatInt(end, 10) {
 		reply(w, http.StatusPreconditionFailed, map[string]int64{"EndOffset": end})
 		return
 	}
+	if s.bytes()+total > storeBytes {
+		reply(w, http.StatusInsufficientStorage, map[string]string{"why": "full"})
+		return
+	}
 	s.add(p, records)
+	if !strings.HasPrefix(q.Get("Topic"), "keyed.") {
+		p.expire(storePartBytes)
+	}
 	reply(w, http.StatusOK, map[string]int64{"Offset": end, "EndOffset": end + int64(len(records))})
 }
 
@@ -136,15 +182,19 @@
 	for timedOut := wait == 0; ; {
 		s.mu.Lock()
 		p, changed := s.part(q.Get("Topic"), n), s.changed
-		end := int64(len(p.records))
+		first, end := p.first, p.end()
 		var records [][]byte
-		if from < end {
-			records = p.records[from:]
+		if from >= first && from < end {
+			records = p.records[from-first:]
 		}
 		s.mu.Unlock()
+		if from < first {
+			reply(w, http.StatusGone, map[string]int64{"FirstOffset": first})
+			return
+		}
 		if len(records) > 0 || timedOut {
 			out := binary.BigEndian.AppendUint64(nil, uint64(end))
-			out = binary.BigEndian.AppendUint64(out, 0)
+			out = binary.BigEndian.AppendUint64(out, uint64(first))
 			for i, rec := range records {
 				if i > 0 && len(out)+len(rec) > maxKb<<10 {
 					break
@@ -181,7 +231,7 @@
 			byKey[key] = item{key, base64.StdEncoding.EncodeToString(value), int64(i)}
 		}
 	}
-	end := int64(len(p.records))
+	end := p.end()
 	s.mu.Unlock()
 	items := []item{}
 	for _, it := range byKey {
