batch: texts beyond half of what the store keeps of a partition overflow into further ones

Cause: all texts of a pool were in one partition of the store, and nothing read how much of a partition it keeps (PartMb). At 3 MB a second the partition was full after 63 s, and its oldest records expired while they were needed. Ruled out: other failures of reads (each logs the TruncatedError), retention by time (no record was older than 100 s).

Change: the index tells the size of data, each reader adds up the recent data by part; from half of the bound on, texts go to partitions of a topic of their own, unfinished texts to a partition of their own, large submissions to one selected by their ID. The holder deletes what no batch needs while data overflows, as the store is limited in all, too. Why it works: what is appended to a part within the time for which its records are needed stays below the bound.

--- a/batch/data_partition.go
+++ b/batch/data_partition.go
@@ -24,10 +24,10 @@
 	maxReadBytes = 1 << 20
 )
 
-// dataPartition reads the data partition that belongs to an index partition. It caches recently written and read records.
+// dataPartition reads the data of an index partition by location. It caches recently written and read records.
 type dataPartition struct {
 	store store.Log
-	id    store.Partition
+	index int
 
 	mu          sync.Mutex
 	records     map[int64][]byte
@@ -36,18 +36,31 @@
 }
 
 func newDataPartition(log store.Log, partition int) *dataPartition {
-	return &dataPartition{store: log, id: store.Partition{Topic: dataTopic, Index: partition}, records: map[int64][]byte{}}
+	return &dataPartition{store: log, index: partition, records: map[int64][]byte{}}
 }
 
-// cache adds a record and evicts the oldest ones beyond cacheBytes.
-func (d *dataPartition) cache(offset int64, record []byte) {
+// read returns records from a location on, about maxBytes in total. Locations in the reply and in a *store.TruncatedError are of the same
+// part.
+func (d *dataPartition) read(ctx context.Context, from int64, maxBytes int) (store.Batch, error) {
+	part := partOf(from)
+	b, err := d.store.Read(ctx, dataPart(d.index, part), offsetOf(from), 0, maxBytes)
+	var truncated *store.TruncatedError
+	if errors.As(err, &truncated) {
+		return store.Batch{}, &store.TruncatedError{First: location(part, truncated.First)}
+	}
+	b.From, b.End = location(part, b.From), location(part, b.End)
+	return b, err
+}
+
+// cache adds the record at a location and evicts the oldest ones beyond cacheBytes.
+func (d *dataPartition) cache(at int64, record []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.records[offset]; ok || len(record) > cacheBytes {
+	if _, ok := d.records[at]; ok || len(record) > cacheBytes {
 		return
 	}
-	d.records[offset] = record
-	d.order = append(d.order, offset)
+	d.records[at] = record
+	d.order = append(d.order, at)
 	for d.cachedBytes += len(record); d.cachedBytes > cacheBytes; {
 		oldest := d.order[0]
 		d.order = d.order[1:]
@@ -56,25 +69,25 @@
 	}
 }
 
-func (d *dataPartition) cached(offset int64) ([]byte, bool) {
+func (d *dataPartition) cached(at int64) ([]byte, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, ok := d.records[offset]
+	r, ok := d.records[at]
 	return r, ok
 }
 
-// get returns the record at offset. ahead is the number of records from offset on that are expected to be needed;
+// get returns the record at a location. ahead is the number of records from there on that are expected to be needed;
 // they are read and cached together.
-func (d *dataPartition) get(ctx context.Context, offset int64, ahead int) ([]byte, error) {
-	if r, ok := d.cached(offset); ok {
+func (d *dataPartition) get(ctx context.Context, at int64, ahead int) ([]byte, error) {
+	if r, ok := d.cached(at); ok {
 		return r, nil
 	}
-	b, err := d.store.Read(ctx, d.id, offset, 0, min(maxReadBytes, max(1, ahead)*typicalTextBytes))
+	b, err := d.read(ctx, at, min(maxReadBytes, max(1, ahead)*typicalTextBytes))
 	if err != nil {
-		return nil, fmt.Errorf("data of partition %d at offset %d: %w", d.id.Index, offset, err)
+		return nil, fmt.Errorf("data of partition %d, part %d, at offset %d: %w", d.index, partOf(at), offsetOf(at), err)
 	}
 	if len(b.Records) == 0 {
-		return nil, fmt.Errorf("data of partition %d ends before offset %d", d.id.Index, offset)
+		return nil, fmt.Errorf("data of partition %d, part %d, ends before offset %d", d.index, partOf(at), offsetOf(at))
 	}
 	for i := len(b.Records) - 1; i >= 0; i-- {
 		d.cache(b.From+int64(i), b.Records[i])
@@ -155,7 +168,7 @@
 	return data, true
 }
 
-// readRecords returns the records of spans by offset, without those that the log has truncated. Spans near each other are
+// readRecords returns the records of spans by location, without those that the log has truncated. Spans near each other are
 // read together, and several reads run at a time: after the loss of a holder its successor needs hundreds of
 // small records before it can continue.
 func (d *dataPartition) readRecords(ctx context.Context, spans []span) (map[int64][]byte, error) {
@@ -166,17 +179,17 @@
 	for _, s := range mergeSpans(spans) {
 		group.Go(func() error {
 			for next, end := s.Offset, s.Offset+int64(s.Count); next < end; {
-				b, err := d.store.Read(ctx, d.id, next, 0, int(min(end-next, maxReadBytes/typicalTextBytes))*typicalTextBytes)
+				b, err := d.read(ctx, next, int(min(end-next, maxReadBytes/typicalTextBytes))*typicalTextBytes)
 				var truncated *store.TruncatedError
 				if errors.As(err, &truncated) && truncated.First > next {
 					next = truncated.First
 					continue
 				}
 				if err != nil {
-					return fmt.Errorf("data of partition %d at offset %d: %w", d.id.Index, next, err)
+					return fmt.Errorf("data of partition %d, part %d, at offset %d: %w", d.index, partOf(next), offsetOf(next), err)
 				}
 				if len(b.Records) == 0 {
-					return fmt.Errorf("data of partition %d ends before offset %d", d.id.Index, next)
+					return fmt.Errorf("data of partition %d, part %d, ends before offset %d", d.index, partOf(next), offsetOf(next))
 				}
 				mu.Lock()
 				for i, r := range b.Records {
--- a/batch/index.go
+++ b/batch/index.go
@@ -21,10 +21,19 @@
 	ended     bool
 	// savedParts are the data records of unfinished texts by item, in the order of the index.
 	savedParts map[string][]span
+	// dataBytes is the size of all data that were appended for the submission, by part.
+	dataBytes map[int]int64
 }
 
 func (s *submissionState) done() bool { return s.ended || len(s.results) >= s.itemCount }
 
+// countData adds the size of the data that were appended with a record.
+func (s *submissionState) countData(r *record) {
+	if r.DataBytes > 0 {
+		s.dataBytes[r.dataPart()] += r.DataBytes
+	}
+}
+
 // setItems sets the items after they have been read from the data topic.
 func (s *submissionState) setItems(items []Item) {
 	s.items = make(map[string]*Item, len(items))
@@ -74,6 +83,9 @@
 		return false, fmt.Errorf("record at offset %d: %w", offset, err)
 	}
 	sub := ix.submissions[r.ID]
+	if sub != nil {
+		sub.countData(&r)
+	}
 	switch r.Kind {
 	case recordSubmit:
 		if r.Head == nil || len(r.Items) == 0 || r.Total < 1 || r.Head.ID != r.ID {
@@ -82,9 +94,12 @@
 		if sub != nil {
 			return false, nil // the first submission with an ID wins
 		}
-		ix.submissions[r.ID] = &submissionState{
+		sub = &submissionState{
 			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, savedParts: map[string][]span{},
+			dataBytes: map[int]int64{},
 		}
+		sub.countData(&r)
+		ix.submissions[r.ID] = sub
 		ix.order = append(ix.order, r.ID)
 		return true, nil
 	case recordResult:
@@ -93,12 +108,13 @@
 		}
 		return sub != nil && ix.addResult(sub, r.Result), nil
 	case recordProgress:
-		if r.SavedParts == nil {
+		saved := r.saved()
+		if saved == nil {
 			return false, fmt.Errorf("record at offset %d: the progress record has no saved parts", offset)
 		}
 		if sub != nil && !sub.done() {
-			for i, data := range r.SavedParts.spans() {
-				if item := r.SavedParts.Items[i]; !sub.hasResult[item] {
+			for i, data := range saved.spans() {
+				if item := saved.Items[i]; !sub.hasResult[item] {
 					sub.savedParts[item] = append(sub.savedParts[item], data)
 				}
 			}
@@ -182,6 +198,53 @@
 	return expired
 }
 
+// dataSince returns the bytes of data by part that submissions accepted since then have appended.
+func (ix *indexState) dataSince(since time.Time, parts int) []int64 {
+	out := make([]int64, parts)
+	for _, sub := range ix.submissions {
+		if sub.head.AcceptedMs < since.UnixMilli() {
+			continue
+		}
+		for part, n := range sub.dataBytes {
+			if part < parts {
+				out[part] += n
+			}
+		}
+	}
+	return out
+}
+
+// neededData returns, by part, the first location to which a submission refers that has not ended or was accepted since then.
+func (ix *indexState) neededData(since time.Time) map[int]int64 {
+	first := map[int]int64{}
+	need := func(s span) {
+		part := partOf(s.Offset)
+		if at, ok := first[part]; s.Count > 0 && (!ok || s.Offset < at) {
+			first[part] = s.Offset
+		}
+	}
+	for _, sub := range ix.submissions {
+		if sub.ended && sub.head.AcceptedMs < since.UnixMilli() {
+			continue
+		}
+		for i := range sub.results {
+			need(sub.results[i].Text)
+		}
+		if sub.done() {
+			continue
+		}
+		for _, s := range sub.itemSpans {
+			need(s)
+		}
+		for _, parts := range sub.savedParts {
+			for _, s := range parts {
+				need(s)
+			}
+		}
+	}
+	return first
+}
+
 // partialText is an unfinished text as read from the log.
 type partialText struct {
 	events   []string
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -32,6 +32,8 @@
 	id        store.Partition
 	log       *slog.Logger
 	retention time.Duration
+	// readable is how long after its acceptance the results of a submission must stay readable.
+	readable time.Duration
 
 	mu          sync.Mutex
 	index       *indexState
--- a/batch/record.go
+++ b/batch/record.go
@@ -23,7 +23,7 @@
 	recordProgress recordKind = "progress"
 )
 
-// span identifies consecutive records of the data partition that has the same number as the index partition.
+// span identifies consecutive data records of the index partition. Offset is the location of the first.
 type span struct {
 	Offset int64 `json:"offset"`
 	Count  int   `json:"count"`
@@ -39,8 +39,33 @@
 	Items []span `json:"items,omitempty"`
 	// Result is set in results.
 	Result *resultMeta `json:"result,omitempty"`
-	// SavedParts is set in progress records.
-	SavedParts *savedParts `json:"saved_parts,omitempty"`
+	// SavedParts is set in progress records whose data are in the main part, OverflowParts in the others: a build that knows the main
+	// part only ignores these, and generates the texts again.
+	SavedParts    *savedParts `json:"saved_parts,omitempty"`
+	OverflowParts *savedParts `json:"overflow_parts,omitempty"`
+	// DataBytes is the size of the data that were appended with the record, in bytes; 0 if there are none or the writer did not tell.
+	DataBytes int64 `json:"data_bytes,omitempty"`
+}
+
+// saved returns the saved parts of a progress record; nil if it has none.
+func (r *record) saved() *savedParts {
+	if r.OverflowParts != nil {
+		return r.OverflowParts
+	}
+	return r.SavedParts
+}
+
+// dataPart returns the part that holds the data that were appended with the record.
+func (r *record) dataPart() int {
+	switch {
+	case len(r.Items) > 0:
+		return partOf(r.Items[0].Offset)
+	case r.Result != nil:
+		return partOf(r.Result.Text.Offset)
+	case r.saved() != nil:
+		return partOf(r.saved().Offset)
+	}
+	return mainPart
 }
 
 // resultMeta is a result without its text.
--- a/batch/results.go
+++ b/batch/results.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ibistrail/ibistrail/organisation"
+	"github.com/ibistrail/ibistrail/store"
 )
 
 // find returns the partition that holds a submission of the caller's organisation. It returns ErrNotFound only after all partitions were read
@@ -89,7 +91,7 @@
 		case page == nil:
 			return nil, ErrNotFound
 		case len(results) > 0:
-			return p.fillPage(ctx, page, results, maxBytes)
+			return p.fillPage(ctx, id, page, results, maxBytes)
 		case timedOut || !open:
 			return p.pageAfterSync(ctx, id, after, maxBytes)
 		}
@@ -113,17 +115,29 @@
 	if page == nil {
 		return nil, ErrNotFound
 	}
-	return p.fillPage(ctx, page, results, maxBytes)
+	return p.fillPage(ctx, id, page, results, maxBytes)
 }
 
-// fillPage adds results with their texts to a page.
-func (p *partition) fillPage(ctx context.Context, page *Page, results []resultMeta, maxBytes int) (*Page, error) {
+// fillPage adds results with their texts to a page. It returns ErrNotFound if the store no longer has them and needs no longer have them.
+func (p *partition) fillPage(ctx context.Context, id string, page *Page, results []resultMeta, maxBytes int) (*Page, error) {
 	if err := p.data.addTexts(ctx, page, results, maxBytes); err != nil {
+		var truncated *store.TruncatedError
+		if errors.As(err, &truncated) && p.outlived(id, time.Now()) {
+			return nil, ErrNotFound
+		}
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 	}
 	return page, nil
 }
 
+// outlived reports whether a submission has ended and the time for which its results must stay readable is over.
+func (p *partition) outlived(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sub := p.index.submissions[id]
+	return sub == nil || sub.ended && sub.head.AcceptedMs < now.Add(-p.readable).UnixMilli()
+}
+
 // resultsAfter returns an empty page, at most maxPageResults results that begin at position after, whether the
 // submission is still open, and a channel that is closed at the next change. The page is nil if there is no such
 // submission.
--- a/batch/service.go
+++ b/batch/service.go
@@ -37,6 +37,8 @@
 	Partitions int
 	// MaxRecordBytes limits a record of the log, MaxAppendBytes all records of one append, in bytes.
 	MaxRecordBytes, MaxAppendBytes int
+	// PartitionBytes is how much of a partition the store keeps, in bytes; 0 if that is unlimited.
+	PartitionBytes int64
 	// Retention is how long submissions stay readable after their acceptance.
 	Retention time.Duration
 	Log       *slog.Logger
@@ -69,10 +71,14 @@
 	s := &Service{opts: o, ctx: ctx, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
 	for i := range o.Partitions {
 		id, dp := store.Partition{Topic: IndexTopic, Index: i}, newDataPartition(o.Store, i)
-		s.partitions = append(s.partitions, &partition{
-			store: o.Store, id: id, data: dp, log: o.Log, retention: 2 * o.Retention, index: newIndexState(), changed: make(chan struct{}), wake: s.runner.wake,
+		p := &partition{
+			store: o.Store, id: id, data: dp, log: o.Log, retention: 2 * o.Retention, readable: o.Retention, index: newIndexState(), changed: make(chan struct{}), wake: s.runner.wake,
+		}
+		s.partitions = append(s.partitions, p)
+		s.writers = append(s.writers, &writer{
+			store: o.Store, index: id, data: dp, log: o.Log, maxAppendBytes: o.MaxAppendBytes,
+			parts: newDataParts(o.Store, p, o.PartitionBytes, o.Partitions),
 		})
-		s.writers = append(s.writers, &writer{store: o.Store, index: id, data: dp, log: o.Log, maxAppendBytes: o.MaxAppendBytes})
 	}
 	s.runner.appendResult = s.appendResult
 	s.runner.appendProgress = s.appendProgress
@@ -125,8 +131,14 @@
 func (s *Service) appendParts(p *partition, submissionID string, parts []*Progress) {
 	saved := &savedParts{}
 	entry := pending{
-		record:  record{Kind: recordProgress, ID: submissionID, SavedParts: saved},
-		setSpan: func(_ *record, data span) { saved.Offset = data.Offset },
+		record: record{Kind: recordProgress, ID: submissionID}, progress: true,
+		setSpan: func(r *record, data span) {
+			if saved.Offset = data.Offset; partOf(data.Offset) == mainPart {
+				r.SavedParts = saved
+			} else {
+				r.OverflowParts = saved
+			}
+		},
 	}
 	var counts []int
 	for _, part := range parts {
@@ -223,13 +235,15 @@
 // accept writes a submission's items and then its index record, which makes it valid.
 func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte) error {
 	var items []span
+	var dataBytes int64
+	part := s.writers[p.id.Index].parts.chooseItems(sub.ID, parts)
 	for len(parts) > 0 {
 		n, size := 0, 0
 		for n < len(parts) && (n == 0 || size+len(parts[n])+recordLengthBytes <= s.opts.MaxAppendBytes) {
 			size += len(parts[n]) + recordLengthBytes
 			n++
 		}
-		offset, err := s.appendAll(ctx, p.data.id, parts[:n])
+		offset, err := s.appendAll(ctx, dataPart(p.id.Index, part), parts[:n])
 		if errors.Is(err, ErrOutcomeUnknown) {
 			// Items without an index record have no effect.
 			return &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
@@ -237,11 +251,14 @@
 		if err != nil {
 			return err
 		}
-		items = append(items, span{Offset: offset, Count: n})
+		items = append(items, span{Offset: location(part, offset), Count: n})
+		for _, r := range parts[:n] {
+			dataBytes += int64(len(r))
+		}
 		parts = parts[n:]
 	}
 	r, err := json.Marshal(record{
-		Kind: recordSubmit, ID: sub.ID, Head: &sub.Head, Total: len(sub.Items), Items: items,
+		Kind: recordSubmit, ID: sub.ID, Head: &sub.Head, Total: len(sub.Items), Items: items, DataBytes: dataBytes,
 	})
 	if err != nil {
 		return err
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -26,6 +26,8 @@
 	// data is appended first, then setSpan stores its span in the record. Both are nil if the record has no data.
 	data    [][]byte
 	setSpan func(r *record, s span)
+	// progress is set if the data are unfinished texts.
+	progress bool
 }
 
 // size returns the approximate size of the record and its data in bytes.
@@ -43,6 +45,7 @@
 	store          store.Log
 	index          store.Partition
 	data           *dataPartition
+	parts          *dataParts
 	log            *slog.Logger
 	maxAppendBytes int
 
@@ -114,23 +117,11 @@
 
 // write appends the data of a batch of records and then the records.
 func (w *writer) write(ctx context.Context, batch []pending) {
-	var data [][]byte
-	for _, p := range batch {
-		data = append(data, p.data...)
-	}
-	offset := int64(0)
-	if len(data) > 0 {
-		offset = w.appendUntilDone(ctx, w.data.id, data)
-	}
+	textPart, progressPart := w.parts.choose()
+	w.writeData(ctx, batch, textPart, func(p *pending) bool { return !p.progress })
+	w.writeData(ctx, batch, progressPart, func(p *pending) bool { return p.progress })
 	records := make([][]byte, 0, len(batch))
 	for _, p := range batch {
-		if p.data != nil {
-			p.setSpan(&p.record, span{Offset: offset, Count: len(p.data)})
-			for _, d := range p.data {
-				w.data.cache(offset, d)
-				offset++
-			}
-		}
 		r, err := json.Marshal(p.record)
 		if err != nil {
 			w.log.Error("record_lost", "partition", w.index.Index, "batch", p.record.ID, "err", err)
@@ -141,6 +132,34 @@
 	w.appendUntilDone(ctx, w.index, records)
 }
 
+// writeData appends the data of the selected records to a part and stores their spans in the records.
+func (w *writer) writeData(ctx context.Context, batch []pending, part int, selected func(*pending) bool) {
+	var data [][]byte
+	for i := range batch {
+		if selected(&batch[i]) {
+			data = append(data, batch[i].data...)
+		}
+	}
+	if len(data) == 0 {
+		return
+	}
+	at, size := location(part, w.appendUntilDone(ctx, dataPart(w.index.Index, part), data)), int64(0)
+	for i := range batch {
+		p := &batch[i]
+		if p.data == nil || !selected(p) {
+			continue
+		}
+		p.setSpan(&p.record, span{Offset: at, Count: len(p.data)})
+		for _, d := range p.data {
+			w.data.cache(at, d)
+			p.record.DataBytes += int64(len(d))
+			at++
+		}
+		size += p.record.DataBytes
+	}
+	w.parts.appended(ctx, size, at)
+}
+
 // appendUntilDone retries an append until it succeeds or ctx ends, and returns the offset of the first record.
 func (w *writer) appendUntilDone(ctx context.Context, id store.Partition, records [][]byte) int64 {
 	var outage process.Outage
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -25,7 +25,9 @@
 	Partitions int
 	// RecordBytes and CallBytes limit one record and all records of one append, in bytes.
 	RecordBytes, CallBytes int
-	Cores                  int
+	// PartitionBytes is how much of a partition the store keeps, in bytes; 0 if that is unlimited.
+	PartitionBytes int64
+	Cores          int
 	// CPUShare is the fraction of each core that the VM may use.
 	CPUShare    float64
 	MemoryBytes int64
--- a/fake/errata/store.go
+++ b/fake/errata/store.go
@@ -31,6 +31,9 @@
 	IgnoreLongPollWakeups bool
 	// Partitions is the number of partitions of each topic.
 	Partitions int
+	// PartitionBytes and TotalBytes limit what a partition and the store hold; 0 means no limit. The oldest records of a full partition
+	// expire; a full store refuses appends.
+	PartitionBytes, TotalBytes int
 
 	URL      string
 	server   *httptest.Server
@@ -43,6 +46,20 @@
 type partition struct {
 	first   int64
 	records [][]byte
+	bytes   int
+}
+
+// dropFirst deletes the n oldest records.
+func (p *partition) dropFirst(n int64) {
+	for _, r := range p.records[:n] {
+		p.bytes -= len(r)
+	}
+	p.first, p.records = p.first+n, p.records[n:]
+}
+
+// trim deletes the records before an offset.
+func (p *partition) trim(before int64) {
+	p.dropFirst(min(max(0, before-p.first), int64(len(p.records))))
 }
 
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
@@ -54,6 +71,7 @@
 	mux.HandleFunc("POST /v1/log-append", s.append)
 	mux.HandleFunc("GET /v1/log-read", s.read)
 	mux.HandleFunc("GET /v1/log-newest", s.readNewest)
+	mux.HandleFunc("POST /v1/log-trim", s.trim)
 	s.server = httptest.NewServer(mux)
 	s.URL = s.server.URL
 	return s
@@ -87,9 +105,7 @@
 func (s *Store) Truncate(topic string, part int, before int64) {
 	s.Lock()
 	defer s.Unlock()
-	p := s.partitionOf(topic, part)
-	n := min(max(0, before-p.first), int64(len(p.records)))
-	p.first, p.records = p.first+n, p.records[n:]
+	s.partitionOf(topic, part).trim(before)
 }
 
 // Appended returns how many records have been appended to a topic.
@@ -112,6 +128,12 @@
 // appendRecords appends records and wakes up waiting reads. The caller holds the lock.
 func (s *Store) appendRecords(p *partition, topic string, records [][]byte) {
 	p.records = append(p.records, records...)
+	for _, r := range records {
+		p.bytes += len(r)
+	}
+	for s.PartitionBytes > 0 && p.bytes > s.PartitionBytes && !strings.HasPrefix(topic, "keyed.") {
+		p.dropFirst(1)
+	}
 	s.appended[topic] += len(records)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -185,6 +207,11 @@
 		return
 	}
 	offset := p.end()
+	if s.TotalBytes > 0 && s.bytes()+len(body) > s.TotalBytes {
+		s.Unlock()
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
 	s.appendRecords(p, q.Get("Topic"), records)
 	lost := s.takeLostAnswer()
 	s.Unlock()
@@ -195,6 +222,34 @@
 	writeJSON(w, http.StatusOK, map[string]int64{"Offset": offset, "EndOffset": offset + int64(len(records))})
 }
 
+// bytes returns the size of all records. The caller holds the lock.
+func (s *Store) bytes() int {
+	n := 0
+	for _, parts := range s.topics {
+		for _, p := range parts {
+			n += p.bytes
+		}
+	}
+	return n
+}
+
+func (s *Store) trim(w http.ResponseWriter, r *http.Request) {
+	if s.handleFault(w, r) {
+		return
+	}
+	var call struct {
+		Topic  string
+		Part   int `json:"part"`
+		Before int64
+	}
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.Truncate(call.Topic, call.Part, call.Before)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
 	if s.handleFault(w, r) {
 		return
--- a/origins/memory_store_test.go
+++ b/origins/memory_store_test.go
@@ -43,6 +43,8 @@
 	panic("not used")
 }
 
+func (s *memoryStore) Trim(context.Context, store.Partition, int64) error { panic("not used") }
+
 func (s *memoryStore) Read(_ context.Context, _ store.Partition, from int64, _ time.Duration, _ int) (store.Batch, error) {
 	unlock, err := s.lock()
 	defer unlock()
--- a/store/store.go
+++ b/store/store.go
@@ -68,6 +68,8 @@
 	// Read returns records from offset from on, about maxBytes in total. If there are none, it waits
 	// for at most wait. If the record at from has expired, it returns a *TruncatedError.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration, maxBytes int) (Batch, error)
+	// Trim deletes the records of a partition before an offset.
+	Trim(ctx context.Context, p Partition, before int64) error
 	// AppendKeyed atomically appends records to a compacted topic; their offsets are ignored.
 	AppendKeyed(ctx context.Context, topic string, records []KeyedRecord) error
 	// AppendKeyedAt is like AppendKeyed if the topic ends at offset end. Otherwise it returns a *ConflictError.
