batch: a batch that is sent again after its route has moved to another pool is accepted once

Cause: the partition of a submission follows from the pool of its route, and the first record with an ID held within a partition only. Ruled out: a second copy in one partition (ignored by the index), a lost answer (both were answered 202).

Change: fleet remembers moves of batch routes; for 30 s after one, a VM that takes a submission writes a moved record with its ID to the former partitions and reads them to the end. The first record with an ID decides there, also for VMs that don't know of the move yet. A VM that has just started reads the other partitions first. Why it works: for each ID there is one partition in which all VMs see the same first record, and the others refer to it.

Without a move no read more per submission (test).

--- a/batch/index.go
+++ b/batch/index.go
@@ -65,10 +65,12 @@
 	// order holds the IDs of the submissions in the order of acceptance.
 	order         []string
 	resultsByItem map[ownedItem]itemResult
+	// moved holds where submissions with an ID are that is void in this partition.
+	moved map[string]movedTo
 }
 
 func newIndexState() *indexState {
-	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[ownedItem]itemResult{}}
+	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[ownedItem]itemResult{}, moved: map[string]movedTo{}}
 }
 
 // apply applies the record at offset and reports whether submissions or results changed. Records before next were
@@ -91,8 +93,8 @@
 		if r.Head == nil || len(r.Items) == 0 || r.Total < 1 || r.Head.ID != r.ID {
 			return false, fmt.Errorf("record at offset %d: the submission lacks its head, items or total, or has another ID in its head", offset)
 		}
-		if sub != nil {
-			return false, nil // the first submission with an ID wins
+		if _, moved := ix.moved[r.ID]; sub != nil || moved {
+			return false, nil // the first record with an ID wins
 		}
 		sub = &submissionState{
 			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, savedParts: map[string][]span{},
@@ -102,6 +104,14 @@
 		ix.submissions[r.ID] = sub
 		ix.order = append(ix.order, r.ID)
 		return true, nil
+	case recordMoved:
+		if r.MovedTo == nil {
+			return false, fmt.Errorf("record at offset %d: the moved record has no partition", offset)
+		}
+		if _, moved := ix.moved[r.ID]; sub == nil && !moved {
+			ix.moved[r.ID] = *r.MovedTo
+		}
+		return false, nil
 	case recordResult:
 		if r.Result == nil {
 			return false, fmt.Errorf("record at offset %d: the result record has no result", offset)
@@ -195,6 +205,11 @@
 		kept = append(kept, id)
 	}
 	ix.order = kept
+	for id, m := range ix.moved {
+		if m.AtMs < before.UnixMilli() {
+			delete(ix.moved, id)
+		}
+	}
 	return expired
 }
 
--- /dev/null
+++ b/batch/moved_route_test.go
@@ -0,0 +1,196 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/organisation"
+	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/store"
+)
+
+// memoryLog keeps partitions in memory. refuse tells which appends it refuses; it may be nil.
+type memoryLog struct {
+	store.Log
+	mu         sync.Mutex
+	partitions map[store.Partition][][]byte
+	refuse     func(store.Partition) bool
+}
+
+func (l *memoryLog) Append(_ context.Context, p store.Partition, records [][]byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse != nil && l.refuse(p) {
+		return 0, store.ErrUnavailable
+	}
+	at := int64(len(l.partitions[p]))
+	l.partitions[p] = append(l.partitions[p], records...)
+	return at, nil
+}
+
+func (l *memoryLog) Read(_ context.Context, p store.Partition, from int64, _ time.Duration, _ int) (store.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := int64(len(l.partitions[p]))
+	return store.Batch{From: from, Records: l.partitions[p][min(from, end):], End: end}, nil
+}
+
+func (l *memoryLog) setRefuse(refuse func(store.Partition) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = refuse
+}
+
+// routeVM is a VM with tables of its own, whose only batch route moves between pools.
+type routeVM struct {
+	*Service
+	directory *fleet.Directory
+	version   int64
+}
+
+func newRouteVM(t *testing.T, log store.Log, pool string, restarted bool) *routeVM {
+	v := &routeVM{directory: fleet.NewDirectory(), Service: New(t.Context(), Options{
+		Partitions: 12, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20, Retention: time.Minute, Restarted: restarted, Store: log, View: fleet.NewView(),
+		Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics(),
+	})}
+	v.move(pool)
+	return v
+}
+
+// move makes the VM know tables in which the route goes to a pool.
+func (v *routeVM) move(pool string) {
+	v.version++
+	v.directory.SetTables(time.Now(), &fleet.Tables{Version: v.version, Routes: []fleet.Route{
+		{Route: config.Route{Name: "r", PathPrefix: "/r/", Pool: pool}, Host: "h", Batch: true},
+	}})
+	v.opts.View.Set(&fleet.Snapshot{Tables: v.directory.Tables(), RouteMoves: v.directory.RouteMoves()})
+}
+
+// submit submits a batch as the route of this VM's tables tells.
+func (v *routeVM) submit(t *testing.T, id string) error {
+	return v.Submit(t.Context(), v.opts.View.Get().Tables.Match("h", "/r/"+id), &Submission{
+		Head: Head{ID: id, Host: "h", Path: "/r/" + id, AcceptedMs: time.Now().UnixMilli()}, Items: []Item{{ID: "i", Path: "/i"}},
+	})
+}
+
+// poolsInOrder returns three pools whose partitions have ascending or descending numbers.
+func poolsInOrder(ascending bool) (pools [3]string) {
+	n := 0
+	for i := 0; n < len(pools); i++ {
+		name := fmt.Sprintf("pool-%d", i)
+		want := 4 * n
+		if !ascending {
+			want = 11 - 4*n
+		}
+		if PartitionOf(name, 12).Index == want {
+			pools[n] = name
+			n++
+		}
+	}
+	return pools
+}
+
+// copies returns the partitions that hold the submission of an ID for all who read them to the end.
+func copies(t *testing.T, log store.Log, id string) (partitions []int) {
+	reader := newRouteVM(t, log, "any", false)
+	for i, p := range reader.partitions {
+		if err := p.sync(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if p.index.submissions[id] != nil {
+			partitions = append(partitions, i)
+		}
+	}
+	return partitions
+}
+
+// TestBatchIsAcceptedOnceAlthoughItsRouteMoves guards against a batch that is run twice: it is sent again after its route has moved to
+// another pool.
+func TestBatchIsAcceptedOnceAlthoughItsRouteMoves(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// play submits the batch several times at VMs that know of the moves or not.
+		play func(t *testing.T, is *is.I, log *memoryLog, pools [3]string)
+	}{
+		{"sent again after the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			is.NoErr(a.submit(t, "b"))
+			b.move(pools[1])
+			is.NoErr(b.submit(t, "b"))
+		}},
+		{"sent again to a VM that does not know of the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, late := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a.move(pools[1])
+			is.NoErr(a.submit(t, "b"))
+			is.NoErr(late.submit(t, "b"))
+		}},
+		{"moved twice", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a.move(pools[1])
+			is.NoErr(a.submit(t, "b"))
+			b.move(pools[1])
+			b.move(pools[2])
+			is.NoErr(b.submit(t, "b"))
+		}},
+		{"moved and moved back", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a.move(pools[1])
+			is.NoErr(a.submit(t, "b"))
+			b.move(pools[1])
+			b.move(pools[0])
+			is.NoErr(b.submit(t, "b"))
+		}},
+		{"sent again to a VM that started after the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a := newRouteVM(t, log, pools[0], false)
+			is.NoErr(a.submit(t, "b"))
+			is.NoErr(newRouteVM(t, log, pools[1], true).submit(t, "b"))
+		}},
+		{"refused after the move and sent to a VM that does not know of it", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, late := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a.move(pools[1])
+			target := PartitionOf(pools[1], 12).Index
+			log.setRefuse(func(p store.Partition) bool { return p.Index == target })
+			is.True(errors.Is(a.submit(t, "b"), ErrOutcomeUnknown)) // no promise that nothing runs
+			is.NoErr(late.submit(t, "b"))                           // a promise, although the copy has no effect
+			is.Equal(len(copies(t, log, "b")), 0)
+			log.setRefuse(nil)
+			for deadline := time.Now().Add(5 * time.Second); len(copies(t, log, "b")) == 0; time.Sleep(20 * time.Millisecond) {
+				is.True(time.Now().Before(deadline)) // the first VM accepts it after all
+			}
+		}},
+	} {
+		for _, ascending := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/ascending=%v", tc.name, ascending), func(t *testing.T) {
+				is := is.New(t)
+				log := &memoryLog{partitions: map[store.Partition][][]byte{}}
+				tc.play(t, is, log, poolsInOrder(ascending))
+				is.Equal(len(copies(t, log, "b")), 1)
+				p, err := newRouteVM(t, log, "any", false).find(t.Context(), organisation.Caller{}, "b")
+				is.NoErr(err)
+				is.Equal(p.id.Index, copies(t, log, "b")[0])
+			})
+		}
+	}
+}
+
+// TestSubmissionWithoutAMoveCostsNoRead guards against reads of the index for each submission of a deployment whose routes stay.
+func TestSubmissionWithoutAMoveCostsNoRead(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
+	v := newRouteVM(t, log, "a", false)
+	v.move("a") // new tables, the same pool
+	is.NoErr(v.submit(t, "b"))
+	for _, p := range v.partitions {
+		is.True(p.caughtUpAt.IsZero())
+	}
+	is.Equal(len(log.partitions[PartitionOf("a", 12)]), 1)
+}
--- a/batch/record.go
+++ b/batch/record.go
@@ -19,6 +19,9 @@
 	recordSubmit recordKind = "submit"
 	recordResult recordKind = "result"
 	recordEnd    recordKind = "end"
+	// recordMoved makes later submissions with its ID in this partition void: they are in another one. If the first record with an ID
+	// is a submission, that holds.
+	recordMoved recordKind = "moved"
 	// recordProgress saves parts of unfinished texts. If it is lost, their tokens are generated again.
 	recordProgress recordKind = "progress"
 )
@@ -37,6 +40,8 @@
 	Head  *Head  `json:"head,omitempty"`
 	Total int    `json:"total,omitempty"`
 	Items []span `json:"items,omitempty"`
+	// MovedTo is set in moved records.
+	MovedTo *movedTo `json:"moved_to,omitempty"`
 	// Result is set in results.
 	Result *resultMeta `json:"result,omitempty"`
 	// SavedParts is set in progress records whose data are in the main part, OverflowParts in the others: a build that knows the main
@@ -68,6 +73,13 @@
 	return mainPart
 }
 
+// movedTo tells in which partition submissions with an ID are.
+type movedTo struct {
+	Partition int `json:"partition"`
+	// AtMs is when the record was written, in Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
+}
+
 // resultMeta is a result without its text.
 type resultMeta struct {
 	ItemID    string  `json:"item"`
--- a/batch/results.go
+++ b/batch/results.go
@@ -15,16 +15,7 @@
 	if p, _ := s.findLocal(c, id); p != nil {
 		return p, nil
 	}
-	errs := make(chan error, len(s.partitions))
-	for _, p := range s.partitions {
-		go func() { errs <- p.sync(ctx) }()
-	}
-	var syncErr error
-	for range s.partitions {
-		if err := <-errs; err != nil {
-			syncErr = err
-		}
-	}
+	syncErr := s.syncAll(ctx)
 	p, owner := s.findLocal(c, id)
 	switch {
 	case p != nil:
@@ -37,6 +28,21 @@
 	return nil, ErrNotFound
 }
 
+// syncAll reads all partitions to their ends.
+func (s *Service) syncAll(ctx context.Context) error {
+	errs := make(chan error, len(s.partitions))
+	for _, p := range s.partitions {
+		go func() { errs <- p.sync(ctx) }()
+	}
+	var failed error
+	for range s.partitions {
+		if err := <-errs; err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
 // refuseOther logs and counts a call for the submission of another organisation.
 func (s *Service) refuseOther(c organisation.Caller, id, owner string) {
 	s.calls.Add("other_organisation", 1)
--- a/batch/service.go
+++ b/batch/service.go
@@ -41,6 +41,8 @@
 	PartitionBytes int64
 	// Retention is how long submissions stay readable after their acceptance.
 	Retention time.Duration
+	// Restarted is set if submissions may have been accepted before this process started.
+	Restarted bool
 	Log       *slog.Logger
 	Metrics   *process.Metrics
 	Store     store.Log
@@ -59,6 +61,7 @@
 type Service struct {
 	opts       Options
 	ctx        context.Context
+	startedAt  time.Time
 	partitions []*partition
 	writers    []*writer
 	runner     *runner
@@ -68,7 +71,7 @@
 
 // New returns a service that reads no partition yet. Its background work ends with ctx.
 func New(ctx context.Context, o Options) *Service {
-	s := &Service{opts: o, ctx: ctx, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
+	s := &Service{opts: o, ctx: ctx, startedAt: time.Now(), runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
 	for i := range o.Partitions {
 		id, dp := store.Partition{Topic: IndexTopic, Index: i}, newDataPartition(o.Store, i)
 		p := &partition{
@@ -177,14 +180,18 @@
 	if err := sub.Validate(); err != nil {
 		return err
 	}
+	snap := s.opts.View.Get()
 	p := s.partitionOf(route.Pool)
-	sub.NewestVersion = newestVersion(s.opts.View.Get(), route.Pool, sub.Model)
+	sub.NewestVersion = newestVersion(snap, route.Pool, sub.Model)
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
 	if accepted, err := s.accepted(p, sub); accepted {
 		return err
 	}
+	if s.acceptedElsewhere(p, sub) {
+		return nil
+	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
 		return err
@@ -192,16 +199,32 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	start := time.Now()
-	err = s.accept(ctx, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
-	if err == nil && sub.Organisation != "" {
-		err = s.checkFirst(ctx, p, sub)
-	}
+	err = s.place(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "organisation", sub.Organisation, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
 	return err
 }
 
+// place writes a submission to the partition where it belongs, unless it was accepted before. p is the partition of the route's pool.
+func (s *Service) place(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission, parts [][]byte) error {
+	placed, err := s.placeSubmission(ctx, snap, p, sub)
+	if err == nil && placed.accepted {
+		_, err = s.accepted(placed.partition, sub)
+		return err
+	}
+	if err == nil {
+		err = s.accept(ctx, placed.partition, sub, parts)
+	}
+	switch {
+	case err != nil && placed.moved:
+		return s.finishMoved(p, sub, parts, err)
+	case err == nil && sub.Organisation != "":
+		return s.checkFirst(ctx, placed.partition, sub)
+	}
+	return err
+}
+
 // accepted reports whether a submission with this ID is among the records read so far. The error is ErrNotFound if it is another
 // organisation's.
 func (s *Service) accepted(p *partition, sub *Submission) (bool, error) {
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,6 +10,9 @@
 // expire during the outage: live targets register again within about two seconds.
 const outageGrace = 2 * time.Second
 
+// routeMoveTTL is how long moves of batch routes are kept.
+const routeMoveTTL = time.Minute
+
 // registration is the newest record of a target.
 type registration struct {
 	offset   int64
@@ -22,6 +25,7 @@
 // or weight versions lower than the current ones, are ignored. It is not safe for concurrent use.
 type Directory struct {
 	tables      *Tables
+	moves       []RouteMove
 	named       map[string]int64
 	targets     map[string]*registration
 	recoveredAt time.Time
@@ -36,11 +40,21 @@
 // Tables returns the current tables; nil before the first SetTables.
 func (d *Directory) Tables() *Tables { return d.tables }
 
+// RouteMoves returns the recent moves of batch routes. The slice must not be modified.
+func (d *Directory) RouteMoves() []RouteMove { return d.moves }
+
 // SetTables replaces the tables if t is newer, and reports whether it did.
-func (d *Directory) SetTables(t *Tables) bool {
+func (d *Directory) SetTables(now time.Time, t *Tables) bool {
 	if d.tables != nil && t.Version <= d.tables.Version {
 		return false
 	}
+	var moves []RouteMove // snapshots share the previous slice
+	for _, m := range d.moves {
+		if now.Sub(m.At) < routeMoveTTL {
+			moves = append(moves, m)
+		}
+	}
+	d.moves = append(moves, routeMoves(now, d.tables, t)...)
 	d.tables = t
 	return true
 }
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -10,6 +10,8 @@
 	Tables        *Tables
 	Instances     []*Instance
 	NamedVersions map[string]int64
+	// RouteMoves are the recent moves of batch routes, the oldest first.
+	RouteMoves []RouteMove
 }
 
 // Pool returns the instances of a pool.
