batch: a text on a SingleVersion route goes on under its own weight version only

Cause: the text was checked before a run; the engine for its continuation was chosen by the oldest accepted version only, and a complete text was not looked at again. Ruled out: a change of weights during a run (orders wait there; engines' records show two runs of one version each), a wrong list of versions.

Change: such an item goes to an engine with the version of its text, also when it is moved or comes again; if none takes it within the time in which the text could be generated again, it starts over. Answers and events of another version are not added; a complete text of several is not listed. Why it works: events are added in one place, which compares each with the text.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -22,22 +22,26 @@
 	outcomeNotRun      runOutcome = "not run"
 	outcomeMoved       runOutcome = "moved"
 	outcomeOldVersion  runOutcome = "old version"
-	outcomeEngineError runOutcome = "engine error"
-	outcomeRejected    runOutcome = "impossible"
-	outcomeCanceled    runOutcome = "ended by the submission"
+	// outcomeOtherVersion means that the engine runs another weight version than the text has, on a route that allows only one.
+	outcomeOtherVersion runOutcome = "other version"
+	outcomeEngineError  runOutcome = "engine error"
+	outcomeRejected     runOutcome = "impossible"
+	outcomeCanceled     runOutcome = "ended by the submission"
 )
 
 // attempt runs an item once and sets the state of its job according to the outcome. runCtx ends with the run; scoring goes
 // on until ctx ends, as a run may be canceled just after its last event.
 func (r *runner) attempt(ctx, runCtx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *targets.Call) {
 	defer cancel()
-	outcome, err := r.stream(runCtx, cancel, j, call)
+	outcome, err := r.stream(runCtx, cancel, j, call, route.SingleVersion)
 	r.mu.Lock()
 	now := time.Now()
 	if outcome == outcomeInterrupted && j.moving {
 		outcome = outcomeMoved
 	} else if outcome == outcomeInterrupted && runCtx.Err() != nil {
 		outcome = outcomeCanceled
+	} else if outcome == outcomeComplete && route.SingleVersion && len(j.distinctVersions()) > 1 {
+		outcome = outcomeOtherVersion // the text began before the route allowed only one
 	}
 	j.moving = false
 	r.endIsolation(j, call.Instance)
@@ -65,6 +69,9 @@
 	case outcomeNotRun, outcomeOldVersion:
 		r.engines.block(call.Instance, j.head.Model, now.Add(blockedPause))
 		j.notBefore = now.Add(itemRetryDelay / 2)
+	case outcomeOtherVersion:
+		j.dropTextIfNotAllowed(true)
+		j.notBefore = now.Add(itemRetryDelay / 2)
 	case outcomeMoved:
 	case outcomeInterrupted, outcomeStalled:
 		r.engines.recordFailure(now, call.Instance)
@@ -94,7 +101,8 @@
 
 // stream sends the call and appends the events of the response to the job. A run that breaks off before its first event may
 // have crashed the engine; an event shows that it has not.
-func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call) (runOutcome, error) {
+// If singleVersion is set, a text gets no events of a second weight version.
+func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call, singleVersion bool) (runOutcome, error) {
 	var timedOut atomic.Bool
 	slowdown := r.slowdown(call.Instance)
 	watchdog := time.AfterFunc(time.Duration(slowdown*float64(firstEventTimeout)), func() {
@@ -119,6 +127,7 @@
 	defer response.Body.Close()
 	r.mu.Lock()
 	j.via = response.Via
+	textVersion := j.textVersion(singleVersion)
 	r.engines.observeLoad(time.Now(), call.Instance, response.Load)
 	r.engines.observeVersion(call.Instance, j.head.Model, response.Version)
 	r.mu.Unlock()
@@ -140,6 +149,11 @@
 		r.engines.resetVersion(call.Instance, j.head.Model, response.Version)
 		r.mu.Unlock()
 		return outcomeOldVersion, nil
+	case response.Version > 0 && textVersion > 0 && response.Version != textVersion:
+		r.mu.Lock()
+		r.engines.resetVersion(call.Instance, j.head.Model, response.Version)
+		r.mu.Unlock()
+		return outcomeOtherVersion, nil
 	}
 	events := r.client.Events(response.Body)
 	version, lastEventAt := response.Version, time.Now()
@@ -169,6 +183,11 @@
 			r.mu.Unlock()
 			return outcomeInterrupted, errors.New("the engine sent more events than the item has tokens")
 		}
+		if text := j.textVersion(singleVersion); text > 0 && version != text {
+			r.engines.observeVersion(call.Instance, j.head.Model, version)
+			r.mu.Unlock()
+			return outcomeOtherVersion, nil
+		}
 		if len(j.events) == 0 {
 			j.software = call.Instance.SoftwareVersion
 		}
--- a/batch/attempt_test.go
+++ b/batch/attempt_test.go
@@ -105,3 +105,71 @@
 		is.Equal(d, f.deadlines[0])
 	}
 }
+
+// versionedClient answers with events of the given versions, from the one after ResumeAfter on. The first names the engine's version at the
+// start of the answer.
+type versionedClient struct {
+	targets.Client
+	versions []int64
+	next     int64
+}
+
+func (c *versionedClient) Do(_ context.Context, call *targets.Call) (*targets.Response, error) {
+	c.next = call.ResumeAfter
+	return &targets.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("")), Version: c.versions[0]}, nil
+}
+
+func (c *versionedClient) Events(io.Reader) targets.EventReader { return c }
+
+func (c *versionedClient) Next() (targets.Event, error) {
+	if len(c.versions) == 0 {
+		return targets.Event{}, io.EOF
+	}
+	c.next++
+	ev := targets.Event{ID: c.next, Data: "text", Version: c.versions[0]}
+	c.versions = c.versions[1:]
+	return ev, nil
+}
+
+// TestSingleVersionTextGetsNoEventOfAnotherVersion guards against a text of two weight versions on a route that allows one: the engine has
+// loaded another version than this VM knows of, or loads one during the run, or the route allowed several when the text began.
+func TestSingleVersionTextGetsNoEventOfAnotherVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		singleVersion bool
+		text, run     []int64 // versions of the events before and in the run
+		want          []int64 // versions of the text after the run
+		listed        bool
+	}{
+		{"same version", true, []int64{1, 1}, []int64{1, 1}, []int64{1, 1, 1, 1}, true},
+		{"newer version at the start", true, []int64{1, 1}, []int64{2, 2}, []int64{1, 1}, false},
+		{"older version at the start", true, []int64{2, 2}, []int64{1, 1}, []int64{2, 2}, false},
+		{"newer version during the run", true, nil, []int64{1, 1, 2}, []int64{1, 1}, false},
+		{"complete text of two versions", true, []int64{1, 2}, []int64{1}, nil, false},
+		{"route that allows several", false, []int64{1, 1}, []int64{2, 2}, []int64{1, 1, 2, 2}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			runCtx, cancel := context.WithCancel(t.Context())
+			log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
+			r := newRunner(Options{
+				View: fleet.NewView(), Client: &versionedClient{versions: tc.run}, Forwarder: scorer{}, Log: log, Metrics: metrics,
+				Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}),
+			})
+			var listed []resultMeta
+			r.appendResult = func(_ *partition, _ string, result resultMeta, _ string) { listed = append(listed, result) }
+			j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i"}, state: jobRunning, versions: tc.text, events: make([]string, len(tc.text))}
+			r.jobs["b"] = map[string]*job{"i": j}
+			instance := &fleet.Instance{}
+			j.instance = instance
+			route := &fleet.Route{MaxAttempts: 3, SingleVersion: tc.singleVersion}
+			r.attempt(t.Context(), runCtx, cancel, j, route, &targets.Call{Instance: instance, ResumeAfter: int64(len(tc.text))})
+			is.Equal(j.versions, tc.want)
+			is.Equal(len(j.events), len(tc.want))
+			is.Equal(len(listed) == 1, tc.listed)
+			if !tc.listed {
+				is.Equal(j.state, jobWaiting) // it runs again
+			}
+		})
+	}
+}
--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -83,6 +83,8 @@
 	// continuing is set if the item has a text, which only engines of the software version that began it can continue.
 	continuing bool
 	software   string
+	// textVersion is the only weight version that may continue the item's text; 0 if any may that the submission accepts.
+	textVersion int64
 	// withoutRateLimit excludes engines that have named a rate limit.
 	withoutRateLimit bool
 	// prompt is the item's prompt; nil if its parts are unknown. Then the fields below are not used.
@@ -160,7 +162,7 @@
 	case !e.hasWeights(req):
 		return "its weights are too old"
 	case !e.runs(req):
-		return "another software version began the text"
+		return "another software or weight version began the text"
 	case req.withoutRateLimit && c.rateLimited[e]:
 		return "it has named a rate limit"
 	}
@@ -237,15 +239,20 @@
 
 // runs reports whether the engine runs the weights, and where the item continues a text, the software that it requires.
 func (e *engine) runs(req requirements) bool {
-	return e.hasWeights(req) && (!req.continuing || e.instance.SoftwareVersion == req.software)
+	if !e.hasWeights(req) {
+		return false
+	}
+	return !req.continuing || e.instance.SoftwareVersion == req.software && (req.textVersion == 0 || e.versions[req.model] == req.textVersion)
 }
 
 // canContinue reports whether an engine is expected to take an item that continues its text within the given time: one of the same software
 // version that is not draining, has not failed too recently and runs the weights. After a reset of this VM's connections, all engines
-// have just failed, and a short wait costs less than to generate the texts again.
+// have just failed, and a short wait costs less than to generate the texts again. An engine that loads weights for longer than that won't
+// run a text's only version any more.
 func (s *engines) canContinue(now time.Time, req requirements, within time.Duration) bool {
 	for _, e := range s.byKey {
-		if e.instance.Pool == req.pool && !s.states.Draining(e.instance) && e.cooldownUntil.Sub(now) <= within && e.runs(req) {
+		loading := req.textVersion != 0 && e.blockedUntil[req.model].Sub(now) > within
+		if e.instance.Pool == req.pool && !s.states.Draining(e.instance) && e.cooldownUntil.Sub(now) <= within && !loading && e.runs(req) {
 			return true
 		}
 	}
--- a/batch/engine_choice_test.go
+++ b/batch/engine_choice_test.go
@@ -297,3 +297,28 @@
 	in[2].Draining = true
 	is.True(!s.canContinue(later, req, time.Hour))
 }
+
+// TestSingleVersionTextContinuesUnderItsVersion guards against a text of two weight versions on a route that allows one: engines with a newer
+// version have free slots when the one that ran the item crashes.
+func TestSingleVersionTextContinuesUnderItsVersion(t *testing.T) {
+	is := is.New(t)
+	s, in := newTestEngines(3, 2, 1)
+	s.observeVersion(in[1], "m", 2)
+	req := requirements{pool: "p", model: "m", minVersion: 1, avoidInstance: in[0].Name, continuing: true}
+	for range 2 {
+		s.requestStarted(in[2])
+	}
+	is.Equal(s.candidates(testStart, "p").choose(req).instance, in[1]) // any version continues the text
+	req.textVersion = 1
+	is.True(s.candidates(testStart, "p").choose(req) == nil) // only a full engine has the text's version
+	is.True(s.canContinue(testStart, req, time.Second))      // so the item waits
+	is.True(!s.candidates(testStart, "p").shouldMove(s.get(in[0]), 100, req))
+	s.requestEnded(in[2])
+	is.Equal(s.candidates(testStart, "p").choose(req).instance, in[2])
+	for _, i := range []*fleet.Instance{in[0], in[2]} {
+		s.block(i, "m", testStart.Add(2*time.Second)) // they load the newer version
+	}
+	is.True(!s.canContinue(testStart, req, time.Second)) // to generate the text again takes less time
+	req.textVersion = 0
+	is.True(s.canContinue(testStart, req, time.Second))
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// textVersion returns the weight version that generated the text if no other may continue it, or 0.
+func (j *job) textVersion(singleVersion bool) int64 {
+	if !singleVersion || len(j.versions) == 0 {
+		return 0
+	}
+	return j.versions[0]
+}
+
 // dropText drops the text, so that the item starts over.
 func (j *job) dropText() {
 	if len(j.events) > 0 {
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -38,7 +38,7 @@
 				if j.suspect {
 					runningSuspects[j.fingerprint] = true
 				}
-				r.moveIfSlow(now, byPool[pool.Name], j, pool)
+				r.moveIfSlow(now, byPool[pool.Name], j, route, pool)
 			}
 			if j.state != jobWaiting || now.Before(j.notBefore) {
 				continue
@@ -132,10 +132,10 @@
 		j.dropTextIfNotAllowed(t.route.SingleVersion)
 		req := r.requirements(now, t, groupEngines[groupKey(j)])
 		if req.continuing && !r.engines.canContinue(now, req, t.repeatTime) {
-			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software)
+			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software, "version", req.textVersion)
 			r.outcomes.Add("restarted", 1)
 			j.dropText()
-			req.continuing = false
+			req.continuing, req.textVersion = false, 0
 		}
 		e := r.chooseWithPermit(c, req, len(tasks)-i)
 		if e == nil && req.avoidInstance != "" {
@@ -166,7 +166,7 @@
 	j := t.job
 	req := requirements{
 		pool: t.route.Pool, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, groupEngines: groupEngines, avoidInstance: j.avoidInstance,
-		continuing: len(j.events) > 0, software: j.software,
+		continuing: len(j.events) > 0, software: j.software, textVersion: j.textVersion(t.route.SingleVersion),
 	}
 	r.setPrompt(&req, now, t)
 	return req
@@ -204,7 +204,7 @@
 const minRunBeforeMove = 400 * time.Millisecond
 
 // moveIfSlow cancels a run on a slow engine if a faster one has free slots, to continue it there.
-func (r *runner) moveIfSlow(now time.Time, c *candidates, j *job, pool *fleet.Pool) {
+func (r *runner) moveIfSlow(now time.Time, c *candidates, j *job, route *fleet.Route, pool *fleet.Pool) {
 	if j.state != jobRunning || j.moving || now.Sub(j.startedAt) < minRunBeforeMove {
 		return
 	}
@@ -212,7 +212,10 @@
 	if e == nil {
 		return // no longer registered, but may still complete its runs
 	}
-	req := requirements{pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name, continuing: len(j.events) > 0, software: j.software, withoutRateLimit: true}
+	req := requirements{
+		pool: pool.Name, model: j.head.Model, minVersion: j.head.MinVersion, az: r.az, avoidInstance: j.instance.Name,
+		continuing: len(j.events) > 0, software: j.software, textVersion: j.textVersion(route.SingleVersion), withoutRateLimit: true,
+	}
 	if c.shouldMove(e, j.remainingEvents(tokensPerEvent(pool)), req) {
 		j.moving, j.avoidInstance = true, j.instance.Name
 		j.cancel()
