forward, batch: a request that crashes its targets after the first bytes of an answer is recognised

Cause: the first event counted as the answer; it cleared the request of all earlier deaths, and a break after it was not reported. Ruled out: deaths that are not shared (one VM without a store shows it, too), the probe of the crashed engine.

Change: a run clears a request only when its answer is whole, and each break is checked for the death of the target: for streams, items of batches and answers too large to be read before they are forwarded. Why it works: whatever such a request does before it crashes its target, no run of it is whole, so its deaths add up.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// stream sends the call and appends the events of the response to the job. A run that breaks off before its first event may
-// have crashed the engine; an event shows that it has not.
+// stream sends the call and appends the events of the response to the job. A run that breaks off may have crashed the engine; a whole
+// one has not.
 // If singleVersion is set, a text gets no events of a second weight version.
 func (r *runner) stream(ctx context.Context, cancel context.CancelFunc, j *job, call *targets.Call, singleVersion bool) (runOutcome, error) {
 	var timedOut atomic.Bool
@@ -110,12 +110,11 @@
 		cancel()
 	})
 	defer watchdog.Stop()
-	answered := false
 	interrupted := func(err error) (runOutcome, error) {
 		if !watchdog.Stop() && timedOut.Load() {
 			return outcomeStalled, err
 		}
-		if !answered && targets.Sent(err) && ctx.Err() == nil {
+		if targets.Sent(err) && ctx.Err() == nil {
 			r.crashes.RunBroken(j.fingerprint, call.Instance)
 		}
 		return outcomeInterrupted, err
@@ -160,6 +159,7 @@
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			r.crashes.Answered(j.fingerprint)
 			return outcomeComplete, nil
 		}
 		if err != nil {
@@ -196,6 +196,7 @@
 		if j.firstEventAt.IsZero() {
 			j.firstEventAt = now
 			r.observeFirstEvent(j, call)
+			r.endIsolation(j, call.Instance)
 		}
 		j.lastEventAt = now
 		if ev.ID > call.ResumeAfter+1 {
@@ -204,14 +205,7 @@
 		if ev.Version > 0 {
 			r.engines.observeVersion(call.Instance, j.head.Model, ev.Version)
 		}
-		if !answered {
-			r.endIsolation(j, call.Instance)
-		}
 		r.mu.Unlock()
-		if !answered {
-			answered = true
-			r.crashes.Answered(j.fingerprint)
-		}
 		lastEventAt = now
 	}
 }
--- a/entry/crashing_request_test.go
+++ b/entry/crashing_request_test.go
@@ -79,6 +79,70 @@
 	d.checkPoisonContained(d.services, start, 3)
 }
 
+// TestStreamThatCrashesTargetsAfterItsFirstEventIsNotResent guards against a stream that is never recognised: it crashes its target only after
+// it has sent events.
+func TestStreamThatCrashesTargetsAfterItsFirstEventIsNotResent(t *testing.T) {
+	for _, events := range []int{1, 3} {
+		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
+			d := newDeployment(t, 6, 1, 3)
+			d.configure(streamRoute)
+			crashOnPoison(d.engines)
+			for _, x := range d.engines {
+				x.Set(func(x *errata.Target) { x.CrashAfterEvents = events })
+			}
+			d.eventually(3*time.Second, "the route is known", func() bool {
+				return d.call(d.vms[0], http.MethodPost, "/stream/x", "sound", "prompt", "Model", model).status == http.StatusOK
+			})
+			start := time.Now()
+			for i := 0; time.Since(start) < 5*time.Second; i++ {
+				d.call(d.vms[i%len(d.vms)], http.MethodPost, "/stream/x", fmt.Sprintf("p%d", i), poison, "Model", model)
+				time.Sleep(200 * time.Millisecond)
+			}
+			d.checkPoisonContained(d.engines, start, 3)
+			a := d.call(d.vms[0], http.MethodPost, "/stream/x", "p", poison, "Model", model)
+			d.is.Equal(a.status, http.StatusServiceUnavailable)
+			d.is.True(a.header.Get("Retry-After") != "")
+			a = d.call(d.vms[0], http.MethodPost, "/stream/x", "sound2", "prompt", "Model", model)
+			d.is.Equal(a.status, http.StatusOK) // other streams are served
+		})
+	}
+}
+
+// TestSoundStreamIsServedAfterTargetsCrashedUnderIt guards against refusing a stream during which targets crashed by themselves.
+func TestSoundStreamIsServedAfterTargetsCrashedUnderIt(t *testing.T) {
+	d := newDeployment(t, 4, 1, 2)
+	d.configure(streamRoute)
+	for _, x := range d.engines {
+		x.Set(func(x *errata.Target) { x.CrashOn, x.CrashAfterEvents = poison, 1 })
+	}
+	send := func(n int) response {
+		return d.call(d.vms[n%2], http.MethodPost, "/stream/x", fmt.Sprintf("s%d", n), poison, "Model", model)
+	}
+	d.eventually(3*time.Second, "the route is known", func() bool {
+		return d.call(d.vms[0], http.MethodPost, "/stream/x", "other", "prompt", "Model", model).status == http.StatusOK
+	})
+	crashing := func(on bool) {
+		for _, x := range d.engines {
+			x.Set(func(x *errata.Target) {
+				if x.CrashOn = ""; on {
+					x.CrashOn = poison
+				}
+			})
+		}
+	}
+	for n := range 6 { // two crashes in turn, then a whole stream, which clears it
+		crashing(n%3 != 2)
+		a := send(n)
+		d.is.True(a.status == http.StatusOK || a.err != nil)
+		d.is.Equal(n%3 == 2, a.err == nil)
+		time.Sleep(time.Second)
+	}
+	crashing(false)
+	a := send(6)
+	d.is.NoErr(a.err)
+	d.is.Equal(a.status, http.StatusOK)
+}
+
 // Each VM goes by what it has seen itself, and all share it once the store is back.
 func TestCrashingRequestIsContainedDuringStoreOutage(t *testing.T) {
 	d := newDeployment(t, 0, 6, 2)
@@ -187,6 +251,22 @@
 	d.checkResults(p.Results, 4, "i1", "i2")
 }
 
+// TestItemThatCrashesEnginesAfterItsFirstEventRunsAfterPauses guards against an item that crashes one engine after the other without
+// a pause, as each run brings it an event.
+func TestItemThatCrashesEnginesAfterItsFirstEventRunsAfterPauses(t *testing.T) {
+	d := newDeployment(t, 6, 1, 2)
+	crashOnPoison(d.engines)
+	for _, x := range d.engines {
+		x.Set(func(x *errata.Target) { x.EventsPerStream, x.CrashAfterEvents = 30, 1 })
+	}
+	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b", "b1", submission(0, 1, "x-"+poison, "i1", "i2")).status, http.StatusAccepted)
+	start := time.Now()
+	time.Sleep(5 * time.Second)
+	d.checkPoisonPaced(d.engines, start)
+	p, _ := d.readPage(d.vms[0], "b1", 0)
+	d.checkResults(p.Results, 30, "i1", "i2")
+}
+
 // The items of a group may have one prompt: each of them crashes the engine that runs it.
 func TestCrashingItemsWithEqualContentAreTriedOneByOne(t *testing.T) {
 	d := newDeployment(t, 6, 1, 2)
--- a/fake/errata/target.go
+++ b/fake/errata/target.go
@@ -61,6 +61,8 @@
 	ResetStreamAfter int
 	// CrashOn is a part of the bodies of requests that crash the target after RequestDuration; empty means none.
 	CrashOn string
+	// CrashAfterEvents makes such requests crash an engine only after that many events of their streams.
+	CrashAfterEvents int
 	// RateLimit is the limit that all answers name, in requests a second over all VMs; 0 names none.
 	RateLimit float64
 	// Leaving makes all answers say that the target leaves.
@@ -281,6 +283,7 @@
 	t.active++
 	t.executed = append(t.executed, ExecutedRequest{id, r.Method, r.RequestURI, r.Host, r.Header.Clone(), body, time.Now(), t.Software})
 	crashes := t.CrashOn != "" && strings.Contains(string(body), t.CrashOn)
+	crashAfter := t.CrashAfterEvents
 	fail, loseAnswer, wrongID, duration := t.Fail, t.LoseAnswers > 0, t.WrongIDAnswers > 0, t.RequestDuration
 	if loseAnswer {
 		t.LoseAnswers--
@@ -293,7 +296,7 @@
 	t.Unlock()
 	defer t.Set(func(t *Target) { t.active-- })
 	switch {
-	case crashes:
+	case crashes && (model == "" || crashAfter == 0):
 		time.Sleep(duration)
 		t.Crash()
 		abort()
@@ -301,7 +304,10 @@
 		w.Header().Set("Server-Stamp", "failed."+id)
 		w.WriteHeader(http.StatusInternalServerError)
 	case model != "":
-		t.stream(w, r, model)
+		if !crashes {
+			crashAfter = 0
+		}
+		t.stream(w, r, model, crashAfter)
 	default:
 		time.Sleep(duration)
 		if loseAnswer {
@@ -313,7 +319,8 @@
 }
 
 // stream sends the events of a generation, from the one after Last-Event-Id on; each holds the request's ID and its number.
-func (t *Target) stream(w http.ResponseWriter, r *http.Request, model string) {
+// It crashes the target after crashAfter events, unless that is 0.
+func (t *Target) stream(w http.ResponseWriter, r *http.Request, model string, crashAfter int) {
 	id := r.Header.Get("Request-Id")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	t.Lock()
@@ -332,6 +339,10 @@
 		if resetAfter > 0 && n-from > resetAfter {
 			abort()
 		}
+		if crashAfter > 0 && n-from > crashAfter {
+			t.Crash()
+			abort()
+		}
 		t.Lock()
 		current := t.Versions[model]
 		t.Unlock()
--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -28,12 +28,8 @@
 	large atomic.Int64 // bytes beyond smallBodyBytes of the answers being read
 }
 
-// read reads the body into memory, so that a truncated answer is detected before any of it is forwarded. It leaves bodies with a
-// length above maxBufferedBytes as they are.
+// read reads the body into memory, so that a truncated answer is detected before any of it is forwarded.
 func (b *bodyBuffer) read(answer *targets.Response) error {
-	if answer.Length > maxBufferedBytes {
-		return nil
-	}
 	defer answer.Body.Close()
 	var data bytes.Buffer
 	if answer.Length > 0 {
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -318,7 +318,7 @@
 		return d.retryIf(d.maySend())
 	}
 	d.countRun(o)
-	if !d.route.Streaming || o.answer.Status >= http.StatusInternalServerError {
+	if !d.unread(o.answer) {
 		f.crashes.Answered(d.fingerprint)
 	}
 	if o.answer.Status >= http.StatusInternalServerError {
@@ -527,7 +527,7 @@
 	}
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
-		if err == nil && (!d.route.Streaming || answer.Status >= http.StatusBadRequest) {
+		if err == nil && !d.unread(answer) {
 			err = f.buffer.read(answer)
 		}
 		if err != nil {
@@ -541,6 +541,11 @@
 	}()
 }
 
+// unread reports whether an answer is forwarded while it is read.
+func (d *delivery) unread(answer *targets.Response) bool {
+	return d.route.Streaming && answer.Status < http.StatusBadRequest || answer.Length > maxBufferedBytes
+}
+
 // unansweredSince returns when the request was first sent, if it was.
 func (d *delivery) unansweredSince() time.Time {
 	if d.sends <= 1 {
@@ -557,7 +562,9 @@
 	body := answer.Body
 	if d.route.Streaming && answer.Status < http.StatusBadRequest {
 		body = d.f.client.WholeEvents(body)
-		body = &streamBody{ReadCloser: body, d: d, instance: a.instance}
+	}
+	if d.unread(answer) {
+		body = &answerBody{ReadCloser: body, d: d, instance: a.instance}
 	}
 	return &Reply{
 		Status: answer.Status, Header: answer.Header, Length: answer.Length, Proof: answer.Proof, ServerErrors: d.serverErrors,
@@ -611,28 +618,35 @@
 	return r
 }
 
-// streamBody reports whether the target of a stream survived until the first event.
-type streamBody struct {
+// answerBody reports how a target's answer ends that is forwarded while it is read: a request may crash its target at any moment of the answer.
+type answerBody struct {
 	io.ReadCloser
 	d        *delivery
 	instance *fleet.Instance
-	reported bool
+	// begun is set after the first bytes, ended once the end was reported.
+	begun, ended bool
 }
 
 // Read implements io.Reader.
-func (b *streamBody) Read(p []byte) (int, error) {
+func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	first := n > 0 && !b.begun
+	b.begun = b.begun || n > 0
+	if first && b.d.beginsResumable() {
+		b.d.f.origins.Begin(b.d.req.ID, b.instance)
+	}
 	switch {
-	case b.reported:
-	case n > 0 || err == io.EOF:
-		b.reported = true
+	case err == nil || b.ended:
+	case err == io.EOF:
+		b.ended = true
 		b.d.f.crashes.Answered(b.d.fingerprint)
-		if n > 0 && b.d.beginsResumable() {
-			b.d.f.origins.Begin(b.d.req.ID, b.instance)
+	case !errors.Is(err, context.Canceled): // the caller has not gone
+		b.ended = true
+		if b.begun {
+			go b.d.f.crashes.RunBroken(b.d.fingerprint, b.instance) // the caller need not wait to take the stream up again
+		} else {
+			b.d.f.crashes.RunBroken(b.d.fingerprint, b.instance)
 		}
-	case err != nil && !errors.Is(err, context.Canceled):
-		b.reported = true
-		b.d.f.crashes.RunBroken(b.d.fingerprint, b.instance)
 	}
 	return n, err
 }
