rollout: the fake of the handover test counts a completion after it has passed on its first tokens

Cause: TestDrainHandsOverPartialTokens drains when 12 completions are counted; the fake counted one before it passed on the tokens of its first piece, so that the state that is handed over could lack those of the last one. The assertions stay as they are.

--- a/rollout/manager_test.go
+++ b/rollout/manager_test.go
@@ -36,12 +36,14 @@
 
 func (f *fakeCluster) Complete(ctx context.Context, c dispatch.Call) (*dispatch.Result, *api.Error) {
 	f.mu.Lock()
-	f.calls = append(f.calls, c)
 	unblock, version := f.unblock, f.version
 	f.mu.Unlock()
 	if len(c.Tokens) == 0 && len(f.firstTokens) > 0 {
 		c.OnTokens(dispatch.Piece{Text: "f", Tokens: f.firstTokens, Version: version})
 	}
+	f.mu.Lock()
+	f.calls = append(f.calls, c) // a call that is counted has passed on its first tokens
+	f.mu.Unlock()
 	if unblock != nil {
 		select {
 		case <-unblock:
