batch: saves of running texts are split by size, so that they never exceed an append

Cause: a successor saves the whole texts of all items in one entry, split by their number only. Above the limit of an append the store refuses it, the writer repeats it for good, and all results wait behind it. Ruled out: tenure, index and scoring of the successor (items and calls ended).

Change: entries are split at half of an append, a single text by its events; a finished text larger than an append is listed as given up. Why it works: no entry of the queue can exceed what the store takes.

--- a/batch/moved_route_test.go
+++ b/batch/moved_route_test.go
@@ -24,14 +24,26 @@
 	mu         sync.Mutex
 	partitions map[store.Partition][][]byte
 	refuse     func(store.Partition) bool
+	// maxAppendBytes limits an append; 0 means no limit.
+	maxAppendBytes int
 }
 
+// errTooLarge is the error of an append that exceeds the log's limit.
+var errTooLarge = errors.New("the append is too large")
+
 func (l *memoryLog) Append(_ context.Context, p store.Partition, records [][]byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse != nil && l.refuse(p) {
 		return 0, store.ErrUnavailable
 	}
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	if l.maxAppendBytes > 0 && size > l.maxAppendBytes {
+		return 0, errTooLarge
+	}
 	at := int64(len(l.partitions[p]))
 	l.partitions[p] = append(l.partitions[p], records...)
 	return at, nil
--- a/batch/record.go
+++ b/batch/record.go
@@ -125,6 +125,27 @@
 	return append(out, data)
 }
 
+// encodeProgress encodes a part of a text, in several parts if it exceeds limit bytes.
+func encodeProgress(p *Progress, limit int) ([][]byte, error) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode a part of %s: %w", p.ItemID, err)
+	}
+	half := len(p.Events) / 2
+	if len(data) <= limit || half == 0 {
+		return [][]byte{data}, nil
+	}
+	first, second := *p, *p
+	first.Events, first.Versions, first.Complete = p.Events[:half], p.Versions[:half], false
+	second.From, second.Events, second.Versions = p.From+half, p.Events[half:], p.Versions[half:]
+	out, err := encodeProgress(&first, limit)
+	if err != nil {
+		return nil, err
+	}
+	rest, err := encodeProgress(&second, limit)
+	return append(out, rest...), err
+}
+
 // decodeItems decodes the items of a submission.
 func decodeItems(data []byte) ([]Item, error) {
 	var items []Item
--- a/batch/service.go
+++ b/batch/service.go
@@ -6,7 +6,6 @@
 	"errors"
 	"expvar"
 	"log/slog"
-	"slices"
 	"strconv"
 	"time"
 
@@ -113,6 +112,10 @@
 // appendResult queues a result. text is empty if the result has none or refers to data that was already written.
 func (s *Service) appendResult(p *partition, submissionID string, result resultMeta, text string) {
 	entry := pending{record: record{Kind: recordResult, ID: submissionID, Result: &result}}
+	if len(text) > s.opts.MaxAppendBytes {
+		s.opts.Log.Error("result_too_large", "batch", submissionID, "id", result.ItemID, "bytes", len(text), "limit", s.opts.MaxAppendBytes)
+		result, text = resultMeta{ItemID: result.ItemID, Abandoned: true}, "" // the store would refuse it for good, and all results behind it wait
+	}
 	if text != "" {
 		entry.data = splitRecord([]byte(text), s.opts.MaxRecordBytes)
 		entry.setSpan = func(r *record, text span) { r.Result.Text = text }
@@ -121,18 +124,40 @@
 }
 
 // appendProgress queues parts of unfinished texts. Each has data records of its own, so that a successor reads only those that it
-// needs, but they share one record of the index.
+// needs, but they share records of the index.
 func (s *Service) appendProgress(p *partition, submissionID string, parts []*Progress) {
-	for chunk := range slices.Chunk(parts, maxSavedParts) {
-		s.appendParts(p, submissionID, chunk)
+	limit := s.opts.MaxAppendBytes / 2 // results must not wait long behind them
+	var items []string
+	var data [][]byte
+	size := 0
+	flush := func() {
+		if len(items) > 0 {
+			s.appendParts(p, submissionID, items, data)
+		}
+		items, data, size = nil, nil, 0
 	}
+	for _, part := range parts {
+		encoded, err := encodeProgress(part, limit)
+		if err != nil {
+			s.opts.Log.Error("progress_lost", "batch", submissionID, "id", part.ItemID, "err", err)
+			continue
+		}
+		for _, d := range encoded {
+			if size+len(d) > limit || len(items) == maxSavedParts {
+				flush()
+			}
+			items, data, size = append(items, part.ItemID), append(data, d), size+len(d)
+		}
+	}
+	flush()
 }
 
 // maxSavedParts limits the parts in one record of the index, so that the record stays below the store's limit.
 const maxSavedParts = 500
 
-func (s *Service) appendParts(p *partition, submissionID string, parts []*Progress) {
-	saved := &savedParts{}
+// appendParts queues encoded parts of items' texts with one record of the index.
+func (s *Service) appendParts(p *partition, submissionID string, items []string, parts [][]byte) {
+	saved := &savedParts{Items: items}
 	entry := pending{
 		record: record{Kind: recordProgress, ID: submissionID}, progress: true,
 		setSpan: func(r *record, data span) {
@@ -145,21 +170,13 @@
 	}
 	var counts []int
 	for _, part := range parts {
-		data, err := json.Marshal(part)
-		if err != nil {
-			s.opts.Log.Error("progress_lost", "batch", submissionID, "id", part.ItemID, "err", err)
-			continue
-		}
-		records := splitRecord(data, s.opts.MaxRecordBytes)
-		saved.Items, counts = append(saved.Items, part.ItemID), append(counts, len(records))
+		records := splitRecord(part, s.opts.MaxRecordBytes)
+		counts = append(counts, len(records))
 		entry.data = append(entry.data, records...)
 	}
-	if len(entry.data) > len(saved.Items) {
+	if len(entry.data) > len(items) {
 		saved.Counts = counts
 	}
-	if len(entry.data) == 0 {
-		return
-	}
 	s.writers[p.id.Index].add(s.ctx, entry)
 }
 
