entry: a planned stop drains until the last eighth of the grace period

Cause: the drain ended 1.5 s before the end, and answers are counted on until the last sixth (1.33 s). Ruled out: targets, time limits, SIGKILL.

Change: the reserve is an eighth of the grace period.

--- a/entry/process.go
+++ b/entry/process.go
@@ -42,8 +42,9 @@
 	// balancerDelay is how long the balancer may open new connections after SIGTERM: it checks readiness
 	// once a second, and two checks must fail.
 	balancerDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace period that is kept in reserve after the last answers.
-	shutdownMargin = 1500 * time.Millisecond
+	// shutdownReserveDivisor sets the part of the grace period that is kept in reserve after the last answers: an eighth. Callers may count on
+	// answers that are due before the last sixth.
+	shutdownReserveDivisor = 8
 	// handoverMargin is how long before that the work of tenures ends at the latest: a last try to save and to release them takes time.
 	handoverMargin = 1500 * time.Millisecond
 	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
@@ -317,7 +318,7 @@
 	p.stopping.Store(true)
 	p.opts.Log.Info("stopping", "grace_ms", p.opts.Settings.StopGrace.Milliseconds())
 	go p.usage.release(p.ctx) // beside the other tenures, as a store that does not answer takes up the grace period
-	drained := start.Add(p.opts.Settings.StopGrace - shutdownMargin)
+	drained := start.Add(p.opts.Settings.StopGrace - p.opts.Settings.StopGrace/shutdownReserveDivisor)
 	released := p.tenures.stop(drained.Add(-handoverMargin))
 	p.limiter.Stop()
 	p.detour.StopPassingOn()
