--- a/batch/index.go
+++ b/batch/index.go
@@ -221,7 +221,7 @@
 			continue
 		}
 		for part, n := range sub.dataBytes {
-			if part < parts {
+			if part >= 0 && part < parts { // a malformed record names any part
 				out[part] += n
 			}
 		}
--- a/batch/moved_route.go
+++ b/batch/moved_route.go
@@ -39,8 +39,8 @@
 	})
 }
 
-// placement tells where a submission belongs.
-type placement struct {
+// destination tells where a submission belongs.
+type destination struct {
 	partition *partition
 	// accepted is set if the partition holds the submission already.
 	accepted bool
@@ -48,8 +48,8 @@
 	moved bool
 }
 
-// placeSubmission returns where a submission belongs. p is the partition of the route's pool.
-func (s *Service) placeSubmission(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission) (placement, error) {
+// findDestination returns where a submission belongs. p is the partition of the route's pool.
+func (s *Service) findDestination(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission) (destination, error) {
 	now := time.Now()
 	var former []*partition
 	for _, pool := range snap.FormerPools(sub.Host, sub.Path, now.Add(-resubmitWindow)) {
@@ -59,41 +59,41 @@
 	}
 	switch {
 	case len(former) > 0:
-		placed, err := s.placeMoved(ctx, p, former, sub.ID)
-		s.opts.Log.Info("batch_moved", "batch", sub.ID, "partition", p.id.Index, "former", len(former), "target", placed.partition.id.Index, "accepted", placed.accepted, "err", err)
-		return placed, err
+		dest, err := s.destinationAfterMove(ctx, p, former, sub.ID)
+		s.opts.Log.Info("batch_moved", "batch", sub.ID, "partition", p.id.Index, "former", len(former), "target", dest.partition.id.Index, "accepted", dest.accepted, "err", err)
+		return dest, err
 	case s.opts.Restarted && now.Sub(s.startedAt) < resubmitWindow:
 		if err := s.syncAll(ctx); err != nil {
 			s.opts.Log.Warn("batch_partitions_unread", "batch", sub.ID, "err", err)
 		}
 		accepted, _ := s.accepted(p, sub)
-		return placement{partition: p, accepted: accepted || s.acceptedElsewhere(p, sub)}, nil
+		return destination{partition: p, accepted: accepted || s.acceptedElsewhere(p, sub)}, nil
 	}
-	return placement{partition: p}, nil
+	return destination{partition: p}, nil
 }
 
-// placeMoved places a submission whose route went to the former partitions before it went to p.
-func (s *Service) placeMoved(ctx context.Context, p *partition, former []*partition, id string) (placement, error) {
-	target := p
+// destinationAfterMove places a submission whose route went to the former partitions before it went to p.
+func (s *Service) destinationAfterMove(ctx context.Context, p *partition, former []*partition, id string) (destination, error) {
+	target, moved := p, false
 	for range s.partitions {
-		placed, err := s.follow(ctx, target, id)
-		if err != nil || placed.accepted {
-			return placed, err
+		dest, err := s.follow(ctx, target, id)
+		if err == nil && !dest.accepted {
+			target = dest.partition
+			dest, err = s.closeFormer(ctx, target, append(former, p), id)
 		}
-		target = placed.partition
-		placed, err = s.closeFormer(ctx, target, append(former, p), id)
-		if err != nil || placed.accepted || placed.partition == target {
-			return placed, err
+		moved = moved || dest.moved
+		if dest.moved = moved; err != nil || dest.accepted || dest.partition == target {
+			return dest, err
 		}
-		target = placed.partition
+		target = dest.partition
 	}
-	return placement{partition: target}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errMovedMeanwhile}
+	return destination{partition: target, moved: moved}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errMovedMeanwhile}
 }
 
 // closeFormer makes the former partitions refer to the target. It returns another partition if one of them holds the submission or refers
 // there.
-func (s *Service) closeFormer(ctx context.Context, target *partition, former []*partition, id string) (placement, error) {
-	closed := placement{partition: target}
+func (s *Service) closeFormer(ctx context.Context, target *partition, former []*partition, id string) (destination, error) {
+	closed := destination{partition: target}
 	data, err := json.Marshal(record{Kind: recordMoved, ID: id, MovedTo: &movedTo{Partition: target.id.Index, AtMs: time.Now().UnixMilli()}})
 	if err != nil {
 		return closed, fmt.Errorf("encode the move of batch %s: %w", id, err)
@@ -107,34 +107,34 @@
 		if err != nil {
 			return closed, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 		}
-		placed, err := s.follow(ctx, f, id)
-		if err != nil || placed.partition != target {
-			placed.moved = closed.moved
-			return placed, err
+		dest, err := s.follow(ctx, f, id)
+		if err != nil || dest.partition != target {
+			dest.moved = closed.moved
+			return dest, err
 		}
 	}
 	return closed, nil
 }
 
 // follow reads partitions to their ends and follows the moved records of an ID, from p to a partition that has none.
-func (s *Service) follow(ctx context.Context, p *partition, id string) (placement, error) {
+func (s *Service) follow(ctx context.Context, p *partition, id string) (destination, error) {
 	for range s.partitions {
 		if err := p.sync(ctx); err != nil {
-			return placement{partition: p}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
+			return destination{partition: p}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 		}
 		p.mu.Lock()
 		first := p.index.submissions[id]
 		moved, ok := p.index.moved[id]
 		p.mu.Unlock()
 		if first != nil || !ok {
-			return placement{partition: p, accepted: first != nil}, nil
+			return destination{partition: p, accepted: first != nil}, nil
 		}
 		if moved.Partition < 0 || moved.Partition >= len(s.partitions) {
 			break
 		}
 		p = s.partitions[moved.Partition]
 	}
-	return placement{partition: p}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errMovedMeanwhile}
+	return destination{partition: p}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errMovedMeanwhile}
 }
 
 // finishMoved goes on with accepting a submission after the caller's call has failed: a VM that does not know of the move may meanwhile
@@ -146,12 +146,12 @@
 		defer cancel()
 		for ctx.Err() == nil {
 			process.Sleep(ctx, storeRetryAfter)
-			placed, err := s.placeSubmission(ctx, s.opts.View.Get(), p, sub)
-			if err == nil && !placed.accepted {
-				err = s.accept(ctx, placed.partition, sub, parts)
+			dest, err := s.findDestination(ctx, s.opts.View.Get(), p, sub)
+			if err == nil && !dest.accepted {
+				err = s.accept(ctx, dest.partition, sub, parts)
 			}
 			if err == nil {
-				s.opts.Log.Info("batch_move_finished", "batch", sub.ID, "partition", placed.partition.id.Index)
+				s.opts.Log.Info("batch_move_finished", "batch", sub.ID, "partition", dest.partition.id.Index)
 				return
 			}
 		}
--- a/batch/overflow_test.go
+++ b/batch/overflow_test.go
@@ -94,3 +94,16 @@
 	add(record{Kind: recordEnd, ID: "new"})
 	is.Equal(ix.neededData(now.Add(-time.Minute)), map[int]int64{firstTextPart: text.Offset}) // listed results stay readable
 }
+
+// TestMalformedRecordsNameNoPart guards against a process that ends because of a record whose location is in no part.
+func TestMalformedRecordsNameNoPart(t *testing.T) {
+	is := is.New(t)
+	ix := newIndexState()
+	for i, offset := range []int64{-1, location(100, 0), 1 << 62} {
+		_, err := ix.apply(int64(2*i), encodeRecord(record{Kind: recordSubmit, ID: "b", Head: &Head{ID: "b"}, Total: 1, Items: []span{{Offset: offset, Count: 1}}, DataBytes: 5}))
+		is.NoErr(err)
+		_, err = ix.apply(int64(2*i+1), encodeRecord(record{Kind: recordResult, ID: "b", Result: &resultMeta{ItemID: "i", Text: span{Offset: offset, Count: 1}}, DataBytes: 5}))
+		is.NoErr(err)
+	}
+	is.Equal(ix.dataSince(time.Unix(0, 0), 3), []int64{0, 0, 0})
+}
--- a/batch/service.go
+++ b/batch/service.go
@@ -216,28 +216,28 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	start := time.Now()
-	err = s.place(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+	err = s.submitOnce(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "organisation", sub.Organisation, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
 	return err
 }
 
-// place writes a submission to the partition where it belongs, unless it was accepted before. p is the partition of the route's pool.
-func (s *Service) place(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission, parts [][]byte) error {
-	placed, err := s.placeSubmission(ctx, snap, p, sub)
-	if err == nil && placed.accepted {
-		_, err = s.accepted(placed.partition, sub)
+// submitOnce writes a submission to the partition where it belongs, unless it was accepted before. p is the partition of the route's pool.
+func (s *Service) submitOnce(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission, parts [][]byte) error {
+	dest, err := s.findDestination(ctx, snap, p, sub)
+	if err == nil && dest.accepted {
+		_, err = s.accepted(dest.partition, sub)
 		return err
 	}
 	if err == nil {
-		err = s.accept(ctx, placed.partition, sub, parts)
+		err = s.accept(ctx, dest.partition, sub, parts)
 	}
 	switch {
-	case err != nil && placed.moved:
+	case err != nil && dest.moved:
 		return s.finishMoved(p, sub, parts, err)
 	case err == nil && sub.Organisation != "":
-		return s.checkFirst(ctx, placed.partition, sub)
+		return s.checkFirst(ctx, dest.partition, sub)
 	}
 	return err
 }
