batch: a text of one version waits for an engine with it no longer than a restart takes

Cause: canContinue asks whether any engine with the version may take the item, not when. Lengths without an estimate are often far off. Change: while all such engines are full and another one is free, the item starts over if a slot is expected later than its text could be generated again, or if it has waited for that long.

--- a/batch/engine_choice.go
+++ b/batch/engine_choice.go
@@ -95,6 +95,18 @@
 	timeLeft time.Duration
 }
 
+// anyVersion returns the requirements of the item without its text.
+func (q requirements) anyVersion() requirements {
+	q.continuing, q.textVersion = false, 0
+	return q
+}
+
+// versionKey identifies a weight version that texts need to go on.
+type versionKey struct {
+	pool, model string
+	version     int64
+}
+
 // candidates holds the engines of a pool that have free slots, for one pass over the waiting items.
 type candidates struct {
 	now              time.Time
--- a/batch/job.go
+++ b/batch/job.go
@@ -49,6 +49,8 @@
 	startedAt        time.Time
 	// firstEventAt and lastEventAt are the times of the first and the newest event of the current run, zero before.
 	firstEventAt, lastEventAt time.Time
+	// versionWaitSince is since when the item has waited for an engine with the only version of its text; zero if it doesn't.
+	versionWaitSince time.Time
 	// textCompleteAt and resultQueuedAt are the times at which the text was complete and its result was queued for the log.
 	textCompleteAt, resultQueuedAt time.Time
 	// suspect is set during a run of an item that was running when an engine crashed, until its first event.
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -122,6 +122,7 @@
 	}
 	sortTasks(now, tasks)
 	var unplaced *task
+	ahead := map[versionKey]int{} // items that wait for an engine with the version of their text
 	for i := range tasks {
 		r.bringFollower(now, byPool[tasks[i].route.Pool], tasks[i:])
 		t := tasks[i]
@@ -132,16 +133,22 @@
 		j.dropTextIfNotAllowed(t.route.SingleVersion)
 		req := r.requirements(now, t, groupEngines[groupKey(j)])
 		if req.continuing && !r.engines.canContinue(now, req, t.repeatTime) {
-			r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software, "version", req.textVersion)
-			r.outcomes.Add("restarted", 1)
-			j.dropText()
-			req.continuing, req.textVersion = false, 0
+			r.restartText(j, &req)
 		}
 		e := r.chooseWithPermit(c, req, len(tasks)-i)
 		if e == nil && req.avoidInstance != "" {
 			req.avoidInstance = ""
 			e = r.chooseWithPermit(c, req, len(tasks)-i)
 		}
+		if e == nil && req.textVersion != 0 {
+			key := versionKey{req.pool, req.model, req.textVersion}
+			if r.restartsSooner(now, t, req, ahead[key]) && c.choose(req.anyVersion()) != nil {
+				r.restartText(j, &req)
+				e = r.chooseWithPermit(c, req, len(tasks)-i)
+			} else {
+				ahead[key]++
+			}
+		}
 		if e == nil {
 			r.waitingModels[j.head.Model] = true
 			if unplaced == nil {
@@ -161,6 +168,14 @@
 	}
 }
 
+// restartText drops an item's text, so that any engine may run it whose weights its submission accepts.
+func (r *runner) restartText(j *job, req *requirements) {
+	r.log.Info("text_restarted", "id", j.item.ID, "batch", j.head.ID, "events", len(j.events), "software", j.software, "version", req.textVersion)
+	r.outcomes.Add("restarted", 1)
+	j.dropText()
+	*req = req.anyVersion()
+}
+
 // requirements returns the requirements of an item. groupEngines counts the running items of its group by engine.
 func (r *runner) requirements(now time.Time, t *task, groupEngines map[string]int) requirements {
 	j := t.job
@@ -228,7 +243,7 @@
 	j.suspect, e.isolated = t.suspect, t.suspect
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
-	j.firstEventAt, j.lastEventAt, j.via = time.Time{}, time.Time{}, ""
+	j.firstEventAt, j.lastEventAt, j.versionWaitSince, j.via = time.Time{}, time.Time{}, time.Time{}, ""
 	r.startPrompt(j, e, j.startedAt, t.tokensPerEvent)
 	r.engines.requestStarted(e.instance)
 	header := make(http.Header, len(j.item.Header))
