batch: items that had begun when their engine died run beside others

Cause: since a death counts also after an item's first event, and a suspect runs alone on its engine until its first event. When a zone is cut off, all items that ran there are suspects at once, and hold up all others. Change: an item whose last run had begun is not run apart; it stays counted, so that pauses follow after three deaths. The check of its engine runs beside.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -110,12 +110,17 @@
 		cancel()
 	})
 	defer watchdog.Stop()
+	begun := false // an event has come
 	interrupted := func(err error) (runOutcome, error) {
 		if !watchdog.Stop() && timedOut.Load() {
 			return outcomeStalled, err
 		}
 		if targets.Sent(err) && ctx.Err() == nil {
-			r.crashes.RunBroken(j.fingerprint, call.Instance)
+			if begun {
+				go r.crashes.RunBroken(j.fingerprint, call.Instance) // the text goes on elsewhere meanwhile
+			} else {
+				r.crashes.RunBroken(j.fingerprint, call.Instance)
+			}
 		}
 		return outcomeInterrupted, err
 	}
@@ -197,6 +202,7 @@
 			j.firstEventAt = now
 			r.observeFirstEvent(j, call)
 			r.endIsolation(j, call.Instance)
+			begun, j.begins = true, true
 		}
 		j.lastEventAt = now
 		if ev.ID > call.ResumeAfter+1 {
--- a/batch/job.go
+++ b/batch/job.go
@@ -53,6 +53,8 @@
 	versionWaitSince time.Time
 	// textCompleteAt and resultQueuedAt are the times at which the text was complete and its result was queued for the log.
 	textCompleteAt, resultQueuedAt time.Time
+	// begins is set if the item's last run got an event. If its engine crashed later, the item is no suspect of crashing engines as it begins.
+	begins bool
 	// suspect is set during a run of an item that was running when an engine crashed, until its first event.
 	suspect bool
 	// heldLogged is set once the log tells that the item is held back.
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -54,7 +54,7 @@
 				continue
 			}
 			tasks = append(tasks, &task{
-				suspect: admission.Suspect, job: j, route: route, deadline: time.UnixMilli(j.head.AcceptedMs).Add(route.RunDeadline),
+				suspect: admission.Suspect && !j.begins, job: j, route: route, deadline: time.UnixMilli(j.head.AcceptedMs).Add(route.RunDeadline),
 				estimate: time.Duration(j.remainingEvents(tokensPerEvent(pool))) * interval, repeatTime: time.Duration(len(j.events)) * interval,
 				resubmittedGroup: j.resubmittedGroup, tokensPerEvent: tokensPerEvent(pool),
 			})
@@ -243,7 +243,7 @@
 	j.suspect, e.isolated = t.suspect, t.suspect
 	runCtx, cancel := context.WithCancel(ctx)
 	j.state, j.instance, j.cancel, j.startedAt = jobRunning, e.instance, cancel, time.Now()
-	j.firstEventAt, j.lastEventAt, j.versionWaitSince, j.via = time.Time{}, time.Time{}, time.Time{}, ""
+	j.firstEventAt, j.lastEventAt, j.versionWaitSince, j.via, j.begins = time.Time{}, time.Time{}, time.Time{}, "", false
 	r.startPrompt(j, e, j.startedAt, t.tokensPerEvent)
 	r.engines.requestStarted(e.instance)
 	header := make(http.Header, len(j.item.Header))
