batch: submissions known in any partition are found by findLocal; the part of a record has a name of its own

Found in the read-through: acceptedElsewhere was a second findLocal without the partition that was asked just before, and record.dataPart had the name of a function that returns something else. No change of behaviour: the partition of the route's pool is still asked first, for submissions of others.

--- a/batch/index.go
+++ b/batch/index.go
@@ -30,7 +30,7 @@
 // countData adds the size of the data that were appended with a record.
 func (s *submissionState) countData(r *record) {
 	if r.DataBytes > 0 {
-		s.dataBytes[r.dataPart()] += r.DataBytes
+		s.dataBytes[r.part()] += r.DataBytes
 	}
 }
 
--- a/batch/moved_route.go
+++ b/batch/moved_route.go
@@ -25,18 +25,10 @@
 // errMovedMeanwhile means that several VMs have moved a submission at the same time.
 var errMovedMeanwhile = errors.New("other VMs place the batch at the same time; submit it again under the same ID")
 
-// acceptedElsewhere reports whether another partition than p holds the submission among the records read so far.
-func (s *Service) acceptedElsewhere(p *partition, sub *Submission) bool {
-	caller := organisation.Caller{Organisation: sub.Organisation}
-	return slices.ContainsFunc(s.partitions, func(q *partition) bool {
-		if q == p {
-			return false
-		}
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		first := q.index.submissions[sub.ID]
-		return first != nil && caller.OwnsBatch(first.head.Organisation)
-	})
+// knows reports whether any partition holds the submission among the records read so far.
+func (s *Service) knows(sub *Submission) bool {
+	p, _ := s.findLocal(organisation.Caller{Organisation: sub.Organisation}, sub.ID)
+	return p != nil
 }
 
 // destination tells where a submission belongs.
@@ -67,7 +59,7 @@
 			s.opts.Log.Warn("batch_partitions_unread", "batch", sub.ID, "err", err)
 		}
 		accepted, _ := s.accepted(p, sub)
-		return destination{partition: p, accepted: accepted || s.acceptedElsewhere(p, sub)}, nil
+		return destination{partition: p, accepted: accepted || s.knows(sub)}, nil
 	}
 	return destination{partition: p}, nil
 }
--- a/batch/record.go
+++ b/batch/record.go
@@ -60,8 +60,8 @@
 	return r.SavedParts
 }
 
-// dataPart returns the part that holds the data that were appended with the record.
-func (r *record) dataPart() int {
+// part returns the part that holds the data that were appended with the record.
+func (r *record) part() int {
 	switch {
 	case len(r.Items) > 0:
 		return partOf(r.Items[0].Offset)
--- a/batch/service.go
+++ b/batch/service.go
@@ -206,7 +206,7 @@
 	if accepted, err := s.accepted(p, sub); accepted {
 		return err
 	}
-	if s.acceptedElsewhere(p, sub) {
+	if s.knows(sub) {
 		return nil
 	}
 	items, err := json.Marshal(sub.Items)
