memory, entry: heads of requests are bounded before they are whole

What callers saw: clients that sent heads over the limit or without end ended a VM's process, which ran out of memory.

Cause: the configuration's limit (16 KB) was checked on the parsed head only. Until then net/http took up to 1 MB a connection, and a head of short lines takes up to 30 times its bytes once parsed.

Change: the listener of callers counts what it reads of a head. All heads together may take an eighth of the VM's memory (bytes twice and 256 bytes a line: two maps of header fields); beyond it, the largest unfinished heads are closed for smaller ones, else the request gets 503 with Retry-After, as it has not run. Heads that came with the request before are counted when they are served. Readiness checks (4 KB) and the servers of metrics and relays (16 KB) get net/http's limit.

Why it works: no byte reaches the parser that is not within the limit and the budget.

--- a/entry/process.go
+++ b/entry/process.go
@@ -50,6 +50,13 @@
 	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
 	// process itself takes up to a third.
 	bodyMemoryFraction = 0.25
+	// headMemoryFraction is the part of the VM's memory that the heads of callers' requests may take.
+	headMemoryFraction = 1.0 / 8
+	// headLimitFactor is up to how many times the configuration's limit a head is read: its refusal then names the request, and tells an
+	// invalid API key first.
+	headLimitFactor = 4
+	// maxReadinessHeadBytes limits the head of a readiness check.
+	maxReadinessHeadBytes = 4 << 10
 	// readerStallTimeout is how long a caller may read nothing of an answer. Callers wait for at most 12 s and a little more for results, so that
 	// none that reads at all is ended.
 	readerStallTimeout = 20 * time.Second
@@ -182,9 +189,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	callerListener := &memory.Listener{Listener: l, StallTimeout: readerStallTimeout, Stalled: func(peer string) {
-		p.opts.Log.Warn("caller_stalled", "peer", peer, "after_ms", readerStallTimeout.Milliseconds())
-	}}
+	callerListener := p.newCallerListener(l)
 	readyListener, err := net.Listen("tcp", s.ReadyAddress)
 	if err != nil {
 		return fmt.Errorf("listen for the balancer's readiness checks: %w", err)
@@ -201,8 +206,8 @@
 	p.usage.start(p.ctx)
 	callerServer := p.newCallerServer()
 	serveErrs := make(chan error, 2)
-	go func() { serveErrs <- callerServer.Serve(callerListener) }()
-	readyServer := &http.Server{Handler: p.opts.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second}
+	go func() { serveErrs <- callerListener.Serve(callerServer) }()
+	readyServer := &http.Server{Handler: p.opts.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxReadinessHeadBytes}
 	go func() { serveErrs <- readyServer.Serve(readyListener) }()
 	p.serveDebug()
 	p.opts.Log.Info("started", "vm", s.VM, "az", s.AvailabilityZone, "callers", s.ListenAddress, "ready", s.ReadyAddress)
@@ -294,6 +299,26 @@
 	return errors.New("the tables or the targets are not known yet, or the process stops")
 }
 
+// newCallerListener returns the listener of callers, which bounds their connections and the heads of their requests.
+func (p *Process) newCallerListener(l net.Listener) *memory.Listener {
+	s, ended := &p.opts.Settings, p.opts.Metrics.SubMap("caller_connections_ended")
+	listener := &memory.Listener{
+		Listener: l, StallTimeout: readerStallTimeout, Ended: ended,
+		Heads: memory.NewBudget(int64(headMemoryFraction * float64(s.MemoryBytes))),
+		HeadLimit: func() int {
+			if t := p.View.Get().Tables; t != nil {
+				return headLimitFactor * t.Limits.HeaderBytes
+			}
+			return 0
+		},
+		Stalled: func(peer string) {
+			p.opts.Log.Warn("caller_stalled", "peer", peer, "after_ms", readerStallTimeout.Milliseconds())
+		},
+	}
+	p.opts.Metrics.Set("caller_heads", expvar.Func(func() any { return listener.Heads.State() }))
+	return listener
+}
+
 // newCallerServer returns the HTTP server for callers.
 func (p *Process) newCallerServer() *http.Server {
 	idle := newIdleConns(func() time.Duration {
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,6 +1,6 @@
-// Package memory bounds what a VM holds for its callers: the bodies of their requests, and answers that they have not read yet. It answers
-// two kinds of load: many large bodies at once, which are refused before they are read, and callers that read slowly, which
-// are served as long as they read at all.
+// Package memory bounds what a VM holds for its callers: their connections, the heads and bodies of their requests, and answers that they have
+// not read yet. It answers several kinds of load: many large bodies at once, which are refused before they are read; callers that read slowly,
+// which are served as long as they read at all; heads without end; and more connections than the VM can keep.
 package memory
 
 import (
@@ -40,6 +40,9 @@
 	return true
 }
 
+// release returns n bytes.
+func (b *Budget) release(n int64) { b.held.Add(-n) }
+
 // Hold is the part of a budget that one request has. The zero value holds nothing of no budget.
 type Hold struct {
 	budget *Budget
@@ -61,7 +64,7 @@
 // Release returns all that the request has.
 func (h *Hold) Release() {
 	if h.budget != nil {
-		h.budget.held.Add(-h.bytes)
+		h.budget.release(h.bytes)
 		h.bytes = 0
 	}
 }
--- a/process/process.go
+++ b/process/process.go
@@ -19,8 +19,11 @@
 // Version is the release version, set by the linker.
 var Version = "dev"
 
-// debugReadTimeout is the maximum time to read the headers of a request in Serve.
-const debugReadTimeout = 5 * time.Second
+const (
+	// debugReadTimeout is the maximum time to read the headers of a request in Serve, maxHeadBytes their size.
+	debugReadTimeout = 5 * time.Second
+	maxHeadBytes     = 16 << 10
+)
 
 // NewLogger returns a logger that writes each event to w as a line of key=value pairs, including the name of the
 // process and the ID of the node.
@@ -61,7 +64,7 @@
 
 // Serve serves h on l until ctx is done. It then closes all connections at once and returns nil.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: debugReadTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: debugReadTimeout, MaxHeaderBytes: maxHeadBytes}
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
