entry, process: connections of clients are bounded by memory and descriptors

What callers saw: clients that only opened connections, kept them after an answer, or stopped within a head or a body took up all descriptors of a VM; then neither callers nor targets can be connected.

Cause: nothing bounded the open connections.

Change: callers may have as many connections as an eighth of the VM's memory takes at 24 KB each, and at most half of MaxFds less 200 for files. A new one then takes the place of the one that has waited the longest for its client: for a request, for the rest of one, or over a second for its reader. No connection is closed while its request is worked on; if that holds for all, the new one is answered 503 with Retry-After. Readiness checks (64) and metrics (16, also of gate and steward) are bounded alike.

--- a/entry/process.go
+++ b/entry/process.go
@@ -50,13 +50,21 @@
 	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
 	// process itself takes up to a third.
 	bodyMemoryFraction = 0.25
-	// headMemoryFraction is the part of the VM's memory that the heads of callers' requests may take.
-	headMemoryFraction = 1.0 / 8
+	// connectionMemoryFraction is the part of the VM's memory that the connections of callers may take, headMemoryFraction that of the heads
+	// of their requests.
+	connectionMemoryFraction, headMemoryFraction = 1.0 / 8, 1.0 / 8
+	// connectionBytes is the memory of a connection: its buffers and the stack of its goroutine.
+	connectionBytes = 24 << 10
+	// reservedDescriptors are kept for files. Callers may have half of the others; the rest is for targets, the store and other VMs.
+	reservedDescriptors = 200
+	// minCallerConnections are allowed however small the VM is.
+	minCallerConnections = 16
 	// headLimitFactor is up to how many times the configuration's limit a head is read: its refusal then names the request, and tells an
 	// invalid API key first.
 	headLimitFactor = 4
-	// maxReadinessHeadBytes limits the head of a readiness check.
-	maxReadinessHeadBytes = 4 << 10
+	// maxReadinessConnections and maxReadinessHeadBytes limit readiness checks, which are few and small.
+	maxReadinessConnections = 64
+	maxReadinessHeadBytes   = 4 << 10
 	// readerStallTimeout is how long a caller may read nothing of an answer. Callers wait for at most 12 s and a little more for results, so that
 	// none that reads at all is ended.
 	readerStallTimeout = 20 * time.Second
@@ -190,10 +198,11 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	callerListener := p.newCallerListener(l)
-	readyListener, err := net.Listen("tcp", s.ReadyAddress)
+	rl, err := net.Listen("tcp", s.ReadyAddress)
 	if err != nil {
 		return fmt.Errorf("listen for the balancer's readiness checks: %w", err)
 	}
+	readyListener := &memory.Listener{Listener: rl, StallTimeout: readerStallTimeout, MaxOpen: maxReadinessConnections}
 	for _, src := range p.opts.Sources {
 		go p.follower.follow(p.ctx, src)
 	}
@@ -208,7 +217,7 @@
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- callerListener.Serve(callerServer) }()
 	readyServer := &http.Server{Handler: p.opts.ReadyHandler(p.Ready), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxReadinessHeadBytes}
-	go func() { serveErrs <- readyServer.Serve(readyListener) }()
+	go func() { serveErrs <- readyListener.Serve(readyServer) }()
 	p.serveDebug()
 	p.opts.Log.Info("started", "vm", s.VM, "az", s.AvailabilityZone, "callers", s.ListenAddress, "ready", s.ReadyAddress)
 	select {
@@ -235,7 +244,7 @@
 		return
 	}
 	go func() {
-		if err := process.Serve(p.ctx, l, p.DebugHandler()); err != nil {
+		if err := process.ServeDebug(p.ctx, l, p.DebugHandler()); err != nil {
 			p.opts.Log.Error("metrics_unserved", "address", p.opts.MetricsAddress, "err", err)
 		}
 	}()
@@ -303,7 +312,7 @@
 func (p *Process) newCallerListener(l net.Listener) *memory.Listener {
 	s, ended := &p.opts.Settings, p.opts.Metrics.SubMap("caller_connections_ended")
 	listener := &memory.Listener{
-		Listener: l, StallTimeout: readerStallTimeout, Ended: ended,
+		Listener: l, StallTimeout: readerStallTimeout, MaxOpen: s.maxCallerConnections(), Ended: ended,
 		Heads: memory.NewBudget(int64(headMemoryFraction * float64(s.MemoryBytes))),
 		HeadLimit: func() int {
 			if t := p.View.Get().Tables; t != nil {
@@ -316,6 +325,9 @@
 		},
 	}
 	p.opts.Metrics.Set("caller_heads", expvar.Func(func() any { return listener.Heads.State() }))
+	p.opts.Metrics.Set("caller_connections", expvar.Func(func() any {
+		return map[string]int{"open": listener.Open(), "limit": listener.MaxOpen}
+	}))
 	return listener
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,6 +31,8 @@
 	// CPUShare is the fraction of each core that the VM may use.
 	CPUShare    float64
 	MemoryBytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have open; 0 if that is unlimited.
+	MaxDescriptors int
 	// StopGrace is the time between SIGTERM and SIGKILL.
 	StopGrace time.Duration
 	// OrderHandover is the minimum time between the orders of two successive holders to one engine.
@@ -58,6 +60,24 @@
 	UsageWindow, UsageDue time.Duration
 }
 
+// maxCallerConnections returns how many connections callers may have open; 0 if neither memory nor descriptors are limited.
+func (s *Settings) maxCallerConnections() int {
+	n := 0
+	if s.MemoryBytes > 0 {
+		n = int(connectionMemoryFraction * float64(s.MemoryBytes) / connectionBytes)
+	}
+	if s.MaxDescriptors > 0 {
+		sockets := (s.MaxDescriptors - reservedDescriptors) / 2
+		if n == 0 || sockets < n {
+			n = sockets
+		}
+	}
+	if s.MemoryBytes > 0 || s.MaxDescriptors > 0 {
+		n = max(n, minCallerConnections)
+	}
+	return n
+}
+
 // Small reports whether the VM has too little CPU for work that another VM can do.
 func (s *Settings) Small() bool {
 	return s.CPUShare > 0 && s.CPUShare*float64(max(1, s.Cores)) < minHolderCores
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -120,7 +120,7 @@
 	start("reports", g.reports.run)
 	start("versions", g.reportVersions)
 	start("rpc", func(ctx context.Context) error { return g.rpcServer().Serve(ctx, ls.RPC) })
-	start("debug", func(ctx context.Context) error { return process.Serve(ctx, ls.Debug, g.debugServer().Handler()) })
+	start("debug", func(ctx context.Context) error { return process.ServeDebug(ctx, ls.Debug, g.debugServer().Handler()) })
 	start("http", func(context.Context) error { return ignoreClosed(srv.Serve(ls.HTTP)) })
 	g.log.Info("gate_started", "http", ls.HTTP.Addr(), "rpc", ls.RPC.Addr(), "debug", ls.Debug.Addr(), "incarnation", g.incarnation)
 	select {
--- a/process/process.go
+++ b/process/process.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/ibistrail/ibistrail/memory"
 )
 
 // Version is the release version, set by the linker.
@@ -23,6 +25,9 @@
 	// debugReadTimeout is the maximum time to read the headers of a request in Serve, maxHeadBytes their size.
 	debugReadTimeout = 5 * time.Second
 	maxHeadBytes     = 16 << 10
+	// maxDebugConnections limits the connections of a debug server, debugStallTimeout how long a peer may read nothing of an answer.
+	maxDebugConnections = 16
+	debugStallTimeout   = 20 * time.Second
 )
 
 // NewLogger returns a logger that writes each event to w as a line of key=value pairs, including the name of the
@@ -64,10 +69,26 @@
 
 // Serve serves h on l until ctx is done. It then closes all connections at once and returns nil.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: debugReadTimeout, MaxHeaderBytes: maxHeadBytes}
+	s := newServer(h)
+	return serve(ctx, l, s, func() error { return s.Serve(l) })
+}
+
+// ServeDebug is Serve for metrics and state dumps: beyond maxDebugConnections, a new connection takes the place of another one.
+func ServeDebug(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := newServer(h)
+	return serve(ctx, l, s, func() error {
+		return (&memory.Listener{Listener: l, StallTimeout: debugStallTimeout, MaxOpen: maxDebugConnections}).Serve(s)
+	})
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: debugReadTimeout, MaxHeaderBytes: maxHeadBytes}
+}
+
+func serve(ctx context.Context, l net.Listener, s *http.Server, run func() error) error {
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve %s: %w", l.Addr(), err)
 	}
 	return nil
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -134,7 +134,7 @@
 	debug := &process.DebugServer{Metrics: s.opts.Metrics, State: func() any { return s.dump() }, Ready: s.ready, Routes: s.debugRoutes}
 	counted := &countedListener{Listener: l.RPC, counter: s.opts.Metrics.SubMap("control_bytes"), kind: "total.rpc"}
 	g.Go(func() error { return server.Serve(ctx, counted) })
-	g.Go(func() error { return process.Serve(ctx, l.Debug, debug.Handler()) })
+	g.Go(func() error { return process.ServeDebug(ctx, l.Debug, debug.Handler()) })
 	for _, run := range []func(context.Context) error{s.gossip.run, s.tails.run, s.leases.run, s.claims.run, s.versionPoller.run, s.vmList.run, s.orders.run, s.publishStates, s.refreshSnapshots} {
 		g.Go(func() error { return run(ctx) })
 	}
