forward: answers count until callers have read them

What callers saw: clients that ask for long answers and don't read them ended a VM's process, which ran out of memory.

Cause: the bound of 16 MB on answers that are read whole before they are forwarded counted them only while they were read from the target. Then each stayed in memory, up to 4 MB, until its caller had read it. docs/design/memory.md listed it as partial.

Change: an answer counts until its body is closed, or its attempt is over if it is never forwarded. An answer of known length for which there is no room is forwarded while it is read, so that it waits at its target; before, it failed with 502. One of unknown length still fails.

--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/ibistrail/ibistrail/targets"
@@ -16,7 +17,8 @@
 	maxBufferedBytes = 4 << 20
 	// smallBodyBytes is the part of each answer that is read in any case.
 	smallBodyBytes = 64 << 10
-	// maxLargeBodyBytes limits what all answers being read together have beyond smallBodyBytes: a faulty target may send without end.
+	// maxLargeBodyBytes limits what all answers together have beyond smallBodyBytes until callers have read them: a faulty target may send
+	// without end, and callers may read nothing.
 	maxLargeBodyBytes = 16 << 20
 )
 
@@ -25,18 +27,41 @@
 
 // bodyBuffer reads answers into memory within maxLargeBodyBytes. It is safe for concurrent use.
 type bodyBuffer struct {
-	large atomic.Int64 // bytes beyond smallBodyBytes of the answers being read
+	large atomic.Int64 // bytes beyond smallBodyBytes of the answers that are read or held
 }
 
-// read reads the body into memory, so that a truncated answer is detected before any of it is forwarded.
+// reserve takes the memory of an answer of length bytes, which read gives back, and reports whether it did. Answers of unknown length, which is
+// negative, take theirs while they are read.
+func (b *bodyBuffer) reserve(length int64) bool {
+	if length <= smallBodyBytes {
+		return true
+	}
+	if b.large.Add(length) > maxLargeBodyBytes {
+		b.large.Add(-length)
+		return false
+	}
+	return true
+}
+
+// read reads the body of a reserved answer into memory, so that a truncated answer is detected before any of it is forwarded. The memory counts
+// until the new body is closed.
 func (b *bodyBuffer) read(answer *targets.Response) error {
 	defer answer.Body.Close()
 	var data bytes.Buffer
 	if answer.Length > 0 {
 		data.Grow(int(min(answer.Length, smallBodyBytes)) + bytes.MinRead)
 	}
+	known := answer.Length > smallBodyBytes
 	var reserved int64
-	defer func() { b.large.Add(-reserved) }()
+	if known {
+		reserved = answer.Length
+	}
+	whole := false
+	defer func() {
+		if !whole {
+			b.large.Add(-reserved)
+		}
+	}()
 	for {
 		n, err := data.ReadFrom(io.LimitReader(answer.Body, smallBodyBytes))
 		if err != nil {
@@ -45,6 +70,9 @@
 		if n < smallBodyBytes {
 			break
 		}
+		if known {
+			continue
+		}
 		if data.Len() > maxBufferedBytes {
 			return fmt.Errorf("%w: over %d bytes and no length", errBodyTooLong, maxBufferedBytes)
 		}
@@ -53,6 +81,20 @@
 			return fmt.Errorf("%w: other long answers are being read", errBodyTooLong)
 		}
 	}
-	answer.Body, answer.Length = io.NopCloser(bytes.NewReader(data.Bytes())), int64(data.Len())
+	whole = true
+	answer.Body = &heldBody{Reader: bytes.NewReader(data.Bytes()), release: sync.OnceFunc(func() { b.large.Add(-reserved) })}
+	answer.Length = int64(data.Len())
+	return nil
+}
+
+// heldBody is an answer in memory.
+type heldBody struct {
+	io.Reader
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error {
+	b.release()
 	return nil
 }
--- a/forward/buffer_test.go
+++ b/forward/buffer_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
@@ -71,3 +75,59 @@
 	is.NoErr(b.read(long))
 	is.Equal(long.Length, int64(3*smallBodyBytes))
 }
+
+// TestAnswersCountUntilTheyAreRead guards against answers that are held for callers which don't read them, beyond any limit.
+func TestAnswersCountUntilTheyAreRead(t *testing.T) {
+	is := is.New(t)
+	var b bodyBuffer
+	answer := func(length int64) *targets.Response {
+		return &targets.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, maxBufferedBytes))), Length: length}
+	}
+	var held []*targets.Response
+	for _, length := range []int64{maxBufferedBytes, -1, maxBufferedBytes} {
+		a := answer(length)
+		is.True(b.reserve(length))
+		is.NoErr(b.read(a))
+		held = append(held, a)
+	}
+	is.True(!b.reserve(maxBufferedBytes + 1))
+	is.True(b.reserve(maxBufferedBytes - 3*smallBodyBytes)) // of the first ones, the one without a length has less
+	b.large.Add(3*smallBodyBytes - maxBufferedBytes)
+	for _, a := range held {
+		is.NoErr(a.Body.Close())
+		is.NoErr(a.Body.Close()) // counts once
+	}
+	is.Equal(b.large.Load(), int64(0))
+}
+
+// largeClient answers each call with an answer of a size.
+type largeClient struct {
+	targets.Client
+	size int
+}
+
+func (c *largeClient) Do(context.Context, *targets.Call) (*targets.Response, error) {
+	return &targets.Response{Status: http.StatusOK, Proof: "p", Body: io.NopCloser(bytes.NewReader(make([]byte, c.size))), Length: int64(c.size)}, nil
+}
+
+// TestAnswerWithoutRoomIsForwardedWhileItIsRead guards against answers that fail because callers don't read others, and against memory that is not given
+// back.
+func TestAnswerWithoutRoomIsForwardedWhileItIsRead(t *testing.T) {
+	is := is.New(t)
+	f := newTestForwarder(&largeClient{size: maxBufferedBytes}, fleet.Route{MaxAttempts: 1})
+	var replies []*Reply
+	for range 10 {
+		reply := f.Serve(t.Context(), &Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/x", URI: "/x", Header: http.Header{}, Budget: time.Minute})
+		is.Equal(reply.Status, http.StatusOK)
+		is.True(f.buffer.large.Load() <= maxLargeBodyBytes)
+		replies = append(replies, reply)
+	}
+	is.Equal(f.buffer.large.Load(), int64(maxLargeBodyBytes))
+	for _, reply := range replies {
+		data, err := io.ReadAll(reply.Body)
+		is.NoErr(err)
+		is.Equal(len(data), maxBufferedBytes)
+		is.NoErr(reply.Body.Close())
+	}
+	is.Equal(f.buffer.large.Load(), int64(0))
+}
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -72,6 +72,8 @@
 	// connectedNs is when there was a connection, in Unix nanoseconds; 0 before.
 	connectedNs atomic.Int64
 	queueFactor float64 // as in delivery, when the send began
+	// unread is set if the answer is forwarded while it is read.
+	unread bool
 }
 
 // Connections of a send, as logged.
@@ -318,7 +320,7 @@
 		return d.retryIf(d.maySend())
 	}
 	d.countRun(o)
-	if !d.unread(o.answer) {
+	if !o.attempt.unread {
 		f.crashes.Answered(d.fingerprint)
 	}
 	if o.answer.Status >= http.StatusInternalServerError {
@@ -527,8 +529,14 @@
 	}
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
-		if err == nil && !d.unread(answer) {
-			err = f.buffer.read(answer)
+		if err == nil {
+			a.unread = d.unread(answer) || !f.buffer.reserve(answer.Length)
+		}
+		if err == nil && !a.unread {
+			if err = f.buffer.read(answer); err == nil {
+				held := answer.Body
+				context.AfterFunc(attemptCtx, func() { held.Close() }) // not every answer is forwarded
+			}
 		}
 		if err != nil {
 			if targets.Sent(err) && attemptCtx.Err() == nil {
@@ -541,7 +549,7 @@
 	}()
 }
 
-// unread reports whether an answer is forwarded while it is read.
+// unread reports whether an answer must be forwarded while it is read, however much memory there is.
 func (d *delivery) unread(answer *targets.Response) bool {
 	return d.route.Streaming && answer.Status < http.StatusBadRequest || answer.Length > maxBufferedBytes
 }
@@ -563,7 +571,7 @@
 	if d.route.Streaming && answer.Status < http.StatusBadRequest {
 		body = d.f.client.WholeEvents(body)
 	}
-	if d.unread(answer) {
+	if a.unread {
 		body = &answerBody{ReadCloser: body, d: d, instance: a.instance}
 	}
 	return &Reply{
