batch, platform: pages of results count until their readers have them

What callers saw: clients that read results of a batch and stop reading the answer ended a VM's process, which ran out of memory.

Cause: each page, up to 900 KB of texts and their encoded form, was held without any bound until its reader had it. Encoding made it larger than the pages allow: JSON for HTML writes "<" in six bytes, so that a page of 800 KB became 4.8 MB.

Change: a page has room for its size limit, twice, before its texts are read from the store, and then what it takes. Pages may take half of the budget for bodies, so that they keep out no submissions; beyond it, a read is answered 503 with Retry-After.

--- a/batch/results.go
+++ b/batch/results.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ibistrail/ibistrail/memory"
 	"github.com/ibistrail/ibistrail/organisation"
 	"github.com/ibistrail/ibistrail/store"
 )
@@ -68,15 +69,16 @@
 }
 
 // Results returns a page of results that begins at position after, with texts of about maxBytes. If there are no
-// results there yet, it waits up to wait for the first one.
-func (s *Service) Results(ctx context.Context, c organisation.Caller, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
+// results there yet, it waits up to wait for the first one. It adds the memory of the page to hold, also for its encoded form, and returns an
+// *UnavailableError if that does not fit.
+func (s *Service) Results(ctx context.Context, c organisation.Caller, id string, after int, wait time.Duration, maxBytes int, hold *memory.Hold) (*Page, error) {
 	start := time.Now()
 	p, err := s.find(ctx, c, id)
 	found := time.Since(start)
 	var page *Page
 	if err == nil {
 		p.keepFollowing(s.ctx)
-		page, err = p.page(ctx, id, after, wait, maxBytes)
+		page, err = p.page(ctx, id, after, wait, maxBytes, hold)
 	}
 	results := 0
 	if page != nil {
@@ -88,7 +90,7 @@
 }
 
 // page returns a page of a submission's results. If there are none at its position, it waits up to wait for the first one.
-func (p *partition) page(ctx context.Context, id string, after int, wait time.Duration, maxBytes int) (*Page, error) {
+func (p *partition) page(ctx context.Context, id string, after int, wait time.Duration, maxBytes int, hold *memory.Hold) (*Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for timedOut := wait <= 0; ; {
@@ -97,9 +99,9 @@
 		case page == nil:
 			return nil, ErrNotFound
 		case len(results) > 0:
-			return p.fillPage(ctx, id, page, results, maxBytes)
+			return p.fillPage(ctx, id, page, results, maxBytes, hold)
 		case timedOut || !open:
-			return p.pageAfterSync(ctx, id, after, maxBytes)
+			return p.pageAfterSync(ctx, id, after, maxBytes, hold)
 		}
 		select {
 		case <-changed:
@@ -113,7 +115,7 @@
 
 // pageAfterSync returns a page after reading to the end of the partition: another VM may have returned a result that
 // this VM has not read yet.
-func (p *partition) pageAfterSync(ctx context.Context, id string, after, maxBytes int) (*Page, error) {
+func (p *partition) pageAfterSync(ctx context.Context, id string, after, maxBytes int, hold *memory.Hold) (*Page, error) {
 	if err := p.sync(ctx); err != nil {
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 	}
@@ -121,11 +123,17 @@
 	if page == nil {
 		return nil, ErrNotFound
 	}
-	return p.fillPage(ctx, id, page, results, maxBytes)
+	return p.fillPage(ctx, id, page, results, maxBytes, hold)
 }
 
 // fillPage adds results with their texts to a page. It returns ErrNotFound if the store no longer has them and needs no longer have them.
-func (p *partition) fillPage(ctx context.Context, id string, page *Page, results []resultMeta, maxBytes int) (*Page, error) {
+func (p *partition) fillPage(ctx context.Context, id string, page *Page, results []resultMeta, maxBytes int, hold *memory.Hold) (*Page, error) {
+	if len(results) == 0 {
+		return page, nil
+	}
+	if err := hold.Add(pageCopies * int64(maxBytes)); err != nil { // the sizes of the texts are not known before they are read
+		return nil, &UnavailableError{RetryAfter: pageRetryAfter, Cause: err}
+	}
 	if err := p.data.addTexts(ctx, page, results, maxBytes); err != nil {
 		var truncated *store.TruncatedError
 		if errors.As(err, &truncated) && p.outlived(id, time.Now()) {
@@ -133,9 +141,21 @@
 		}
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: err}
 	}
+	size := int64(0)
+	for _, r := range page.Results {
+		size += int64(len(r.Text)) + recordOverheadBytes
+	}
+	hold.Shrink(pageCopies * size)
 	return page, nil
 }
 
+const (
+	// pageCopies is how often a page is held: its texts and their encoded form.
+	pageCopies = 2
+	// pageRetryAfter is about the time in which a reader takes a page.
+	pageRetryAfter = 500 * time.Millisecond
+)
+
 // outlived reports whether a submission has ended and the time for which its results must stay readable is over.
 func (p *partition) outlived(id string, now time.Time) bool {
 	p.mu.Lock()
--- a/cmd/ibisentry/main.go
+++ b/cmd/ibisentry/main.go
@@ -93,7 +93,7 @@
 		Settings: settings, Log: log, Store: store, Peers: peers, Relay: relayHandler, Isolated: transport.Isolated, Metrics: metrics, MetricsAddress: metricsAddress, Client: targets, Engines: targets,
 		DutyAPI: dutyAPI, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, SoftwareTopic: platform.TopicSoftware, BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, Keys: p.Keys, Memory: p.Memory, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: p.Forwarder, Batches: p.Batches, Keys: p.Keys, Memory: p.Memory, Pages: p.Pages, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
 	targets.View = p.View
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -161,7 +161,7 @@
 		Isolated: transport.Isolated, Client: targets, Engines: targets, Sources: platform.Sources(), CrashTopic: platform.TopicCrashes, SoftwareTopic: platform.TopicSoftware,
 		BootTime: process.BootTime, Dial: platform.DialPeer, ReadyHandler: platform.ReadyHandler,
 		Handler: func(p *entry.Process) http.Handler {
-			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, Keys: p.Keys, Memory: p.Memory, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
+			return (&platform.Ingress{View: p.View, Requests: organisationHandler{p.Forwarder}, Batches: p.Batches, Keys: p.Keys, Memory: p.Memory, Pages: p.Pages, ShuttingDown: p.ShuttingDown, Log: log}).Handler()
 		},
 	})
 	targets.View = v.process.View
--- a/entry/process.go
+++ b/entry/process.go
@@ -50,6 +50,8 @@
 	// bodyMemoryFraction is the part of the VM's memory that the bodies of callers may take. The smallest VMs have 144 MB, of which the
 	// process itself takes up to a third.
 	bodyMemoryFraction = 0.25
+	// pageMemoryFraction is how much of it pages of results may take, so that readers which stop reading keep out no bodies.
+	pageMemoryFraction = bodyMemoryFraction / 2
 	// connectionMemoryFraction is the part of the VM's memory that the connections of callers may take, headMemoryFraction that of the heads
 	// of their requests.
 	connectionMemoryFraction, headMemoryFraction = 1.0 / 8, 1.0 / 8
@@ -108,8 +110,8 @@
 	View      *fleet.View
 	Forwarder *forward.Forwarder
 	Batches   *batch.Service
-	// Memory bounds what is held for callers.
-	Memory *memory.Budget
+	// Memory bounds what is held for callers, Pages the part of it that pages of results may take.
+	Memory, Pages *memory.Budget
 	// Keys decides on requests that need an API key.
 	Keys *organisation.Register
 
@@ -160,7 +162,9 @@
 	}
 	p.follower = newTopicFollower(opts.Store, opts.Log, p.View, opts.BootTime, s.FailClosed)
 	p.Memory = memory.NewBudget(int64(bodyMemoryFraction * float64(s.MemoryBytes)))
+	p.Pages = p.Memory.Part(int64(pageMemoryFraction * float64(s.MemoryBytes)))
 	opts.Metrics.Set("caller_memory", expvar.Func(func() any { return p.Memory.State() }))
+	opts.Metrics.Set("caller_pages", expvar.Func(func() any { return p.Pages.State() }))
 	p.Keys = organisation.NewRegister(organisation.Options{
 		Rules: organisation.Rules{FailClosed: s.FailClosed, RevokeWithin: s.RevokeWithin}, TablesAge: p.follower.tablesAge, Metrics: opts.Metrics,
 	})
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -18,6 +18,7 @@
 // Budget is a number of bytes that requests share. It is safe for concurrent use.
 type Budget struct {
 	limit   int64
+	whole   *Budget // the budget that this one is a part of; nil if it is none
 	held    atomic.Int64
 	peak    atomic.Int64
 	refused atomic.Int64
@@ -26,10 +27,13 @@
 // NewBudget returns a budget of limit bytes; 0 means no limit.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Part returns a budget of limit bytes of this one, for what must not take up all of it.
+func (b *Budget) Part(limit int64) *Budget { return &Budget{limit: limit, whole: b} }
+
 // reserve takes n bytes of the budget, if there are as many left.
 func (b *Budget) reserve(n int64) bool {
 	held := b.held.Add(n)
-	if b.limit > 0 && held > b.limit {
+	if b.limit > 0 && held > b.limit || b.whole != nil && !b.whole.reserve(n) {
 		b.held.Add(-n)
 		b.refused.Add(1)
 		return false
@@ -41,7 +45,12 @@
 }
 
 // release returns n bytes.
-func (b *Budget) release(n int64) { b.held.Add(-n) }
+func (b *Budget) release(n int64) {
+	b.held.Add(-n)
+	if b.whole != nil {
+		b.whole.release(n)
+	}
+}
 
 // Hold is the part of a budget that one request has. The zero value holds nothing of no budget.
 type Hold struct {
@@ -61,6 +70,14 @@
 	return nil
 }
 
+// Shrink returns what the request has beyond n bytes.
+func (h *Hold) Shrink(n int64) {
+	if h.budget != nil && h.bytes > n {
+		h.budget.release(h.bytes - n)
+		h.bytes = n
+	}
+}
+
 // Release returns all that the request has.
 func (h *Hold) Release() {
 	if h.budget != nil {
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -110,3 +110,21 @@
 	is.True(<-result != nil)
 	is.Equal(<-stalled, silent.LocalAddr().String())
 }
+
+// TestPartLeavesTheRestOfItsBudget guards against one kind of use that takes up the whole budget.
+func TestPartLeavesTheRestOfItsBudget(t *testing.T) {
+	is := is.New(t)
+	whole := NewBudget(100)
+	part := whole.Part(60)
+	h, other := part.Hold(), whole.Hold()
+	is.NoErr(h.Add(50))
+	is.True(errors.Is(part.Hold().Add(20), ErrFull)) // beyond the part
+	is.NoErr(other.Add(50))
+	is.True(errors.Is(part.Hold().Add(5), ErrFull)) // beyond the whole
+	is.Equal(part.State().Held, int64(50))
+	h.Shrink(10)
+	is.Equal(whole.State().Held, int64(60))
+	h.Release()
+	other.Release()
+	is.Equal(whole.State().Held+part.State().Held, int64(0))
+}
