memory: bodies that never come keep out no others

What callers saw: while some clients announced bodies and sent nothing of them, ordinary requests with a body of a few bytes were refused.

Cause: a body of known length is reserved whole before it is read, and keeps its place for as long as its client sends a byte every 15 s. Bodies whose lengths fill the budget to the last byte left nothing.

--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -128,3 +128,61 @@
 	other.Release()
 	is.Equal(whole.State().Held+part.State().Held, int64(0))
 }
+
+// TestSmallRequestsFitBesideLargeOnes guards against large bodies that keep out all other requests.
+func TestSmallRequestsFitBesideLargeOnes(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(8 << 20)
+	for n := int64(8 << 20); n > 0; n /= 2 {
+		_ = b.Hold().Add(n) // the larger ones do not fit
+		_ = b.Hold().Add(n)
+	}
+	is.NoErr(b.Hold().Add(smallBytes / 2))
+}
+
+// TestBodiesThatComeTooSlowlyGiveWay guards against clients that announce bodies and send little of them, which keeps out others for as long as they go on.
+func TestBodiesThatComeTooSlowlyGiveWay(t *testing.T) {
+	const size = 600 << 10
+	is := is.New(t)
+	b := NewBudget(1 << 20)
+	read := func(body io.Reader, interrupt func()) chan error {
+		done := make(chan error, 1)
+		go func() {
+			h := b.Hold()
+			defer h.Release()
+			h.Interrupt = interrupt
+			_, err := h.Read(body, size, 1, noProgress)
+			done <- err
+		}()
+		return done
+	}
+	// pipe returns the two ends of a body and a function that interrupts its reading.
+	pipe := func() (*io.PipeReader, *io.PipeWriter, func()) {
+		r, w := io.Pipe()
+		return r, w, func() { w.CloseWithError(errors.New("interrupted")) }
+	}
+	r, w, interrupt := pipe()
+	slow := read(r, interrupt)
+	_, err := w.Write(make([]byte, 1000))
+	is.NoErr(err)
+	_, err = b.Hold().Read(bytes.NewReader(make([]byte, size)), size, 1, noProgress)
+	is.True(errors.Is(err, ErrFull)) // it may have been slow for a moment
+	time.Sleep(minReadTime)
+	next := b.Hold()
+	_, err = next.Read(bytes.NewReader(make([]byte, size)), size, 1, noProgress)
+	is.NoErr(err)
+	is.True(errors.Is(<-slow, ErrFull))
+	next.Release()
+
+	r, w, interrupt = pipe()
+	sound := read(r, interrupt)
+	_, err = w.Write(make([]byte, size/2))
+	is.NoErr(err)
+	time.Sleep(minReadTime)
+	_, err = b.Hold().Read(bytes.NewReader(make([]byte, size)), size, 1, noProgress)
+	is.True(errors.Is(err, ErrFull)) // the other is at a pace that a caller may wait for
+	_, err = w.Write(make([]byte, size/2))
+	is.NoErr(err)
+	is.NoErr(<-sound)
+	is.Equal(b.State().Held, int64(0))
+}
