batch: items of open submissions are held within the VM's memory

What callers saw: nothing yet; found by a test that was written after the others of this issue. Clients that submit batch after batch, each within the limits, end the process that holds their items.

Cause: each submission is accepted, and the VM that runs a pool holds the items of all open ones.

Change: a VM refuses a submission, 503 with Retry-After and before anything is appended, if it would bring the items of the open ones that it knows of beyond a quarter of its memory. A VM that runs a pool loads further submissions only while there is room; the others wait in the store until some are done, ended or given up. One that is alone always fits.

--- a/batch/index.go
+++ b/batch/index.go
@@ -19,6 +19,8 @@
 	results   []resultMeta
 	hasResult map[string]bool
 	ended     bool
+	// itemBytes is the size of the items in the data topic.
+	itemBytes int64
 	// savedParts are the data records of unfinished texts by item, in the order of the index.
 	savedParts map[string][]span
 	// dataBytes is the size of all data that were appended for the submission, by part.
@@ -98,7 +100,7 @@
 		}
 		sub = &submissionState{
 			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, savedParts: map[string][]span{},
-			dataBytes: map[int]int64{},
+			dataBytes: map[int]int64{}, itemBytes: r.DataBytes,
 		}
 		sub.countData(&r)
 		ix.submissions[r.ID] = sub
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -37,8 +37,9 @@
 }
 
 // openSubmissions opens the submissions of owned partitions that have no jobs yet, and removes the jobs of items
-// that have a result.
+// that have a result. Submissions for whose items there is no room wait for others to end.
 func (r *runner) openSubmissions(ctx context.Context) {
+	room := r.newItemRoom()
 	for p := range r.owned {
 		p.mu.Lock()
 		if !p.caughtUp() {
@@ -53,7 +54,7 @@
 			}
 			if jobs == nil {
 				// Load again even if the items are known from an earlier tenure: another VM may have saved progress since.
-				if !sub.loading {
+				if !sub.loading && room.take(sub.itemBytes) {
 					sub.loading = true
 					go r.loadSubmission(ctx, p, sub)
 				}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -63,6 +63,9 @@
 	// writer identifies this process in saved texts.
 	writer string
 
+	// maxOpenItemBytes is Options.MaxOpenItemBytes.
+	maxOpenItemBytes int64
+
 	mu       sync.Mutex
 	jobs     map[string]map[string]*job // by submission and item
 	owned    map[*partition]bool        // partitions whose submissions this VM runs
@@ -150,7 +153,7 @@
 		view: o.View, client: o.Client, forwarder: o.Forwarder, crashes: o.Crashes, limiter: o.Limiter, log: o.Log, az: o.AvailabilityZone,
 		jobs: map[string]map[string]*job{}, owned: map[*partition]bool{}, engines: newEngines(),
 		unfinishedTexts: map[ownedItem]unfinishedText{}, waitingModels: map[string]bool{}, minVersions: map[string]int64{},
-		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration,
+		wakeups: make(chan struct{}, 1), loadDuration: initialLoadDuration, maxOpenItemBytes: o.MaxOpenItemBytes,
 		outcomes: o.Metrics.SubMap("item_runs"), durations: o.Metrics.Latency("item_run_seconds"),
 	}
 	r.engines.states = o.States
--- a/batch/service.go
+++ b/batch/service.go
@@ -36,6 +36,9 @@
 	Partitions int
 	// MaxRecordBytes limits a record of the log, MaxAppendBytes all records of one append, in bytes.
 	MaxRecordBytes, MaxAppendBytes int
+	// MaxOpenItemBytes limits the items of open submissions that this VM holds, and beside which it accepts others, in bytes; 0 if that is
+	// unlimited.
+	MaxOpenItemBytes int64
 	// PartitionBytes is how much of a partition the store keeps, in bytes; 0 if that is unlimited.
 	PartitionBytes int64
 	// Retention is how long submissions stay readable after their acceptance.
@@ -216,7 +219,9 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	start := time.Now()
-	err = s.submitOnce(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+	if err = s.checkOpenItems(int64(len(items))); err == nil {
+		err = s.submitOnce(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+	}
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "organisation", sub.Organisation, "items", len(sub.Items),
 		"ms", time.Since(start).Milliseconds(), "err", err)
--- a/hostile/bodies_test.go
+++ b/hostile/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -24,6 +25,9 @@
 	eventsPerItem = 200
 	// pageReaders hold more than the memory of the VM, with fewer connections than it may have.
 	pageReaders = 150
+	// acceptedSubmissions of 4 items of acceptedItemBytes are twice the memory of the VM.
+	acceptedSubmissions = 144
+	acceptedItemBytes   = 512 << 10
 )
 
 // readStatus reads the head of an answer and returns its status.
@@ -201,3 +205,26 @@
 	})
 	return found
 }
+
+// TestSubmissionsThatAreAllAccepted guards against accepted items that are held beyond the memory of the VM: each submission is within the
+// limits, and none is ended.
+func TestSubmissionsThatAreAllAccepted(t *testing.T) {
+	v := startVM(t)
+	itemBody := base64.StdEncoding.EncodeToString(make([]byte, acceptedItemBytes))
+	accepted := 0
+	for i := range acceptedSubmissions {
+		var items []string
+		for n := range 4 {
+			items = append(items, fmt.Sprintf(`{"Id":"i%d-%d","Path":"/notes/a","Group":"g","Headers":{"Model":"drafts"},"Body":%q}`, i, n, itemBody))
+		}
+		body := fmt.Sprintf(`{"Model":"drafts","DesiredCount":1,"Items":[%s]}`, strings.Join(items, ","))
+		if v.call("POST /notes/b HTTP/1.1", fmt.Sprintf("Request-Id: b%d", i), body) == http.StatusAccepted {
+			accepted++
+		}
+	}
+	t.Logf("accepted %d of %d", accepted, acceptedSubmissions)
+	if accepted == 0 {
+		t.Error("no submission was accepted")
+	}
+	v.checkHealthy()
+}
