memory, entry: connections that the VM ends are logged, once a second and reason

The metric told how many connections of callers were ended or refused, but no line told when, and whose. One line a second and reason has the peer and the count, so that clients can't fill the log. Measured: unit test only.

--- a/entry/process.go
+++ b/entry/process.go
@@ -329,6 +329,9 @@
 		Stalled: func(peer string) {
 			p.opts.Log.Warn("caller_stalled", "peer", peer, "after_ms", readerStallTimeout.Milliseconds())
 		},
+		OnEnded: func(reason, peer string, count int) {
+			p.opts.Log.Warn("caller_connection_ended", "reason", reason, "peer", peer, "count", count)
+		},
 	}
 	p.opts.Metrics.Set("caller_heads", expvar.Func(func() any { return listener.Heads.State() }))
 	p.opts.Metrics.Set("caller_connections", expvar.Func(func() any {
--- a/memory/listener.go
+++ b/memory/listener.go
@@ -32,6 +32,8 @@
 	// minUnreadTime is how long an answer must wait for its reader until the connection may give way to another one: that each answer waits
 	// for a moment does not tell a reader that has stopped.
 	minUnreadTime = time.Second
+	// reportInterval is the least time between two reports of connections that were ended for the same reason.
+	reportInterval = time.Second
 	// fullRetryAfter is the Retry-After of a request that is refused because too much is held for others.
 	fullRetryAfter = 500 * time.Millisecond
 )
@@ -69,10 +71,20 @@
 	Ended *expvar.Map
 	// Stalled is called with the address of a peer that read nothing for StallTimeout; it may be nil.
 	Stalled func(peer string)
+	// OnEnded is called with the reason and the peer of a connection that was ended or refused otherwise, and with how many were for that
+	// reason since the last call. It is called once in reportInterval for each reason; it may be nil.
+	OnEnded func(reason, peer string, count int)
 
 	mu      sync.Mutex
 	open    int
 	waiting list.List // of *clientConn, the longest wait first
+	reports map[string]*report
+}
+
+// report is what is to be reported of the connections that were ended for a reason.
+type report struct {
+	last  time.Time
+	count int
 }
 
 // Open returns the number of open connections.
@@ -138,9 +150,38 @@
 	if l.Ended != nil {
 		l.Ended.Add(reason, 1)
 	}
-	if reason == endedUnread && l.Stalled != nil {
-		l.Stalled(c.RemoteAddr().String())
+	peer := c.RemoteAddr().String()
+	switch {
+	case reason == endedUnread:
+		if l.Stalled != nil {
+			l.Stalled(peer)
+		}
+	case l.OnEnded != nil:
+		if n := l.dueReport(reason, time.Now()); n > 0 {
+			l.OnEnded(reason, peer, n)
+		}
+	}
+}
+
+// dueReport counts a connection that was ended, and returns how many are to be reported now.
+func (l *Listener) dueReport(reason string, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.reports[reason]
+	if r == nil {
+		if l.reports == nil {
+			l.reports = map[string]*report{}
+		}
+		r = &report{}
+		l.reports[reason] = r
+	}
+	r.count++
+	if now.Sub(r.last) < reportInterval {
+		return 0
 	}
+	n := r.count
+	r.last, r.count = now, 0
+	return n
 }
 
 // connKey is the key of a request's *clientConn in its context.
--- a/memory/listener_test.go
+++ b/memory/listener_test.go
@@ -227,3 +227,16 @@
 	s.is.Equal(c.get("/"), http.StatusOK)
 	c.Close()
 }
+
+// TestEndedConnectionsAreReportedWithinALimit guards against a log that clients can fill.
+func TestEndedConnectionsAreReportedWithinALimit(t *testing.T) {
+	is := is.New(t)
+	var l Listener
+	now := time.Now()
+	is.Equal(l.dueReport(endedNoRoom, now), 1)
+	for range 99 {
+		is.Equal(l.dueReport(endedNoRoom, now.Add(reportInterval/2)), 0)
+	}
+	is.Equal(l.dueReport(endedHeadsFull, now), 1)
+	is.Equal(l.dueReport(endedNoRoom, now.Add(reportInterval)), 100)
+}
