--- /dev/null
+++ b/review/_standin2/main.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// limit is the longest time of a run.
+const limit = 115 * time.Second
+
+var cases = map[string]func(trouble bool) (broken bool){
+	"two-crashing-requests": twoCrashingRequests,
+	"late-report":           lateReport,
+	"moved-batch":           movedBatch,
+	"rolled-back-route":     rolledBackRoute,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
+		os.Exit(exitNotRun)
+	}
+	if _, err := os.Stat("target/ibisentry"); err != nil {
+		fmt.Fprintln(os.Stderr, "build target/ibisentry first:", err)
+		os.Exit(exitNotRun)
+	}
+	var err error
+	workDir, err = os.MkdirTemp("", "review")
+	check(err)
+	openRecord(os.Args[2])
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-ended:
+		case <-time.After(limit):
+		}
+		note("the run was ended")
+		closeRecord()
+		endProcesses()
+		os.Exit(exitNotRun)
+	}()
+	trouble := os.Getenv("TROUBLE") != "0"
+	note("case %s, trouble %v", os.Args[1], trouble)
+	broken := cases[os.Args[1]](trouble)
+	note("rule broken: %v", broken)
+	if dir := os.Getenv("KEEP_LOGS"); dir != "" {
+		os.CopyFS(dir, os.DirFS(workDir))
+	}
+	closeRecord()
+	endProcesses()
+	if broken {
+		os.Exit(exitBroken)
+	}
+	os.Exit(exitHeld)
+}
