--- a/review/_standin2/common.go
+++ b/review/_standin2/common.go
@@ -74,8 +74,8 @@
 
 // reset closes a connection so that its peer sees a reset.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		tcp.SetLinger(0)
+	if l, ok := c.(interface{ SetLinger(int) error }); ok {
+		l.SetLinger(0)
 	}
 	c.Close()
 }
