--- a/review/_standin2/moved.go
+++ b/review/_standin2/moved.go
@@ -87,14 +87,21 @@
 
 // newBatch returns a batch of 12 items.
 func newBatch() (id string, body []byte) {
+	id, body, _ = newBatchOf(12)
+	return id, body
+}
+
+// newBatchOf returns a batch of n items, with their IDs.
+func newBatchOf(n int) (id string, body []byte, itemIDs []string) {
 	items := []m{}
-	for range 12 {
-		items = append(items, m{"Id": newID(), "Path": "/notes/3/91c4", "Headers": m{"Model": "m0", "Token-Count": "540,400"},
+	for range n {
+		itemIDs = append(itemIDs, newID())
+		items = append(items, m{"Id": itemIDs[len(itemIDs)-1], "Path": "/notes/3/91c4", "Headers": m{"Model": "m0", "Token-Count": "540,400"},
 			"Body": base64.StdEncoding.EncodeToString([]byte("prompt")), "Tokens": 940, "Group": "g1"})
 	}
 	body, err := json.Marshal(m{"Step": 0, "Model": "m0", "MinVersion": 1, "DesiredCount": 1, "Items": items})
 	check(err)
-	return newID(), body
+	return newID(), body, itemIDs
 }
 
 // submit hands a batch in.
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -37,6 +37,7 @@
 	silent   bool // it sends no reports
 	up       bool
 	address  string
+	reported string // the address in the reports
 	listener net.Listener
 	conns    map[net.Conn]bool
 	active   int
@@ -51,7 +52,10 @@
 }
 
 // begin starts an incarnation.
-func (s *server) begin() {
+func (s *server) begin() { s.beginBehind(nil) }
+
+// beginBehind starts an incarnation that reports the address that before returns for its own.
+func (s *server) beginBehind(before func(address string) string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	address := s.address
@@ -60,7 +64,7 @@
 	}
 	l, err := net.Listen("tcp", address)
 	check(err)
-	s.address, s.listener, s.conns = l.Addr().String(), newPlug(l), map[net.Conn]bool{}
+	s.address, s.listener, s.conns = l.Addr().String(), l, map[net.Conn]bool{}
 	s.number++
 	s.id, s.born, s.seq, s.state, s.up, s.active, s.orders = fmt.Sprintf("%s-%d", s.name, s.number), time.Now().UnixMilli(), 0, "ready", true, 0, 0
 	s.stop = make(chan struct{})
@@ -76,6 +80,10 @@
 			}
 		}}
 	go hs.Serve(s.listener)
+	s.reported = s.address
+	if before != nil {
+		s.reported = before(s.address)
+	}
 	go s.beat(s.stop)
 }
 
@@ -103,7 +111,7 @@
 	for name, v := range s.models {
 		models = append(models, map[string]any{"Name": name, "Version": v, "Adapters": []string{}})
 	}
-	doc := map[string]any{"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": s.slots, "State": s.state,
+	doc := map[string]any{"Service": s.service, "Address": s.reported, "Zone": s.zone, "Version": "v1", "Slots": s.slots, "State": s.state,
 		"ColdRemainingMs": 0, "Seq": s.seq, "born": s.born}
 	if len(s.models) > 0 {
 		doc["Stage"], doc["Models"] = "hybrid", models
