--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -16,6 +16,7 @@
 	"late-report":           lateReport,
 	"moved-batch":           movedBatch,
 	"rolled-back-route":     rolledBackRoute,
+	"darkening-request":     darkeningRequest,
 	"held-call":             heldCall,
 }
 
--- a/review/_standin2/server.go
+++ b/review/_standin2/server.go
@@ -64,7 +64,7 @@
 	}
 	l, err := net.Listen("tcp", address)
 	check(err)
-	s.address, s.listener, s.conns = l.Addr().String(), l, map[net.Conn]bool{}
+	s.address, s.listener, s.conns = l.Addr().String(), newPlug(l), map[net.Conn]bool{}
 	s.number++
 	s.id, s.born, s.seq, s.state, s.up, s.active, s.orders = fmt.Sprintf("%s-%d", s.name, s.number), time.Now().UnixMilli(), 0, "ready", true, 0, 0
 	s.stop = make(chan struct{})
