--- a/review/_standin2/client.go
+++ b/review/_standin2/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bytes"
--- a/review/_standin2/common.go
+++ b/review/_standin2/common_test.go
@@ -1,5 +1,5 @@
-// Command standin2 holds the stand-ins of the platform, servers and clients for the scripts of this review. Its argument names a case.
-package main
+// Package standin2 holds the stand-ins of the platform, servers and clients for the scripts of this review. Its argument names a case.
+package standin2
 
 import (
 	"bufio"
--- a/review/_standin3/items.go
+++ b/review/_standin3/items_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"bytes"
