httpcheck: an answer without a length that is cut by a reset is not whole

Seen: a target answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written. Callers got that part as a complete answer, at all kinds of routes; items were listed with it.

Cause: the kernel reports a reset to one system call only. The transport of net/http reads and writes at the same time; if the write got the reset, the read returned io.EOF, which is the end of a body without a length. Ruled out: that net/http takes a reset that the read sees for the end (it is an error), and that the part is forwarded early (it is read whole first, but for streams).

Change: httpcheck.Conn keeps the error of a failed write, and a read that finds the end returns it; it waits for a write in progress, as that may be the one that gets the reset. An orderly close is told apart: the connection is then in another TCP state than CLOSE, and a write that fails after it gets EPIPE, not ECONNRESET. So sound answers without a length stay whole, also if they end before the upload does.

--- a/detour/client.go
+++ b/detour/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/httpcheck"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/targets"
 )
@@ -58,7 +59,7 @@
 type Client struct {
 	opts Options
 	// pooled reuses connections to VMs, unpooled opens a new one for each call.
-	pooled, unpooled *http.Transport
+	pooled, unpooled *httpcheck.Transport
 	// events counts calls through other VMs, and those of other VMs, by outcome.
 	events *expvar.Map
 
@@ -102,7 +103,7 @@
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
 	return &Client{
-		opts: o, pooled: pooled, unpooled: unpooled, events: o.Metrics.SubMap("detours"), paths: newPaths(), ended: map[fleet.Key]time.Time{},
+		opts: o, pooled: httpcheck.NewTransport(pooled), unpooled: httpcheck.NewTransport(unpooled), events: o.Metrics.SubMap("detours"), paths: newPaths(), ended: map[fleet.Key]time.Time{},
 		peers: newPeers(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/explain"
+	"github.com/ibistrail/ibistrail/httpcheck"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/quarantine"
 	"github.com/ibistrail/ibistrail/retry"
@@ -117,11 +118,11 @@
 // newHTTPClient returns the client for repeatable requests. It doesn't follow redirects.
 func newHTTPClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.NewTransport(&http.Transport{
 			DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     idleConnTimeout,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -50,6 +51,8 @@
 	duties    entry.DutySettings
 	// memoryTokens is the size of the engines' memory in the next configuration; 0 if unknown.
 	memoryTokens int
+	// maxBodyBytes is the size limit of bodies in the next configuration; 0 means 1 MB.
+	maxBodyBytes int
 	log          lockedBuffer // log lines of all VMs
 }
 
@@ -99,7 +102,8 @@
 		{"Name":"r-notes","Host":%[2]q,"PathPrefix":"/notes/","Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Priority":0,"Service":"drafting","MaxAttempts":3}%[3]s],
 		"Services":[{"Name":"desk","HealthPath":"/healthz","MaxConns":100},
 		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"KvCapacity":%[6]d,"Models":[{"Name":%[4]q}]}}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}%[5]s}`, d.version, host, extra, model, d.tenants, d.memoryTokens)))
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%[7]d,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}%[5]s}`, d.version, host, extra, model, d.tenants, d.memoryTokens,
+		cmp.Or(d.maxBodyBytes, 1<<20))))
 }
 
 // nameVersion names a new weight version, as a trainer does.
--- a/entry/target_path_test.go
+++ b/entry/target_path_test.go
@@ -34,6 +34,9 @@
 
 // targetPath is the path from one VM to all targets. It opens connections and can cut them, which targets don't notice.
 type targetPath struct {
+	// writeBuffer is the size of the send buffers of new connections in bytes; 0 leaves it to the kernel.
+	writeBuffer int
+
 	mu    sync.Mutex
 	mode  pathMode
 	cut   []string // addresses that are cut off; nil means all
@@ -93,6 +96,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.writeBuffer > 0 {
+		if err := c.(*net.TCPConn).SetWriteBuffer(p.writeBuffer); err != nil {
+			return nil, err
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pc := &pathConn{Conn: c, address: address, ended: make(chan struct{})}
--- /dev/null
+++ b/fake/faults/broken.go
@@ -0,0 +1,70 @@
+package faults
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// BrokenAnswer is an HTTP answer that breaks the protocol, as a server in trouble sends it.
+type BrokenAnswer struct {
+	Name string
+	// status is the status line; empty means 200. line is a line of the head that breaks the protocol.
+	status, line string
+	// length is the name of the field with the body's length; empty for an answer that ends with its connection.
+	length string
+}
+
+// BrokenAnswers are answers whose head breaks the protocol.
+var BrokenAnswers = []BrokenAnswer{
+	{Name: "status 000", status: "HTTP/1.1 000 Trouble", length: "Content-Length"},
+	{Name: "status 000 without a length", status: "HTTP/1.1 000 Trouble"},
+	{Name: "status 099", status: "HTTP/1.1 099 Trouble", length: "Content-Length"},
+	{Name: "status 600", status: "HTTP/1.1 600 Trouble", length: "Content-Length"},
+	{Name: "status 999", status: "HTTP/1.1 999 Trouble", length: "Content-Length"},
+	{Name: "signed status", status: "HTTP/1.1 +20 Trouble", length: "Content-Length"},
+	{Name: "status 101", status: "HTTP/1.1 101 Switching Protocols", length: "Content-Length"},
+	{Name: "interim answer with a blank in a name", status: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK", length: "Content-Length"},
+	{Name: "blank after the name of the length", length: "Content-Length "},
+	{Name: "blank before the name of the length", length: " Content-Length"},
+	{Name: "tab after the name of the length", length: "Content-Length\t"},
+	{Name: "tab before the name of the length", length: "\tContent-Length"},
+	{Name: "control byte in the name of the length", length: "Content-\x01Length"},
+	{Name: "blank in a name", line: "X Trouble: 1", length: "Content-Length"},
+	{Name: "blank after a name", line: "X-Trouble : 1", length: "Content-Length"},
+	{Name: "blank before a name", line: " X-Trouble: 1", length: "Content-Length"},
+	{Name: "tab in a name", line: "X\tTrouble: 1", length: "Content-Length"},
+	{Name: "tab before a name", line: "\tX-Trouble: 1", length: "Content-Length"},
+	{Name: "NUL in a name", line: "X\x00Trouble: 1", length: "Content-Length"},
+	{Name: "CR in a name", line: "X\rTrouble: 1", length: "Content-Length"},
+	{Name: "DEL in a name", line: "X\x7fTrouble: 1", length: "Content-Length"},
+	{Name: "empty name", line: ": 1", length: "Content-Length"},
+	{Name: "no name", line: "Trouble", length: "Content-Length"},
+}
+
+// Bytes returns the answer with further lines of its head, each with its line end, and a body.
+func (a BrokenAnswer) Bytes(fields, body string) string {
+	out := a.status
+	if out == "" {
+		out = "HTTP/1.1 200 OK"
+	}
+	out += "\r\n" + fields
+	if a.line != "" {
+		out += a.line + "\r\n"
+	}
+	if a.length != "" {
+		out += fmt.Sprintf("%s: %d\r\n", a.length, len(body))
+	}
+	return out + "\r\n" + body
+}
+
+// resetDelay is the time in which a peer reads what it was sent before a reset.
+const resetDelay = 20 * time.Millisecond
+
+// SendAndReset sends part of an answer and resets the connection, while the peer still sends what nobody reads.
+func SendAndReset(c net.Conn, part string) {
+	_, _ = io.WriteString(c, part) // the peer may have closed
+	time.Sleep(resetDelay)
+	Reset(c)
+}
--- /dev/null
+++ b/httpcheck/conn.go
@@ -0,0 +1,102 @@
+package httpcheck
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is the client's end of a connection. After a reset, reads fail instead of returning io.EOF.
+//
+// The kernel reports a reset to one system call only. If that is a write, reads return io.EOF as after an orderly close, and a body that
+// ends with its connection would look whole.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// writeEnded signals that a write has ended or the connection was closed.
+	writeEnded sync.Cond
+	writing    int // writes in progress
+	closed     bool
+	reset      error // why the connection failed, as a write reported it
+}
+
+// NewConn returns a connection that has just been opened with its resets reported to reads.
+func NewConn(c net.Conn) *Conn {
+	out := &Conn{Conn: c}
+	out.writeEnded.L = &out.mu
+	return out
+}
+
+// Read implements net.Conn. It returns a *BrokenError instead of io.EOF if the connection was not closed in order.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if reset := c.awaitReset(); reset != nil {
+			return n, &BrokenError{Reason: "the connection was reset before the end of the response", Err: reset}
+		}
+	}
+	return n, err
+}
+
+// awaitReset returns the error that a write got for a reset of the connection, which has ended; nil if it was closed in order.
+func (c *Conn) awaitReset() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing > 0 && !receivedEnd(c.Conn) {
+		for c.writing > 0 && !c.closed {
+			c.writeEnded.Wait() // a write on a connection that was reset fails at once
+		}
+	}
+	if c.closed && c.reset == nil {
+		return net.ErrClosed
+	}
+	return c.reset
+}
+
+// receivedEnd reports whether the peer is known to have closed its end in order: a connection that was reset is in no TCP state but CLOSE.
+func receivedEnd(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = infoErr == nil && info.State != unix.BPF_TCP_CLOSE
+	})
+	return err == nil && open
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing--
+	if err != nil && c.reset == nil && !errors.Is(err, syscall.EPIPE) {
+		c.reset = err // EPIPE is reported if the peer had closed its end in order before
+	}
+	c.writeEnded.Broadcast()
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.writeEnded.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"github.com/ibistrail/ibistrail/config"
+	"github.com/ibistrail/ibistrail/httpcheck"
 	"github.com/ibistrail/ibistrail/lease"
 	"github.com/ibistrail/ibistrail/logtail"
 	"github.com/ibistrail/ibistrail/process"
@@ -236,10 +237,10 @@
 // httpClient returns an HTTP client that counts its bytes under "rx.KIND" and "tx.KIND".
 func httpClient(d *process.Dialer, c rpc.Counter, kind string) *http.Client {
 	dial := countedDial(d, c, kind)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpcheck.NewTransport(&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
-	}}
+	})}
 }
 
 // countedDial returns a dial function whose connections count their bytes under "rx.KIND" and "tx.KIND".
