httpcheck: an answer with a line that is no header field is broken

Seen: callers got answers whose head had a blank in or around a field's name. The line was dropped ("X Trouble: 1"), passed on as part of the field before it ("Weight-Versions: 1 X-Trouble: 1"), or it was the length or the transfer coding, so that the body was not the target's. The same answers were believed from the store, from other VMs, from engines (orders, reports) and from the API for duties.

Cause: net/http keeps names with a blank as they are, so that none of its own look-ups finds them, and joins a line that begins with a blank or tab to the one before, as the obsolete line folding asks. A response of HTTP/1.0 with a transfer coding is read to the end of the connection, with the sizes of the chunks in its body. Ruled out: control bytes, tabs, empty names and lines without a colon are errors in net/http already; their tests pass without the change and stay.

Evidence: TestBrokenHeadsReachNoCaller (entry, the caller's bytes, four kinds of routes), TestBrokenHeadsAreErrors (platform, eleven readers), TestBrokenHeadsOfAVMAreErrors, TestBrokenAnswersOfServicesReachNoCaller and TestBrokenAnswersAreReplacedBySoundOnes (single requests, items, reward calls) fail without the check of fields. The last one had one deployment for all heads, whose broken targets got no requests any more after the first ones; it now has a deployment for each head and checks that each broken target was asked.

Change: the head scanner takes a line for a field only if it begins with a token and a colon. Folded lines are refused rather than joined, which RFC 9112 leaves to a proxy (5.2): what was meant can't be told from a name that begins with a blank. A transfer coding of HTTP/1.0 is refused as faulty framing (6.1).

--- a/detour/broken_answer_test.go
+++ b/detour/broken_answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -69,7 +70,7 @@
 }
 
 // brokenHeads are the answers with a broken head.
-var brokenHeads = faults.BrokenStatusLines
+var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
 
 // TestBrokenHeadsOfAVMAreErrors sends each broken head, with the message of a sound one. The VM may have passed the call on.
 func TestBrokenHeadsOfAVMAreErrors(t *testing.T) {
--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -176,7 +177,7 @@
 }
 
 // brokenHeads are the answers with a broken head.
-var brokenHeads = faults.BrokenStatusLines
+var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
 
 // TestBrokenHeadsReachNoCaller sends each broken head in answer to requests of each kind.
 func TestBrokenHeadsReachNoCaller(t *testing.T) {
@@ -203,30 +204,30 @@
 	}
 }
 
-// TestBrokenAnswersAreReplacedBySoundOnes has a broken target in each pool, beside a sound one.
+// TestBrokenAnswersAreReplacedBySoundOnes has a broken target beside a sound one in the pools of items and of their reward calls. A target that
+// failed gets few requests, so each head has a deployment of its own.
 func TestBrokenAnswersAreReplacedBySoundOnes(t *testing.T) {
-	d := newDeployment(t, 1, 1, 1)
-	targets := []*brokenTarget{d.startBrokenTarget("broken-desk", "desk", "[]"), d.startBrokenTarget("broken-engine", "drafting", `[{"Name":"drafts","Version":1}]`)}
-	for _, x := range targets {
-		x.answer.Store(&brokenHeads[0])
-	}
-	time.Sleep(1500 * time.Millisecond) // the registrations are read
-	for i := range brokenHeads {
-		for _, x := range targets {
-			x.answer.Store(&brokenHeads[i])
-		}
-		for n := range 2 {
-			id := fmt.Sprintf("r%d-%d", i, n)
-			a := d.call(d.vms[0], http.MethodPost, "/desk/x", id, id)
-			d.is.Equal(a.status, http.StatusOK)
-			d.is.Equal(a.header.Get("Server-Stamp"), "stamp."+id)
-		}
-		batch := fmt.Sprintf("b%d", i)
-		items := []string{batch + "-1", batch + "-2", batch + "-3", batch + "-4"}
-		d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/"+batch, batch, submission(i, 0, items...)).status, http.StatusAccepted)
-		d.checkResults(d.readAll(d.vms[0], batch, len(items), 15*time.Second), 4, items...) // with texts and proofs of the sound targets
-	}
-	for _, x := range targets {
-		d.is.True(x.requests.Load() > 0)
+	for _, name := range []string{"status 000", "blank after the name of the length", "blank before the name of the length", "blank in a name", "tab before a name"} {
+		i := slices.IndexFunc(brokenHeads, func(a faults.BrokenAnswer) bool { return a.Name == name })
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1, 1, 1)
+			targets := []*brokenTarget{d.startBrokenTarget("broken-desk", "desk", "[]"), d.startBrokenTarget("broken-engine", "drafting", `[{"Name":"drafts","Version":1}]`)}
+			for _, x := range targets {
+				x.answer.Store(&brokenHeads[i])
+			}
+			time.Sleep(1500 * time.Millisecond) // the registrations are read
+			items := []string{"i1", "i2", "i3", "i4", "i5", "i6"}
+			d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, items...)).status, http.StatusAccepted)
+			for n := range 4 {
+				id := fmt.Sprintf("r%d", n)
+				a := d.call(d.vms[0], http.MethodPost, "/desk/x", id, id)
+				d.is.Equal(a.status, http.StatusOK)
+				d.is.Equal(a.header.Get("Server-Stamp"), "stamp."+id)
+			}
+			d.checkResults(d.readAll(d.vms[0], "b1", len(items), 15*time.Second), 4, items...) // with texts and proofs of the sound targets
+			for _, x := range targets {
+				d.is.True(x.requests.Load() > 0)
+			}
+		})
 	}
 }
--- a/fake/faults/broken.go
+++ b/fake/faults/broken.go
@@ -28,7 +28,7 @@
 	{Name: "status 000 after an interim answer", status: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble", length: "Content-Length"},
 }
 
-// BrokenFields are answers with a line that is no header field.
+// BrokenFields are answers with a line that is no header field of its protocol version.
 var BrokenFields = []BrokenAnswer{
 	{Name: "interim answer with a blank in a name", status: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK", length: "Content-Length"},
 	{Name: "blank after the name of the length", length: "Content-Length "},
@@ -46,6 +46,8 @@
 	{Name: "DEL in a name", line: "X\x7fTrouble: 1", length: "Content-Length"},
 	{Name: "empty name", line: ": 1", length: "Content-Length"},
 	{Name: "no name", line: "Trouble", length: "Content-Length"},
+	{Name: "CR before the end of the head", line: "\r", length: "Content-Length"},
+	{Name: "transfer coding of HTTP/1.0", status: "HTTP/1.0 200 OK", line: "Transfer-Encoding: chunked"},
 }
 
 // Bytes returns the answer with further lines of its head, each with its line end, and a body.
--- a/gate/broken_answer_test.go
+++ b/gate/broken_answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,7 +20,7 @@
 )
 
 // brokenHeads are the answers with a broken head.
-var brokenHeads = faults.BrokenStatusLines
+var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
 
 // TestBrokenAnswersOfServicesReachNoCaller has a plain service send broken heads, and a part of an answer before a reset, to calls that may run
 // once and to calls that may be repeated.
--- a/httpcheck/head.go
+++ b/httpcheck/head.go
@@ -1,10 +1,13 @@
 package httpcheck
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // headState is the part of a head to which the next byte belongs.
@@ -14,7 +17,8 @@
 	inStatusCode headState = iota // the protocol version and the status code
 	inReason                      // the rest of the status line
 	atLineStart
-	inLine
+	inName
+	inValue
 	afterCR // after a CR that begins a line
 )
 
@@ -27,8 +31,15 @@
 	statusLine [minStatusLine]byte
 	length     int // of what is known of the status line
 	interim    bool
+	// oldVersion is set if the server speaks HTTP/1.0, which has no transfer codings.
+	oldVersion bool
+	// name is the beginning of the name of the field that is being received.
+	name       [len(transferEncoding)]byte
+	nameLength int
 }
 
+const transferEncoding = "transfer-encoding"
+
 // scan checks the next byte. It reports whether the head ends with it, or why the head is broken.
 func (s *headScanner) scan(b byte) (ended bool, reason string) {
 	switch s.state {
@@ -44,32 +55,54 @@
 			return false, fmt.Sprintf("its status line begins with %q", s.statusLine[:s.length])
 		}
 		s.interim = status < http.StatusOK
+		s.oldVersion = bytes.HasPrefix(s.statusLine[:], []byte("HTTP/1.0"))
 		s.state = inReason
 		if b == '\n' {
 			s.state = atLineStart
 		}
-	case inReason, inLine:
+	case inReason, inValue:
 		if b == '\n' {
 			s.state = atLineStart
 		}
 	case atLineStart:
-		switch b {
-		case '\r':
+		switch {
+		case b == '\r':
 			s.state = afterCR
-		case '\n':
+		case b == '\n':
 			return s.end(), ""
+		case httpguts.IsTokenRune(rune(b)):
+			s.state, s.nameLength = inName, 0
+			s.addToName(b)
+		default: // also a blank, as of a folded line, which is obsolete
+			return false, fmt.Sprintf("a line of its head begins with %q", b)
+		}
+	case inName:
+		switch {
+		case httpguts.IsTokenRune(rune(b)):
+			s.addToName(b)
+		case b != ':':
+			return false, fmt.Sprintf("the name of a header field has %q", b)
+		case s.oldVersion && s.nameLength == len(s.name) && strings.EqualFold(string(s.name[:]), transferEncoding):
+			return false, "a response of HTTP/1.0 has a transfer coding"
 		default:
-			s.state = inLine
+			s.state = inValue
 		}
 	case afterCR:
 		if b == '\n' {
 			return s.end(), ""
 		}
-		s.state = inLine
+		return false, fmt.Sprintf("a line of its head begins with a CR and %q", b)
 	}
 	return false, ""
 }
 
+func (s *headScanner) addToName(b byte) {
+	if s.nameLength < len(s.name) {
+		s.name[s.nameLength] = b
+	}
+	s.nameLength++
+}
+
 // end ends a head. It reports whether that was the head of the final response.
 func (s *headScanner) end() bool {
 	if s.interim {
