forward: the proof of a reward call needs a whole answer

Seen: an item was listed with the proof of a reward call whose answer ended early: a 200 with a Content-Length of 8 MB, of which 20 bytes came.

Cause: answers too large for the buffer, and streams, are forwarded while they are read. For a reward call nobody read them: the proof in the head was taken, and the body was closed. Ruled out: smaller answers, which are read whole before they count.

Evidence: TestRewardCallCutMidwayIsSentAgain (entry) failed: "broken != stamp.score-i4".

Change: the body of an answer to a reward call is read to its end and dropped as a part of the send, so that a cut counts as a failure of the target: the call is sent to another one, and the target is avoided. Tried first: reading the body in batch/score.go. A target that answers at once and cuts each answer then looked like the fastest one; six items took 12 s. An answer without a length may have up to 4 MB, as before.

--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -231,3 +231,15 @@
 		})
 	}
 }
+
+// TestRewardCallCutMidwayIsSentAgain has a target answer reward calls with more than is read before it is forwarded, and close within the body.
+func TestRewardCallCutMidwayIsSentAgain(t *testing.T) {
+	d := newDeployment(t, 1, 1, 1)
+	x := d.startBrokenTarget("broken-desk", "desk", "[]")
+	x.answer.Store(&faults.CutAnswer)
+	time.Sleep(1500 * time.Millisecond) // the registration is read
+	items := []string{"i1", "i2", "i3", "i4", "i5", "i6"}
+	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b1", "b1", submission(1, 0, items...)).status, http.StatusAccepted)
+	d.checkResults(d.readAll(d.vms[0], "b1", len(items), 15*time.Second), 4, items...)
+	d.is.True(x.requests.Load() > 0)
+}
--- a/fake/faults/broken.go
+++ b/fake/faults/broken.go
@@ -14,8 +14,13 @@
 	status, line string
 	// length is the name of the field with the body's length; empty for an answer that ends with its connection.
 	length string
+	// missing is the number of bytes of the body that are not sent.
+	missing int
 }
 
+// CutAnswer is an answer with a long body that ends early.
+var CutAnswer = BrokenAnswer{Name: "cut", length: "Content-Length", missing: 8 << 20}
+
 // BrokenStatusLines are answers with a status that is none.
 var BrokenStatusLines = []BrokenAnswer{
 	{Name: "status 000", status: "HTTP/1.1 000 Trouble", length: "Content-Length"},
@@ -61,7 +66,7 @@
 		out += a.line + "\r\n"
 	}
 	if a.length != "" {
-		out += fmt.Sprintf("%s: %d\r\n", a.length, len(body))
+		out += fmt.Sprintf("%s: %d\r\n", a.length, len(body)+a.missing)
 	}
 	return out + "\r\n" + body
 }
--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -87,6 +88,21 @@
 	return nil
 }
 
+// discardBody reads the body of an answer to its end and drops it, so that a truncated answer is detected.
+func discardBody(answer *targets.Response) error {
+	defer answer.Body.Close()
+	limit := answer.Length
+	if limit < 0 {
+		limit = maxBufferedBytes
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, limit+1))
+	if err == nil && n > limit {
+		err = fmt.Errorf("%w: over %d bytes", errBodyTooLong, limit)
+	}
+	answer.Body, answer.Length = http.NoBody, 0
+	return err
+}
+
 // heldBody is an answer in memory.
 type heldBody struct {
 	io.Reader
--- a/forward/delivery.go
+++ b/forward/delivery.go
@@ -530,13 +530,7 @@
 	go func() {
 		answer, err := f.client.Do(attemptCtx, call)
 		if err == nil {
-			a.unread = d.unread(answer) || !f.buffer.reserve(answer.Length)
-		}
-		if err == nil && !a.unread {
-			if err = f.buffer.read(answer); err == nil {
-				held := answer.Body
-				context.AfterFunc(attemptCtx, func() { held.Close() }) // not every answer is forwarded
-			}
+			err = d.readBody(attemptCtx, a, answer)
 		}
 		if err != nil {
 			if targets.Sent(err) && attemptCtx.Err() == nil {
@@ -549,6 +543,22 @@
 	}()
 }
 
+// readBody reads the body of an attempt's answer, unless it must be forwarded while it is read. ctx is that of the attempt.
+func (d *delivery) readBody(ctx context.Context, a *attempt, answer *targets.Response) error {
+	if d.req.Background {
+		return discardBody(answer)
+	}
+	if a.unread = d.unread(answer) || !d.f.buffer.reserve(answer.Length); a.unread {
+		return nil
+	}
+	if err := d.f.buffer.read(answer); err != nil {
+		return err
+	}
+	held := answer.Body
+	context.AfterFunc(ctx, func() { held.Close() }) // not every answer is forwarded
+	return nil
+}
+
 // unread reports whether an answer must be forwarded while it is read, however much memory there is.
 func (d *delivery) unread(answer *targets.Response) bool {
 	return d.route.Streaming && answer.Status < http.StatusBadRequest || answer.Length > maxBufferedBytes
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -85,7 +85,7 @@
 	// Origin is the ID of the attempt that got the first event of the stream that this request resumes.
 	Origin string
 	// Background is set for calls that score items. They yield to callers' requests at targets with a rate limit, and are owed like the
-	// items, although targets crashed meanwhile.
+	// items, although targets crashed meanwhile. Only the proof of their answer is used: it must be whole, but its body is dropped.
 	Background bool
 }
 
