detour: a broken answer that another VM passes on is broken

Seen: while two builds run side by side, a VM of the build before may read a target's broken answer for a VM that is cut off, and pass it on in a message of its own. Status 000 or 600 and names with a blank then got past the checks of HTTP responses, and reached the caller.

Cause: the head of the target's answer travels as JSON in the body of the VM's response, where httpcheck does not see it.

Change: httpcheck.CheckHead checks the status and fields of the message. The call counts as broken off, as with a VM of this build, so that it may have run and the VM is not avoided. Not covered: what an earlier build's net/http has lost, a folded line or a body without its framing.

TestBrokenAnswersThroughAnotherVMReachNoCaller (entry, the caller's bytes) covers each broken head and the reset with two VMs of this build: it passes, as the VM that reads the target's answer checks it.

--- a/detour/broken_answer_test.go
+++ b/detour/broken_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -89,3 +90,30 @@
 		})
 	}
 }
+
+// TestBrokenAnswersPassedOnAreErrors has a VM of an earlier build pass on answers that its own client took for sound ones.
+func TestBrokenAnswersPassedOnAreErrors(t *testing.T) {
+	for name, h := range map[string]*answerHead{
+		"no status":       {},
+		"status 600":      {Status: 600},
+		"interim status":  {Status: http.StatusEarlyHints},
+		"blank in a name": {Status: http.StatusOK, Header: http.Header{"X Trouble": {"1"}}},
+		"blank after it":  {Status: http.StatusOK, Header: http.Header{"Content-Length ": {"2"}}},
+		"empty name":      {Status: http.StatusOK, Header: http.Header{"": {"1"}}},
+		"line end":        {Status: http.StatusOK, Header: http.Header{"X": {"1\r\nY: 2"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			vms, in := newTestVMs(t, 1)
+			h.RequestID, h.Length, h.Proof = "r1", 2, "p"
+			body := message(t, h, "ok")
+			startBrokenPeer(t, vms[0], func(c net.Conn, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			})
+			err := send(vms[0], newCall(in))
+			is.True(err != nil)
+			is.True(targets.Sent(err))
+		})
+	}
+}
--- a/detour/send.go
+++ b/detour/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/httpcheck"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/targets"
 )
@@ -202,6 +203,11 @@
 		resp.Body.Close()
 		return nil, answer.Declined, nil
 	}
+	if err := httpcheck.CheckHead(answer.Status, answer.Header); err != nil {
+		resp.Body.Close() // a VM of an earlier build passes on what its target sent
+		c.opts.Log.Warn("detour_broken_answer", "id", h.RequestID, "vm", p.Name, "target", h.Target, "err", err)
+		return nil, brokenOff, nil
+	}
 	return answer.response(p.Name, &peerBody{body, resp.Body}), "", nil
 }
 
--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -243,3 +243,33 @@
 	d.checkResults(d.readAll(d.vms[0], "b1", len(items), 15*time.Second), 4, items...)
 	d.is.True(x.requests.Load() > 0)
 }
+
+// TestBrokenAnswersThroughAnotherVMReachNoCaller cuts the VM that the caller asks off from the targets, so that another VM reads their answers.
+func TestBrokenAnswersThroughAnotherVMReachNoCaller(t *testing.T) {
+	d := newDeployment(t, 1, 1, 2)
+	d.maxBodyBytes = uploadBytes
+	x := d.startBrokenTarget("broken-0", "broken", "[]")
+	d.configureBroken()
+	time.Sleep(vmsKnowEachOther)
+	d.vms[0].targetPath.set(pathRefuse)
+	check := func(t *testing.T, path, id string, body []byte) {
+		before := x.requests.Load()
+		checkNoBrokenAnswer(t, d.rawCall(d.vms[0], path+"x", id, body))
+		if n := x.requests.Load() - before; n == 0 || n > 1 && (path == "/once/" || path == "/live/") {
+			t.Errorf("the request was sent %d times", n)
+		}
+	}
+	body := bytes.Repeat([]byte("x"), uploadBytes)
+	for _, path := range brokenRoutes {
+		for i := range brokenHeads {
+			x.answer.Store(&brokenHeads[i])
+			t.Run(brokenHeads[i].Name+path, func(t *testing.T) { check(t, path, fmt.Sprintf("r%d", i), []byte("x")) })
+		}
+		x.answer.Store(nil)
+		t.Run("reset"+path, func(t *testing.T) {
+			for i := range 3 {
+				check(t, path, fmt.Sprintf("reset-%d", i), body)
+			}
+		})
+	}
+}
--- a/httpcheck/head.go
+++ b/httpcheck/head.go
@@ -50,8 +50,7 @@
 			return false, ""
 		}
 		status, ok := parseStatusLine(string(s.statusLine[:s.length]), b)
-		// No request asks for another protocol, so 101 answers none.
-		if !ok || status < http.StatusContinue || status == http.StatusSwitchingProtocols || status >= 600 {
+		if !ok || !validStatus(status) {
 			return false, fmt.Sprintf("its status line begins with %q", s.statusLine[:s.length])
 		}
 		s.interim = status < http.StatusOK
@@ -112,6 +111,30 @@
 	return true
 }
 
+// validStatus reports whether a status code exists. No request asks for another protocol, so 101 answers none.
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status < 600 && status != http.StatusSwitchingProtocols
+}
+
+// CheckHead checks the status and the header fields of a final response that came in another form than that of HTTP. The error is a
+// *BrokenError.
+func CheckHead(status int, h http.Header) error {
+	if status < http.StatusOK || !validStatus(status) {
+		return &BrokenError{Reason: fmt.Sprintf("its status is %d", status)}
+	}
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &BrokenError{Reason: fmt.Sprintf("a header field has the name %q", name)}
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return &BrokenError{Reason: fmt.Sprintf("header field %s has the value %.40q", name, v)}
+			}
+		}
+	}
+	return nil
+}
+
 // parseStatusLine returns the status code of a status line of which the first bytes and the one after them are known.
 func parseStatusLine(line string, next byte) (status int, ok bool) {
 	version, code, ok := strings.Cut(line, " ")
