platform: a cut answer without a length is reset for HTTP/1.0 callers

Seen: a caller that speaks HTTP/1.0 got the part of a stream that came before its target broke off as a complete answer.

Cause: HTTP/1.0 has no chunks, so that such an answer ends with the connection, and the server closes it in order after it was aborted. The platform's clients speak HTTP/1.1, where the last chunk is missing then; this was found by the question where else an end of a connection counts as the end of a body.

Change: the connection is reset in this case. Not for HTTP/1.1: a reset may take events away that the caller has not read yet.

--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -176,6 +178,23 @@
 	}
 }
 
+// TestBrokenStreamOfAnHTTP10CallerIsReset covers answers that end with the caller's connection, as HTTP/1.0 has no chunks.
+func TestBrokenStreamOfAnHTTP10CallerIsReset(t *testing.T) {
+	d := newDeployment(t, 1, 1, 1)
+	d.startBrokenTarget("broken-0", "broken", "[]")
+	d.configureBroken()
+	for _, path := range []string{"/live/", "/again/"} {
+		c, err := net.Dial("tcp", d.vms[0].address)
+		d.is.NoErr(err)
+		defer c.Close()
+		d.is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+		fmt.Fprintf(c, "POST %sx HTTP/1.0\r\nHost: %s\r\nRequest-Id: r\r\nContent-Length: 1\r\n\r\nx", path, host)
+		raw, err := io.ReadAll(c)
+		d.is.True(bytes.Contains(raw, []byte("200 OK")))
+		d.is.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
+
 // brokenHeads are the answers with a broken head.
 var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
 
--- a/memory/listener.go
+++ b/memory/listener.go
@@ -220,6 +220,16 @@
 	}
 }
 
+// ResetOnClose has the connection of a request reset when it is closed, so that the client can't take the end of the connection for that of the
+// response.
+func ResetOnClose(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		if tc, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0) // fails only if the connection has ended
+		}
+	}
+}
+
 // clientConn is a connection of a Listener.
 type clientConn struct {
 	net.Conn
