client: trainers take broken answers of gates for errors

Seen: an answer with status 000 to the release of a step, which has no content, counted as done; so did answers with a blank in a field's name.

Change: its default transport is that of httpcheck.

Evidence: 12 subtests of TestBrokenAnswersOfGatesAreErrors fail without it, all pass now.

--- a/client/client.go
+++ b/client/client.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/ibistrail/ibistrail/api"
+	"github.com/ibistrail/ibistrail/httpcheck"
 )
 
 // Defaults and limits of a Client.
@@ -68,7 +69,7 @@
 // New returns a client.
 func New(opts Options) *Client {
 	if opts.HTTP == nil {
-		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+		opts.HTTP = &http.Client{Transport: httpcheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})}
 	}
 	if opts.Log == nil {
 		opts.Log = slog.New(slog.DiscardHandler)
--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -6,8 +6,6 @@
 	"net"
 	"sync"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // Conn is the client's end of a connection. Reads fail where the head of a response breaks the protocol, and after a reset instead of
@@ -111,24 +109,6 @@
 	return c.reset
 }
 
-// receivedEnd reports whether the peer is known to have closed its end in order: a connection that was reset is in no TCP state but CLOSE.
-func receivedEnd(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = infoErr == nil && info.State != unix.BPF_TCP_CLOSE
-	})
-	return err == nil && open
-}
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
