--- a/detour/broken_answer_test.go
+++ b/detour/broken_answer_test.go
@@ -1,31 +1,24 @@
 package detour
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/ibistrail/ibistrail/fake/faults"
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
 // startBrokenPeer makes a raw server the only other VM that vms[0] knows, which reaches no target itself.
 func startBrokenPeer(t *testing.T, v *testVM, serve func(c net.Conn, req *http.Request)) {
 	t.Helper()
-	l, err := loopback.ServeConns(func(c net.Conn) {
-		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			serve(c, req)
-		}
-	})
+	l, err := faults.ServeRaw(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,20 +63,14 @@
 	}
 }
 
-// brokenHeads are the answers with a broken head.
-var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
-
 // TestBrokenHeadsOfAVMAreErrors sends each broken head, with the message of a sound one. The VM may have passed the call on.
 func TestBrokenHeadsOfAVMAreErrors(t *testing.T) {
-	for _, a := range brokenHeads {
+	for _, a := range faults.BrokenHeads {
 		t.Run(a.Name, func(t *testing.T) {
 			is := is.New(t)
 			vms, in := newTestVMs(t, 1)
 			body := message(t, &answerHead{RequestID: "r1", Status: http.StatusOK, Length: 2, Proof: "p"}, "ok")
-			startBrokenPeer(t, vms[0], func(c net.Conn, req *http.Request) {
-				_, _ = io.Copy(io.Discard, req.Body) // unread bytes would make the close a reset
-				_, _ = io.WriteString(c, a.Bytes("", body))
-			})
+			startBrokenPeer(t, vms[0], func(c net.Conn, req *http.Request) { a.Send(c, req, "", body) })
 			err := send(vms[0], newCall(in))
 			is.True(err != nil)
 			is.True(targets.Sent(err))
--- a/dispatch/broken_answer_test.go
+++ b/dispatch/broken_answer_test.go
@@ -2,25 +2,20 @@
 
 import (
 	"net"
-	"slices"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/trial"
 )
 
 // TestBrokenAnswersOfEnginesAreErrors has an engine send broken heads, with the body of a sound report.
 func TestBrokenAnswersOfEnginesAreErrors(t *testing.T) {
-	for _, a := range slices.Concat(faults.BrokenStatusLines, faults.BrokenFields) {
+	for _, a := range faults.BrokenHeads {
 		t.Run(a.Name, func(t *testing.T) {
-			l, err := loopback.ServeConns(func(c net.Conn) {
-				if _, err := c.Read(make([]byte, 4096)); err == nil {
-					_, _ = c.Write([]byte(a.Bytes("", "{}")))
-				}
-			})
+			l, err := faults.ServeRaw(func(c net.Conn, req *http.Request) { a.Send(c, req, "", "{}") })
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/ibistrail/ibistrail/fake/errata"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/internal/loopback"
 )
 
 // brokenPart is in the body of each broken answer, as an event, and in no sound one.
@@ -37,20 +36,15 @@
 // startBrokenTarget registers a broken target.
 func (d *deployment) startBrokenTarget(id, service, models string) *brokenTarget {
 	x := &brokenTarget{}
-	l, err := loopback.ServeConns(func(c net.Conn) {
+	l, err := faults.ServeRaw(func(c net.Conn, req *http.Request) {
 		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10) // a part of what the caller sends stays with it
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
 		x.requests.Add(1)
 		fields := fmt.Sprintf("Request-Id: %s\r\nServer-Stamp: broken\r\nWeight-Versions: 1\r\n", req.Header.Get("Request-Id"))
 		if a := x.answer.Load(); a != nil {
-			_, _ = io.Copy(io.Discard, req.Body) // unread bytes would make the close a reset
-			_, _ = io.WriteString(c, a.Bytes(fields, brokenPart))
-			return
+			a.Send(c, req, fields, brokenPart)
+		} else {
+			faults.SendAndReset(c, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+brokenPart)
 		}
-		faults.SendAndReset(c, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+brokenPart)
 	})
 	if err != nil {
 		d.t.Fatal(err)
@@ -123,23 +117,24 @@
 // brokenRoutes are routes whose pool has broken targets only.
 var brokenRoutes = []string{"/safe/", "/once/", "/live/", "/again/"}
 
-// TestAnswerCutByAResetDuringTheUploadIsNotWhole covers an answer without a length to a request that is still being sent.
-func TestAnswerCutByAResetDuringTheUploadIsNotWhole(t *testing.T) {
+// TestAnswerCutByAResetIsNotWhole covers an answer without a length to requests that are still being sent, and to requests that were sent whole.
+func TestAnswerCutByAResetIsNotWhole(t *testing.T) {
 	d := newDeployment(t, 1, 1, 1)
 	d.maxBodyBytes = uploadBytes
 	x := d.startBrokenTarget("broken-0", "broken", "[]")
 	d.configureBroken()
-	body := bytes.Repeat([]byte("x"), uploadBytes)
-	for _, path := range brokenRoutes {
-		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
-			for i := range 10 { // which end of the connection learns of the reset first is open
-				before := x.requests.Load()
-				checkNoBrokenAnswer(t, d.rawCall(d.vms[0], path+"x", fmt.Sprintf("r%d", i), body))
-				if n := x.requests.Load() - before; path == "/once/" && n != 1 || path == "/live/" && n != 1 {
-					t.Errorf("a request that may run once was sent %d times", n)
+	for name, body := range map[string][]byte{"during the upload": bytes.Repeat([]byte("x"), uploadBytes), "after the upload": []byte("x")} {
+		for _, path := range brokenRoutes {
+			t.Run(name+path, func(t *testing.T) {
+				for i := range 10 { // which end of the connection learns of the reset first is open
+					before := x.requests.Load()
+					checkNoBrokenAnswer(t, d.rawCall(d.vms[0], path+"x", fmt.Sprintf("r%d", i), body))
+					if n := x.requests.Load() - before; path == "/once/" && n != 1 || path == "/live/" && n != 1 {
+						t.Errorf("a request that may run once was sent %d times", n)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
@@ -195,17 +190,14 @@
 	}
 }
 
-// brokenHeads are the answers with a broken head.
-var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
-
 // TestBrokenHeadsReachNoCaller sends each broken head in answer to requests of each kind.
 func TestBrokenHeadsReachNoCaller(t *testing.T) {
 	d := newDeployment(t, 1, 1, 1)
 	x := d.startBrokenTarget("broken-0", "broken", "[]")
-	x.answer.Store(&brokenHeads[0])
+	x.answer.Store(&faults.BrokenHeads[0])
 	d.configureBroken()
-	for i := range brokenHeads {
-		a := &brokenHeads[i]
+	for i := range faults.BrokenHeads {
+		a := &faults.BrokenHeads[i]
 		x.answer.Store(a)
 		for _, path := range brokenRoutes {
 			t.Run(a.Name+path, func(t *testing.T) {
@@ -227,12 +219,12 @@
 // failed gets few requests, so each head has a deployment of its own.
 func TestBrokenAnswersAreReplacedBySoundOnes(t *testing.T) {
 	for _, name := range []string{"status 000", "blank after the name of the length", "blank before the name of the length", "blank in a name", "tab before a name"} {
-		i := slices.IndexFunc(brokenHeads, func(a faults.BrokenAnswer) bool { return a.Name == name })
+		i := slices.IndexFunc(faults.BrokenHeads, func(a faults.BrokenAnswer) bool { return a.Name == name })
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, 1, 1, 1)
 			targets := []*brokenTarget{d.startBrokenTarget("broken-desk", "desk", "[]"), d.startBrokenTarget("broken-engine", "drafting", `[{"Name":"drafts","Version":1}]`)}
 			for _, x := range targets {
-				x.answer.Store(&brokenHeads[i])
+				x.answer.Store(&faults.BrokenHeads[i])
 			}
 			time.Sleep(1500 * time.Millisecond) // the registrations are read
 			items := []string{"i1", "i2", "i3", "i4", "i5", "i6"}
@@ -280,9 +272,9 @@
 	}
 	body := bytes.Repeat([]byte("x"), uploadBytes)
 	for _, path := range brokenRoutes {
-		for i := range brokenHeads {
-			x.answer.Store(&brokenHeads[i])
-			t.Run(brokenHeads[i].Name+path, func(t *testing.T) { check(t, path, fmt.Sprintf("r%d", i), []byte("x")) })
+		for i := range faults.BrokenHeads {
+			x.answer.Store(&faults.BrokenHeads[i])
+			t.Run(faults.BrokenHeads[i].Name+path, func(t *testing.T) { check(t, path, fmt.Sprintf("r%d", i), []byte("x")) })
 		}
 		x.answer.Store(nil)
 		t.Run("reset"+path, func(t *testing.T) {
--- a/fake/faults/broken.go
+++ b/fake/faults/broken.go
@@ -1,10 +1,15 @@
 package faults
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"time"
+
+	"github.com/ibistrail/ibistrail/internal/loopback"
 )
 
 // BrokenAnswer is an HTTP answer that breaks the protocol, as a server in trouble sends it.
@@ -21,8 +26,11 @@
 // CutAnswer is an answer with a long body that ends early.
 var CutAnswer = BrokenAnswer{Name: "cut", length: "Content-Length", missing: 8 << 20}
 
-// BrokenStatusLines are answers with a status that is none.
-var BrokenStatusLines = []BrokenAnswer{
+// BrokenHeads are answers with a head that breaks the protocol.
+var BrokenHeads = slices.Concat(brokenStatusLines, brokenFields)
+
+// brokenStatusLines are answers with a status that is none.
+var brokenStatusLines = []BrokenAnswer{
 	{Name: "status 000", status: "HTTP/1.1 000 Trouble", length: "Content-Length"},
 	{Name: "status 000 without a length", status: "HTTP/1.1 000 Trouble"},
 	{Name: "status 099", status: "HTTP/1.1 099 Trouble", length: "Content-Length"},
@@ -33,8 +41,8 @@
 	{Name: "status 000 after an interim answer", status: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble", length: "Content-Length"},
 }
 
-// BrokenFields are answers with a line that is no header field of its protocol version.
-var BrokenFields = []BrokenAnswer{
+// brokenFields are answers with a line that is no header field of its protocol version.
+var brokenFields = []BrokenAnswer{
 	{Name: "interim answer with a blank in a name", status: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK", length: "Content-Length"},
 	{Name: "blank after the name of the length", length: "Content-Length "},
 	{Name: "blank before the name of the length", length: " Content-Length"},
@@ -71,6 +79,23 @@
 	return out + "\r\n" + body
 }
 
+// Send sends the answer to a request, whose body it reads first: unread bytes would make the close of the connection a reset.
+func (a BrokenAnswer) Send(c net.Conn, req *http.Request, fields, body string) {
+	if _, err := io.Copy(io.Discard, req.Body); err == nil {
+		_, _ = io.WriteString(c, a.Bytes(fields, body)) // the peer may have closed
+	}
+}
+
+// ServeRaw listens at an address of its own and calls serve for the first request of each connection, whose body is unread. The connection is
+// closed afterwards. Closing the listener ends the accepting.
+func ServeRaw(serve func(c net.Conn, req *http.Request)) (net.Listener, error) {
+	return loopback.ServeConns(func(c net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			serve(c, req)
+		}
+	})
+}
+
 // resetDelay is the time in which a peer reads what it was sent before a reset.
 const resetDelay = 20 * time.Millisecond
 
--- a/fake/faults/server.go
+++ b/fake/faults/server.go
@@ -1,5 +1,5 @@
 // Package faults provides fault injection for stand-ins: a server that can crash and restart at the
-// same address, and an admin server with the fault switches of each stand-in.
+// same address, answers that break the protocol, and an admin server with the fault switches of each stand-in.
 package faults
 
 import (
--- a/gate/broken_answer_test.go
+++ b/gate/broken_answer_test.go
@@ -1,12 +1,10 @@
 package gate
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,29 +14,20 @@
 	"github.com/ibistrail/ibistrail/api"
 	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/internal/loopback"
 )
 
-// brokenHeads are the answers with a broken head.
-var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
-
 // TestBrokenAnswersOfServicesReachNoCaller has a plain service send broken heads, and a part of an answer before a reset, to calls that may run
 // once and to calls that may be repeated.
 func TestBrokenAnswersOfServicesReachNoCaller(t *testing.T) {
 	var current atomic.Pointer[faults.BrokenAnswer]
 	var requests atomic.Int64
-	l, err := loopback.ServeConns(func(c net.Conn) {
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
+	l, err := faults.ServeRaw(func(c net.Conn, req *http.Request) {
 		requests.Add(1)
 		if a := current.Load(); a != nil {
-			_, _ = io.Copy(io.Discard, req.Body) // unread bytes would make the close a reset
-			_, _ = io.WriteString(c, a.Bytes("", "half a page"))
-			return
+			a.Send(c, req, "", "half a page")
+		} else {
+			faults.SendAndReset(c, "HTTP/1.1 200 OK\r\n\r\nhalf a page")
 		}
-		faults.SendAndReset(c, "HTTP/1.1 200 OK\r\n\r\nhalf a page")
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -58,9 +47,9 @@
 		is.Equal(outcome(r), api.OutcomeUnknown)
 		is.Equal(requests.Load()-before, int64(1))
 	}
-	for i := range brokenHeads {
-		current.Store(&brokenHeads[i])
-		t.Run(brokenHeads[i].Name, func(t *testing.T) { check(t, fmt.Sprint("head-", i), "x") })
+	for i := range faults.BrokenHeads {
+		current.Store(&faults.BrokenHeads[i])
+		t.Run(faults.BrokenHeads[i].Name, func(t *testing.T) { check(t, fmt.Sprint("head-", i), "x") })
 	}
 	current.Store(nil)
 	t.Run("reset", func(t *testing.T) {
--- a/httpcheck/head_test.go
+++ b/httpcheck/head_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -86,20 +85,17 @@
 	return string(data), err
 }
 
-// brokenHeads are the answers with a broken head.
-var brokenHeads = slices.Concat(faults.BrokenStatusLines, faults.BrokenFields)
-
 // TestTransportRejectsBrokenHeads sends broken heads on new connections and on kept ones, after sound answers.
 func TestTransportRejectsBrokenHeads(t *testing.T) {
 	sound := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\nHTTP/1.1 000 a body\r\n"
 	url := serveKept(t, func(path string) string {
 		var i int
 		if _, err := fmt.Sscanf(path, "/broken/%d", &i); err == nil {
-			return brokenHeads[i].Bytes("X: y\r\n", "broken")
+			return faults.BrokenHeads[i].Bytes("X: y\r\n", "broken")
 		}
 		return sound
 	})
-	for i, a := range brokenHeads {
+	for i, a := range faults.BrokenHeads {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/kept=%t", a.Name, kept), func(t *testing.T) {
 				is := is.New(t)
--- a/steward/broken_answer_test.go
+++ b/steward/broken_answer_test.go
@@ -1,16 +1,12 @@
 package steward
 
 import (
-	"bufio"
 	"expvar"
-	"io"
 	"net"
 	"net/http"
-	"slices"
 	"testing"
 
 	"github.com/ibistrail/ibistrail/fake/faults"
-	"github.com/ibistrail/ibistrail/internal/loopback"
 	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/trial"
 )
@@ -37,16 +33,9 @@
 		},
 	}
 	for name, call := range calls {
-		for _, a := range slices.Concat(faults.BrokenStatusLines, faults.BrokenFields) {
+		for _, a := range faults.BrokenHeads {
 			t.Run(name+"/"+a.Name, func(t *testing.T) {
-				l, err := loopback.ServeConns(func(c net.Conn) {
-					req, err := http.ReadRequest(bufio.NewReader(c))
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body) // unread bytes would make the close a reset
-					_, _ = io.WriteString(c, a.Bytes("", "{}"))
-				})
+				l, err := faults.ServeRaw(func(c net.Conn, req *http.Request) { a.Send(c, req, "", "{}") })
 				if err != nil {
 					t.Fatal(err)
 				}
