--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -88,19 +88,25 @@
 	return nil
 }
 
-// discardBody reads the body of an answer to its end and drops it, so that a truncated answer is detected.
+// discardBody reads the body of an answer to its end and drops it, so that a truncated answer is detected. An answer of unknown length may have
+// maxBufferedBytes.
 func discardBody(answer *targets.Response) error {
 	defer answer.Body.Close()
-	limit := answer.Length
-	if limit < 0 {
-		limit = maxBufferedBytes
+	body := io.Reader(answer.Body)
+	if answer.Length < 0 {
+		body = io.LimitReader(body, maxBufferedBytes+1)
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, limit+1))
-	if err == nil && n > limit {
-		err = fmt.Errorf("%w: over %d bytes", errBodyTooLong, limit)
+	n, err := io.Copy(io.Discard, body)
+	switch {
+	case err != nil:
+		return err
+	case answer.Length < 0 && n > maxBufferedBytes:
+		return fmt.Errorf("%w: over %d bytes and no length", errBodyTooLong, maxBufferedBytes)
+	case answer.Length >= 0 && n != answer.Length:
+		return fmt.Errorf("%d of %d bytes of the answer came: %w", n, answer.Length, io.ErrUnexpectedEOF)
 	}
 	answer.Body, answer.Length = http.NoBody, 0
-	return err
+	return nil
 }
 
 // heldBody is an answer in memory.
--- a/forward/buffer_test.go
+++ b/forward/buffer_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -131,3 +134,27 @@
 	}
 	is.Equal(f.buffer.large.Load(), int64(0))
 }
+
+// TestDiscardedAnswersMustBeWhole covers the answers of which only the head is used.
+func TestDiscardedAnswersMustBeWhole(t *testing.T) {
+	errCut := errors.New("cut")
+	for name, tc := range map[string]struct {
+		length int64
+		body   io.Reader
+		err    error
+	}{
+		"whole":              {3, strings.NewReader("abc"), nil},
+		"without a length":   {-1, strings.NewReader("abc"), nil},
+		"empty":              {0, strings.NewReader(""), nil},
+		"short":              {math.MaxInt64, strings.NewReader("abc"), io.ErrUnexpectedEOF},
+		"cut":                {-1, io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(errCut)), errCut},
+		"long":               {-1, io.LimitReader(endlessBody{new(atomic.Int64), new(atomic.Int64)}, maxBufferedBytes+1), errBodyTooLong},
+		"long with a length": {maxBufferedBytes + 1, io.LimitReader(endlessBody{new(atomic.Int64), new(atomic.Int64)}, maxBufferedBytes+1), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := discardBody(&targets.Response{Length: tc.length, Body: io.NopCloser(tc.body)})
+			is.True(errors.Is(err, tc.err))
+		})
+	}
+}
