--- a/fake/faults/broken.go
+++ b/fake/faults/broken.go
@@ -59,6 +59,12 @@
 	{Name: "DEL in a name", line: "X\x7fTrouble: 1", length: "Content-Length"},
 	{Name: "empty name", line: ": 1", length: "Content-Length"},
 	{Name: "no name", line: "Trouble", length: "Content-Length"},
+	{Name: "NUL in a value", line: "X-Trouble: a\x00b", length: "Content-Length"},
+	{Name: "CR in a value", line: "X-Trouble: a\rb: c", length: "Content-Length"},
+	{Name: "two lengths", line: "Content-Length: 1", length: "Content-Length"},
+	{Name: "signed length", line: "Content-Length: +1"},
+	{Name: "unknown transfer coding", line: "Transfer-Encoding: chunked, trouble"},
+	{Name: "two transfer codings", line: "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"},
 	{Name: "CR before the end of the head", line: "\r", length: "Content-Length"},
 	{Name: "transfer coding of HTTP/1.0", status: "HTTP/1.0 200 OK", line: "Transfer-Encoding: chunked"},
 }
