batch: routing epochs decide where a submission belongs

Cause: a VM took what its process remembered of moves for what there is. The first VM had written a moved record, which makes later submissions to the former partition void, and was gone before it placed the batch; the new one knew of no move, and appended behind that record without knowing whether it counted.

Change: an epoch, a version of the tables that changes the pools of batch routes, is recorded in every partition before a VM places submissions by it, and the VM has read each partition up to that record. Older submissions before it are known; those behind it are void for all readers, and the holder of their partition places them; their results are answered 503 until then. Submissions of one epoch go to one partition. Place and epoch follow from one version of the tables, that in force when the submission is stored.

Three tests are replaced by ones as strict: - the case "refused after the move and sent to a VM that does not know of it" expected that the VM that had written the moved record goes on placing the batch, and that its caller gets no promise. Now that VM has written nothing of the batch, so that its caller gets a true refusal, and the holder places the void copy, also if that VM is gone; until then a reader must get 503. - TestSubmissionWithoutAMoveCostsNoRead allowed no read for the first submission of a process, which has to read what it can't know. It counts all calls of the next one instead, after new tables: two appends. - TestFormerPoolsOfBatches tested the list of moves, which is gone: the same cases are in TestBatchRoutingChangesWithThePoolsOfBatches, and four more.

--- a/batch/index.go
+++ b/batch/index.go
@@ -67,12 +67,17 @@
 	// order holds the IDs of the submissions in the order of acceptance.
 	order         []string
 	resultsByItem map[ownedItem]itemResult
-	// moved holds where submissions with an ID are that is void in this partition.
+	// epoch is the newest routing epoch among the records, epochUsed the newest one by which a submission was placed.
+	epoch     routingEpoch
+	epochUsed int64
+	// void holds the submissions that were placed by an older epoch, by ID.
+	void map[string]*voidSubmission
+	// moved holds where builds without epochs have placed submissions with an ID, which is void in this partition.
 	moved map[string]movedTo
 }
 
 func newIndexState() *indexState {
-	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[ownedItem]itemResult{}, moved: map[string]movedTo{}}
+	return &indexState{submissions: map[string]*submissionState{}, resultsByItem: map[ownedItem]itemResult{}, void: map[string]*voidSubmission{}, moved: map[string]movedTo{}}
 }
 
 // apply applies the record at offset and reports whether submissions or results changed. Records before next were
@@ -95,9 +100,16 @@
 		if r.Head == nil || len(r.Items) == 0 || r.Total < 1 || r.Head.ID != r.ID {
 			return false, fmt.Errorf("record at offset %d: the submission lacks its head, items or total, or has another ID in its head", offset)
 		}
-		if _, moved := ix.moved[r.ID]; sub != nil || moved {
+		if sub != nil {
 			return false, nil // the first record with an ID wins
 		}
+		if ix.voids(&r) {
+			if ix.void[r.ID] == nil {
+				ix.void[r.ID] = &voidSubmission{head: r.Head, itemSpans: r.Items}
+			}
+			return true, nil
+		}
+		delete(ix.void, r.ID)
 		sub = &submissionState{
 			head: r.Head, itemCount: r.Total, itemSpans: r.Items, hasResult: map[string]bool{}, savedParts: map[string][]span{},
 			dataBytes: map[int]int64{}, itemBytes: r.DataBytes,
@@ -106,6 +118,12 @@
 		ix.submissions[r.ID] = sub
 		ix.order = append(ix.order, r.ID)
 		return true, nil
+	case recordEpoch:
+		if r.Epoch == nil {
+			return false, fmt.Errorf("record at offset %d: the epoch record has no epoch", offset)
+		}
+		ix.beginEpoch(r.Epoch)
+		return false, nil
 	case recordMoved:
 		if r.MovedTo == nil {
 			return false, fmt.Errorf("record at offset %d: the moved record has no partition", offset)
@@ -143,6 +161,23 @@
 	return false, fmt.Errorf("record at offset %d: unknown record kind %.20q", offset, r.Kind)
 }
 
+// beginEpoch makes submissions that were placed by an older epoch void from here on.
+func (ix *indexState) beginEpoch(e *routingEpoch) {
+	if e.Version > ix.epoch.Version {
+		ix.epoch = *e
+	}
+}
+
+// voids reports whether a submission at the end of the records read so far is void.
+func (ix *indexState) voids(r *record) bool {
+	if r.Epoch != nil {
+		ix.beginEpoch(r.Epoch) // its own record may have expired
+		ix.epochUsed = max(ix.epochUsed, r.Epoch.Version)
+	}
+	_, moved := ix.moved[r.ID]
+	return moved || r.Epoch != nil && r.Epoch.Version < ix.epoch.Version
+}
+
 // addResult adds a result if it is the first of its item, and reports whether it did.
 func (ix *indexState) addResult(sub *submissionState, result *resultMeta) bool {
 	if sub.hasResult[result.ItemID] || len(sub.results) >= sub.itemCount {
@@ -207,6 +242,11 @@
 		kept = append(kept, id)
 	}
 	ix.order = kept
+	for id, v := range ix.void {
+		if v.head.AcceptedMs < before.UnixMilli() {
+			delete(ix.void, id)
+		}
+	}
 	for id, m := range ix.moved {
 		if m.AtMs < before.UnixMilli() {
 			delete(ix.moved, id)
@@ -240,6 +280,14 @@
 			first[part] = s.Offset
 		}
 	}
+	for _, v := range ix.void {
+		if v.head.AcceptedMs < since.UnixMilli() {
+			continue
+		}
+		for _, s := range v.itemSpans {
+			need(s)
+		}
+	}
 	for _, sub := range ix.submissions {
 		if sub.ended && sub.head.AcceptedMs < since.UnixMilli() {
 			continue
--- a/batch/moved_route_test.go
+++ b/batch/moved_route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,12 +19,14 @@
 	"github.com/ibistrail/ibistrail/store"
 )
 
-// memoryLog keeps partitions in memory. refuse tells which appends it refuses; it may be nil.
+// memoryLog keeps partitions in memory. refuse tells which appends it refuses, refuseRead which reads; they may be nil.
 type memoryLog struct {
 	store.Log
-	mu         sync.Mutex
-	partitions map[store.Partition][][]byte
-	refuse     func(store.Partition) bool
+	mu                 sync.Mutex
+	partitions         map[store.Partition][][]byte
+	refuse, refuseRead func(store.Partition) bool
+	// calls counts the appends and reads that arrived.
+	calls int
 	// maxAppendBytes limits an append; 0 means no limit.
 	maxAppendBytes int
 }
@@ -34,6 +37,7 @@
 func (l *memoryLog) Append(_ context.Context, p store.Partition, records [][]byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.calls++
 	if l.refuse != nil && l.refuse(p) {
 		return 0, store.ErrUnavailable
 	}
@@ -52,10 +56,20 @@
 func (l *memoryLog) Read(_ context.Context, p store.Partition, from int64, _ time.Duration, _ int) (store.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.calls++
+	if l.refuseRead != nil && l.refuseRead(p) {
+		return store.Batch{}, store.ErrUnavailable
+	}
 	end := int64(len(l.partitions[p]))
 	return store.Batch{From: from, Records: l.partitions[p][min(from, end):], End: end}, nil
 }
 
+func (l *memoryLog) setRefuseRead(refuse func(store.Partition) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuseRead = refuse
+}
+
 func (l *memoryLog) setRefuse(refuse func(store.Partition) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,27 +83,34 @@
 	version   int64
 }
 
-func newRouteVM(t *testing.T, log store.Log, pool string, restarted bool) *routeVM {
-	v := &routeVM{directory: fleet.NewDirectory(), Service: New(t.Context(), Options{
-		Partitions: 12, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20, Retention: time.Minute, Restarted: restarted, Store: log, View: fleet.NewView(),
+// newRouteVM returns a VM that has just started, and has listed the tables of a version, in which the route goes to a pool.
+func newRouteVM(t *testing.T, log store.Log, version int64, pool string) *routeVM {
+	v := &routeVM{directory: fleet.NewDirectory(), version: version - 1, Service: New(t.Context(), Options{
+		Partitions: 12, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20, Retention: time.Minute, Store: log, View: fleet.NewView(),
 		Log: slog.New(slog.DiscardHandler), Metrics: process.NewMetrics(),
 	})}
 	v.move(pool)
 	return v
 }
 
-// move makes the VM know tables in which the route goes to a pool.
+// move makes the VM know the next version of the tables, in which the route goes to a pool.
 func (v *routeVM) move(pool string) {
 	v.version++
-	v.directory.SetTables(time.Now(), &fleet.Tables{Version: v.version, Routes: []fleet.Route{
+	v.directory.SetTables(&fleet.Tables{Version: v.version, Routes: []fleet.Route{
 		{Route: config.Route{Name: "r", PathPrefix: "/r/", Pool: pool}, Host: "h", Batch: true},
 	}})
-	v.opts.View.Set(&fleet.Snapshot{Tables: v.directory.Tables(), RouteMoves: v.directory.RouteMoves()})
+	v.opts.View.Set(&fleet.Snapshot{Tables: v.directory.Tables(), BatchRouting: v.directory.BatchRouting()})
+}
+
+// hold makes the VM run the submissions of a pool's partition.
+func (v *routeVM) hold(pool string) {
+	v.SetOwnedPartitions(map[int]bool{PartitionOf(pool, 12).Index: true})
+	go v.Run()
 }
 
 // submit submits a batch as the route of this VM's tables tells.
 func (v *routeVM) submit(t *testing.T, id string) error {
-	return v.Submit(t.Context(), v.opts.View.Get().Tables.Match("h", "/r/"+id), &Submission{
+	return v.Submit(t.Context(), &Submission{
 		Head: Head{ID: id, Host: "h", Path: "/r/" + id, AcceptedMs: time.Now().UnixMilli()}, Items: []Item{{ID: "i", Path: "/i"}},
 	})
 }
@@ -111,9 +132,17 @@
 	return pools
 }
 
+// isUnavailable checks that a call was refused with a promise and a time to come back.
+func isUnavailable(is *is.I, err error) {
+	is.Helper()
+	var unavailable *UnavailableError
+	is.True(errors.As(err, &unavailable))
+	is.True(unavailable.RetryAfter > 0)
+}
+
 // copies returns the partitions that hold the submission of an ID for all who read them to the end.
 func copies(t *testing.T, log store.Log, id string) (partitions []int) {
-	reader := newRouteVM(t, log, "any", false)
+	reader := newRouteVM(t, log, 1, "any")
 	for i, p := range reader.partitions {
 		if err := p.sync(t.Context()); err != nil {
 			t.Fatal(err)
@@ -134,19 +163,19 @@
 		play func(t *testing.T, is *is.I, log *memoryLog, pools [3]string)
 	}{
 		{"sent again after the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 1, pools[0])
 			is.NoErr(a.submit(t, "b"))
 			b.move(pools[1])
 			is.NoErr(b.submit(t, "b"))
 		}},
 		{"sent again to a VM that does not know of the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a, late := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a, late := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 1, pools[0])
 			a.move(pools[1])
 			is.NoErr(a.submit(t, "b"))
 			is.NoErr(late.submit(t, "b"))
 		}},
 		{"moved twice", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 1, pools[0])
 			a.move(pools[1])
 			is.NoErr(a.submit(t, "b"))
 			b.move(pools[1])
@@ -154,7 +183,7 @@
 			is.NoErr(b.submit(t, "b"))
 		}},
 		{"moved and moved back", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a, b := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 1, pools[0])
 			a.move(pools[1])
 			is.NoErr(a.submit(t, "b"))
 			b.move(pools[1])
@@ -162,23 +191,52 @@
 			is.NoErr(b.submit(t, "b"))
 		}},
 		{"sent again to a VM that started after the move", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a := newRouteVM(t, log, pools[0], false)
+			a := newRouteVM(t, log, 1, pools[0])
 			is.NoErr(a.submit(t, "b"))
-			is.NoErr(newRouteVM(t, log, pools[1], true).submit(t, "b"))
+			is.NoErr(newRouteVM(t, log, 2, pools[1]).submit(t, "b"))
 		}},
 		{"refused after the move and sent to a VM that does not know of it", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
-			a, late := newRouteVM(t, log, pools[0], false), newRouteVM(t, log, pools[0], false)
+			a, late := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 1, pools[0])
+			is.NoErr(late.submit(t, "earlier"))
 			a.move(pools[1])
+			is.NoErr(a.submit(t, "other"))
 			target := PartitionOf(pools[1], 12).Index
 			log.setRefuse(func(p store.Partition) bool { return p.Index == target })
-			is.True(errors.Is(a.submit(t, "b"), ErrOutcomeUnknown)) // no promise that nothing runs
-			is.NoErr(late.submit(t, "b"))                           // a promise, although the copy has no effect
+			isUnavailable(is, a.submit(t, "b"))
+			is.NoErr(late.submit(t, "b")) // a promise, although the copy is void
 			is.Equal(len(copies(t, log, "b")), 0)
+			_, err := newRouteVM(t, log, 2, pools[1]).find(t.Context(), organisation.Caller{}, "b")
+			isUnavailable(is, err)
 			log.setRefuse(nil)
+			newRouteVM(t, log, 2, pools[1]).hold(pools[0])
 			for deadline := time.Now().Add(5 * time.Second); len(copies(t, log, "b")) == 0; time.Sleep(20 * time.Millisecond) {
-				is.True(time.Now().Before(deadline)) // the first VM accepts it after all
+				is.True(time.Now().Before(deadline)) // the holder of the former partition places it
 			}
 		}},
+		// Case 6 of the review: it was answered 202 and could be read nowhere.
+		{"refused after the move, moved back, and sent to a VM that started then", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a := newRouteVM(t, log, 1, pools[0])
+			a.move(pools[1])
+			down := dataPart(PartitionOf(pools[1], 12).Index, mainPart)
+			log.setRefuse(func(p store.Partition) bool { return p == down })
+			is.True(a.submit(t, "b") != nil)
+			is.NoErr(newRouteVM(t, log, 3, pools[0]).submit(t, "b"))
+		}},
+		{"sent again to a VM with older tables that has placed others by them", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 2, pools[1])
+			is.NoErr(a.submit(t, "earlier"))
+			is.NoErr(b.submit(t, "b"))
+			is.NoErr(a.submit(t, "b")) // void
+		}},
+		{"placed by a build without epochs, and moved back", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			from, to := PartitionOf(pools[0], 12), PartitionOf(pools[1], 12)
+			moved, err := json.Marshal(record{Kind: recordMoved, ID: "b", MovedTo: &movedTo{Partition: to.Index, AtMs: time.Now().UnixMilli()}})
+			is.NoErr(err)
+			_, err = log.Append(t.Context(), from, [][]byte{moved})
+			is.NoErr(err)
+			is.NoErr(newRouteVM(t, log, 3, pools[0]).submit(t, "b"))
+			is.Equal(copies(t, log, "b"), []int{to.Index})
+		}},
 	} {
 		for _, ascending := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/ascending=%v", tc.name, ascending), func(t *testing.T) {
@@ -186,7 +244,7 @@
 				log := &memoryLog{partitions: map[store.Partition][][]byte{}}
 				tc.play(t, is, log, poolsInOrder(ascending))
 				is.Equal(len(copies(t, log, "b")), 1)
-				p, err := newRouteVM(t, log, "any", false).find(t.Context(), organisation.Caller{}, "b")
+				p, err := newRouteVM(t, log, 1, "any").find(t.Context(), organisation.Caller{}, "b")
 				is.NoErr(err)
 				is.Equal(p.id.Index, copies(t, log, "b")[0])
 			})
@@ -194,15 +252,17 @@
 	}
 }
 
-// TestSubmissionWithoutAMoveCostsNoRead guards against reads of the index for each submission of a deployment whose routes stay.
+// TestSubmissionWithoutAMoveCostsNoRead guards against reads of the index for each submission of a deployment whose routes stay: a VM
+// reads it once, before its first submission.
 func TestSubmissionWithoutAMoveCostsNoRead(t *testing.T) {
 	is := is.New(t)
 	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
-	v := newRouteVM(t, log, "a", false)
+	v := newRouteVM(t, log, 1, "a")
+	is.NoErr(v.submit(t, "first"))
 	v.move("a") // new tables, the same pool
+	p := PartitionOf("a", 12)
+	calls, records := log.calls, len(log.partitions[p])
 	is.NoErr(v.submit(t, "b"))
-	for _, p := range v.partitions {
-		is.True(p.caughtUpAt.IsZero())
-	}
-	is.Equal(len(log.partitions[PartitionOf("a", 12)]), 1)
+	is.Equal(log.calls-calls, 2) // the items, then the submission
+	is.Equal(len(log.partitions[p])-records, 1)
 }
--- a/batch/open_items_test.go
+++ b/batch/open_items_test.go
@@ -15,7 +15,7 @@
 func TestSubmissionsBeyondTheOpenItemsAreRefused(t *testing.T) {
 	is := is.New(t)
 	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
-	v := newRouteVM(t, log, "pool", false)
+	v := newRouteVM(t, log, 1, "pool")
 	p := v.partitionOf("pool")
 	submit := func(id string) error {
 		err := v.submit(t, id)
--- a/batch/partition.go
+++ b/batch/partition.go
@@ -191,6 +191,24 @@
 	}
 }
 
+// readPast reads until the record at an offset has been applied.
+func (p *partition) readPast(ctx context.Context, offset int64) error {
+	for {
+		p.mu.Lock()
+		done := p.index.next > offset
+		p.mu.Unlock()
+		if done {
+			return nil
+		}
+		if err := p.read(ctx, 0); err != nil {
+			return err
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+}
+
 // setCandidate starts to follow the partition, for as long as this process runs.
 func (p *partition) setCandidate(ctx context.Context) {
 	p.mu.Lock()
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -46,6 +46,12 @@
 			p.mu.Unlock()
 			continue
 		}
+		for _, v := range p.index.void {
+			if !v.placing && v.head.AcceptedMs >= time.Now().Add(-p.readable).UnixMilli() {
+				v.placing = true
+				go r.placeVoid(ctx, p, v)
+			}
+		}
 		for _, id := range p.index.order {
 			sub := p.index.submissions[id]
 			jobs := r.jobs[id]
--- a/batch/record.go
+++ b/batch/record.go
@@ -19,8 +19,10 @@
 	recordSubmit recordKind = "submit"
 	recordResult recordKind = "result"
 	recordEnd    recordKind = "end"
+	// recordEpoch begins a routing epoch: later submissions in this partition that were placed by an older one are void.
+	recordEpoch recordKind = "epoch"
 	// recordMoved makes later submissions with its ID in this partition void: they are in another one. If the first record with an ID
-	// is a submission, that holds.
+	// is a submission, that holds. Only builds without epochs write it.
 	recordMoved recordKind = "moved"
 	// recordProgress saves parts of unfinished texts. If it is lost, their tokens are generated again.
 	recordProgress recordKind = "progress"
@@ -35,7 +37,9 @@
 // record is one record of the index.
 type record struct {
 	Kind recordKind `json:"kind"`
-	ID   string     `json:"id"` // of the submission
+	ID   string     `json:"id,omitempty"` // of the submission
+	// Epoch is set in epoch records and in submissions; builds without epochs left it out.
+	Epoch *routingEpoch `json:"epoch,omitempty"`
 	// Head, Total and Items are set in submissions. Items refers to the data records that together hold a JSON list of Item.
 	Head  *Head  `json:"head,omitempty"`
 	Total int    `json:"total,omitempty"`
--- /dev/null
+++ b/batch/routing_epoch.go
@@ -0,0 +1,246 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ibistrail/ibistrail/fleet"
+	"github.com/ibistrail/ibistrail/organisation"
+	"github.com/ibistrail/ibistrail/process"
+)
+
+// A submission belongs into the partition of the pool to which its route goes, and routes move between pools. What VMs know of a move
+// differs for a while, so the log decides. A routing epoch is a version of the tables that changed the pools of batch routes. Before a VM
+// places submissions by it, the epoch is recorded in every partition, and the VM has read every partition up to that record:
+//
+//   - a submission that was placed by an older epoch and precedes the record is known to the VM, and is not accepted again elsewhere;
+//   - one that follows the record is void for all who read it. The VM that runs the partition's submissions places it by the newest epoch.
+//
+// Submissions of one epoch go to one partition, where the first one with an ID wins. No clock is involved, and a VM that can't read a
+// partition knows that it knows too little.
+
+// routingEpoch identifies which pools the batch routes go to.
+type routingEpoch struct {
+	// Version is that of the tables by which the epoch was first recorded.
+	Version int64 `json:"version"`
+	// Digest is fleet.BatchRouting.Digest.
+	Digest string `json:"digest"`
+}
+
+// establishedEpoch is the epoch by which this VM places submissions.
+type establishedEpoch struct {
+	routingEpoch
+	// routing is that of the tables at that time. Tables whose routes have moved and moved back have another one.
+	routing fleet.BatchRouting
+}
+
+// Errors of a VM that does not know where a submission belongs.
+var (
+	errTablesOutdated = errors.New("this VM's tables are older than those by which others place batches; submit the batch again")
+	errRoutesMoving   = errors.New("the routes of batches are moving; submit the batch again")
+	errNoRoute        = errors.New("the batch's route has just gone; submit the batch again")
+)
+
+// maxEpochTries limits how often a VM records an epoch anew because others have recorded a newer one meanwhile.
+const maxEpochTries = 3
+
+// epoch returns the epoch by which this VM may place submissions under the tables of a snapshot. It reads the log only if routes have
+// moved, or another VM has recorded a newer epoch, since the last call. Errors are *UnavailableError.
+func (s *Service) epoch(ctx context.Context, snap *fleet.Snapshot) (routingEpoch, error) {
+	if e, ok := s.currentEpoch(snap); ok {
+		return e, nil
+	}
+	established := s.establishing.DoChan("", func() (any, error) {
+		if e, ok := s.currentEpoch(snap); ok {
+			return e, nil
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, submitTimeout)
+		defer cancel()
+		return s.establishEpoch(ctx, snap)
+	})
+	select {
+	case r := <-established:
+		if r.Err != nil {
+			return routingEpoch{}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: r.Err}
+		}
+		if e := r.Val.(routingEpoch); e.Digest == snap.BatchRouting.Digest {
+			return e, nil
+		}
+		return routingEpoch{}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errRoutesMoving}
+	case <-ctx.Done():
+		return routingEpoch{}, &UnavailableError{RetryAfter: storeRetryAfter, Cause: ctx.Err()}
+	}
+}
+
+// currentEpoch returns the established epoch if it is that of the tables of a snapshot, and the newest that this VM has read of.
+func (s *Service) currentEpoch(snap *fleet.Snapshot) (routingEpoch, bool) {
+	e := s.established.Load()
+	if e == nil || e.routing != snap.BatchRouting {
+		return routingEpoch{}, false
+	}
+	newest, _ := s.newestEpoch()
+	return e.routingEpoch, newest.Version <= e.Version
+}
+
+// newestEpoch returns the newest epoch that this VM has read of. inForce is set if every partition has its record.
+func (s *Service) newestEpoch() (newest routingEpoch, inForce bool) {
+	used, inAll := int64(0), true
+	for i, p := range s.partitions {
+		p.mu.Lock()
+		e := p.index.epoch
+		used = max(used, p.index.epochUsed)
+		p.mu.Unlock()
+		inAll = inAll && (i == 0 || e == newest)
+		if e.Version > newest.Version {
+			newest = e
+		}
+	}
+	// A submission of the epoch was placed after all records of the epoch, which may have expired since.
+	return newest, newest.Version > 0 && (inAll || used >= newest.Version)
+}
+
+// establishEpoch reads all partitions, and records the epoch of a snapshot's tables unless it is in force already.
+func (s *Service) establishEpoch(ctx context.Context, snap *fleet.Snapshot) (e routingEpoch, err error) {
+	digest, recorded := snap.BatchRouting.Digest, 0
+	start := time.Now()
+	defer func() {
+		s.opts.Log.Info("batch_epoch", "version", e.Version, "digest", digest, "recorded", recorded, "ms", time.Since(start).Milliseconds(), "err", err)
+	}()
+	if err := s.syncAll(ctx); err != nil {
+		return routingEpoch{}, err
+	}
+	for range maxEpochTries {
+		newest, inForce := s.newestEpoch()
+		switch {
+		case newest.Digest == digest && inForce:
+			s.established.Store(&establishedEpoch{newest, snap.BatchRouting})
+			return newest, nil
+		case newest.Digest != digest && newest.Version >= snap.Tables.Version:
+			return newest, errTablesOutdated
+		}
+		n, err := s.recordEpoch(ctx, routingEpoch{max(snap.Tables.Version, newest.Version), digest})
+		recorded += n
+		if err != nil {
+			return newest, err
+		}
+	}
+	return routingEpoch{}, errRoutesMoving
+}
+
+// recordEpoch appends an epoch to the partitions that lack it, and reads them up to it. It returns their number.
+func (s *Service) recordEpoch(ctx context.Context, e routingEpoch) (int, error) {
+	data, err := json.Marshal(record{Kind: recordEpoch, Epoch: &e})
+	if err != nil {
+		return 0, err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	n := 0
+	for _, p := range s.partitions {
+		p.mu.Lock()
+		known := p.index.epoch.Version >= e.Version
+		p.mu.Unlock()
+		if known {
+			continue
+		}
+		n++
+		group.Go(func() error {
+			offset, err := s.appendAll(ctx, p.id, [][]byte{data})
+			if err != nil {
+				return err
+			}
+			return p.readPast(ctx, offset)
+		})
+	}
+	return n, group.Wait()
+}
+
+// destination returns the partition into which a submission belongs in the current epoch.
+func (s *Service) destination(tables *fleet.Tables, head *Head) *partition {
+	// Without a route, all VMs must choose the same partition.
+	p := s.partitionOf(head.ID)
+	if route := tables.Match(head.Host, head.Path); route != nil && route.Batch {
+		p = s.partitionOf(route.Pool)
+	}
+	for range s.partitions { // builds without epochs have placed it elsewhere
+		p.mu.Lock()
+		moved, ok := p.index.moved[head.ID]
+		p.mu.Unlock()
+		if !ok || moved.Partition < 0 || moved.Partition >= len(s.partitions) {
+			break
+		}
+		p = s.partitions[moved.Partition]
+	}
+	return p
+}
+
+// voidSubmission is a submission that was placed by an older epoch than that of its partition.
+type voidSubmission struct {
+	head      *Head
+	itemSpans []span
+	placing   bool
+}
+
+// placeVoid places a void submission of a partition by the current epoch, unless that has happened before. It is called by the VM that
+// runs the partition's submissions: the VM that appended it has promised that it is kept.
+func (s *Service) placeVoid(ctx context.Context, p *partition, v *voidSubmission) {
+	to, err := s.placeElsewhere(ctx, p, v)
+	s.countCall("place_void", err)
+	s.opts.Log.Info("batch_void", "batch", v.head.ID, "partition", p.id.Index, "to", to, "err", err)
+	if err != nil {
+		process.Sleep(ctx, storeRetryAfter)
+	}
+	p.mu.Lock()
+	v.placing = false
+	if err == nil {
+		delete(p.index.void, v.head.ID)
+	}
+	p.mu.Unlock()
+	p.wake()
+}
+
+// placeElsewhere returns the index of the partition that holds the submission.
+func (s *Service) placeElsewhere(ctx context.Context, p *partition, v *voidSubmission) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	snap := s.opts.View.Get()
+	epoch, err := s.epoch(ctx, snap)
+	if err != nil {
+		return 0, err
+	}
+	if q := s.holder(v.head.ID); q != nil {
+		return q.id.Index, nil
+	}
+	items, err := p.data.readItems(ctx, v.itemSpans)
+	if err != nil {
+		return 0, err
+	}
+	data, err := json.Marshal(items)
+	if err != nil {
+		return 0, err
+	}
+	q := s.destination(snap.Tables, v.head)
+	return q.id.Index, s.accept(ctx, q, &Submission{Head: *v.head, Items: items}, splitRecord(data, s.opts.MaxRecordBytes), epoch)
+}
+
+// holder returns the partition that holds the submission of any organisation among the records read so far, or nil.
+func (s *Service) holder(id string) *partition {
+	p, _ := s.findLocal(organisation.Caller{}, id)
+	return p
+}
+
+// isVoid reports whether a submission that is in no partition is void in one, and will be placed.
+func (s *Service) isVoid(id string) bool {
+	for _, p := range s.partitions {
+		p.mu.Lock()
+		v := p.index.void[id]
+		p.mu.Unlock()
+		if v != nil && v.head.AcceptedMs >= time.Now().Add(-s.opts.Retention).UnixMilli() {
+			return true
+		}
+	}
+	return false
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -60,6 +60,8 @@
 	// appendResult appends a result. text is empty if the result has none or refers to data that was already written.
 	appendResult   func(p *partition, submissionID string, result resultMeta, text string)
 	appendProgress func(p *partition, submissionID string, parts []*Progress)
+	// placeVoid places a void submission of an owned partition.
+	placeVoid func(ctx context.Context, p *partition, v *voidSubmission)
 	// writer identifies this process in saved texts.
 	writer string
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -7,8 +7,11 @@
 	"expvar"
 	"log/slog"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/organisation"
@@ -43,8 +46,6 @@
 	PartitionBytes int64
 	// Retention is how long submissions stay readable after their acceptance.
 	Retention time.Duration
-	// Restarted is set if submissions may have been accepted before this process started.
-	Restarted bool
 	Log       *slog.Logger
 	Metrics   *process.Metrics
 	Store     store.Log
@@ -63,17 +64,19 @@
 type Service struct {
 	opts       Options
 	ctx        context.Context
-	startedAt  time.Time
 	partitions []*partition
 	writers    []*writer
 	runner     *runner
+	// established is the epoch by which this VM places submissions, establishing the call that reads or records it.
+	established  atomic.Pointer[establishedEpoch]
+	establishing singleflight.Group
 	// calls counts API calls by outcome.
 	calls *expvar.Map
 }
 
 // New returns a service that reads no partition yet. Its background work ends with ctx.
 func New(ctx context.Context, o Options) *Service {
-	s := &Service{opts: o, ctx: ctx, startedAt: time.Now(), runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
+	s := &Service{opts: o, ctx: ctx, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
 	for i := range o.Partitions {
 		id, dp := store.Partition{Topic: IndexTopic, Index: i}, newDataPartition(o.Store, i)
 		p := &partition{
@@ -87,6 +90,7 @@
 	}
 	s.runner.appendResult = s.appendResult
 	s.runner.appendProgress = s.appendProgress
+	s.runner.placeVoid = s.placeVoid
 	s.runner.writer = o.VM + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	return s
 }
@@ -193,14 +197,22 @@
 	return s.partitions[PartitionOf(pool, len(s.partitions)).Index]
 }
 
-// Submit stores a submission to a route. It returns nil once the submission is durable, also if it was accepted
+// Submit stores a submission. It returns nil once the submission is durable, also if it was accepted
 // before. Errors are *InvalidError, *UnavailableError, ErrOutcomeUnknown, or ErrNotFound if another organisation has submitted a batch
 // with this ID.
-func (s *Service) Submit(ctx context.Context, route *fleet.Route, sub *Submission) error {
+func (s *Service) Submit(ctx context.Context, sub *Submission) error {
 	if err := sub.Validate(); err != nil {
 		return err
 	}
+	// The place and its epoch follow from one version of the tables, which may be newer than that by which the caller was admitted.
 	snap := s.opts.View.Get()
+	var route *fleet.Route
+	if snap.Tables != nil {
+		route = snap.Tables.Match(sub.Host, sub.Path)
+	}
+	if route == nil || !route.Batch {
+		return &UnavailableError{RetryAfter: storeRetryAfter, Cause: errNoRoute}
+	}
 	p := s.partitionOf(route.Pool)
 	sub.NewestVersion = newestVersion(snap, route.Pool, sub.Model)
 	for i := range sub.Items {
@@ -209,7 +221,7 @@
 	if accepted, err := s.accepted(p, sub); accepted {
 		return err
 	}
-	if s.knows(sub) {
+	if s.holder(sub.ID) != nil {
 		return nil
 	}
 	items, err := json.Marshal(sub.Items)
@@ -220,7 +232,7 @@
 	defer cancel()
 	start := time.Now()
 	if err = s.checkOpenItems(int64(len(items))); err == nil {
-		err = s.submitOnce(ctx, snap, p, sub, splitRecord(items, s.opts.MaxRecordBytes))
+		err = s.submitOnce(ctx, snap, sub, splitRecord(items, s.opts.MaxRecordBytes))
 	}
 	s.countCall("submit", err)
 	s.opts.Log.Info("batch_submit", "batch", sub.ID, "partition", p.id.Index, "step", sub.Step, "organisation", sub.Organisation, "items", len(sub.Items),
@@ -228,21 +240,22 @@
 	return err
 }
 
-// submitOnce writes a submission to the partition where it belongs, unless it was accepted before. p is the partition of the route's pool.
-func (s *Service) submitOnce(ctx context.Context, snap *fleet.Snapshot, p *partition, sub *Submission, parts [][]byte) error {
-	dest, err := s.findDestination(ctx, snap, p, sub)
-	if err == nil && dest.accepted {
-		_, err = s.accepted(dest.partition, sub)
+// submitOnce writes a submission to the partition where it belongs, unless it was accepted before.
+func (s *Service) submitOnce(ctx context.Context, snap *fleet.Snapshot, sub *Submission, parts [][]byte) error {
+	epoch, epochErr := s.epoch(ctx, snap)
+	p := s.destination(snap.Tables, &sub.Head)
+	if accepted, err := s.accepted(p, sub); accepted {
 		return err
 	}
-	if err == nil {
-		err = s.accept(ctx, dest.partition, sub, parts)
+	if s.holder(sub.ID) != nil {
+		return nil
 	}
-	switch {
-	case err != nil && dest.moved:
-		return s.finishMoved(p, sub, parts, err)
-	case err == nil && sub.Organisation != "":
-		return s.checkFirst(ctx, dest.partition, sub)
+	if epochErr != nil {
+		return epochErr
+	}
+	err := s.accept(ctx, p, sub, parts, epoch)
+	if err == nil && sub.Organisation != "" {
+		return s.checkFirst(ctx, p, sub)
 	}
 	return err
 }
@@ -278,7 +291,7 @@
 }
 
 // accept writes a submission's items and then its index record, which makes it valid.
-func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte) error {
+func (s *Service) accept(ctx context.Context, p *partition, sub *Submission, parts [][]byte, epoch routingEpoch) error {
 	var items []span
 	var dataBytes int64
 	part := s.writers[p.id.Index].parts.chooseItems(sub.ID, parts)
@@ -303,7 +316,7 @@
 		parts = parts[n:]
 	}
 	r, err := json.Marshal(record{
-		Kind: recordSubmit, ID: sub.ID, Head: &sub.Head, Total: len(sub.Items), Items: items, DataBytes: dataBytes,
+		Kind: recordSubmit, ID: sub.ID, Epoch: &epoch, Head: &sub.Head, Total: len(sub.Items), Items: items, DataBytes: dataBytes,
 	})
 	if err != nil {
 		return err
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -152,7 +152,7 @@
 	}
 	if changed {
 		f.view.Set(&fleet.Snapshot{
-			Tables: f.directory.Tables(), Instances: f.directory.Instances(), NamedVersions: f.directory.NamedVersions(), RouteMoves: f.directory.RouteMoves(),
+			Tables: f.directory.Tables(), Instances: f.directory.Instances(), NamedVersions: f.directory.NamedVersions(), BatchRouting: f.directory.BatchRouting(),
 		})
 	}
 }
@@ -184,7 +184,7 @@
 		// The registration was removed, or it is invalid and names no usable target.
 		return f.directory.Remove(now, r.Offset, c.TargetID)
 	case c.Tables != nil:
-		if !f.directory.SetTables(now, c.Tables) {
+		if !f.directory.SetTables(c.Tables) {
 			return false
 		}
 		f.log.Info("tables_in_force", "version", c.Tables.Version, "offset", r.Offset, "routes", len(c.Tables.Routes), "pools", len(c.Tables.Pools))
--- a/entry/process.go
+++ b/entry/process.go
@@ -177,7 +177,7 @@
 		View: p.View, Client: client, Crashes: p.crashes, Limiter: p.limiter, Origins: p.origins, States: p.targets, Usage: p.usage.counter(), AvailabilityZone: s.AvailabilityZone, Log: opts.Log, Metrics: opts.Metrics,
 	})
 	p.Batches = batch.New(p.ctx, batch.Options{
-		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes, PartitionBytes: s.PartitionBytes, MaxOpenItemBytes: int64(openItemMemoryFraction * float64(s.MemoryBytes)), Restarted: !s.FirstStart,
+		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes, PartitionBytes: s.PartitionBytes, MaxOpenItemBytes: int64(openItemMemoryFraction * float64(s.MemoryBytes)),
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter, States: p.targets,
 	})
 	p.tenures = newTenureManager(p, processID)
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,9 +10,6 @@
 // expire during the outage: live targets register again within about two seconds.
 const outageGrace = 2 * time.Second
 
-// routeMoveTTL is how long moves of batch routes are kept.
-const routeMoveTTL = time.Minute
-
 // registration is the newest record of a target.
 type registration struct {
 	offset   int64
@@ -24,12 +21,12 @@
 // Directory holds the newest tables, registered targets and named weight versions. Records at an older offset, and tables
 // or weight versions lower than the current ones, are ignored. It is not safe for concurrent use.
 type Directory struct {
-	tables      *Tables
-	moves       []RouteMove
-	named       map[string]int64
-	targets     map[string]*registration
-	recoveredAt time.Time
-	listed      bool
+	tables       *Tables
+	batchRouting BatchRouting
+	named        map[string]int64
+	targets      map[string]*registration
+	recoveredAt  time.Time
+	listed       bool
 }
 
 // NewDirectory returns an empty directory.
@@ -40,22 +37,15 @@
 // Tables returns the current tables; nil before the first SetTables.
 func (d *Directory) Tables() *Tables { return d.tables }
 
-// RouteMoves returns the recent moves of batch routes. The slice must not be modified.
-func (d *Directory) RouteMoves() []RouteMove { return d.moves }
+// BatchRouting returns the pools to which the batch routes of the current tables go.
+func (d *Directory) BatchRouting() BatchRouting { return d.batchRouting }
 
 // SetTables replaces the tables if t is newer, and reports whether it did.
-func (d *Directory) SetTables(now time.Time, t *Tables) bool {
+func (d *Directory) SetTables(t *Tables) bool {
 	if d.tables != nil && t.Version <= d.tables.Version {
 		return false
 	}
-	var moves []RouteMove // snapshots share the previous slice
-	for _, m := range d.moves {
-		if now.Sub(m.At) < routeMoveTTL {
-			moves = append(moves, m)
-		}
-	}
-	d.moves = append(moves, routeMoves(now, d.tables, t)...)
-	d.tables = t
+	d.tables, d.batchRouting = t, t.batchRouting(d.batchRouting)
 	return true
 }
 
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -18,9 +18,9 @@
 func TestOlderTablesVersionsAndRecordsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	d := NewDirectory()
-	is.True(d.SetTables(time.Now(), &Tables{Version: 5}))
-	is.True(!d.SetTables(time.Now(), &Tables{Version: 4}))
-	is.True(!d.SetTables(time.Now(), &Tables{Version: 5}))
+	is.True(d.SetTables(&Tables{Version: 5}))
+	is.True(!d.SetTables(&Tables{Version: 4}))
+	is.True(!d.SetTables(&Tables{Version: 5}))
 	is.Equal(d.Tables().Version, int64(5))
 	is.True(d.SetNamedVersion("m", 3))
 	is.True(!d.SetNamedVersion("m", 2))
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -10,8 +10,7 @@
 	Tables        *Tables
 	Instances     []*Instance
 	NamedVersions map[string]int64
-	// RouteMoves are the recent moves of batch routes, the oldest first.
-	RouteMoves []RouteMove
+	BatchRouting  BatchRouting
 }
 
 // Pool returns the instances of a pool.
