batch: test that a submission is refused while a partition is unread

Cause: the read's error was logged, and the submission accepted without it.

A VM places nothing before it has read every partition up to the routing epoch, and answers 503 with Retry-After if it can't.

--- a/batch/moved_route_test.go
+++ b/batch/moved_route_test.go
@@ -222,6 +222,16 @@
 			is.True(a.submit(t, "b") != nil)
 			is.NoErr(newRouteVM(t, log, 3, pools[0]).submit(t, "b"))
 		}},
+		// Case 7 of the review: it was accepted without a read of the partition that held it.
+		{"sent again to a VM that started after the move and can't read a partition", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			is.NoErr(newRouteVM(t, log, 1, pools[0]).submit(t, "b"))
+			b := newRouteVM(t, log, 2, pools[1])
+			down := PartitionOf(pools[0], 12)
+			log.setRefuseRead(func(p store.Partition) bool { return p == down })
+			isUnavailable(is, b.submit(t, "b"))
+			log.setRefuseRead(nil)
+			is.NoErr(b.submit(t, "b"))
+		}},
 		{"sent again to a VM with older tables that has placed others by them", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
 			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 2, pools[1])
 			is.NoErr(a.submit(t, "earlier"))
