--- a/batch/moved_route_test.go
+++ b/batch/moved_route_test.go
@@ -27,6 +27,8 @@
 	refuse, refuseRead func(store.Partition) bool
 	// calls counts the appends and reads that arrived.
 	calls int
+	// beforeAppend is called before an append is carried out; it may be nil.
+	beforeAppend func(store.Partition)
 	// maxAppendBytes limits an append; 0 means no limit.
 	maxAppendBytes int
 }
@@ -37,6 +39,11 @@
 func (l *memoryLog) Append(_ context.Context, p store.Partition, records [][]byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if before := l.beforeAppend; before != nil {
+		l.mu.Unlock()
+		before(p)
+		l.mu.Lock()
+	}
 	l.calls++
 	if l.refuse != nil && l.refuse(p) {
 		return 0, store.ErrUnavailable
@@ -70,6 +77,12 @@
 	l.refuseRead = refuse
 }
 
+func (l *memoryLog) setBeforeAppend(before func(store.Partition)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.beforeAppend = before
+}
+
 func (l *memoryLog) setRefuse(refuse func(store.Partition) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -238,11 +251,28 @@
 			is.NoErr(b.submit(t, "b"))
 			is.NoErr(a.submit(t, "b")) // void
 		}},
+		{"sent to a VM with older tables while another one records the epoch", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 2, pools[1])
+			is.NoErr(a.submit(t, "earlier"))
+			former := PartitionOf(pools[0], 12)
+			var once sync.Once
+			log.setBeforeAppend(func(p store.Partition) {
+				if p == former {
+					once.Do(func() {
+						log.setBeforeAppend(nil)
+						is.NoErr(a.submit(t, "b"))
+					})
+				}
+			})
+			is.NoErr(b.submit(t, "b"))
+		}},
 		{"placed by a build without epochs, and moved back", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
 			from, to := PartitionOf(pools[0], 12), PartitionOf(pools[1], 12)
 			moved, err := json.Marshal(record{Kind: recordMoved, ID: "b", MovedTo: &movedTo{Partition: to.Index, AtMs: time.Now().UnixMilli()}})
 			is.NoErr(err)
-			_, err = log.Append(t.Context(), from, [][]byte{moved})
+			late, err := json.Marshal(record{Kind: recordSubmit, ID: "b", Head: &Head{ID: "b"}, Total: 1, Items: []span{{0, 1}}})
+			is.NoErr(err)
+			_, err = log.Append(t.Context(), from, [][]byte{moved, late})
 			is.NoErr(err)
 			is.NoErr(newRouteVM(t, log, 3, pools[0]).submit(t, "b"))
 			is.Equal(copies(t, log, "b"), []int{to.Index})
--- a/entry/organisation_test.go
+++ b/entry/organisation_test.go
@@ -188,6 +188,10 @@
 	d := newDeployment(t, 1, 1, 4) // more than keep up with a partition
 	d.is.Equal(d.call(d.vms[0], http.MethodPost, "/notes/b0", "b0", submission(1, 0, "i0")).status, http.StatusAccepted)
 	d.readAll(d.vms[0], "b0", 1, 5*time.Second)
+	for _, v := range d.vms[1:] { // a VM reads all partitions before its first submission, and not before later ones
+		d.is.Equal(d.call(v, http.MethodPost, "/notes/"+v.name, v.name, submission(1, 0, "i-"+v.name)).status, http.StatusAccepted)
+		d.readAll(d.vms[0], v.name, 1, 5*time.Second)
+	}
 	d.configureTenants(twoTenants)
 	d.engines[0].Set(func(e *errata.Target) { e.Full = true })
 	d.key = "spare-hule"
