entry: a batch whose route moves, with real processes

Cause of the first one, which the issue asks for: the settings of the VM that restarted still said that the deployment starts for the first time, as those of the review's stand-ins do, so that it read nothing before it accepted the batch.

--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -42,6 +42,8 @@
 	version  int
 	// tenants is JSON of the organisations in the configuration, with a leading comma; key is the API key of calls, if not empty.
 	tenants, key string
+	// moreServices is JSON of further services in the configuration, with a leading comma.
+	moreServices string
 	// adjust changes the settings of VMs that are started after it was set; it may be nil.
 	adjust func(*entry.Settings)
 	// cloud is the platform's API for duties, if its faults are set by VM; duties are the settings of VMs that are started after it was set.
@@ -101,9 +103,9 @@
 		{"Name":"r-file","Host":%[2]q,"PathPrefix":"/file/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,"Service":"desk","MaxAttempts":2},
 		{"Name":"r-notes","Host":%[2]q,"PathPrefix":"/notes/","Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Priority":0,"Service":"drafting","MaxAttempts":3}%[3]s],
 		"Services":[{"Name":"desk","HealthPath":"/healthz","MaxConns":100},
-		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"KvCapacity":%[6]d,"Models":[{"Name":%[4]q}]}}],
+		{"Name":"drafting","HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"KvCapacity":%[6]d,"Models":[{"Name":%[4]q}]}}%[8]s],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%[7]d,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}%[5]s}`, d.version, host, extra, model, d.tenants, d.memoryTokens,
-		cmp.Or(d.maxBodyBytes, 1<<20))))
+		cmp.Or(d.maxBodyBytes, 1<<20), d.moreServices)))
 }
 
 // nameVersion names a new weight version, as a trainer does.
--- a/fake/errata/store.go
+++ b/fake/errata/store.go
@@ -25,6 +25,8 @@
 	Down bool
 	// Hang holds each request without an answer until the client cancels it.
 	Hang bool
+	// PartitionDown tells to which partitions requests are answered with status 503; it may be nil.
+	PartitionDown func(topic string, part int) bool
 	// LoseAnswers is how many of the next appends take effect without an answer.
 	LoseAnswers int
 	// IgnoreLongPollWakeups keeps long-poll reads waiting until their timeout even when a record is appended.
@@ -143,6 +145,9 @@
 func (s *Store) handleFault(w http.ResponseWriter, r *http.Request) bool {
 	s.Lock()
 	down, silent := s.Down, s.Hang
+	if topic := r.URL.Query().Get("Topic"); s.PartitionDown != nil {
+		down = down || s.PartitionDown(topic, partitionIndex(r))
+	}
 	s.Unlock()
 	if silent {
 		_, _ = io.Copy(io.Discard, r.Body) // the server notices a disconnect only once the body has been read
