batch: a VM that is asked for a void submission places it

The case "sent to a VM with older tables only, and read where the former partition has no holder" fails without it (mutant "readers place void submissions", seen).

--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -47,8 +47,7 @@
 			continue
 		}
 		for _, v := range p.index.void {
-			if !v.placing && v.head.AcceptedMs >= time.Now().Add(-p.readable).UnixMilli() {
-				v.placing = true
+			if _, start := p.beginPlacing(v); start {
 				go r.placeVoid(ctx, p, v)
 			}
 		}
--- a/batch/results.go
+++ b/batch/results.go
@@ -25,7 +25,7 @@
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: syncErr}
 	case owner != "":
 		s.refuseOther(c, id, owner)
-	case s.isVoid(id):
+	case s.placePending(id):
 		return nil, &UnavailableError{RetryAfter: storeRetryAfter, Cause: errRoutesMoving}
 	}
 	return nil, ErrNotFound
--- a/batch/routing_epoch.go
+++ b/batch/routing_epoch.go
@@ -184,8 +184,20 @@
 	placing   bool
 }
 
-// placeVoid places a void submission of a partition by the current epoch, unless that has happened before. It is called by the VM that
-// runs the partition's submissions: the VM that appended it has promised that it is kept.
+// beginPlacing reports whether a void submission of the partition is pending: it must be readable, and is not known to be placed. start is
+// set if the caller must call placeVoid. The caller holds mu.
+func (p *partition) beginPlacing(v *voidSubmission) (pending, start bool) {
+	if v.head.AcceptedMs < time.Now().Add(-p.readable).UnixMilli() {
+		return false, false
+	}
+	start = !v.placing
+	v.placing = true
+	return true, start
+}
+
+// placeVoid places a void submission of a partition by the current epoch, unless that has happened before: the VM that appended it has
+// promised that it is kept. The VM that runs the partition's submissions does so, and each one that is asked for it, since a partition
+// whose pool has left the tables may have no holder.
 func (s *Service) placeVoid(ctx context.Context, p *partition, v *voidSubmission) {
 	to, err := s.placeElsewhere(ctx, p, v)
 	s.countCall("place_void", err)
@@ -232,13 +244,20 @@
 	return p
 }
 
-// isVoid reports whether a submission that is in no partition is void in one, and will be placed.
-func (s *Service) isVoid(id string) bool {
+// placePending reports whether a submission that is in no partition is void in one, and starts to place it.
+func (s *Service) placePending(id string) bool {
 	for _, p := range s.partitions {
 		p.mu.Lock()
 		v := p.index.void[id]
+		pending, start := false, false
+		if v != nil {
+			pending, start = p.beginPlacing(v)
+		}
 		p.mu.Unlock()
-		if v != nil && v.head.AcceptedMs >= time.Now().Add(-s.opts.Retention).UnixMilli() {
+		if start {
+			go s.placeVoid(s.ctx, p, v)
+		}
+		if pending {
 			return true
 		}
 	}
