batch: partitions that were read before an epoch began are read again

What callers would have seen (TWICE; found by reading): a VM that has just started reads all partitions at once. If another VM records an epoch and places a submission by it meanwhile, the new VM could read that submission in one partition and take the epoch for known, though it had read a former partition before the epoch's record there. A submission that a third VM with older tables placed in between was accepted again.

Cause: a submission of an epoch proves that all partitions have its record, but not that this VM has read them up to it.

Change: such a VM reads all partitions once more, after it knows of the submission. The usual case, in which it has read the record itself in each partition, costs what it did. And a VM that has read all partitions for a call for an unknown batch adopts the epoch then, so that it accepts submissions through a later outage without a read.

--- a/batch/moved_route_test.go
+++ b/batch/moved_route_test.go
@@ -27,8 +27,8 @@
 	refuse, refuseRead func(store.Partition) bool
 	// calls counts the appends and reads that arrived.
 	calls int
-	// beforeAppend is called before an append is carried out; it may be nil.
-	beforeAppend func(store.Partition)
+	// beforeAppend and beforeRead are called before a call is carried out; they may be nil.
+	beforeAppend, beforeRead func(store.Partition)
 	// maxAppendBytes limits an append; 0 means no limit.
 	maxAppendBytes int
 }
@@ -63,6 +63,11 @@
 func (l *memoryLog) Read(_ context.Context, p store.Partition, from int64, _ time.Duration, _ int) (store.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if before := l.beforeRead; before != nil {
+		l.mu.Unlock()
+		before(p)
+		l.mu.Lock()
+	}
 	l.calls++
 	if l.refuseRead != nil && l.refuseRead(p) {
 		return store.Batch{}, store.ErrUnavailable
@@ -83,6 +88,12 @@
 	l.beforeAppend = before
 }
 
+func (l *memoryLog) setBeforeRead(before func(store.Partition)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.beforeRead = before
+}
+
 func (l *memoryLog) setRefuse(refuse func(store.Partition) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,6 +164,13 @@
 	is.True(unavailable.RetryAfter > 0)
 }
 
+// isRead reports whether the partition was read to its end.
+func (p *partition) isRead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.caughtUpAt.IsZero()
+}
+
 // copies returns the partitions that hold the submission of an ID for all who read them to the end.
 func copies(t *testing.T, log store.Log, id string) (partitions []int) {
 	reader := newRouteVM(t, log, 1, "any")
@@ -278,6 +296,28 @@
 			})
 			is.NoErr(b.submit(t, "b"))
 		}},
+		{"sent to a VM that reads the partitions while others begin an epoch", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
+			a, b, c := newRouteVM(t, log, 1, pools[0]), newRouteVM(t, log, 2, pools[1]), newRouteVM(t, log, 2, pools[1])
+			is.NoErr(a.submit(t, "earlier"))
+			late := PartitionOf(pools[1], 12)
+			var once sync.Once
+			log.setBeforeRead(func(p store.Partition) {
+				if p != late {
+					return
+				}
+				once.Do(func() {
+					log.setBeforeRead(nil)
+					for _, p := range c.partitions {
+						for p.id != late && !p.isRead() {
+							time.Sleep(time.Millisecond)
+						}
+					}
+					is.NoErr(a.submit(t, "b"))
+					is.NoErr(b.submit(t, "other"))
+				})
+			})
+			is.NoErr(c.submit(t, "b"))
+		}},
 		{"placed by a build without epochs, and moved back", func(t *testing.T, is *is.I, log *memoryLog, pools [3]string) {
 			from, to := PartitionOf(pools[0], 12), PartitionOf(pools[1], 12)
 			moved, err := json.Marshal(record{Kind: recordMoved, ID: "b", MovedTo: &movedTo{Partition: to.Index, AtMs: time.Now().UnixMilli()}})
@@ -318,3 +358,17 @@
 	is.Equal(log.calls-calls, 2) // the items, then the submission
 	is.Equal(len(log.partitions[p])-records, 1)
 }
+
+// TestVMThatHasBeenAskedForABatchAcceptsOthersThroughAnOutage guards against refusals while a partition can't be read by VMs that have read it
+// before for another call.
+func TestVMThatHasBeenAskedForABatchAcceptsOthersThroughAnOutage(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
+	is.NoErr(newRouteVM(t, log, 1, "a").submit(t, "b"))
+	v := newRouteVM(t, log, 1, "a")
+	_, err := v.find(t.Context(), organisation.Caller{}, "unknown")
+	is.True(errors.Is(err, ErrNotFound))
+	log.setRefuseRead(func(store.Partition) bool { return true })
+	is.NoErr(v.submit(t, "c"))
+	isUnavailable(is, newRouteVM(t, log, 1, "a").submit(t, "d"))
+}
--- a/batch/results.go
+++ b/batch/results.go
@@ -17,6 +17,9 @@
 		return p, nil
 	}
 	syncErr := s.syncAll(ctx)
+	if syncErr == nil {
+		s.adoptEpoch(s.opts.View.Get()) // the next submission needs no further read
+	}
 	p, owner := s.findLocal(c, id)
 	switch {
 	case p != nil:
--- a/batch/routing_epoch.go
+++ b/batch/routing_epoch.go
@@ -82,12 +82,20 @@
 	if e == nil || e.routing != snap.BatchRouting {
 		return routingEpoch{}, false
 	}
-	newest, _ := s.newestEpoch()
-	return e.routingEpoch, newest.Version <= e.Version
+	return e.routingEpoch, s.newestEpoch().Version <= e.Version
 }
 
-// newestEpoch returns the newest epoch that this VM has read of. inForce is set if every partition has its record.
-func (s *Service) newestEpoch() (newest routingEpoch, inForce bool) {
+// readEpoch is the newest epoch that this VM has read of.
+type readEpoch struct {
+	routingEpoch
+	// inAll is set if this VM has read its record in every partition.
+	inAll bool
+	// used is set if this VM has read a submission of the epoch. Every partition had the record by then, though it may have expired since.
+	used bool
+}
+
+func (s *Service) newestEpoch() readEpoch {
+	var newest routingEpoch
 	used, inAll := int64(0), true
 	for i, p := range s.partitions {
 		p.mu.Lock()
@@ -99,8 +107,17 @@
 			newest = e
 		}
 	}
-	// A submission of the epoch was placed after all records of the epoch, which may have expired since.
-	return newest, newest.Version > 0 && (inAll || used >= newest.Version)
+	return readEpoch{newest, inAll && newest.Version > 0, used > 0 && used >= newest.Version}
+}
+
+// adoptEpoch establishes the epoch of a snapshot's tables if this VM has read all partitions up to it, and reports whether it did.
+func (s *Service) adoptEpoch(snap *fleet.Snapshot) (routingEpoch, bool) {
+	newest := s.newestEpoch()
+	if !newest.inAll || newest.Digest != snap.BatchRouting.Digest {
+		return newest.routingEpoch, false
+	}
+	s.established.Store(&establishedEpoch{newest.routingEpoch, snap.BatchRouting})
+	return newest.routingEpoch, true
 }
 
 // establishEpoch reads all partitions, and records the epoch of a snapshot's tables unless it is in force already.
@@ -114,18 +131,28 @@
 		return routingEpoch{}, err
 	}
 	for range maxEpochTries {
-		newest, inForce := s.newestEpoch()
+		if e, ok := s.adoptEpoch(snap); ok {
+			return e, nil
+		}
+		newest := s.newestEpoch()
 		switch {
-		case newest.Digest == digest && inForce:
-			s.established.Store(&establishedEpoch{newest, snap.BatchRouting})
-			return newest, nil
 		case newest.Digest != digest && newest.Version >= snap.Tables.Version:
-			return newest, errTablesOutdated
+			return newest.routingEpoch, errTablesOutdated
+		case newest.Digest == digest && newest.used:
+			// The submission may have been placed after another partition was read.
+			if err := s.syncAll(ctx); err != nil {
+				return newest.routingEpoch, err
+			}
+			if s.newestEpoch().routingEpoch == newest.routingEpoch {
+				s.established.Store(&establishedEpoch{newest.routingEpoch, snap.BatchRouting})
+				return newest.routingEpoch, nil
+			}
+			continue
 		}
 		n, err := s.recordEpoch(ctx, routingEpoch{max(snap.Tables.Version, newest.Version), digest})
 		recorded += n
 		if err != nil {
-			return newest, err
+			return newest.routingEpoch, err
 		}
 	}
 	return routingEpoch{}, errRoutesMoving
