batch: void submissions in a file of their own, epochs in the state dump

An ID that another organisation's batch has in any partition is refused with 404, as it was within a partition: the look at what is accepted is one function for all partitions. The state dump shows the epoch by which a VM places batches, and by partition the newest one read and the number of void submissions.

--- a/batch/dump.go
+++ b/batch/dump.go
@@ -4,16 +4,21 @@
 
 // State is the part of the state dump about batches.
 type State struct {
+	// Epoch is the version of the routing epoch by which this VM places submissions; 0 if it must read the log first.
+	Epoch      int64                  `json:"epoch"`
 	Partitions map[int]PartitionState `json:"partitions"`
 	Runner     RunnerState            `json:"runner"`
 }
 
 // PartitionState is the part of the state dump about a partition.
 type PartitionState struct {
-	Owned         bool         `json:"owned"`
-	Next          int64        `json:"next_offset"`
-	CaughtUpMsAgo int64        `json:"read_ms_ago"`
-	Batches       []BatchState `json:"batches,omitempty"`
+	Owned         bool  `json:"owned"`
+	Next          int64 `json:"next_offset"`
+	CaughtUpMsAgo int64 `json:"read_ms_ago"`
+	// Epoch is the version of the newest routing epoch that was read, Void the number of submissions that are to be placed by it.
+	Epoch   int64        `json:"epoch,omitempty"`
+	Void    int          `json:"void,omitempty"`
+	Batches []BatchState `json:"batches,omitempty"`
 }
 
 // BatchState is the part of the state dump about a submission.
@@ -47,7 +52,7 @@
 	partitions := map[int]PartitionState{}
 	for i, p := range s.partitions {
 		p.mu.Lock()
-		state := PartitionState{Owned: p.owned, Next: p.index.next, CaughtUpMsAgo: time.Since(p.caughtUpAt).Milliseconds()}
+		state := PartitionState{Owned: p.owned, Next: p.index.next, CaughtUpMsAgo: time.Since(p.caughtUpAt).Milliseconds(), Epoch: p.index.epoch.Version, Void: len(p.index.void)}
 		for _, id := range p.index.order {
 			sub := p.index.submissions[id]
 			state.Batches = append(state.Batches, BatchState{id, sub.head.Step, sub.itemCount, len(sub.results), sub.ended})
@@ -57,5 +62,9 @@
 			partitions[i] = state
 		}
 	}
-	return State{partitions, s.runner.state()}
+	epoch := int64(0)
+	if e := s.established.Load(); e != nil {
+		epoch = e.Version
+	}
+	return State{epoch, partitions, s.runner.state()}
 }
--- a/batch/routing_epoch.go
+++ b/batch/routing_epoch.go
@@ -9,16 +9,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ibistrail/ibistrail/fleet"
-	"github.com/ibistrail/ibistrail/organisation"
-	"github.com/ibistrail/ibistrail/process"
 )
 
-// A submission belongs into the partition of the pool to which its route goes, and routes move between pools. What VMs know of a move
+// A submission belongs in the partition of the pool to which its route goes, and routes move between pools. What VMs know of a move
 // differs for a while, so the log decides. A routing epoch is a version of the tables that changed the pools of batch routes. Before a VM
 // places submissions by it, the epoch is recorded in every partition, and the VM has read every partition up to that record:
 //
 //   - a submission that was placed by an older epoch and precedes the record is known to the VM, and is not accepted again elsewhere;
-//   - one that follows the record is void for all who read it. The VM that runs the partition's submissions places it by the newest epoch.
+//   - one that follows the record is void for all who read it, and is placed anew by the newest epoch (void_submission.go).
 //
 // Submissions of one epoch go to one partition, where the first one with an ID wins. No clock is involved, and a VM that can't read a
 // partition knows that it knows too little.
@@ -85,15 +83,16 @@
 	return e.routingEpoch, s.newestEpoch().Version <= e.Version
 }
 
-// readEpoch is the newest epoch that this VM has read of.
+// readEpoch is an epoch that this VM has read of.
 type readEpoch struct {
 	routingEpoch
-	// inAll is set if this VM has read its record in every partition.
+	// inAll is set if this VM has read every partition up to the epoch's record.
 	inAll bool
 	// used is set if this VM has read a submission of the epoch. Every partition had the record by then, though it may have expired since.
 	used bool
 }
 
+// newestEpoch returns the newest epoch among the records that this VM has read.
 func (s *Service) newestEpoch() readEpoch {
 	var newest routingEpoch
 	used, inAll := int64(0), true
@@ -185,7 +184,7 @@
 	return n, group.Wait()
 }
 
-// destination returns the partition into which a submission belongs in the current epoch.
+// destination returns the partition in which a submission belongs in the current epoch.
 func (s *Service) destination(tables *fleet.Tables, head *Head) *partition {
 	// Without a route, all VMs must choose the same partition.
 	p := s.partitionOf(head.ID)
@@ -203,90 +202,3 @@
 	}
 	return p
 }
-
-// voidSubmission is a submission that was placed by an older epoch than that of its partition.
-type voidSubmission struct {
-	head      *Head
-	itemSpans []span
-	placing   bool
-}
-
-// beginPlacing reports whether a void submission of the partition is pending: it must be readable, and is not known to be placed. start is
-// set if the caller must call placeVoid. The caller holds mu.
-func (p *partition) beginPlacing(v *voidSubmission) (pending, start bool) {
-	if v.head.AcceptedMs < time.Now().Add(-p.readable).UnixMilli() {
-		return false, false
-	}
-	start = !v.placing
-	v.placing = true
-	return true, start
-}
-
-// placeVoid places a void submission of a partition by the current epoch, unless that has happened before: the VM that appended it has
-// promised that it is kept. The VM that runs the partition's submissions does so, and each one that is asked for it, since a partition
-// whose pool has left the tables may have no holder.
-func (s *Service) placeVoid(ctx context.Context, p *partition, v *voidSubmission) {
-	to, err := s.placeElsewhere(ctx, p, v)
-	s.countCall("place_void", err)
-	s.opts.Log.Info("batch_void", "batch", v.head.ID, "partition", p.id.Index, "to", to, "err", err)
-	if err != nil {
-		process.Sleep(ctx, storeRetryAfter)
-	}
-	p.mu.Lock()
-	v.placing = false
-	if err == nil {
-		delete(p.index.void, v.head.ID)
-	}
-	p.mu.Unlock()
-	p.wake()
-}
-
-// placeElsewhere returns the index of the partition that holds the submission.
-func (s *Service) placeElsewhere(ctx context.Context, p *partition, v *voidSubmission) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	snap := s.opts.View.Get()
-	epoch, err := s.epoch(ctx, snap)
-	if err != nil {
-		return 0, err
-	}
-	if q := s.holder(v.head.ID); q != nil {
-		return q.id.Index, nil
-	}
-	items, err := p.data.readItems(ctx, v.itemSpans)
-	if err != nil {
-		return 0, err
-	}
-	data, err := json.Marshal(items)
-	if err != nil {
-		return 0, err
-	}
-	q := s.destination(snap.Tables, v.head)
-	return q.id.Index, s.accept(ctx, q, &Submission{Head: *v.head, Items: items}, splitRecord(data, s.opts.MaxRecordBytes), epoch)
-}
-
-// holder returns the partition that holds the submission of any organisation among the records read so far, or nil.
-func (s *Service) holder(id string) *partition {
-	p, _ := s.findLocal(organisation.Caller{}, id)
-	return p
-}
-
-// placePending reports whether a submission that is in no partition is void in one, and starts to place it.
-func (s *Service) placePending(id string) bool {
-	for _, p := range s.partitions {
-		p.mu.Lock()
-		v := p.index.void[id]
-		pending, start := false, false
-		if v != nil {
-			pending, start = p.beginPlacing(v)
-		}
-		p.mu.Unlock()
-		if start {
-			go s.placeVoid(s.ctx, p, v)
-		}
-		if pending {
-			return true
-		}
-	}
-	return false
-}
--- a/batch/service.go
+++ b/batch/service.go
@@ -218,12 +218,9 @@
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
-	if accepted, err := s.accepted(p, sub); accepted {
+	if accepted, err := s.accepted(sub); accepted {
 		return err
 	}
-	if s.holder(sub.ID) != nil {
-		return nil
-	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
 		return err
@@ -243,16 +240,13 @@
 // submitOnce writes a submission to the partition where it belongs, unless it was accepted before.
 func (s *Service) submitOnce(ctx context.Context, snap *fleet.Snapshot, sub *Submission, parts [][]byte) error {
 	epoch, epochErr := s.epoch(ctx, snap)
-	p := s.destination(snap.Tables, &sub.Head)
-	if accepted, err := s.accepted(p, sub); accepted {
-		return err
-	}
-	if s.holder(sub.ID) != nil {
-		return nil
+	if accepted, err := s.accepted(sub); accepted {
+		return err // it stays accepted, whether or not the epoch is known
 	}
 	if epochErr != nil {
 		return epochErr
 	}
+	p := s.destination(snap.Tables, &sub.Head)
 	err := s.accept(ctx, p, sub, parts, epoch)
 	if err == nil && sub.Organisation != "" {
 		return s.checkFirst(ctx, p, sub)
@@ -262,16 +256,14 @@
 
 // accepted reports whether a submission with this ID is among the records read so far. The error is ErrNotFound if it is another
 // organisation's.
-func (s *Service) accepted(p *partition, sub *Submission) (bool, error) {
-	p.mu.Lock()
-	first := p.index.submissions[sub.ID]
-	p.mu.Unlock()
+func (s *Service) accepted(sub *Submission) (bool, error) {
 	caller := organisation.Caller{Organisation: sub.Organisation}
-	if first == nil || caller.OwnsBatch(first.head.Organisation) {
-		return first != nil, nil
+	p, owner := s.findLocal(caller, sub.ID)
+	if p == nil && owner != "" {
+		s.refuseOther(caller, sub.ID, owner)
+		return true, ErrNotFound
 	}
-	s.refuseOther(caller, sub.ID, first.head.Organisation)
-	return true, ErrNotFound
+	return p != nil, nil
 }
 
 // ownerCheckTimeout limits the time for reading back whose submission with an ID is the first.
@@ -286,7 +278,7 @@
 		s.opts.Log.Warn("batch_owner_unread", "batch", sub.ID, "partition", p.id.Index, "err", err)
 		return nil
 	}
-	_, err := s.accepted(p, sub)
+	_, err := s.accepted(sub)
 	return err
 }
 
