entry: the route of a trainer's batches moves during the soak

Each batch is submitted once more after it was accepted, and the route of one trainer's batches moves to a spare service and back at drawn times, from a random source of its own, so that the plan of a seed's other faults is what it was. Not in the soak of two builds: what holds for moved batches while an earlier build runs is in docs/incidents/batch-lost-after-moves.md.

--- a/entry/moved_batch_test.go
+++ b/entry/moved_batch_test.go
@@ -21,10 +21,21 @@
 	cancelTime         = 3 * time.Second // after the confirmation of an end, no item begins
 	movedReading       = 5 * time.Second
 	movedItems         = 56
-	// spareService is the service to which the batch's path moves.
+	// movedPath is the path that moves to spareService.
+	movedPath    = "/notes/moved/"
 	spareService = "spare-drafting"
 )
 
+// spareServiceRow returns JSON of the spare service in the configuration, with a leading comma.
+func spareServiceRow() string {
+	return fmt.Sprintf(`,{"Name":%q,"HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"Models":[{"Name":%q}]}}`, spareService, model)
+}
+
+// movedRouteRow returns JSON of the route of movedPath to the spare service, with a leading comma.
+func movedRouteRow() string {
+	return fmt.Sprintf(`,{"Name":"r-moved","Host":%q,"PathPrefix":%q,"Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Service":%q,"MaxAttempts":3}`, host, movedPath, spareService)
+}
+
 // movedBatch is a batch on a path whose route moves between two services, and what its readers have seen.
 type movedBatch struct {
 	*processSoak
@@ -61,7 +72,7 @@
 			})
 			b.restart(b.nodes[3])
 			for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
-				a := b.call(b.nodes[3].vm, http.MethodPost, "/notes/moved/"+b.id, b.id, b.body)
+				a := b.call(b.nodes[3].vm, http.MethodPost, movedPath+b.id, b.id, b.body)
 				if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
 					b.t.Errorf("a VM that can't read where the batch is answers %d", a.status)
 				}
@@ -86,7 +97,7 @@
 // newMovedBatch starts six VMs before two services of engines. The VMs' settings go on saying that the deployment starts for the first time.
 func newMovedBatch(t *testing.T, binary string) *movedBatch {
 	b := &movedBatch{id: "b1", processSoak: &processSoak{deployment: newSoakDeployment(t), binaries: []string{binary}, start: time.Now(), dir: t.TempDir()}}
-	b.moreServices = fmt.Sprintf(`,{"Name":%q,"HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"Models":[{"Name":%q}]}}`, spareService, model)
+	b.moreServices = spareServiceRow()
 	b.move(false)
 	for i := range soakEngines {
 		b.engines = append(b.engines, b.startTarget(fmt.Sprintf("spare-%d", i), spareService, 4, model))
@@ -119,7 +130,7 @@
 func (b *movedBatch) move(spare bool) {
 	extra := ""
 	if spare {
-		extra = fmt.Sprintf(`,{"Name":"r-moved","Host":%q,"PathPrefix":"/notes/moved/","Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Service":%q,"MaxAttempts":3}`, host, spareService)
+		extra = movedRouteRow()
 	}
 	b.configure(extra)
 }
@@ -141,7 +152,7 @@
 // submit submits the batch at a VM until it is accepted.
 func (b *movedBatch) submit(n *soakVM) {
 	b.untilDone("the batch is accepted by "+n.name, func() bool {
-		return b.call(n.vm, http.MethodPost, "/notes/moved/"+b.id, b.id, b.body).status == http.StatusAccepted
+		return b.call(n.vm, http.MethodPost, movedPath+b.id, b.id, b.body).status == http.StatusAccepted
 	})
 }
 
--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -223,6 +223,11 @@
 	ids      atomic.Int64
 	served   atomic.Int64
 	batches  atomic.Int64
+	// spares are the engines to which the route of the first trainer's batches moves. There are none while builds without epochs run.
+	spares []*errata.Target
+	// tables guards the configuration: addedRoute is JSON of the route that a fault has added, movedRoute of that to the spares, or "".
+	tables                 sync.Mutex
+	addedRoute, movedRoute string
 }
 
 // soakAttempt is an attempt of a caller and its outcome.
@@ -252,6 +257,9 @@
 	s.is.NoErr(err)
 	defer f.Close()
 	s.events = json.NewEncoder(f)
+	if len(binaries) == 1 {
+		s.startSpares()
+	}
 	for i := range soakVMs {
 		s.nodes = append(s.nodes, s.newNode(i))
 	}
@@ -267,10 +275,16 @@
 		callers.Go(func() { s.callPlain(rand.New(rand.NewPCG(seed, uint64(100+c))), c%2 == 1, stop) })
 	}
 	for c := range 2 {
-		callers.Go(func() { s.train(rand.New(rand.NewPCG(seed, uint64(200+c))), fmt.Sprintf("t%d", c), stop) })
+		path := []string{movedPath, "/notes/"}[c]
+		callers.Go(func() { s.train(rand.New(rand.NewPCG(seed, uint64(200+c))), fmt.Sprintf("t%d", c), path, stop) })
 	}
 	callers.Go(func() { s.callPoison(rand.New(rand.NewPCG(seed, 300)), stop) })
+	faultsOver := make(chan struct{})
+	if len(s.spares) > 0 {
+		callers.Go(func() { s.moveRoute(rand.New(rand.NewPCG(seed, 2)), faultsOver) })
+	}
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1)))
+	close(faultsOver)
 	// Limits are judged while no VM is disturbed, which would excuse it.
 	limited := time.Now()
 	nameLimits(s.services, soakLimit)
@@ -449,7 +463,9 @@
 		case "upgrade":
 			e.Upgrade(fmt.Sprintf("v%d", 1+rng.IntN(3)))
 		case "tables":
-			s.configure(fmt.Sprintf(`,{"Name":"r-%d","Host":%q,"PathPrefix":"/new%d/","Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2}`, s.version, host, s.version))
+			s.reconfigure(func() {
+				s.addedRoute = fmt.Sprintf(`,{"Name":"r-%d","Host":%q,"PathPrefix":"/new%d/","Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2}`, s.version, host, s.version)
+			})
 		case "version":
 			s.nameVersion(version)
 			version++
@@ -463,6 +479,45 @@
 	s.note("healed", map[string]any{})
 }
 
+// startSpares starts two engines of the spare service, and the service's row of the configuration.
+func (s *processSoak) startSpares() {
+	for i := range 2 {
+		e := s.startTarget(fmt.Sprintf("spare-%d", i), spareService, 4, model)
+		e.Set(func(e *errata.Target) {
+			e.EventsPerStream, e.EventInterval, e.TagEvents = 30, 25*time.Millisecond, true
+		})
+		s.spares = append(s.spares, e)
+	}
+	s.reconfigure(func() { s.moreServices = spareServiceRow() })
+}
+
+// reconfigure changes the configuration.
+func (s *processSoak) reconfigure(change func()) {
+	s.tables.Lock()
+	defer s.tables.Unlock()
+	change()
+	s.configure(s.addedRoute + s.movedRoute)
+}
+
+// moveRoute moves the route of the first trainer's batches to the spares and back, at drawn times, until faultsOver is closed.
+func (s *processSoak) moveRoute(rng *rand.Rand, faultsOver <-chan struct{}) {
+	for {
+		select {
+		case <-faultsOver:
+			return
+		case <-time.After(time.Duration(200+rng.IntN(2300)) * time.Millisecond):
+		}
+		s.reconfigure(func() {
+			if s.movedRoute == "" {
+				s.movedRoute = movedRouteRow()
+			} else {
+				s.movedRoute = ""
+			}
+		})
+		s.note("move", map[string]any{"to_spares": s.movedRoute != ""})
+	}
+}
+
 func (s *processSoak) anyNode(rng *rand.Rand) *vm { return s.nodes[rng.IntN(len(s.nodes))].vm }
 
 // callPlain sends plain requests, each again under another ID if it was refused or, where it may be repeated, not answered.
@@ -515,7 +570,7 @@
 }
 
 // train submits batches, reads them at any VM until all items are listed, and ends them.
-func (s *processSoak) train(rng *rand.Rand, name string, stop <-chan struct{}) {
+func (s *processSoak) train(rng *rand.Rand, name, path string, stop <-chan struct{}) {
 	for step := 0; ; step++ {
 		select {
 		case <-stop:
@@ -528,9 +583,11 @@
 			items = append(items, fmt.Sprintf("%s-i%d", batch, i))
 		}
 		body := submission(step, 0, items...)
-		s.untilDone(batch+" is accepted", func() bool {
-			return s.call(s.anyNode(rng), http.MethodPost, "/notes/"+batch, batch, body).status == http.StatusAccepted
-		})
+		submit := func() bool {
+			return s.call(s.anyNode(rng), http.MethodPost, path+batch, batch, body).status == http.StatusAccepted
+		}
+		s.untilDone(batch+" is accepted", submit)
+		submit() // other clients send it again
 		var all []result
 		s.untilDone(batch+" is whole", func() bool {
 			p, status := s.readPage(s.anyNode(rng), batch, len(all))
@@ -581,7 +638,7 @@
 // judge checks what targets saw against what callers were told.
 func (s *processSoak) judge() {
 	runs := map[string][]errata.ExecutedRequest{}
-	for _, x := range slices.Concat(s.services, s.engines) {
+	for _, x := range slices.Concat(s.services, s.engines, s.spares) {
 		for _, r := range x.ExecutedRequests() {
 			runs[r.ID] = append(runs[r.ID], r)
 			if want := strings.TrimPrefix(r.ID, "score-"); !strings.HasSuffix(string(r.Body), want) && string(r.Body) != poison {
