--- a/entry/moved_batch_test.go
+++ b/entry/moved_batch_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -97,20 +96,13 @@
 // newMovedBatch starts six VMs before two services of engines. The VMs' settings go on saying that the deployment starts for the first time.
 func newMovedBatch(t *testing.T, binary string) *movedBatch {
 	b := &movedBatch{id: "b1", processSoak: &processSoak{deployment: newSoakDeployment(t), binaries: []string{binary}, start: time.Now(), dir: t.TempDir()}}
-	b.moreServices = spareServiceRow()
-	b.move(false)
-	for i := range soakEngines {
-		b.engines = append(b.engines, b.startTarget(fmt.Sprintf("spare-%d", i), spareService, 4, model))
-	}
-	for _, e := range b.engines {
+	b.recordEvents()
+	b.startSpares(soakEngines)
+	for _, e := range slices.Concat(b.engines, b.spares) {
 		e.Set(func(e *errata.Target) {
 			e.EventsPerStream, e.EventInterval, e.TagEvents = 30, 60*time.Millisecond, false
 		})
 	}
-	f, err := os.Create(filepath.Join(b.dir, "events.jsonl"))
-	b.is.NoErr(err)
-	t.Cleanup(func() { f.Close() })
-	b.events = json.NewEncoder(f)
 	for i := range soakVMs {
 		n := b.newNode(i)
 		settings, err := os.ReadFile(n.settings)
@@ -128,11 +120,12 @@
 
 // move sends the batch's path to the spare service, or back.
 func (b *movedBatch) move(spare bool) {
-	extra := ""
-	if spare {
-		extra = movedRouteRow()
-	}
-	b.configure(extra)
+	b.reconfigure(func() {
+		b.movedRoute = ""
+		if spare {
+			b.movedRoute = movedRouteRow()
+		}
+	})
 }
 
 // restart kills the processes of VMs, if they have any, starts them again, and returns as soon as they are ready.
@@ -191,7 +184,7 @@
 	b.readFor(cancelTime + time.Second)
 	b.is.True(len(b.read) > 0)
 	b.checkResults(b.read, 30)
-	for _, e := range b.engines {
+	for _, e := range slices.Concat(b.engines, b.spares) {
 		for _, r := range e.ExecutedRequests() {
 			if r.At.Sub(ended) > cancelTime {
 				b.t.Errorf("%s begins %s after the confirmation of the end", r.ID, r.At.Sub(ended))
--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -236,6 +236,14 @@
 	status    int  // 0 without an answer
 }
 
+// recordEvents creates the file of the run's events in its directory.
+func (s *processSoak) recordEvents() {
+	f, err := os.Create(filepath.Join(s.dir, "events.jsonl"))
+	s.is.NoErr(err)
+	s.t.Cleanup(func() { f.Close() })
+	s.events = json.NewEncoder(f)
+}
+
 // note writes an event of the run.
 func (s *processSoak) note(kind string, fields map[string]any) {
 	s.mu.Lock()
@@ -253,12 +261,9 @@
 	}
 	s.dir = filepath.Join(s.dir, fmt.Sprintf("seed-%d", seed))
 	s.is.NoErr(os.MkdirAll(s.dir, 0o755))
-	f, err := os.Create(filepath.Join(s.dir, "events.jsonl"))
-	s.is.NoErr(err)
-	defer f.Close()
-	s.events = json.NewEncoder(f)
+	s.recordEvents()
 	if len(binaries) == 1 {
-		s.startSpares()
+		s.startSpares(2)
 	}
 	for i := range soakVMs {
 		s.nodes = append(s.nodes, s.newNode(i))
@@ -479,9 +484,9 @@
 	s.note("healed", map[string]any{})
 }
 
-// startSpares starts two engines of the spare service, and the service's row of the configuration.
-func (s *processSoak) startSpares() {
-	for i := range 2 {
+// startSpares starts n engines of the spare service and adds it to the configuration.
+func (s *processSoak) startSpares(n int) {
+	for i := range n {
 		e := s.startTarget(fmt.Sprintf("spare-%d", i), spareService, 4, model)
 		e.Set(func(e *errata.Target) {
 			e.EventsPerStream, e.EventInterval, e.TagEvents = 30, 25*time.Millisecond, true
