--- a/review/_standin4/main_test.go
+++ b/review/_standin4/main_test.go
@@ -3,12 +3,19 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
+	"time"
 )
 
+// longest is how long a case may take.
+const longest = 115 * time.Second
+
 // cases are the scripted cases by name. Each reports what broke its rule; an empty string means that the rule held.
 var cases = map[string]func(w *world, trouble bool) (broken string, err error){
 	"dropped-service": droppedService,
+	"item-bodies":     itemBodies,
 	"late-order":      lateOrder,
 	"nested-route":    nestedRoute,
 	"scorer-route":    scorerRoute,
@@ -31,6 +38,17 @@
 		return 2
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(longest):
+		}
+		w.note("not played to its end")
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[name](w, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/_standin4/trainer_test.go
+++ b/review/_standin4/trainer_test.go
@@ -43,6 +43,12 @@
 func itemID(batch string, i int) string   { return fmt.Sprintf("%s%04x%s", batch[12:], i, batch[:8]) }
 func scorerID(batch string, i int) string { return fmt.Sprintf("%s%s%04x", batch[:8], batch[12:], i) }
 
+// prompt is the body of item i.
+func (w *world) prompt(i int) []byte {
+	text := []byte("prompt " + strconv.Itoa(i) + " ")
+	return bytes.Repeat(text, 1+w.promptBytes/len(text))
+}
+
 // submit submits a step of items in groups of eight, each with a reward call.
 func (w *world) submit(n *node, batch string, step, minVersion, items int) error {
 	return w.submitAt(n, batchRoute+batch, batch, step, minVersion, items)
@@ -53,7 +59,7 @@
 	var list []map[string]any
 	for i := range items {
 		list = append(list, map[string]any{
-			"Id": itemID(batch, i), "Path": batchRoute + "3/" + strconv.Itoa(i), "Body": base64.StdEncoding.EncodeToString([]byte("prompt " + strconv.Itoa(i))),
+			"Id": itemID(batch, i), "Path": batchRoute + "3/" + strconv.Itoa(i), "Body": base64.StdEncoding.EncodeToString(w.prompt(i)),
 			"Tokens": 4441, "Group": fmt.Sprintf("g%d", i/8),
 			"Headers": map[string]string{"Model": modelName, "Token-Count": "1016,3425", "Prompt-Prefix": fmt.Sprintf("9c2e%02x:1000,%s:16", i/8, itemID(batch, i)), "Length-Hint": "1425"},
 			"Scorer":  map[string]any{"Id": scorerID(batch, i), "Host": host, "Path": scoreRoute + "5e07", "Body": base64.StdEncoding.EncodeToString([]byte("score " + strconv.Itoa(i)))},
--- a/review/_standin4/world_test.go
+++ b/review/_standin4/world_test.go
@@ -59,7 +59,9 @@
 	nodes   []*node
 	start   time.Time
 	version int
-	calls   http.Client
+	// promptBytes is the size of items' bodies.
+	promptBytes int
+	calls       http.Client
 
 	mu     sync.Mutex
 	record *os.File
@@ -89,7 +91,10 @@
 
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
-	for _, n := range w.nodes {
+	w.mu.Lock()
+	nodes := w.nodes
+	w.mu.Unlock()
+	for _, n := range nodes {
 		n.kill()
 	}
 	w.store.Close()
@@ -194,7 +199,9 @@
 	if err := os.WriteFile(n.settings, []byte(text), 0o644); err != nil {
 		return err
 	}
+	w.mu.Lock()
 	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
 	return n.launch()
 }
 
