batch, entry: partitions with open batches have a holder although their pool has left the tables

Cause: a VM competed only for the tenures of partitions that are those of pools in its current tables. Submissions stay in the partition of the pool to which their route went when they were accepted, and no VM that started later competed for it.

Change: VMs read the partitions of no pool when they start and when the routing of batches changes, and compete for each partition in which they know of open work. A void submission that is placed in a partition of no pool is found in the same way.

--- a/batch/partition.go
+++ b/batch/partition.go
@@ -44,10 +44,15 @@
 	requestedAt time.Time
 	caughtUpAt  time.Time // the index holds all records that were in the log at this time
 	following   bool
-	// candidate is set on VMs that are first in line for the partition. They keep up with it, so that they can go on at once.
-	candidate bool
+	// competing is set if this VM competes for the tenure of the partition, candidate if it is first in line: then it keeps up with the
+	// partition, so that it can go on at once.
+	competing, candidate bool
+	// undiscovered is set if the partition is to be read for open work.
+	undiscovered bool
 
 	wake func() // notifies the runner of a change in an owned partition
+	// openWork tells that there is open work in the partition although this VM does not compete for it. It may be nil.
+	openWork func()
 }
 
 // follow starts the read loop unless it is running. The caller holds mu.
@@ -149,6 +154,9 @@
 		if p.owned {
 			p.wake()
 		}
+		if !p.competing && p.openWork != nil && p.hasOpenWork() {
+			go p.openWork()
+		}
 		if n := p.index.expire(time.Now().Add(-p.retention)); n > 0 {
 			p.log.Info("batches_expired", "partition", p.id.Index, "count", n)
 		}
--- a/batch/service.go
+++ b/batch/service.go
@@ -55,6 +55,9 @@
 	Crashes   *crashes.Register
 	Limiter   *ratelimit.Limiter
 	States    *targetstate.Register
+	// OnOpenWork is called, on a goroutine of its own, if this VM has read of open work in a partition for which it does not compete. It may be
+	// nil.
+	OnOpenWork func()
 	// IgnorePrompts chooses engines without regard to the prompts that they hold, for a comparison. The estimates and their
 	// counters are kept.
 	IgnorePrompts bool
@@ -70,17 +73,19 @@
 	// established is the epoch by which this VM places submissions, establishing the call that reads or records it.
 	established  atomic.Pointer[establishedEpoch]
 	establishing singleflight.Group
+	// discoveries wakes up discover.
+	discoveries chan struct{}
 	// calls counts API calls by outcome.
 	calls *expvar.Map
 }
 
 // New returns a service that reads no partition yet. Its background work ends with ctx.
 func New(ctx context.Context, o Options) *Service {
-	s := &Service{opts: o, ctx: ctx, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls")}
+	s := &Service{opts: o, ctx: ctx, runner: newRunner(o), calls: o.Metrics.SubMap("batch_calls"), discoveries: make(chan struct{}, 1)}
 	for i := range o.Partitions {
 		id, dp := store.Partition{Topic: IndexTopic, Index: i}, newDataPartition(o.Store, i)
 		p := &partition{
-			store: o.Store, id: id, data: dp, log: o.Log, retention: 2 * o.Retention, readable: o.Retention, index: newIndexState(), changed: make(chan struct{}), wake: s.runner.wake,
+			store: o.Store, id: id, data: dp, log: o.Log, retention: 2 * o.Retention, readable: o.Retention, index: newIndexState(), changed: make(chan struct{}), wake: s.runner.wake, openWork: o.OnOpenWork,
 		}
 		s.partitions = append(s.partitions, p)
 		s.writers = append(s.writers, &writer{
@@ -98,8 +103,11 @@
 // LoadObserver returns the receiver of notifications about weight loads.
 func (s *Service) LoadObserver() versions.LoadObserver { return s.runner }
 
-// Run runs items until the service's context ends.
-func (s *Service) Run() { s.runner.run(s.ctx) }
+// Run runs items, and discovers open work, until the service's context ends.
+func (s *Service) Run() {
+	go s.discover()
+	s.runner.run(s.ctx)
+}
 
 // SetOwnedPartitions sets the partitions whose submissions this VM runs, by index; nil for none.
 func (s *Service) SetOwnedPartitions(ownedIndexes map[int]bool) {
@@ -113,9 +121,6 @@
 	s.runner.setOwned(owned)
 }
 
-// SetCandidate tells that this VM is among the first in line for a partition.
-func (s *Service) SetCandidate(index int) { s.partitions[index].setCandidate(s.ctx) }
-
 // appendResult queues a result. text is empty if the result has none or refers to data that was already written.
 func (s *Service) appendResult(p *partition, submissionID string, result resultMeta, text string) {
 	entry := pending{record: record{Kind: recordResult, ID: submissionID, Result: &result}}
--- a/batch/void_submission.go
+++ b/batch/void_submission.go
@@ -16,10 +16,15 @@
 	placing   bool
 }
 
+// mustPlace reports whether a void submission of the partition must be readable. It may have been placed by another VM. The caller holds mu.
+func (p *partition) mustPlace(v *voidSubmission) bool {
+	return v.head.AcceptedMs >= time.Now().Add(-p.readable).UnixMilli()
+}
+
 // beginPlacing reports whether a void submission of the partition is pending: it must be readable, and is not known to be placed. start is
 // set if the caller must call placeVoid. The caller holds mu.
 func (p *partition) beginPlacing(v *voidSubmission) (pending, start bool) {
-	if v.head.AcceptedMs < time.Now().Add(-p.readable).UnixMilli() {
+	if !p.mustPlace(v) {
 		return false, false
 	}
 	start = !v.placing
@@ -67,7 +72,12 @@
 		return 0, err
 	}
 	q := s.destination(snap.Tables, v.head)
-	return q.id.Index, s.accept(ctx, q, &Submission{Head: *v.head, Items: items}, splitRecord(data, s.opts.MaxRecordBytes), epoch)
+	err = s.accept(ctx, q, &Submission{Head: *v.head, Items: items}, splitRecord(data, s.opts.MaxRecordBytes), epoch)
+	if err == nil {
+		q.setUndiscovered() // without a route, it is the partition of an ID, which may have no holder
+		process.Notify(s.discoveries)
+	}
+	return q.id.Index, err
 }
 
 // placePending reports whether a submission that is in no partition is void in one, and starts to place it.
--- a/entry/moved_batch_test.go
+++ b/entry/moved_batch_test.go
@@ -30,11 +30,14 @@
 	return fmt.Sprintf(`,{"Name":%q,"HealthPath":"/healthz","MaxConns":100,"Engine":{"Slots":4,"Stride":10,"Models":[{"Name":%q}]}}`, spareService, model)
 }
 
-// movedRouteRow returns JSON of the route of movedPath to the spare service, with a leading comma.
-func movedRouteRow() string {
-	return fmt.Sprintf(`,{"Name":"r-moved","Host":%q,"PathPrefix":%q,"Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Service":%q,"MaxAttempts":3}`, host, movedPath, spareService)
+// batchRouteRow returns JSON of a route of batches in the configuration, with a leading comma.
+func batchRouteRow(name, prefix, service string) string {
+	return fmt.Sprintf(`,{"Name":%q,"Host":%q,"PathPrefix":%q,"Kind":"rollout","TargetLatencyMs":500,"RunDeadlineMs":7500,"RetentionS":40,"Service":%q,"MaxAttempts":3}`, name, host, prefix, service)
 }
 
+// movedRouteRow returns JSON of the route of movedPath to the spare service, with a leading comma.
+func movedRouteRow() string { return batchRouteRow("r-moved", movedPath, spareService) }
+
 // movedBatch is a batch on a path whose route moves between two services, and what its readers have seen.
 type movedBatch struct {
 	*processSoak
--- a/entry/process.go
+++ b/entry/process.go
@@ -179,6 +179,7 @@
 	p.Batches = batch.New(p.ctx, batch.Options{
 		VM: s.VM, AvailabilityZone: s.AvailabilityZone, Partitions: s.Partitions, MaxRecordBytes: s.RecordBytes, MaxAppendBytes: s.CallBytes, PartitionBytes: s.PartitionBytes, MaxOpenItemBytes: int64(openItemMemoryFraction * float64(s.MemoryBytes)),
 		Retention: s.BatchRetention, Log: opts.Log, Metrics: opts.Metrics, Store: opts.Store, View: p.View, Client: client, Forwarder: p.Forwarder, Crashes: p.crashes, Limiter: p.limiter, States: p.targets,
+		OnOpenWork: func() { p.tenures.syncTenures() },
 	})
 	p.tenures = newTenureManager(p, processID)
 	return p
--- a/entry/tenures.go
+++ b/entry/tenures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,9 +42,17 @@
 	}
 }
 
-// run updates the tenures after each change of the view until the process ends.
+// run updates the tenures after each change of the view until the process ends. When the routing of batches changes, pools may have left the
+// tables since their partitions got open work.
 func (m *tenureManager) run() {
-	m.p.View.Follow(m.p.ctx, func(*fleet.Snapshot) { m.syncTenures() })
+	var routing fleet.BatchRouting
+	m.p.View.Follow(m.p.ctx, func(s *fleet.Snapshot) {
+		m.syncTenures()
+		if s.Tables != nil && s.BatchRouting != routing {
+			routing = s.BatchRouting
+			m.p.Batches.DiscoverOpenWork()
+		}
+	})
 }
 
 // poolsByPartition returns, by partition, the pools that need a holder: those that run batches or have engines,
@@ -67,8 +76,8 @@
 	return out
 }
 
-// syncTenures joins the partitions of the current tables, and starts and stops work according to the tenures
-// that are held.
+// syncTenures joins the partitions of the current tables and those with open work, and starts and stops work according to the tenures that are
+// held.
 func (m *tenureManager) syncTenures() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -76,16 +85,28 @@
 		return
 	}
 	s := m.p.opts.Settings
-	pools := poolsByPartition(m.p.View.Get().Tables, s.Partitions, m.ordersTargets())
-	for n := range pools {
+	tables := m.p.View.Get().Tables
+	if tables == nil {
+		return // it is not known which partitions have pools
+	}
+	pools := poolsByPartition(tables, s.Partitions, m.ordersTargets())
+	needed := slices.Collect(maps.Keys(pools))
+	for _, n := range m.p.Batches.OpenPartitions() {
+		if len(pools[n]) == 0 {
+			needed = append(needed, n)
+		}
+	}
+	for _, n := range needed {
 		if m.tenures[n] == nil {
 			t := tenure.New(tenure.Options{
 				Store: m.p.opts.Store, Partition: n, Machine: s.IP, Process: m.processID, HandoverDelay: s.OrderHandover,
 				Standby: m.p.standby(), Able: func() bool { return m.reachesEngines(n) }, Clock: m.p.opts.BootTime, Log: m.p.opts.Log, OnChange: func() { go m.syncTenures() },
 			})
 			m.tenures[n] = t
-			if t.FirstInLine() { // if all candidates read the index when all VMs start, the store is busy for a second
-				m.p.Batches.SetCandidate(n)
+			// If all candidates read the index when all VMs start, the store is busy for a second.
+			m.p.Batches.Compete(n, t.FirstInLine())
+			if len(pools[n]) == 0 {
+				m.p.opts.Log.Info("open_work_found", "partition", n)
 			}
 			go t.Run(m.p.ctx)
 		}
@@ -180,11 +201,18 @@
 	return out
 }
 
-// partitionEngines returns the registered targets of the pools of a partition.
+// partitionEngines returns the registered targets that do the work of a partition: those of its pools, and of the pools to which the routes of
+// its open batches go now.
 func (m *tenureManager) partitionEngines(n int) []*fleet.Instance {
 	snap := m.p.View.Get()
+	pools := poolsByPartition(snap.Tables, m.p.opts.Settings.Partitions, m.ordersTargets())[n]
+	for _, pool := range m.p.Batches.OpenPools(n) {
+		if !slices.Contains(pools, pool) {
+			pools = append(pools, pool)
+		}
+	}
 	var out []*fleet.Instance
-	for _, pool := range poolsByPartition(snap.Tables, m.p.opts.Settings.Partitions, m.ordersTargets())[n] {
+	for _, pool := range pools {
 		out = append(out, snap.Pool(pool)...)
 	}
 	return out
