batch: an item is not given up while the route of its scoring call is gone

Cause: without a route in the current tables, the number of allowed failures was taken for 1.

Ruled out: failures counted twice (one was counted, one was answered); the retention and the route of the batch (both in force).

Change: the route is looked up after the call, and nothing is given up without one. No call is made while the tables have no route for it, or only one of batches. The tests of scoring calls have a route now; their assertions are as before.

--- a/batch/attempt_test.go
+++ b/batch/attempt_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ibistrail/ibistrail/config"
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/forward"
@@ -39,6 +40,33 @@
 	return targets.Event{ID: 1, Data: "text"}, nil
 }
 
+// newTestView returns a view of tables with the given routes on host "h".
+func newTestView(routes ...fleet.Route) *fleet.View {
+	v := fleet.NewView()
+	setRoutes(v, routes...)
+	return v
+}
+
+// setRoutes replaces the routes of a view.
+func setRoutes(v *fleet.View, routes ...fleet.Route) {
+	version := int64(1)
+	if t := v.Get().Tables; t != nil {
+		version = t.Version + 1
+	}
+	for i := range routes {
+		routes[i].Host = "h"
+	}
+	v.Set(&fleet.Snapshot{Tables: &fleet.Tables{Version: version, Routes: routes}})
+}
+
+// scorerRoute returns a route to scorers.
+func scorerRoute(maxAttempts int) fleet.Route {
+	return fleet.Route{Route: config.Route{PathPrefix: "/score/"}, MaxAttempts: maxAttempts}
+}
+
+// newScorer returns the call that scores an item, on scorerRoute.
+func newScorer() *Scorer { return &Scorer{ID: "s", Host: "h", Path: "/score/1"} }
+
 // scorer answers each call whose context has not ended.
 type scorer struct{}
 
@@ -55,12 +83,12 @@
 	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
 	client := &lateCancelClient{cancel: cancel}
 	r := newRunner(Options{
-		View: fleet.NewView(), Client: client, Forwarder: scorer{}, Log: log, Metrics: metrics,
+		View: newTestView(scorerRoute(3)), Client: client, Forwarder: scorer{}, Log: log, Metrics: metrics,
 		Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}),
 	})
 	var listed []resultMeta
 	r.appendResult = func(_ *partition, _ string, result resultMeta, _ string) { listed = append(listed, result) }
-	j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i", Scorer: &Scorer{ID: "s"}}, state: jobRunning}
+	j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i", Scorer: newScorer()}, state: jobRunning}
 	r.jobs["b"] = map[string]*job{"i": j}
 	instance := &fleet.Instance{}
 	j.instance = instance
@@ -91,8 +119,8 @@
 	accepted := time.Now().Add(-5 * time.Second).UnixMilli()
 	f := &failingScorer{failures: 4}
 	for range 2 { // the holder and its successor
-		r := newRunner(Options{View: fleet.NewView(), Forwarder: f, Log: log, Metrics: process.NewMetrics()})
-		s := &Scorer{ID: "s"}
+		r := newRunner(Options{View: newTestView(scorerRoute(3)), Forwarder: f, Log: log, Metrics: process.NewMetrics()})
+		s := newScorer()
 		j := &job{head: &Head{ID: "b", AcceptedMs: accepted}, item: &Item{ID: "i", Scorer: s}, state: jobScoring}
 		r.jobs["b"] = map[string]*job{"i": j}
 		score, ok := r.score(t.Context(), j, s)
--- a/batch/job.go
+++ b/batch/job.go
@@ -57,8 +57,8 @@
 	begins bool
 	// suspect is set during a run of an item that was running when an engine crashed, until its first event.
 	suspect bool
-	// heldLogged is set once the log tells that the item is held back.
-	heldLogged bool
+	// heldLogged is set once the log tells that the item is held back, unscoredLogged once it tells that the scoring call has no route.
+	heldLogged, unscoredLogged bool
 	// moving is set when the run was canceled to continue on a faster engine.
 	moving bool
 	// prompt is the item's prompt; nil if its parts are unknown.
