batch: an open batch keeps the route by which it was accepted

Cause: the route of an open submission was looked up by its path among all routes of the current tables.

Ruled out: the engines (they ran the step where the new route had another prefix); the holder (no process was restarted).

Change: the record of a submission names the prefix of its route, and its items follow what the tables say of that route. If the tables do not have it, the path selects another route of batches.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -28,6 +28,8 @@
 	// Host and Path are those of the submitting request; they select the route of the items.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Route is the route that they selected; Submit sets it.
+	Route *AcceptedRoute `json:"route,omitempty"`
 	// Organisation is the name of the organisation that submitted the batch and owns its results; empty if it has none.
 	Organisation string `json:"organisation,omitempty"`
 	// Priority is that of the organisation when it submitted the batch; nil if the route's holds.
--- a/batch/discovery.go
+++ b/batch/discovery.go
@@ -129,7 +129,7 @@
 		if sub.done() {
 			continue
 		}
-		if route := t.Match(sub.head.Host, sub.head.Path); route != nil && !slices.Contains(pools, route.Pool) {
+		if route := sub.head.route(t); route != nil && !slices.Contains(pools, route.Pool) {
 			pools = append(pools, route.Pool)
 		}
 	}
--- a/batch/open_work.go
+++ b/batch/open_work.go
@@ -45,7 +45,7 @@
 		if sub.head.AcceptedMs < since {
 			continue
 		}
-		route := t.Match(sub.head.Host, sub.head.Path)
+		route := sub.head.route(t)
 		if route == nil || route.Pool != pool {
 			continue
 		}
@@ -73,7 +73,7 @@
 		matched := false
 		for _, j := range jobs { // all jobs have the same submission
 			if !matched {
-				route := snap.Tables.Match(j.head.Host, j.head.Path)
+				route := j.head.route(snap.Tables)
 				if route == nil || route.Pool != pool {
 					break
 				}
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -22,7 +22,7 @@
 		var interval time.Duration
 		for _, j := range jobs {
 			if route == nil {
-				if route = snap.Tables.Match(j.head.Host, j.head.Path); route == nil {
+				if route = j.head.route(snap.Tables); route == nil {
 					break // the items wait until there is a route
 				}
 				if pool = snap.Tables.Pool(route.Pool); pool == nil {
--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -142,7 +142,7 @@
 
 // runDeadline returns the time after acceptance at which the results of a submission are due, or 0 if it has no route.
 func runDeadline(snap *fleet.Snapshot, head *Head) time.Duration {
-	if route := snap.Tables.Match(head.Host, head.Path); route != nil {
+	if route := head.route(snap.Tables); route != nil {
 		return route.RunDeadline
 	}
 	return 0
@@ -151,7 +151,7 @@
 // expired reports whether the retention of a submission has ended, so that its items may be abandoned. Without a route
 // it returns false: the items wait.
 func expired(snap *fleet.Snapshot, head *Head, now time.Time) bool {
-	route := snap.Tables.Match(head.Host, head.Path)
+	route := head.route(snap.Tables)
 	if route == nil || route.Retention <= 0 {
 		return false
 	}
@@ -197,7 +197,7 @@
 // openSubmission creates the jobs of a submission. The caller holds the locks of the runner and the partition.
 func (r *runner) openSubmission(snap *fleet.Snapshot, p *partition, sub *submissionState, texts map[string]*partialText) {
 	singleVersion := false
-	if route := snap.Tables.Match(sub.head.Host, sub.head.Path); route != nil {
+	if route := sub.head.route(snap.Tables); route != nil {
 		singleVersion = route.SingleVersion
 	}
 	jobs := make(map[string]*job, len(sub.itemList))
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -164,10 +164,25 @@
 
 // Match returns the host's route with the longest prefix of path, or nil.
 func (t *Tables) Match(host, path string) *Route {
+	return t.longest(host, path, func(*Route) bool { return true })
+}
+
+// MatchBatch returns the host's batch route with the longest prefix of path, or nil.
+func (t *Tables) MatchBatch(host, path string) *Route {
+	return t.longest(host, path, func(r *Route) bool { return r.Batch })
+}
+
+// BatchRoute returns the host's batch route with the given prefix, or nil.
+func (t *Tables) BatchRoute(host, prefix string) *Route {
+	return t.longest(host, prefix, func(r *Route) bool { return r.Batch && r.PathPrefix == prefix })
+}
+
+// longest returns the host's route with the longest prefix of path among the eligible ones, or nil.
+func (t *Tables) longest(host, path string, eligible func(*Route) bool) *Route {
 	var best *Route
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.PathPrefix) &&
+		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.PathPrefix) && eligible(r) &&
 			(best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
 			best = r
 		}
