batch: what becomes of an item is decided by its route after the run

What callers would see: an item is terminated before engines have failed it as often as its route allows, or a text of two weight versions is listed on a route that allows one.

Cause: a run kept the row of its route by which it was sent. Tables that had changed since, or had the route no more, were not asked.

Change: the tables after the run decide. Without a route an item is not given up; it is when the route is back, before it is sent again. Whether texts may have several versions is recorded with the submission. The tests of runs have tables now in place of a row; their assertions are as before.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -31,16 +31,17 @@
 
 // attempt runs an item once and sets the state of its job according to the outcome. runCtx ends with the run; scoring goes
 // on until ctx ends, as a run may be canceled just after its last event.
-func (r *runner) attempt(ctx, runCtx context.Context, cancel context.CancelFunc, j *job, route *fleet.Route, call *targets.Call) {
+func (r *runner) attempt(ctx, runCtx context.Context, cancel context.CancelFunc, j *job, call *targets.Call) {
 	defer cancel()
-	outcome, err := r.stream(runCtx, cancel, j, call, route.SingleVersion)
+	outcome, err := r.stream(runCtx, cancel, j, call, j.head.singleVersion(r.view.Get().Tables))
 	r.mu.Lock()
+	tables := r.view.Get().Tables // may have changed during the run
 	now := time.Now()
 	if outcome == outcomeInterrupted && j.moving {
 		outcome = outcomeMoved
 	} else if outcome == outcomeInterrupted && runCtx.Err() != nil {
 		outcome = outcomeCanceled
-	} else if outcome == outcomeComplete && route.SingleVersion && len(j.distinctVersions()) > 1 {
+	} else if outcome == outcomeComplete && j.head.singleVersion(tables) && len(j.distinctVersions()) > 1 {
 		outcome = outcomeOtherVersion // the text began before the route allowed only one
 	}
 	j.moving = false
@@ -84,7 +85,7 @@
 		j.notBefore = now.Add(itemRetryDelay)
 	}
 	j.state = jobWaiting
-	if outcome == outcomeRejected || j.engineErrors >= max(1, route.MaxAttempts) {
+	if outcome == outcomeRejected || j.hasFailed(tables) {
 		r.abandon(j)
 	}
 	r.mu.Unlock()
--- a/batch/attempt_test.go
+++ b/batch/attempt_test.go
@@ -59,6 +59,11 @@
 	v.Set(&fleet.Snapshot{Tables: &fleet.Tables{Version: version, Routes: routes}})
 }
 
+// itemRoute returns a route of batches.
+func itemRoute(maxAttempts int) fleet.Route {
+	return fleet.Route{Route: config.Route{PathPrefix: "/b"}, Batch: true, MaxAttempts: maxAttempts}
+}
+
 // scorerRoute returns a route to scorers.
 func scorerRoute(maxAttempts int) fleet.Route {
 	return fleet.Route{Route: config.Route{PathPrefix: "/score/"}, MaxAttempts: maxAttempts}
@@ -83,16 +88,16 @@
 	log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
 	client := &lateCancelClient{cancel: cancel}
 	r := newRunner(Options{
-		View: newTestView(scorerRoute(3)), Client: client, Forwarder: scorer{}, Log: log, Metrics: metrics,
+		View: newTestView(itemRoute(3), scorerRoute(3)), Client: client, Forwarder: scorer{}, Log: log, Metrics: metrics,
 		Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}),
 	})
 	var listed []resultMeta
 	r.appendResult = func(_ *partition, _ string, result resultMeta, _ string) { listed = append(listed, result) }
-	j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i", Scorer: newScorer()}, state: jobRunning}
+	j := &job{head: &Head{ID: "b", Host: "h", Path: "/b"}, item: &Item{ID: "i", Scorer: newScorer()}, state: jobRunning}
 	r.jobs["b"] = map[string]*job{"i": j}
 	instance := &fleet.Instance{}
 	j.instance = instance
-	r.attempt(t.Context(), runCtx, cancel, j, &fleet.Route{MaxAttempts: 3}, &targets.Call{Instance: instance})
+	r.attempt(t.Context(), runCtx, cancel, j, &targets.Call{Instance: instance})
 	is.Equal(len(listed), 1)
 	is.Equal(listed[0].Score, "score")
 }
@@ -140,6 +145,7 @@
 	targets.Client
 	versions []int64
 	next     int64
+	atEnd    func() // called before the end of the answer; may be nil
 }
 
 func (c *versionedClient) Do(_ context.Context, call *targets.Call) (*targets.Response, error) {
@@ -151,6 +157,9 @@
 
 func (c *versionedClient) Next() (targets.Event, error) {
 	if len(c.versions) == 0 {
+		if c.atEnd != nil {
+			c.atEnd()
+		}
 		return targets.Event{}, io.EOF
 	}
 	c.next++
@@ -180,18 +189,19 @@
 			is := is.New(t)
 			runCtx, cancel := context.WithCancel(t.Context())
 			log, metrics := slog.New(slog.DiscardHandler), process.NewMetrics()
+			route := itemRoute(3)
+			route.SingleVersion = tc.singleVersion
 			r := newRunner(Options{
-				View: fleet.NewView(), Client: &versionedClient{versions: tc.run}, Forwarder: scorer{}, Log: log, Metrics: metrics,
+				View: newTestView(route), Client: &versionedClient{versions: tc.run}, Forwarder: scorer{}, Log: log, Metrics: metrics,
 				Crashes: crashes.New(crashes.Options{Log: log, Metrics: metrics}),
 			})
 			var listed []resultMeta
 			r.appendResult = func(_ *partition, _ string, result resultMeta, _ string) { listed = append(listed, result) }
-			j := &job{head: &Head{ID: "b"}, item: &Item{ID: "i"}, state: jobRunning, versions: tc.text, events: make([]string, len(tc.text))}
+			j := &job{head: &Head{ID: "b", Host: "h", Path: "/b"}, item: &Item{ID: "i"}, state: jobRunning, versions: tc.text, events: make([]string, len(tc.text))}
 			r.jobs["b"] = map[string]*job{"i": j}
 			instance := &fleet.Instance{}
 			j.instance = instance
-			route := &fleet.Route{MaxAttempts: 3, SingleVersion: tc.singleVersion}
-			r.attempt(t.Context(), runCtx, cancel, j, route, &targets.Call{Instance: instance, ResumeAfter: int64(len(tc.text))})
+			r.attempt(t.Context(), runCtx, cancel, j, &targets.Call{Instance: instance, ResumeAfter: int64(len(tc.text))})
 			is.Equal(j.versions, tc.want)
 			is.Equal(len(j.events), len(tc.want))
 			is.Equal(len(listed) == 1, tc.listed)
--- a/batch/job.go
+++ b/batch/job.go
@@ -91,6 +91,12 @@
 	}
 }
 
+// hasFailed reports whether engines have failed as often as the item's route allows. Without a route that is not known.
+func (j *job) hasFailed(t *fleet.Tables) bool {
+	route := j.head.route(t)
+	return route != nil && j.engineErrors >= max(1, route.MaxAttempts)
+}
+
 // textVersion returns the weight version that generated the text if no other may continue it, or 0.
 func (j *job) textVersion(singleVersion bool) int64 {
 	if !singleVersion || len(j.versions) == 0 {
--- a/batch/placement.go
+++ b/batch/placement.go
@@ -48,6 +48,10 @@
 				go r.finishItem(ctx, j)
 				continue
 			}
+			if j.hasFailed(snap.Tables) { // its route was not known when it failed last
+				r.abandon(j)
+				continue
+			}
 			admission := r.crashes.AdmitItem(j.fingerprint)
 			if admission.Rejected {
 				r.logHeld(j, admission.Reason)
@@ -254,5 +258,5 @@
 		Instance: e.instance, Method: http.MethodPost, Host: route.Host, URI: j.item.Path, Header: header, Body: j.item.Body,
 		RequestID: j.item.ID, Organisation: j.head.Organisation, Priority: targets.NoPriority, ResumeAfter: int64(len(j.events)),
 	}
-	go r.attempt(ctx, runCtx, cancel, j, route, call)
+	go r.attempt(ctx, runCtx, cancel, j, call)
 }
--- a/batch/prompts_test.go
+++ b/batch/prompts_test.go
@@ -310,7 +310,7 @@
 		e := b.place("a", muchTime)
 		j := b.jobs[len(b.jobs)-1]
 		j.startedAt = time.Now()
-		b.attempt(t.Context(), t.Context(), func() {}, j, &fleet.Route{MaxAttempts: 3}, &targets.Call{Instance: e.instance})
+		b.attempt(t.Context(), t.Context(), func() {}, j, &targets.Call{Instance: e.instance})
 		is.Equal(e.heldTokens(b.now, j.prompt) > 0, run > 0) // a refused run read nothing
 		b.engines.block(e.instance, "m", time.Time{})
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -219,7 +219,7 @@
 		return &UnavailableError{RetryAfter: storeRetryAfter, Cause: errNoRoute}
 	}
 	p := s.partitionOf(route.Pool)
-	sub.Route = &AcceptedRoute{PathPrefix: route.PathPrefix}
+	sub.Route = newAcceptedRoute(route)
 	sub.NewestVersion = newestVersion(snap, route.Pool, sub.Model)
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
