batch: items are given up after their retention although their route is gone

What callers would see: a batch whose route never comes back is never given up. Its items keep the share of memory for open items, so that other submissions are refused.

Cause: without a route in the tables, a submission had no retention.

Change: the record of a submission holds the retention of its route, which holds while the tables have no route for it.

Before: TestItemsOfAGoneRouteAreGivenUpAfterTheirRetention fails in one of four cases. After: it passes.

--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -148,14 +148,10 @@
 	return 0
 }
 
-// expired reports whether the retention of a submission has ended, so that its items may be abandoned. Without a route
-// it returns false: the items wait.
+// expired reports whether the retention of a submission has ended, so that its items may be abandoned.
 func expired(snap *fleet.Snapshot, head *Head, now time.Time) bool {
-	route := head.route(snap.Tables)
-	if route == nil || route.Retention <= 0 {
-		return false
-	}
-	return now.UnixMilli() > head.AcceptedMs+route.Retention.Milliseconds()
+	retention := head.retention(snap.Tables)
+	return retention > 0 && now.UnixMilli() > head.AcceptedMs+retention.Milliseconds()
 }
 
 // abandon queues the result of an item that can't be completed.
--- a/batch/route.go
+++ b/batch/route.go
@@ -1,6 +1,10 @@
 package batch
 
-import "github.com/ibistrail/ibistrail/fleet"
+import (
+	"time"
+
+	"github.com/ibistrail/ibistrail/fleet"
+)
 
 // Routes change while submissions are open: they move to other pools, are removed and added again, and routes with longer prefixes take their
 // paths. An open submission keeps the route by which it was accepted, and follows what the tables say of that route now.
@@ -8,12 +12,13 @@
 // AcceptedRoute identifies the route by which a submission was accepted.
 type AcceptedRoute struct {
 	PathPrefix string `json:"path_prefix"`
-	// SingleVersion holds while the tables have no route for the submission.
-	SingleVersion bool `json:"single_version,omitempty"`
+	// SingleVersion and RetentionMs hold while the tables have no route for the submission.
+	SingleVersion bool  `json:"single_version,omitempty"`
+	RetentionMs   int64 `json:"retention_ms,omitempty"`
 }
 
 func newAcceptedRoute(r *fleet.Route) *AcceptedRoute {
-	return &AcceptedRoute{PathPrefix: r.PathPrefix, SingleVersion: r.SingleVersion}
+	return &AcceptedRoute{PathPrefix: r.PathPrefix, SingleVersion: r.SingleVersion, RetentionMs: r.Retention.Milliseconds()}
 }
 
 // route returns the submission's route in some tables: that by which it was accepted, or if they don't have it, the one that its path selects
@@ -37,3 +42,14 @@
 	}
 	return h.Route == nil || h.Route.SingleVersion // a text of one version is allowed in any case
 }
+
+// retention returns how long after its acceptance the items of the submission may be abandoned, or 0 if that is not known.
+func (h *Head) retention(t *fleet.Tables) time.Duration {
+	if r := h.route(t); r != nil {
+		return r.Retention
+	}
+	if h.Route != nil {
+		return time.Duration(h.Route.RetentionMs) * time.Millisecond
+	}
+	return 0
+}
--- a/batch/route_change_test.go
+++ b/batch/route_change_test.go
@@ -120,3 +120,33 @@
 		})
 	}
 }
+
+// TestItemsOfAGoneRouteAreGivenUpAfterTheirRetention guards against open batches that stay for good, with their items in the memory of the VM that
+// runs them, since their route never comes back.
+func TestItemsOfAGoneRouteAreGivenUpAfterTheirRetention(t *testing.T) {
+	accepted := itemRoute(3)
+	accepted.Retention = 40 * time.Second
+	longer := itemRoute(3)
+	longer.Retention = time.Minute
+	for _, tc := range []struct {
+		name     string
+		routes   []fleet.Route
+		recorded bool
+		age      time.Duration
+		expired  bool
+	}{
+		{"before it is over", nil, true, 39 * time.Second, false},
+		{"after it is over", nil, true, 41 * time.Second, true},
+		{"the route is there with a longer one", []fleet.Route{longer}, true, 41 * time.Second, false},
+		{"an earlier build has accepted it", nil, false, time.Hour, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			head := &Head{ID: "b", Host: "h", Path: "/b", AcceptedMs: time.Now().Add(-tc.age).UnixMilli()}
+			if tc.recorded {
+				head.Route = newAcceptedRoute(&accepted)
+			}
+			is.Equal(expired(newTestView(tc.routes...).Get(), head, time.Now()), tc.expired)
+		})
+	}
+}
