batch: results are reused by what a route said before it was gone

What callers would see: a batch on a route that allows one weight version in a text is opened while its route is gone, and lists the result of an earlier batch that has two (VERSION).

Cause: without a route in the tables, several versions were taken for allowed.

Change: what the record of the submission says holds; where it says nothing, one version.

Before: TestResultsAreReusedByTheRouteThatIsGone fails in two of four cases. After: it passes.

--- a/batch/reconcile.go
+++ b/batch/reconcile.go
@@ -192,10 +192,7 @@
 
 // openSubmission creates the jobs of a submission. The caller holds the locks of the runner and the partition.
 func (r *runner) openSubmission(snap *fleet.Snapshot, p *partition, sub *submissionState, texts map[string]*partialText) {
-	singleVersion := false
-	if route := sub.head.route(snap.Tables); route != nil {
-		singleVersion = route.SingleVersion
-	}
+	singleVersion := sub.head.singleVersion(snap.Tables)
 	jobs := make(map[string]*job, len(sub.itemList))
 	resubmittedGroups := map[string]bool{}
 	reused := 0
--- a/batch/route_change_test.go
+++ b/batch/route_change_test.go
@@ -150,3 +150,30 @@
 		})
 	}
 }
+
+// TestResultsAreReusedByTheRouteThatIsGone guards against results of several weight versions in a batch whose route allows one, but is gone as the
+// batch is opened.
+func TestResultsAreReusedByTheRouteThatIsGone(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		route    *AcceptedRoute
+		versions []int64
+		reused   bool
+	}{
+		{"one version, one allowed", &AcceptedRoute{PathPrefix: "/b", SingleVersion: true}, []int64{1}, true},
+		{"two versions, one allowed", &AcceptedRoute{PathPrefix: "/b", SingleVersion: true}, []int64{1, 2}, false},
+		{"two versions, several allowed", &AcceptedRoute{PathPrefix: "/b"}, []int64{1, 2}, true},
+		{"two versions, not known", nil, []int64{1, 2}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			x := newRunnerOnRoutes(nil)
+			p := &partition{index: newIndexState()}
+			p.index.resultsByItem[ownedItem{id: "i"}] = itemResult{resultMeta: resultMeta{ItemID: "i", Versions: tc.versions}, submissionID: "a"}
+			sub := &submissionState{head: &Head{ID: "b", Host: "h", Path: "/b", Route: tc.route}, itemCount: 1, hasResult: map[string]bool{}}
+			sub.setItems([]Item{{ID: "i"}})
+			x.openSubmission(x.view.Get(), p, sub, nil)
+			is.Equal(len(x.listed) == 1, tc.reused)
+		})
+	}
+}
