batch: a complete text is scored although the route of its batch is gone

What callers would see: after a change of the holder, results that lack only their score come no sooner than the batch's route is back. Found by reading; not seen at work.

Cause: texts that were read whole from the log were scored in the pass that looks for engines, which skips batches without a route.

Change: they are scored before it.

Before: TestCompleteTextIsScoredWithoutARoute fails. After: it passes.

--- a/batch/placement.go
+++ b/batch/placement.go
@@ -17,6 +17,7 @@
 	runningSuspects := map[string]bool{}        // by fingerprint
 	var tasks []*task
 	for _, jobs := range r.jobs {
+		r.scoreComplete(ctx, jobs)
 		var route *fleet.Route
 		var pool *fleet.Pool
 		var interval time.Duration
@@ -43,11 +44,6 @@
 			if j.state != jobWaiting || now.Before(j.notBefore) {
 				continue
 			}
-			if j.textComplete {
-				j.textComplete, j.state = false, jobScoring
-				go r.finishItem(ctx, j)
-				continue
-			}
 			if j.hasFailed(snap.Tables) { // its route was not known when it failed last
 				r.abandon(j)
 				continue
@@ -67,6 +63,16 @@
 	r.placeTasks(ctx, now, tasks, byPool, groupEngines, runningSuspects)
 }
 
+// scoreComplete starts to score the texts that were complete when they were read from the log. They need no engine, and so no route.
+func (r *runner) scoreComplete(ctx context.Context, jobs map[string]*job) {
+	for _, j := range jobs {
+		if j.state == jobWaiting && j.textComplete {
+			j.textComplete, j.state = false, jobScoring
+			go r.finishItem(ctx, j)
+		}
+	}
+}
+
 // candidates returns the engines of a pool to which a request may be sent now.
 func (r *runner) candidates(now time.Time, pool string) *candidates {
 	c := r.engines.candidates(now, pool)
--- a/batch/route_change_test.go
+++ b/batch/route_change_test.go
@@ -177,3 +177,21 @@
 		})
 	}
 }
+
+// TestCompleteTextIsScoredWithoutARoute guards against texts that a successor has read whole, and that wait for a route although they need no engine.
+func TestCompleteTextIsScoredWithoutARoute(t *testing.T) {
+	is := is.New(t)
+	x := newRunnerOnRoutes(nil)
+	x.job.textComplete, x.job.events, x.job.versions = true, []string{"text"}, []int64{1}
+	done := make(chan resultMeta, 1)
+	x.appendResult = func(_ *partition, _ string, result resultMeta, _ string) { done <- result }
+	x.mu.Lock()
+	x.startWaiting(t.Context(), x.view.Get())
+	x.mu.Unlock()
+	select {
+	case result := <-done:
+		is.Equal(result.Versions, []int64{1})
+	case <-time.After(5 * time.Second):
+		t.Fatal("the text is not listed")
+	}
+}
