batch: a batch that was accepted stays so as its route goes

What callers would see: a batch that is sent again just as its route leaves the tables is refused with 503, although it was accepted and runs. Found by reading; not seen at work.

Cause: the route was looked up before the records of the log.

Change: the records come first.

Before: TestAcceptedBatchStaysAcceptedWithoutItsRoute fails. After: it passes.

--- a/batch/route_change_test.go
+++ b/batch/route_change_test.go
@@ -15,6 +15,7 @@
 	"github.com/ibistrail/ibistrail/crashes"
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/process"
+	"github.com/ibistrail/ibistrail/store"
 	"github.com/ibistrail/ibistrail/targets"
 )
 
@@ -195,3 +196,14 @@
 		t.Fatal("the text is not listed")
 	}
 }
+
+// TestAcceptedBatchStaysAcceptedWithoutItsRoute guards against a refusal of a batch that was accepted before: its route goes just as it is sent again.
+func TestAcceptedBatchStaysAcceptedWithoutItsRoute(t *testing.T) {
+	is := is.New(t)
+	v := newRouteVM(t, &memoryLog{partitions: map[store.Partition][][]byte{}}, 1, "pool")
+	is.NoErr(v.submit(t, "b"))
+	is.NoErr(v.partitionOf("pool").sync(t.Context()))
+	setRoutes(v.opts.View)
+	is.NoErr(v.submit(t, "b"))
+	isUnavailable(is, v.submit(t, "c"))
+}
--- a/batch/service.go
+++ b/batch/service.go
@@ -209,6 +209,9 @@
 	if err := sub.Validate(); err != nil {
 		return err
 	}
+	if accepted, err := s.accepted(sub); accepted {
+		return err // whatever has become of its route
+	}
 	// The place and its epoch follow from one version of the tables, which may be newer than that by which the caller was admitted.
 	snap := s.opts.View.Get()
 	var route *fleet.Route
@@ -224,9 +227,6 @@
 	for i := range sub.Items {
 		sub.ExpectedTokens += int64(sub.Items[i].ExpectedTokens)
 	}
-	if accepted, err := s.accepted(sub); accepted {
-		return err
-	}
 	items, err := json.Marshal(sub.Items)
 	if err != nil {
 		return err
