batch: a VM reads again before it refuses submissions for the items of open ones

What callers would see: a VM refuses all but small submissions for good. It has read of open batches in a partition that it does not follow; they are done since. VMs that are asked for a batch read such partitions, and those that start, since they look for open work.

Cause: the size of open items was taken from the last read, however old.

Before: TestRefusalForOpenItemsIsUpToDate fails.

--- a/batch/open_items_test.go
+++ b/batch/open_items_test.go
@@ -42,6 +42,26 @@
 	is.NoErr(submit("alone"))
 }
 
+// TestRefusalForOpenItemsIsUpToDate guards against a VM that refuses submissions for good, as it has read of open ones in a partition that it does
+// not follow: they have ended since.
+func TestRefusalForOpenItemsIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	pools := poolsInOrder(true)
+	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
+	former := newRouteVM(t, log, 1, pools[0])
+	is.NoErr(former.submit(t, "open"))
+	v := newDiscoverer(t, log, 2, pools[1])
+	v.DiscoverOpenWork()
+	is.Equal(v.await(t), PartitionOf(pools[0], 12).Index)
+	v.opts.MaxOpenItemBytes = 1
+	isUnavailable(is, v.submit(t, "b"))
+	is.NoErr(former.End(t.Context(), organisation.Caller{}, "open"))
+	is.NoErr(v.submit(t, "b"))
+	is.NoErr(v.partitionOf(pools[1]).sync(t.Context()))
+	log.setRefuseRead(func(store.Partition) bool { return true })
+	isUnavailable(is, v.submit(t, "c")) // what can't be read counts as it was
+}
+
 // TestItemsWaitForRoom guards against a VM that holds the items of all open submissions, which others have accepted.
 func TestItemsWaitForRoom(t *testing.T) {
 	is := is.New(t)
--- a/batch/service.go
+++ b/batch/service.go
@@ -234,7 +234,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	start := time.Now()
-	if err = s.checkOpenItems(int64(len(items))); err == nil {
+	if err = s.checkOpenItems(ctx, int64(len(items))); err == nil {
 		err = s.submitOnce(ctx, snap, sub, splitRecord(items, s.opts.MaxRecordBytes))
 	}
 	s.countCall("submit", err)
