--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -214,6 +214,7 @@
 	// binaries are the builds that a VM runs in turn, from one start to the next.
 	binaries []string
 	nodes    []*soakVM
+	network  int32 // the third byte of the VMs' addresses
 	dir      string
 	start    time.Time
 	events   *json.Encoder
@@ -318,9 +319,16 @@
 	return d
 }
 
-// newNode writes the settings of a VM. Each has a loopback address of its own, as machines have.
+// soakNetworks counts the runs of this process that have VMs.
+var soakNetworks atomic.Int32
+
+// newNode writes the settings of a VM. Each has a loopback address of its own, as machines have, also among the VMs of runs that go on at once:
+// a port that is free now is free when the VM starts.
 func (s *processSoak) newNode(i int) *soakVM {
-	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	if s.network == 0 {
+		s.network = 1 + soakNetworks.Add(1)%250
+	}
+	ip := fmt.Sprintf("127.0.%d.%d", s.network, 10+i)
 	port := func() int {
 		l, err := net.Listen("tcp", ip+":0")
 		s.is.NoErr(err)
