batch: a route that stands in for one that is gone allows no more than that did

What callers would see: while the route of an open batch is gone and a shorter one has its path, texts of two weight versions are listed although its own route allows one, or items are given up after the other route's retention; its own is back soon after. Found by reading; not seen at work.

Cause: all rules were those of the route that the path selects.

--- a/batch/discovery_test.go
+++ b/batch/discovery_test.go
@@ -93,23 +93,30 @@
 	is.Equal(reads[PartitionOf("a", 12).Index], 0)
 }
 
-// TestVoidSubmissionOfARemovedRouteIsFound guards against a submission that is placed in a partition of no pool, as its route is gone, and that no
-// VM runs when the route is back.
-func TestVoidSubmissionOfARemovedRouteIsFound(t *testing.T) {
-	is := is.New(t)
-	pools := poolsInOrder(true)
-	log := &memoryLog{partitions: map[store.Partition][][]byte{}}
-	late := newRouteVM(t, log, 1, pools[0])
-	is.NoErr(late.submit(t, "earlier"))
-	is.NoErr(newRouteVM(t, log, 2, pools[1]).submit(t, "other")) // begins an epoch
-	is.NoErr(late.submit(t, "b"))                                // void
-	v := newDiscoverer(t, log, 2, pools[1])
-	v.version++
-	v.directory.SetTables(&fleet.Tables{Version: v.version}) // the route is gone
-	v.opts.View.Set(&fleet.Snapshot{Tables: v.directory.Tables(), BatchRouting: v.directory.BatchRouting()})
-	_, err := v.find(t.Context(), organisation.Caller{}, "b")
-	isUnavailable(is, err) // v places it
-	for want := v.partitionOf("b").id.Index; v.await(t) != want; {
+// TestVoidSubmissionWithoutARouteIsFound guards against a submission that is placed in a partition of no pool, as its route is gone or a plain one has
+// taken its path, and that no VM runs when there is a route for it.
+func TestVoidSubmissionWithoutARouteIsFound(t *testing.T) {
+	for name, routes := range map[string][]fleet.Route{
+		"its route is gone":          nil,
+		"a plain route has its path": {batchRoute("/r/"), plainRoute("/r/b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			pools := poolsInOrder(true)
+			log := &memoryLog{partitions: map[store.Partition][][]byte{}}
+			late := newRouteVM(t, log, 1, pools[0])
+			is.NoErr(late.submit(t, "earlier"))
+			is.NoErr(newRouteVM(t, log, 2, pools[1]).submit(t, "other")) // begins an epoch
+			is.NoErr(late.submit(t, "b"))                                // void
+			v := newDiscoverer(t, log, 2, pools[1])
+			v.version++
+			v.directory.SetTables(&fleet.Tables{Version: v.version, Routes: routes})
+			v.opts.View.Set(&fleet.Snapshot{Tables: v.directory.Tables(), BatchRouting: v.directory.BatchRouting()})
+			_, err := v.find(t.Context(), organisation.Caller{}, "b")
+			isUnavailable(is, err) // v places it
+			for want := v.partitionOf("b").id.Index; v.await(t) != want; {
+			}
+			is.Equal(copies(t, log, "b"), []int{v.partitionOf("b").id.Index})
+		})
 	}
-	is.Equal(copies(t, log, "b"), []int{v.partitionOf("b").id.Index})
 }
--- a/batch/route_test.go
+++ b/batch/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -49,3 +50,31 @@
 		})
 	}
 }
+
+// TestRouteThatStandsInAllowsNoMore guards against texts of two weight versions, and items that are given up early, in a batch whose own route is
+// back soon: another one has its path meanwhile.
+func TestRouteThatStandsInAllowsNoMore(t *testing.T) {
+	own, other := batchRoute("/a/b/"), batchRoute("/a/")
+	own.SingleVersion, own.Retention = true, 40*time.Second
+	other.Retention = time.Second
+	head := &Head{Host: "h", Path: "/a/b/c", Route: newAcceptedRoute(&own)}
+	for _, tc := range []struct {
+		name      string
+		route     fleet.Route
+		single    bool
+		retention time.Duration
+	}{
+		{"its own", own, true, 40 * time.Second},
+		{"another", other, true, 40 * time.Second},
+		{"another without a retention", batchRoute("/a/"), true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tables := &fleet.Tables{Routes: []fleet.Route{tc.route}}
+			is.Equal(head.route(tables).SingleVersion, tc.single)
+			is.Equal(head.singleVersion(tables), tc.single)
+			is.Equal(head.retention(tables), tc.retention)
+			is.Equal(tables.Routes[0].SingleVersion, tc.route.SingleVersion) // the tables are as they were
+		})
+	}
+}
