--- a/batch/discovery_test.go
+++ b/batch/discovery_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ibistrail/ibistrail/fleet"
 	"github.com/ibistrail/ibistrail/organisation"
+	"github.com/ibistrail/ibistrail/process"
 	"github.com/ibistrail/ibistrail/store"
 )
 
@@ -50,10 +51,17 @@
 	is.NoErr(newRouteVM(t, log, 1, pools[0]).submit(t, "a"))
 	is.NoErr(newRouteVM(t, log, 2, pools[1]).submit(t, "b"))
 	dark, open := PartitionOf(pools[0], 12), PartitionOf(pools[1], 12)
-	log.setRefuseRead(func(p store.Partition) bool { return p == dark })
+	tried := make(chan struct{}, 1)
+	log.setRefuseRead(func(p store.Partition) bool {
+		if p == dark {
+			process.Notify(tried)
+		}
+		return p == dark
+	})
 	v := newDiscoverer(t, log, 3, pools[2])
 	v.DiscoverOpenWork()
 	is.Equal(v.await(t), open.Index)
+	<-tried
 	log.setRefuseRead(nil)
 	is.Equal(v.await(t), dark.Index)
 	found := v.OpenPartitions()
