entry: the soak changes the routes of open batches, and drops their service

While real processes are killed, paused and cut off, the route of open batches moves, is gone and comes back, other routes take its path, and its service leaves the tables. The judge checks that no plain server runs an item.

--- a/entry/process_soak_test.go
+++ b/entry/process_soak_test.go
@@ -229,6 +229,9 @@
 	// tables guards the configuration: addedRoute is JSON of the route that a fault has added, movedRoute of that to the spares, or "".
 	tables                 sync.Mutex
 	addedRoute, movedRoute string
+	// openRoutes is JSON of the routes on openPath, dropped are the engines of droppedService.
+	openRoutes string
+	dropped    []*errata.Target
 }
 
 // soakAttempt is an attempt of a caller and its outcome.
@@ -288,6 +291,7 @@
 	faultsOver := make(chan struct{})
 	if len(s.spares) > 0 {
 		callers.Go(func() { s.moveRoute(rand.New(rand.NewPCG(seed, 2)), faultsOver) })
+		callers.Go(func() { s.changeOpenRoutes(rand.New(rand.NewPCG(seed, 3)), faultsOver) })
 	}
 	s.injectFaults(rand.New(rand.NewPCG(seed, 1)))
 	close(faultsOver)
@@ -509,7 +513,7 @@
 	s.tables.Lock()
 	defer s.tables.Unlock()
 	change()
-	s.configure(s.addedRoute + s.movedRoute)
+	s.configure(s.addedRoute + s.movedRoute + s.openRoutes)
 }
 
 // moveRoute moves the route of the first trainer's batches to the spares and back, at drawn times, until faultsOver is closed.
@@ -601,43 +605,48 @@
 		}
 		s.untilDone(batch+" is accepted", submit)
 		submit() // other clients send it again
-		var all []result
-		s.untilDone(batch+" is whole", func() bool {
-			p, status := s.readPage(s.anyNode(rng), batch, len(all))
-			if status == http.StatusNotFound {
-				s.t.Errorf("%s was accepted, and a VM answers 404", batch)
-			}
-			all = append(all, p.Results...)
-			return len(all) >= len(items)
-		})
-		for i, r := range all {
-			text, software := errata.SplitTags(r.Text)
-			if len(software) > 1 {
-				s.t.Errorf("%s has events of software versions %v", r.Id, software)
-			}
-			all[i].Text = text
-		}
-		s.checkResults(all, 30, items...)
-		s.untilDone(batch+" is read again", func() bool {
-			p, status := s.readPage(s.anyNode(rng), batch, 0)
-			if status != http.StatusOK || len(p.Results) == 0 {
-				return false
-			}
-			for i, r := range p.Results {
-				r.Text, _ = errata.SplitTags(r.Text)
-				if !slices.Equal(r.Versions, all[i].Versions) || r.Id != all[i].Id || r.Text != all[i].Text {
-					s.t.Errorf("position %d of %s holds %s and then %s, or another text", i, batch, all[i].Id, r.Id)
-				}
-			}
-			return true
-		})
-		s.untilDone(batch+" is ended", func() bool {
-			return s.call(s.anyNode(rng), http.MethodDelete, "/v1/lots/"+batch, "", "").status == http.StatusOK
-		})
+		s.readBatch(rng, batch, items)
 		s.batches.Add(1)
 	}
 }
 
+// readBatch reads a batch at any VM until all items are listed, reads it again, and ends it.
+func (s *processSoak) readBatch(rng *rand.Rand, batch string, items []string) {
+	var all []result
+	s.untilDone(batch+" is whole", func() bool {
+		p, status := s.readPage(s.anyNode(rng), batch, len(all))
+		if status == http.StatusNotFound {
+			s.t.Errorf("%s was accepted, and a VM answers 404", batch)
+		}
+		all = append(all, p.Results...)
+		return len(all) >= len(items)
+	})
+	for i, r := range all {
+		text, software := errata.SplitTags(r.Text)
+		if len(software) > 1 {
+			s.t.Errorf("%s has events of software versions %v", r.Id, software)
+		}
+		all[i].Text = text
+	}
+	s.checkResults(all, 30, items...)
+	s.untilDone(batch+" is read again", func() bool {
+		p, status := s.readPage(s.anyNode(rng), batch, 0)
+		if status != http.StatusOK || len(p.Results) == 0 {
+			return false
+		}
+		for i, r := range p.Results {
+			r.Text, _ = errata.SplitTags(r.Text)
+			if !slices.Equal(r.Versions, all[i].Versions) || r.Id != all[i].Id || r.Text != all[i].Text {
+				s.t.Errorf("position %d of %s holds %s and then %s, or another text", i, batch, all[i].Id, r.Id)
+			}
+		}
+		return true
+	})
+	s.untilDone(batch+" is ended", func() bool {
+		return s.call(s.anyNode(rng), http.MethodDelete, "/v1/lots/"+batch, "", "").status == http.StatusOK
+	})
+}
+
 // untilDone repeats a call until it succeeds, as trainers do.
 func (s *processSoak) untilDone(what string, done func() bool) {
 	for deadline := time.Now().Add(soakBatchTime); !done(); time.Sleep(50 * time.Millisecond) {
@@ -651,9 +660,12 @@
 // judge checks what targets saw against what callers were told.
 func (s *processSoak) judge() {
 	runs := map[string][]errata.ExecutedRequest{}
-	for _, x := range slices.Concat(s.services, s.engines, s.spares) {
+	for _, x := range slices.Concat(s.services, s.engines, s.spares, s.dropped) {
 		for _, r := range x.ExecutedRequests() {
 			runs[r.ID] = append(runs[r.ID], r)
+			if _, plain := s.attempts[r.ID]; x.Service == "desk" && !plain && !strings.HasPrefix(r.ID, "score-") {
+				s.t.Errorf("ROUTE: %s ran item %s", x.ID, r.ID)
+			}
 			if want := strings.TrimPrefix(r.ID, "score-"); !strings.HasSuffix(string(r.Body), want) && string(r.Body) != poison {
 				s.t.Errorf("%s ran with the body %.60q", r.ID, r.Body)
 			}
