--- a/batch/placement.go
+++ b/batch/placement.go
@@ -44,7 +44,7 @@
 			if j.state != jobWaiting || now.Before(j.notBefore) {
 				continue
 			}
-			if j.hasFailed(snap.Tables) { // its route was not known when it failed last
+			if j.hasFailed(snap.Tables) { // its route was not known when it failed, or allowed more failures
 				r.abandon(j)
 				continue
 			}
--- a/entry/covered_route_test.go
+++ b/entry/covered_route_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestOpenBatchKeepsItsRoute guards against open batches whose items wait for good, or run on the targets of another route: a route that is
-// added takes the path at which they were submitted, as a route removed leaves it to another.
+// added takes their path, or theirs is removed and leaves it to another.
 func TestOpenBatchKeepsItsRoute(t *testing.T) {
 	const drafting = "drafting"
 	for _, tc := range []struct {
